--- /dev/null
+++ b/kernel/kernel_test.go
@@ -0,0 +1,59 @@
+package kernel
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type recorder struct {
+	name   string
+	events *[]string
+	fail   error
+}
+
+func (r *recorder) Start(context.Context, *Host) error {
+	*r.events = append(*r.events, "start "+r.name)
+	return r.fail
+}
+
+func (r *recorder) Stop(context.Context) error {
+	*r.events = append(*r.events, "stop "+r.name)
+	return nil
+}
+
+func TestServicesStartInDependencyOrderAndStopInReverse(t *testing.T) {
+	is := is.New(t)
+	var events []string
+	k := New(time.Second)
+	is.NoErr(k.Register("http", &recorder{name: "http", events: &events}, "router"))
+	is.NoErr(k.Register("router", &recorder{name: "router", events: &events}, "table"))
+	is.NoErr(k.Register("table", &recorder{name: "table", events: &events}))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.NoErr(k.Run(ctx))
+	is.Equal(events, []string{"start table", "start router", "start http", "stop http", "stop router", "stop table"})
+}
+
+func TestFailedStartStopsWhatHasStarted(t *testing.T) {
+	is := is.New(t)
+	var events []string
+	k := New(time.Second)
+	failure := &RegistrationError{Service: "http", Rule: "planted"}
+	is.NoErr(k.Register("table", &recorder{name: "table", events: &events}))
+	is.NoErr(k.Register("http", &recorder{name: "http", events: &events, fail: failure}, "table"))
+	is.True(k.Run(context.Background()) != nil)
+	is.Equal(events, []string{"start table", "start http", "stop table"})
+}
+
+func TestDependencyCycleIsRefused(t *testing.T) {
+	is := is.New(t)
+	var events []string
+	k := New(time.Second)
+	is.NoErr(k.Register("a", &recorder{events: &events}, "b"))
+	is.NoErr(k.Register("b", &recorder{events: &events}, "a"))
+	is.True(k.Run(context.Background()) != nil)
+	is.Equal(len(events), 0)
+}
--- /dev/null
+++ b/structs/target.go
@@ -0,0 +1,26 @@
+package structs
+
+// Target is one process that answers requests, as it announces itself to its
+// agent.
+type Target struct {
+	ID          TargetID `json:"id"`
+	Team        TeamID   `json:"team"`
+	Kinds       []string `json:"kinds"`       // request kinds that it answers
+	URL         string   `json:"url"`         // base URL of its HTTP server
+	Incarnation string   `json:"incarnation"` // changes with every start of the process
+	Slots       int      `json:"slots"`       // requests it works on at once
+	Connections int      `json:"connections"` // connections it accepts
+}
+
+// Serves reports whether the target answers the kind for the team.
+func (t Target) Serves(team TeamID, kind string) bool {
+	if t.Team != team {
+		return false
+	}
+	for _, k := range t.Kinds {
+		if k == kind {
+			return true
+		}
+	}
+	return false
+}
