--- a/structs/errors.go
+++ b/structs/errors.go
@@ -35,6 +35,7 @@
 	ReasonUnschedulable  Reason = "unschedulable"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonConnectionLost Reason = "connection_lost"
+	ReasonUnknownAttempt Reason = "unknown_attempt"
 )
 
 // NotRunError reports that a request has not run and never will under this
