--- /dev/null
+++ b/config/store_test.go
@@ -0,0 +1,162 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+func TestAppliedChangeIsTheNextRevision(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := NewStore(newFakeTable())
+	for i := int64(0); i < 3; i++ {
+		revision, err := store.Apply(ctx, i, put(testTeam("jabuka", 800+i)), "ana")
+		is.NoErr(err)
+		is.Equal(revision, i+1)
+	}
+	current, err := store.Current(ctx)
+	is.NoErr(err)
+	is.Equal(current.Revision, int64(3))
+	is.Equal(current.Teams[0].Requests[0].DeadlineMS, int64(802))
+	history, err := store.History(ctx, 2)
+	is.NoErr(err)
+	is.Equal(len(history), 2)
+	is.Equal(history[0].Revision, int64(3))
+	is.Equal(history[0].Operator, "ana")
+}
+
+func TestRacingOperatorGetsTheDifference(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := NewStore(newFakeTable())
+	_, err := store.Apply(ctx, 0, put(testTeam("jabuka", 800)), "ana")
+	is.NoErr(err)
+	_, err = store.Apply(ctx, 1, put(testTeam("jabuka", 900)), "ana")
+	is.NoErr(err)
+	_, err = store.Apply(ctx, 1, put(testTeam("jabuka", 700)), "berta")
+	var conflict *ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Current, int64(2))
+	is.Equal(conflict.Difference, Difference{{Path: "/teams/jabuka/requests/check/deadline_ms", Before: "800", After: "900"}})
+	current, err := store.Current(ctx)
+	is.NoErr(err)
+	is.Equal(current.Revision, int64(2))
+}
+
+func TestConcurrentOperatorsOneWinsEachRevision(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := NewStore(newFakeTable())
+	results := make(chan error, 8)
+	for i := range 8 {
+		go func() {
+			_, err := store.Apply(ctx, 0, put(testTeam(fmt.Sprintf("team-%d", i), 800)), "ana")
+			results <- err
+		}()
+	}
+	won := 0
+	for range 8 {
+		err := <-results
+		var conflict *ConflictError
+		if err == nil {
+			won++
+		} else {
+			is.True(errors.As(err, &conflict))
+		}
+	}
+	is.Equal(won, 1)
+	current, err := store.Current(ctx)
+	is.NoErr(err)
+	is.Equal(len(current.Teams), 1)
+}
+
+func TestRollbackIsANewRevision(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := NewStore(newFakeTable())
+	_, err := store.Apply(ctx, 0, put(testTeam("jabuka", 800)), "ana")
+	is.NoErr(err)
+	_, err = store.Apply(ctx, 1, Change{Put: []structs.TeamConfig{testTeam("graz", 500)}, Remove: []structs.TeamID{"jabuka"}}, "ana")
+	is.NoErr(err)
+	revision, err := store.Rollback(ctx, 1, "berta")
+	is.NoErr(err)
+	is.Equal(revision, int64(3))
+	first, err := store.At(ctx, 1)
+	is.NoErr(err)
+	now, err := store.Current(ctx)
+	is.NoErr(err)
+	is.Equal(Diff(first, now), nil)
+	is.Equal(now.Teams, first.Teams)
+	_, err = store.Rollback(ctx, 9, "berta")
+	var absent *structs.NotFoundError
+	is.True(errors.As(err, &absent))
+}
+
+func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	for name, fault := range map[string]func(f *fakeTable){
+		"after the effect":  func(f *fakeTable) { f.loseNext = 1 },
+		"before the effect": func(f *fakeTable) { f.dropNext = 1 },
+		"twice":             func(f *fakeTable) { f.dropNext, f.loseNext = 1, 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				table := newFakeTable()
+				store := NewStore(table)
+				table.set(fault)
+				revision, err := store.Apply(t.Context(), 0, put(testTeam("jabuka", 800)), "ana")
+				is.NoErr(err)
+				is.Equal(revision, int64(1))
+				history, err := store.History(t.Context(), 10)
+				is.NoErr(err)
+				is.Equal(len(history), 1)
+			})
+		})
+	}
+}
+
+func TestOutcomeStaysUnknownWhenTheTableGoesDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newFakeTable()
+		store := NewStore(table)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		table.set(func(f *fakeTable) { f.loseNext = 1000 })
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			table.set(func(f *fakeTable) { f.down = true })
+		}()
+		_, err := store.Apply(ctx, 0, put(testTeam("jabuka", 800)), "ana")
+		var unknown *structs.UnknownOutcomeError
+		is.True(errors.As(err, &unknown))
+	})
+}
+
+func TestRefusedChangeNamesEveryFaultAndChangesNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := NewStore(newFakeTable())
+	bad := testTeam("jabuka", 800)
+	bad.Requests[0].Urgency = "soon"
+	bad.Services[0].Minimum = 9
+	bad.Batch[0].RunTimeMS = bad.Batch[0].DeadlineMS + 1
+	_, err := store.Apply(ctx, 0, Change{Put: []structs.TeamConfig{bad, testTeam("graz", 1), testTeam("graz", 2)}, Remove: []structs.TeamID{"nobody"}}, "ana")
+	var invalid *structs.InvalidError
+	is.True(errors.As(err, &invalid))
+	is.Equal(len(invalid.Faults), 5)
+	for _, fault := range invalid.Faults {
+		is.True(fault.Path != "" && fault.Value != "" && fault.Rule != "")
+	}
+	current, err := store.Current(ctx)
+	is.NoErr(err)
+	is.Equal(current.Revision, int64(0))
+}
