--- /dev/null
+++ b/problem/problem.go
@@ -0,0 +1,149 @@
+// Package problem writes and reads RFC 9457 problem details, the body of every
+// HTTP error of the project, and maps the typed errors of package structs to
+// them and back.
+package problem
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// ContentType is the media type of a problem body.
+const ContentType = "application/problem+json"
+
+// Problem types.
+const (
+	TypeInvalid        = "urn:daisywall:invalid"
+	TypeNotFound       = "urn:daisywall:not-found"
+	TypeConflict       = "urn:daisywall:conflict"
+	TypeNotRun         = "urn:daisywall:not-run"
+	TypeOutcomeUnknown = "urn:daisywall:outcome-unknown"
+	TypeUnavailable    = "urn:daisywall:unavailable"
+	TypeRefused        = "urn:daisywall:refused"
+	TypeTooLarge       = "urn:daisywall:too-large"
+	TypeInternal       = "urn:daisywall:internal"
+)
+
+// Details is a problem body.
+type Details struct {
+	Type      string          `json:"type"`
+	Title     string          `json:"title"`
+	Status    int             `json:"status"`
+	Detail    string          `json:"detail,omitempty"`
+	Reason    structs.Reason  `json:"reason,omitempty"`
+	RequestID string          `json:"request_id,omitempty"`
+	Faults    []structs.Fault `json:"faults,omitempty"`
+
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Error makes Details the typed error that a client returns.
+func (d *Details) Error() string {
+	return fmt.Sprintf("%s (%d): %s", d.Title, d.Status, d.Detail)
+}
+
+// From maps an error to its problem.
+func From(err error) *Details {
+	var details *Details
+	if errors.As(err, &details) {
+		return details
+	}
+	// An unknown outcome comes first: whatever it wraps, "not run" would be false.
+	var unknown *structs.UnknownOutcomeError
+	if errors.As(err, &unknown) {
+		return &Details{Type: TypeOutcomeUnknown, Title: "Outcome unknown", Status: http.StatusBadGateway, Detail: err.Error()}
+	}
+	var invalid *structs.InvalidError
+	if errors.As(err, &invalid) {
+		return &Details{Type: TypeInvalid, Title: "Invalid " + invalid.Subject, Status: http.StatusBadRequest, Detail: err.Error(), Faults: invalid.Faults}
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &Details{Type: TypeTooLarge, Title: "Body too large", Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("the limit is %d bytes", tooLarge.Limit)}
+	}
+	var notFound *structs.NotFoundError
+	if errors.As(err, &notFound) {
+		return &Details{Type: TypeNotFound, Title: "Not found", Status: http.StatusNotFound, Detail: err.Error()}
+	}
+	return fromOutcome(err)
+}
+
+// fromOutcome maps the errors that tell why an operation took no effect.
+func fromOutcome(err error) *Details {
+	var notRun *structs.NotRunError
+	if errors.As(err, &notRun) {
+		return &Details{Type: TypeNotRun, Title: "Not run", Status: notRunStatus(notRun.Reason), Detail: err.Error(), Reason: notRun.Reason, RetryAfter: notRun.RetryAfter}
+	}
+	var conflict *structs.ConflictError
+	if errors.As(err, &conflict) {
+		return &Details{Type: TypeConflict, Title: "Conflict", Status: http.StatusConflict, Detail: err.Error()}
+	}
+	var refused *structs.RefusedError
+	if errors.As(err, &refused) {
+		return &Details{Type: TypeRefused, Title: "Refused", Status: http.StatusUnprocessableEntity, Detail: err.Error(), Reason: refused.Reason}
+	}
+	var unavailable *structs.UnavailableError
+	if errors.As(err, &unavailable) {
+		return &Details{Type: TypeUnavailable, Title: "Unavailable", Status: http.StatusServiceUnavailable, Detail: err.Error(), RetryAfter: unavailable.RetryAfter}
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &Details{Type: TypeOutcomeUnknown, Title: "Outcome unknown", Status: http.StatusGatewayTimeout, Detail: err.Error()}
+	}
+	return &Details{Type: TypeInternal, Title: "Internal error", Status: http.StatusInternalServerError, Detail: err.Error()}
+}
+
+// notRunStatus separates the limits of a team from the state of the system.
+func notRunStatus(reason structs.Reason) int {
+	if reason == structs.ReasonRateLimit || reason == structs.ReasonConcurrency {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Write sends the problem of err, with Retry-After in whole seconds where the
+// error says when to come back.
+func Write(w http.ResponseWriter, err error, requestID structs.RequestID) {
+	details := *From(err)
+	details.RequestID = string(requestID)
+	body, marshalErr := json.Marshal(&details)
+	if marshalErr != nil {
+		http.Error(w, marshalErr.Error(), http.StatusInternalServerError)
+		return
+	}
+	header := w.Header()
+	header.Set("Content-Type", ContentType)
+	if details.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(details.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(details.Status)
+	_, _ = w.Write(body)
+}
+
+// Read returns the problem of an HTTP response with an error status. A body
+// that is no problem document still gives a typed error.
+func Read(response *http.Response) *Details {
+	const maxProblemBytes = 1 << 20
+	fallback := &Details{Type: TypeInternal, Title: http.StatusText(response.StatusCode), Status: response.StatusCode}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes))
+	if err != nil {
+		return fallback
+	}
+	var details Details
+	if json.Unmarshal(body, &details) != nil || details.Type == "" {
+		fallback.Detail = string(body)
+		return fallback
+	}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		details.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return &details
+}
--- /dev/null
+++ b/settings/daemons.go
@@ -0,0 +1,196 @@
+package settings
+
+import (
+	_ "embed" // schemas
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+//go:embed schema/entry.json
+var entrySchema []byte
+
+//go:embed schema/agent.json
+var agentSchema []byte
+
+//go:embed schema/standin.json
+var standInSchema []byte
+
+// Schemas of the daemons' settings.
+var (
+	EntrySchema   = MustCompile("entry settings", entrySchema)
+	AgentSchema   = MustCompile("agent settings", agentSchema)
+	StandInSchema = MustCompile("stand-in settings", standInSchema)
+)
+
+// Defaults of optional settings.
+const (
+	defaultPlatformTimeoutMS = 1000
+	defaultDrainMS           = 2000
+	defaultLogLevel          = "info"
+	defaultSlots             = 8
+	defaultConnections       = 60
+	maxPort                  = 65535
+)
+
+// Platform says where the platform's services are.
+type Platform struct {
+	Address   string `json:"address"`
+	TimeoutMS int64  `json:"timeout_ms"`
+}
+
+// Timeout is the longest wait for one call.
+func (p Platform) Timeout() time.Duration { return time.Duration(p.TimeoutMS) * time.Millisecond }
+
+func (p *Platform) complete() {
+	if p.TimeoutMS == 0 {
+		p.TimeoutMS = defaultPlatformTimeoutMS
+	}
+}
+
+// Entry is the settings of daisywall-entry.
+type Entry struct {
+	Entry         structs.EntryID         `json:"entry"`
+	FailureDomain structs.FailureDomainID `json:"failure_domain"`
+	HTTPAddress   string                  `json:"http_address"`
+	PeerAddress   string                  `json:"peer_address"`
+	Platform      Platform                `json:"platform"`
+	DrainMS       *int64                  `json:"drain_ms"`
+	LogLevel      string                  `json:"log_level"`
+}
+
+// Drain is how long the entry goes on accepting after its balancer check has
+// started to fail.
+func (e Entry) Drain() time.Duration { return time.Duration(*e.DrainMS) * time.Millisecond }
+
+// Agent is the settings of daisywall-agent.
+type Agent struct {
+	Worker        structs.WorkerID        `json:"worker"`
+	FailureDomain structs.FailureDomainID `json:"failure_domain"`
+	Rack          string                  `json:"rack"`
+	Cell          structs.CellID          `json:"cell"`
+	LocalAddress  string                  `json:"local_address"`
+	PeerAddress   string                  `json:"peer_address"`
+	Platform      Platform                `json:"platform"`
+	Capacity      structs.Resources       `json:"capacity"`
+	LogLevel      string                  `json:"log_level"`
+}
+
+// StandIn is the settings of daisywall-standin.
+type StandIn struct {
+	Address        string          `json:"address"`
+	ControlAddress string          `json:"control_address"`
+	Workers        []StandInWorker `json:"workers"`
+	Targets        []StandInTarget `json:"targets"`
+	LogLevel       string          `json:"log_level"`
+}
+
+// StandInWorker is one worker runtime that the stand-in serves.
+type StandInWorker struct {
+	Worker   structs.WorkerID  `json:"worker"`
+	Capacity structs.Resources `json:"capacity"`
+}
+
+// StandInTarget is one sample target that the stand-in runs.
+type StandInTarget struct {
+	Target        structs.TargetID `json:"target"`
+	Team          structs.TeamID   `json:"team"`
+	Kinds         []string         `json:"kinds"`
+	Address       string           `json:"address"`
+	Agent         string           `json:"agent"`
+	Slots         int              `json:"slots"`
+	Connections   int              `json:"connections"`
+	ServiceTimeMS int64            `json:"service_time_ms"`
+}
+
+// ServiceTime is how long the target works on one request.
+func (t StandInTarget) ServiceTime() time.Duration {
+	return time.Duration(t.ServiceTimeMS) * time.Millisecond
+}
+
+// DecodeEntry checks the settings of an entry and fills in defaults.
+func DecodeEntry(data []byte) (Entry, error) {
+	var e Entry
+	if err := EntrySchema.Decode(data, &e); err != nil {
+		return Entry{}, err
+	}
+	e.Platform.complete()
+	if e.DrainMS == nil {
+		drain := int64(defaultDrainMS)
+		e.DrainMS = &drain
+	}
+	e.LogLevel = orDefault(e.LogLevel)
+	return e, checkAddresses(EntrySchema, map[string]string{
+		"/http_address":     e.HTTPAddress,
+		"/peer_address":     e.PeerAddress,
+		"/platform/address": e.Platform.Address,
+	})
+}
+
+// DecodeAgent checks the settings of an agent and fills in defaults.
+func DecodeAgent(data []byte) (Agent, error) {
+	var a Agent
+	if err := AgentSchema.Decode(data, &a); err != nil {
+		return Agent{}, err
+	}
+	a.Platform.complete()
+	if a.Cell == "" {
+		a.Cell = structs.CellID(a.FailureDomain)
+	}
+	a.LogLevel = orDefault(a.LogLevel)
+	return a, checkAddresses(AgentSchema, map[string]string{
+		"/local_address":    a.LocalAddress,
+		"/peer_address":     a.PeerAddress,
+		"/platform/address": a.Platform.Address,
+	})
+}
+
+// DecodeStandIn checks the settings of a stand-in and fills in defaults.
+func DecodeStandIn(data []byte) (StandIn, error) {
+	var s StandIn
+	if err := StandInSchema.Decode(data, &s); err != nil {
+		return StandIn{}, err
+	}
+	addresses := map[string]string{"/address": s.Address, "/control_address": s.ControlAddress}
+	for i := range s.Targets {
+		t := &s.Targets[i]
+		if t.Slots == 0 {
+			t.Slots = defaultSlots
+		}
+		if t.Connections == 0 {
+			t.Connections = defaultConnections
+		}
+		addresses[fmt.Sprintf("/targets/%d/address", i)] = t.Address
+		addresses[fmt.Sprintf("/targets/%d/agent", i)] = t.Agent
+	}
+	s.LogLevel = orDefault(s.LogLevel)
+	return s, checkAddresses(StandInSchema, addresses)
+}
+
+func orDefault(level string) string {
+	if level == "" {
+		return defaultLogLevel
+	}
+	return level
+}
+
+// checkAddresses checks that every address is an IP number with a port, since
+// the processes reach each other by IP numbers alone.
+func checkAddresses(schema *Schema, byPath map[string]string) error {
+	var list []structs.Fault
+	for path, address := range byPath {
+		host, port, err := net.SplitHostPort(address)
+		number, portErr := strconv.Atoi(port)
+		if err != nil || net.ParseIP(host) == nil || portErr != nil || number > maxPort {
+			list = append(list, structs.Fault{Path: path, Value: address, Rule: "must be an IP number and a port"})
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	sortFaults(list)
+	return schema.invalid(list...)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -107,10 +107,15 @@
 		}
 	}
 	walk(validation)
-	sort.SliceStable(list, func(i, j int) bool { return list[i].Path < list[j].Path })
+	sortFaults(list)
 	return list
 }
 
+// sortFaults orders faults by path, so that a report is the same every time.
+func sortFaults(list []structs.Fault) {
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Path < list[j].Path })
+}
+
 // valueAt returns the JSON text of the value at the location, shortened.
 func valueAt(document any, location []string) string {
 	value := document
