Add the worker agent: ledger, grants, leases, actions and leaving

The agent admits assignments into its worker's capacity, starts them with the grant of the heartbeat that they rest on, and renews leases from the runtime reading taken before each answered heartbeat.

--- /dev/null
+++ b/worker/agent_test.go
@@ -0,0 +1,359 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/structs"
+)
+
+func TestAssignmentRunsAndItsEndIsReportedUntilForgotten(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "short"))), 0)
+		time.Sleep(3 * time.Second)
+		for range 3 {
+			time.Sleep(time.Second)
+			h.is.Equal(h.leader.last().GetRuns()[0].GetState(), string(platform.RunExited))
+		}
+		h.is.Equal(h.leader.reported(id).GetResult(), "result/j/0")
+		h.act(daisywallpb.Action_VERB_FORGET, id)
+		time.Sleep(2 * time.Second)
+		h.is.Equal(len(h.leader.last().GetRuns()), 0)
+		h.is.Equal(h.state(id), platform.RunState(""))
+	})
+}
+
+func TestDuplicateAssignmentIsOneStartAndNeverRejected(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		req := h.request(id, "long")
+		h.is.Equal(len(h.assign(req)), 0)
+		h.is.Equal(len(h.assign(req)), 0)
+		time.Sleep(time.Minute) // the grant has ended
+		h.is.Equal(len(h.assign(req)), 0)
+		h.is.Equal(h.starts(), 1)
+	})
+}
+
+func TestForgottenAttemptNeverStartsAgain(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		req := h.request(id, "short")
+		h.is.Equal(len(h.assign(req)), 0)
+		time.Sleep(1600 * time.Millisecond) // a heartbeat has seen the end, and the grant lasts
+		h.act(daisywallpb.Action_VERB_FORGET, id)
+		h.is.Equal(h.state(id), platform.RunState(""))
+		h.is.Equal(h.assign(req), []structs.Reason{structs.ReasonDuplicate})
+		h.is.Equal(h.starts(), 1)
+	})
+}
+
+func TestAssignmentIsRefused(t *testing.T) {
+	cases := map[string]struct {
+		change func(h *host, req *daisywallpb.AssignRequest)
+		reason structs.Reason
+	}{
+		"of an earlier leader": {func(h *host, req *daisywallpb.AssignRequest) {
+			h.assign(&daisywallpb.AssignRequest{Cell: "c1", Epoch: 2})
+		}, structs.ReasonStaleEpoch},
+		"of another cell": {func(_ *host, req *daisywallpb.AssignRequest) {
+			req.Cell = "c2"
+		}, structs.ReasonNotLeader},
+		"for another incarnation": {func(_ *host, req *daisywallpb.AssignRequest) {
+			req.Assignments[0].Incarnation = "x"
+		}, structs.ReasonIncarnation},
+		"on an unknown heartbeat": {func(_ *host, req *daisywallpb.AssignRequest) {
+			req.HeartbeatSeq++
+		}, structs.ReasonStaleGrant},
+		"on an old heartbeat": {func(*host, *daisywallpb.AssignRequest) {
+			time.Sleep(DefaultStartGrant + 2*time.Second)
+		}, structs.ReasonStaleGrant},
+		"when the runtime has restarted": {func(h *host, _ *daisywallpb.AssignRequest) {
+			h.runtime.Restart()
+		}, structs.ReasonIncarnation},
+		"when it does not fit": {func(_ *host, req *daisywallpb.AssignRequest) {
+			req.Assignments[0].Resources.MilliCpu = hostCapacity.MilliCPU + 1
+		}, structs.ReasonCapacity},
+		"for a program that is not installed": {func(_ *host, req *daisywallpb.AssignRequest) {
+			req.Assignments[0].Program = "x"
+		}, structs.ReasonNotInstalled},
+		"when the runtime is out": {func(h *host, _ *daisywallpb.AssignRequest) {
+			h.runtime.Faults.Refuse(1)
+		}, structs.ReasonUnreachable},
+		"by an agent that has just started": {func(h *host, req *daisywallpb.AssignRequest) {
+			h.startAgent()
+			synctest.Wait()
+			req.HeartbeatSeq = h.leader.last().GetSequence()
+		}, structs.ReasonStaleGrant},
+		"by an agent that has stopped": {func(h *host, _ *daisywallpb.AssignRequest) {
+			h.stop()
+		}, structs.ReasonShuttingDown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			onHost(t, func(h *host) {
+				id := attemptOf("j", 1)
+				req := h.request(id, "long")
+				c.change(h, req)
+				h.is.Equal(h.assign(req), []structs.Reason{c.reason})
+				h.is.Equal(h.starts(), 0)
+			})
+		})
+	}
+}
+
+func TestUnansweredHeartbeatsExtendNothing(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		time.Sleep(time.Minute)
+		h.is.Equal(h.state(id), platform.RunRunning)
+		h.leader.setAnswer(unreachable)
+		time.Sleep(batchLease - 2*time.Second)
+		h.is.Equal(h.state(id), platform.RunRunning)
+		time.Sleep(3 * time.Second)
+		h.is.Equal(h.state(id), platform.RunLapsed)
+		h.leader.setAnswer(nil)
+		time.Sleep(10 * time.Second)
+		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunLapsed))
+	})
+}
+
+func TestLeaseRunsFromTheReadingBeforeALateAnswer(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		time.Sleep(10 * time.Second)
+		h.leader.setAnswer(func(*daisywallpb.HeartbeatRequest, *daisywallpb.HeartbeatResponse) error {
+			time.Sleep(time.Hour) // the agent is frozen with the answer on its way
+			return nil
+		})
+		time.Sleep(time.Minute)
+		h.is.Equal(h.state(id), platform.RunLapsed)
+		time.Sleep(time.Hour)
+		h.is.Equal(h.state(id), platform.RunLapsed)
+		h.leader.setAnswer(nil)
+		time.Sleep(2 * time.Hour)
+	})
+}
+
+func TestZeroTermsRenewNothingOfTheKind(t *testing.T) {
+	onHost(t, func(h *host) {
+		batch, service, unknown := attemptOf("batch", 1), attemptOf("service", 1), attemptOf("unknown", 1)
+		h.is.Equal(len(h.assign(h.request(batch, "long"))), 0)
+		req := h.request(service, "long")
+		req.Assignments[0].Kind = string(structs.WorkService)
+		h.is.Equal(len(h.assign(req)), 0)
+		req = h.request(unknown, "long")
+		req.Assignments[0].Kind = ""
+		h.is.Equal(len(h.assign(req)), 0)
+		h.startAgent() // knows the kinds from the runtime only
+		h.leader.setAnswer(func(_ *daisywallpb.HeartbeatRequest, resp *daisywallpb.HeartbeatResponse) error {
+			resp.ServiceLeaseMs = 0
+			return nil
+		})
+		time.Sleep(time.Minute)
+		h.is.Equal(h.state(batch), platform.RunRunning)
+		h.is.Equal(h.state(service), platform.RunLapsed)
+		h.is.Equal(h.state(unknown), platform.RunLapsed)
+	})
+}
+
+func TestRestartedAgentAdoptsRunsAndCountsThem(t *testing.T) {
+	onHost(t, func(h *host) {
+		for n := range int32(4) {
+			h.is.Equal(len(h.assign(h.request(attemptOf("j"+strconv.Itoa(int(n)), 1), "long"))), 0)
+		}
+		h.startAgent()
+		time.Sleep(DefaultStartGrant + 2*time.Second)
+		h.is.Equal(h.assign(h.request(attemptOf("other", 1), "long")), []structs.Reason{structs.ReasonCapacity})
+		time.Sleep(time.Minute)
+		h.is.Equal(h.state(attemptOf("j0", 1)), platform.RunRunning)
+		h.is.Equal(h.starts(), 4)
+	})
+}
+
+func TestStartOfAnEarlierAgentIsCountedBeforeNewOnes(t *testing.T) {
+	onHost(t, func(h *host) {
+		h.runtime.Faults.Delay(2*time.Second, 1)
+		for n := range int32(4) {
+			req := h.request(attemptOf("j"+strconv.Itoa(int(n)), 1), "long")
+			go func() { _, _ = h.agent.Assign(context.Background(), req) }()
+			synctest.Wait()
+		}
+		h.is.Equal(h.starts(), 3)
+		h.startAgent()
+		synctest.Wait()
+		reasons := h.assign(h.request(attemptOf("other", 1), "long"))
+		h.is.Equal(reasons, []structs.Reason{structs.ReasonStaleGrant})
+		time.Sleep(DefaultStartGrant + 2*time.Second)
+		h.is.Equal(h.starts(), 4)
+		reasons = h.assign(h.request(attemptOf("another", 1), "long"))
+		h.is.Equal(reasons, []structs.Reason{structs.ReasonCapacity})
+		h.is.Equal(len(h.runtime.History().Violations()), 0)
+	})
+}
+
+func TestEvictionCheckpointsBeforeItStops(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		time.Sleep(10 * time.Second)
+		h.objects.Faults.Refuse(2) // the first tries fail
+		h.act(daisywallpb.Action_VERB_EVICT, id)
+		h.act(daisywallpb.Action_VERB_EVICT, id)
+		time.Sleep(5 * time.Second)
+		report := h.leader.reported(id)
+		h.is.Equal(report.GetState(), string(platform.RunStopped))
+		state, err := h.objects.Get(context.Background(), report.GetCheckpoint())
+		h.is.NoErr(err)
+		left, err := time.ParseDuration(string(state))
+		h.is.NoErr(err)
+		h.is.True(left < time.Hour-10*time.Second)
+	})
+}
+
+func TestEvictionWithoutACheckpointLeavesTheRun(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		time.Sleep(time.Second)
+		h.objects.Faults.Refuse(-1)
+		h.act(daisywallpb.Action_VERB_EVICT, id)
+		time.Sleep(time.Minute)
+		h.is.Equal(h.state(id), platform.RunRunning)
+		h.act(daisywallpb.Action_VERB_CANCEL, id)
+		time.Sleep(time.Second)
+		h.is.Equal(h.state(id), platform.RunStopped)
+	})
+}
+
+func TestThrottledRunIsReported(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		h.act(daisywallpb.Action_VERB_THROTTLE, id)
+		time.Sleep(2 * time.Second)
+		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunThrottled))
+	})
+}
+
+func TestUnknownStartIsSettledByTheRuntime(t *testing.T) {
+	for name, effect := range map[string]bool{"that took effect": true, "that did not": false} {
+		t.Run(name, func(t *testing.T) {
+			onHost(t, func(h *host) {
+				id := attemptOf("j", 1)
+				if effect {
+					h.runtime.Faults.LoseAnswer(startTries)
+				} else {
+					h.runtime.Faults.Silence(startTries)
+				}
+				go func() { _, _ = h.agent.Assign(context.Background(), h.request(id, "long")) }()
+				time.Sleep(time.Minute)
+				h.is.Equal(h.state(id) == platform.RunRunning, effect)
+				h.is.Equal(h.leader.reported(id) != nil, effect)
+				want := hostCapacity
+				if effect {
+					want = want.Sub(oneTask)
+				}
+				h.agent.mu.Lock()
+				committed := h.agent.ledger.committed()
+				h.agent.mu.Unlock()
+				h.is.Equal(hostCapacity.Sub(committed), want)
+			})
+		})
+	}
+}
+
+func TestLeaveWaitsUntilTheRunsHaveBeenMovedOff(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		var left *LeaveError
+		h.is.True(errors.As(h.agent.Leave(ctx), &left))
+		h.is.Equal(left.Runs, 1)
+		h.is.True(h.leader.last().GetLeaving())
+		h.is.Equal(h.assign(h.request(attemptOf("other", 1), "long")), []structs.Reason{structs.ReasonLeaving})
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		done := make(chan error, 1)
+		go func() { done <- h.agent.Leave(context.Background()) }()
+		h.act(daisywallpb.Action_VERB_EVICT, id)
+		time.Sleep(2 * time.Second)
+		h.is.Equal(len(done), 0) // the leader does not have the end yet
+		h.act(daisywallpb.Action_VERB_FORGET, id)
+		h.is.NoErr(<-done)
+	})
+}
+
+func TestHeartbeatFollowsTheLeader(t *testing.T) {
+	onHost(t, func(h *host) {
+		h.agent.setLeader("stale:1")
+		before := h.leader.last().GetSequence()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		h.is.True(h.leader.last().GetSequence() > before)
+	})
+}
+
+func TestAnswerOfAnEarlierLeaderRenewsNothing(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		h.assign(&daisywallpb.AssignRequest{Cell: "c1", Epoch: 2})
+		time.Sleep(batchLease + time.Second)
+		h.is.Equal(h.state(id), platform.RunLapsed)
+	})
+}
+
+func TestHeartbeatsReportOnlyWhatChanged(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		time.Sleep(5 * time.Second)
+		h.is.Equal(len(h.leader.last().GetRuns()), 0)
+		h.is.Equal(len(h.leader.last().GetUsage()), 0)
+		h.leader.setAnswer(func(_ *daisywallpb.HeartbeatRequest, resp *daisywallpb.HeartbeatResponse) error {
+			resp.WantFull = true
+			return nil
+		})
+		time.Sleep(2 * time.Second)
+		h.is.True(h.leader.last().GetFull())
+		h.is.Equal(len(h.leader.last().GetRuns()), 1)
+		h.is.Equal(len(h.leader.last().GetUsage()), 1)
+	})
+}
+
+func TestNewerConfigurationIsHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(t)
+		defer h.close()
+		have := int64(3)
+		var taken []string
+		agent, err := New(Options{
+			Worker: structs.Worker{ID: "w1", Cell: "c1"}, Runtime: h.runtime, Finder: h.leader, Heartbeat: h.leader.Heartbeat,
+			ConfigRevision: func() int64 { return have },
+			TakeConfig:     func(revision int64, config []byte) { have, taken = revision, append(taken, string(config)) },
+		})
+		h.is.NoErr(err)
+		revision := int64(2)
+		h.leader.setAnswer(func(_ *daisywallpb.HeartbeatRequest, resp *daisywallpb.HeartbeatResponse) error {
+			resp.ConfigRevision, resp.Config = revision, []byte("config")
+			return nil
+		})
+		h.is.NoErr(agent.beat(context.Background()))
+		revision = 4
+		h.is.NoErr(agent.beat(context.Background()))
+		h.is.NoErr(agent.beat(context.Background()))
+		h.is.Equal(taken, []string{"config"})
+		h.is.Equal(h.leader.last().GetConfigRevision(), int64(4))
+	})
+}
--- /dev/null
+++ b/worker/fake_test.go
@@ -0,0 +1,207 @@
+package worker
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/api"
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/structs"
+)
+
+const (
+	leaderAddress = "leader:1"
+	batchLease    = 15 * time.Second
+	serviceLease  = 10 * time.Second
+)
+
+var (
+	oneTask      = structs.Resources{MilliCPU: 1000, MemoryMB: 1024}
+	hostCapacity = oneTask.Scale(4)
+)
+
+// fakeLeader answers heartbeats the way its fields say.
+type fakeLeader struct {
+	mu       sync.Mutex
+	epoch    int64
+	answer   func(req *daisywallpb.HeartbeatRequest, resp *daisywallpb.HeartbeatResponse) error // may be nil
+	requests []*daisywallpb.HeartbeatRequest
+}
+
+func (l *fakeLeader) Find(context.Context, structs.CellID) (string, error) { return leaderAddress, nil }
+
+func (l *fakeLeader) Heartbeat(_ context.Context, address string, req *daisywallpb.HeartbeatRequest) (*daisywallpb.HeartbeatResponse, error) {
+	if address != leaderAddress {
+		return &daisywallpb.HeartbeatResponse{NotLeader: true, LeaderAddress: leaderAddress}, nil
+	}
+	l.mu.Lock()
+	l.requests = append(l.requests, req)
+	resp := &daisywallpb.HeartbeatResponse{
+		Epoch: l.epoch, BatchLeaseMs: batchLease.Milliseconds(), ServiceLeaseMs: serviceLease.Milliseconds(),
+		IntervalMs: time.Second.Milliseconds(), Reply: int64(len(l.requests)),
+	}
+	answer := l.answer
+	l.mu.Unlock()
+	if answer != nil {
+		if err := answer(req, resp); err != nil {
+			return nil, err
+		}
+	}
+	return resp, nil
+}
+
+func (l *fakeLeader) setAnswer(answer func(*daisywallpb.HeartbeatRequest, *daisywallpb.HeartbeatResponse) error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answer = answer
+}
+
+func (l *fakeLeader) last() *daisywallpb.HeartbeatRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.requests[len(l.requests)-1]
+}
+
+// reported returns the last report of an attempt, or nil.
+func (l *fakeLeader) reported(id structs.AttemptID) *daisywallpb.RunReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found *daisywallpb.RunReport
+	for _, req := range l.requests {
+		for _, r := range req.GetRuns() {
+			if api.ToAttempt(r.GetAttempt()) == id {
+				found = r
+			}
+		}
+	}
+	return found
+}
+
+// unreachable answers no heartbeat.
+func unreachable(*daisywallpb.HeartbeatRequest, *daisywallpb.HeartbeatResponse) error {
+	return &structs.UnavailableError{Dependency: "leader"}
+}
+
+// host is one worker with its runtime, its agent and a leader.
+type host struct {
+	t       *testing.T
+	is      *is.I
+	leader  *fakeLeader
+	objects *standin.Objects
+	runtime *standin.Runtime
+	agent   *Agent
+	stop    func()
+}
+
+// onHost runs a test on an open agent in a bubble.
+func onHost(t *testing.T, test func(h *host)) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(t)
+		defer h.close()
+		h.startAgent()
+		time.Sleep(DefaultStartGrant + 2*time.Second)
+		test(h)
+	})
+}
+
+func newHost(t *testing.T) *host {
+	objects := standin.NewObjects()
+	h := &host{t: t, is: is.New(t), leader: &fakeLeader{epoch: 1}, objects: objects, stop: func() {}}
+	h.runtime = standin.NewRuntime(standin.RuntimeOptions{
+		Worker: "w1", Capacity: hostCapacity, Objects: objects, Programs: standin.Programs(),
+	})
+	h.is.NoErr(objects.Put(context.Background(), "long", []byte("1h")))
+	h.is.NoErr(objects.Put(context.Background(), "short", []byte("500ms")))
+	return h
+}
+
+func (h *host) close() {
+	h.stop()
+	h.runtime.Faults.Clear()
+	h.runtime.Close()
+}
+
+// startAgent starts an agent, in the place of the one before.
+func (h *host) startAgent() {
+	h.stop()
+	agent, err := New(Options{
+		Worker:    structs.Worker{ID: "w1", Cell: "c1", FailureDomain: "d1", Capacity: hostCapacity, Address: "w1:1"},
+		Runtime:   h.runtime,
+		Finder:    h.leader,
+		Heartbeat: h.leader.Heartbeat,
+	})
+	h.is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- agent.Run(ctx) }()
+	h.agent = agent
+	h.stop = func() {
+		cancel()
+		h.is.NoErr(<-done)
+		h.stop = func() {}
+	}
+}
+
+func attemptOf(job string, number int32) structs.AttemptID {
+	return structs.AttemptID{Task: structs.TaskID{Job: structs.JobID(job)}, Number: number}
+}
+
+// request returns an assignment that rests on the last heartbeat.
+func (h *host) request(id structs.AttemptID, input string) *daisywallpb.AssignRequest {
+	last := h.leader.last()
+	return &daisywallpb.AssignRequest{
+		Cell: "c1", Epoch: 1, HeartbeatSeq: last.GetSequence(),
+		Assignments: []*daisywallpb.Assignment{{
+			Attempt: api.FromAttempt(id), Incarnation: last.GetIncarnation(), Class: "class", Program: "sleep",
+			Input: input, Resources: api.FromResources(oneTask), Kind: string(structs.WorkBatch),
+		}},
+	}
+}
+
+// assign sends a request and returns the reasons of its rejections.
+func (h *host) assign(req *daisywallpb.AssignRequest) []structs.Reason {
+	resp, err := h.agent.Assign(context.Background(), req)
+	h.is.NoErr(err)
+	var reasons []structs.Reason
+	for _, r := range resp.GetRejections() {
+		reasons = append(reasons, structs.Reason(r.GetReason()))
+	}
+	return reasons
+}
+
+func (h *host) act(verb daisywallpb.Action_Verb, id structs.AttemptID) {
+	h.is.Equal(len(h.assign(&daisywallpb.AssignRequest{
+		Cell: "c1", Epoch: 1, Actions: []*daisywallpb.Action{{Attempt: api.FromAttempt(id), Verb: verb}},
+	})), 0)
+}
+
+// state returns the state of an attempt in the runtime, empty when it is not
+// there.
+func (h *host) state(id structs.AttemptID) platform.RunState {
+	s, err := h.runtime.Snapshot(context.Background())
+	h.is.NoErr(err)
+	for _, run := range s.Runs {
+		if run.Attempt == id {
+			return run.State
+		}
+	}
+	return ""
+}
+
+// starts returns the number of starts that the runtime has recorded.
+func (h *host) starts() int {
+	n := 0
+	for _, e := range h.runtime.History().Events() {
+		if e.Kind == standin.EventStarted {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/worker/metrics.go
@@ -0,0 +1,70 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+)
+
+// metrics holds the counters of an agent.
+type metrics struct {
+	heartbeats metric.Int64Counter
+	restarts   metric.Int64Counter
+	starts     metric.Int64Counter
+	rejections metric.Int64Counter
+	evictions  metric.Int64Counter
+	failures   metric.Int64Counter
+}
+
+func newMetrics(meters metric.MeterProvider) (*metrics, error) {
+	meter := meters.Meter("daisywall/worker")
+	var failures []error
+	counter := func(name, description string) metric.Int64Counter {
+		c, err := meter.Int64Counter("daisywall.worker."+name, metric.WithDescription(description))
+		failures = append(failures, err)
+		return c
+	}
+	m := &metrics{
+		heartbeats: counter("heartbeats", "Heartbeats by outcome"),
+		restarts:   counter("runtime_restarts", "Incarnations of the runtime after the first"),
+		starts:     counter("starts", "Attempts started"),
+		rejections: counter("rejections", "Assignments rejected, by reason"),
+		evictions:  counter("evictions", "Evictions by whether the checkpoint was written"),
+		failures:   counter("action_failures", "Actions that the runtime did not take, by verb"),
+	}
+	if err := errors.Join(failures...); err != nil {
+		return nil, fmt.Errorf("worker counters: %w", err)
+	}
+	return m, nil
+}
+
+func (m *metrics) answered(ctx context.Context) {
+	m.heartbeats.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", "answered")))
+}
+
+func (m *metrics) failed(ctx context.Context) {
+	m.heartbeats.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", "failed")))
+}
+
+func (m *metrics) restarted(ctx context.Context) { m.restarts.Add(ctx, 1) }
+
+func (m *metrics) started(ctx context.Context) { m.starts.Add(ctx, 1) }
+
+func (m *metrics) rejected(ctx context.Context, list []*daisywallpb.Rejection) {
+	for _, r := range list {
+		m.rejections.Add(ctx, 1, metric.WithAttributes(attribute.String("reason", r.GetReason())))
+	}
+}
+
+func (m *metrics) actionFailed(ctx context.Context, action *daisywallpb.Action) {
+	m.failures.Add(ctx, 1, metric.WithAttributes(attribute.String("verb", action.GetVerb().String())))
+}
+
+func (m *metrics) evicted(ctx context.Context, checkpoint bool) {
+	m.evictions.Add(ctx, 1, metric.WithAttributes(attribute.Bool("checkpoint", checkpoint)))
+}
--- /dev/null
+++ b/worker/options.go
@@ -0,0 +1,93 @@
+package worker
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"go.uber.org/zap"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Defaults of the options.
+const (
+	// DefaultStartGrant must not exceed the grant that the cell's leaders
+	// reckon with.
+	DefaultStartGrant  = 2500 * time.Millisecond
+	DefaultCallTimeout = 2 * time.Second
+	DefaultInterval    = time.Second
+)
+
+// LeaderFinder finds the leader of a cell.
+type LeaderFinder interface {
+	// Find returns the peer address of the agent that most likely leads the
+	// cell.
+	Find(ctx context.Context, cell structs.CellID) (address string, err error)
+}
+
+// HeartbeatFunc sends a heartbeat to the agent at a peer address.
+type HeartbeatFunc func(ctx context.Context, address string, req *daisywallpb.HeartbeatRequest) (*daisywallpb.HeartbeatResponse, error)
+
+// Options describe an Agent.
+type Options struct {
+	Worker    structs.Worker
+	Runtime   platform.WorkerRuntime
+	Finder    LeaderFinder
+	Heartbeat HeartbeatFunc
+	// ConfigRevision returns the revision of the configuration that this
+	// process has, 0 for none. May be nil.
+	ConfigRevision func() int64
+	// TakeConfig gets a newer configuration as JSON. May be nil.
+	TakeConfig func(revision int64, config []byte)
+
+	StartGrant  time.Duration // how long after its heartbeat an assignment may start
+	CallTimeout time.Duration // limit of one call to the runtime or the leader
+	Interval    time.Duration // between heartbeats until the leader sets another
+	Log         *zap.Logger
+	Meters      metric.MeterProvider
+}
+
+func orDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// complete checks the options and fills in the defaults.
+func (o Options) complete() (Options, error) {
+	var faults []structs.Fault
+	require := func(path string, ok bool) {
+		if !ok {
+			faults = append(faults, structs.Fault{Path: path, Rule: "is required"})
+		}
+	}
+	require("worker.id", o.Worker.ID != "")
+	require("worker.cell", o.Worker.Cell != "")
+	require("runtime", o.Runtime != nil)
+	require("finder", o.Finder != nil)
+	require("heartbeat", o.Heartbeat != nil)
+	if faults != nil {
+		return o, &structs.InvalidError{Subject: "worker options", Faults: faults}
+	}
+	orDefault(&o.StartGrant, DefaultStartGrant)
+	orDefault(&o.CallTimeout, DefaultCallTimeout)
+	orDefault(&o.Interval, DefaultInterval)
+	if o.ConfigRevision == nil {
+		o.ConfigRevision = func() int64 { return 0 }
+	}
+	if o.TakeConfig == nil {
+		o.TakeConfig = func(int64, []byte) {}
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Meters == nil {
+		o.Meters = noop.NewMeterProvider()
+	}
+	return o, nil
+}
