--- /dev/null
+++ b/explain/report.go
@@ -0,0 +1,126 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/daisywall/daisywall/placement"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Report is the answer to one question, as the Explain call of a cell returns
+// it in JSON.
+type Report struct {
+	Subject   Subject    `json:"subject"`
+	ID        string     `json:"id"`
+	Decisions []Decision `json:"decisions"` // newest first
+	Dropped   int64      `json:"dropped"`   // decisions about anything that were not recorded
+}
+
+// Decision is one decision with what was weighed.
+type Decision struct {
+	AgeMS        int64                   `json:"age_ms"`       // since it was last made
+	FirstAgeMS   int64                   `json:"first_age_ms"` // since it was first made
+	Count        int                     `json:"count"`        // times in a row
+	Action       placement.Action        `json:"action"`
+	Task         string                  `json:"task,omitempty"`
+	Worker       structs.WorkerID        `json:"worker,omitempty"`
+	Reason       structs.Reason          `json:"reason,omitempty"`
+	Subject      string                  `json:"subject,omitempty"` // the other party
+	Detail       string                  `json:"detail,omitempty"`
+	Harm         float64                 `json:"harm,omitempty"` // growth of a service's tail latency
+	Score        float64                 `json:"score,omitempty"`
+	SlackMS      int64                   `json:"slack_ms,omitempty"`
+	Rejected     []placement.Rejection   `json:"rejected,omitempty"`
+	Alternatives []placement.Alternative `json:"alternatives,omitempty"`
+}
+
+func (r *record) report(now time.Duration) Decision {
+	d := &r.decision
+	out := Decision{
+		AgeMS:        (now - d.At).Milliseconds(),
+		FirstAgeMS:   (now - r.first).Milliseconds(),
+		Count:        r.count,
+		Action:       d.Action,
+		Worker:       d.Worker,
+		Reason:       d.Reason,
+		Subject:      d.Subject,
+		Detail:       d.Detail,
+		Harm:         d.Harm,
+		Score:        d.Score,
+		SlackMS:      d.Slack.Milliseconds(),
+		Rejected:     d.Rejected,
+		Alternatives: d.Alternatives,
+	}
+	if d.Task != (structs.TaskID{}) {
+		out.Task = d.Task.String()
+	}
+	return out
+}
+
+// WriteText writes the report for people.
+func (r *Report) WriteText(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "%s %s: %d decisions\n", r.Subject, r.ID, len(r.Decisions)); err != nil {
+		return err
+	}
+	for i := range r.Decisions {
+		if err := r.Decisions[i].writeText(w); err != nil {
+			return err
+		}
+	}
+	if r.Dropped > 0 {
+		_, err := fmt.Fprintf(w, "%d decisions were not recorded\n", r.Dropped)
+		return err
+	}
+	return nil
+}
+
+func (d *Decision) writeText(w io.Writer) error {
+	line := fmt.Sprintf("%s ago: %s", age(d.AgeMS), d.Action)
+	if d.Task != "" {
+		line += " task " + d.Task
+	}
+	if d.Worker != "" {
+		line += " worker " + string(d.Worker)
+	}
+	if d.Reason != "" {
+		line += " because " + string(d.Reason)
+	}
+	if d.Count > 1 {
+		line += fmt.Sprintf(" (%d times since %s ago)", d.Count, age(d.FirstAgeMS))
+	}
+	if _, err := fmt.Fprintln(w, line); err != nil {
+		return err
+	}
+	return d.writeDetails(w)
+}
+
+func (d *Decision) writeDetails(w io.Writer) error {
+	var lines []string
+	if d.Detail != "" {
+		lines = append(lines, d.Detail)
+	}
+	if d.Subject != "" {
+		lines = append(lines, "for "+d.Subject)
+	}
+	if d.Harm != 0 {
+		lines = append(lines, fmt.Sprintf("growth of tail latency %.0f%%", 100*d.Harm))
+	}
+	for _, x := range d.Rejected {
+		lines = append(lines, fmt.Sprintf("%d workers rejected by %s: %s, such as %s", x.Workers, x.Filter, x.Reason, x.Example))
+	}
+	for _, a := range d.Alternatives {
+		lines = append(lines, fmt.Sprintf("%s lost by %s: score %.1f against %.1f, predicted harm %.0f%%", a.Worker, a.Lost, a.Score, d.Score, 100*a.Harm))
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(w, "  "+line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func age(ms int64) time.Duration {
+	return (time.Duration(ms) * time.Millisecond).Round(time.Second / 10)
+}
--- /dev/null
+++ b/placement/ladder.go
@@ -0,0 +1,185 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// react helps services in trouble: it throttles the likeliest culprit beside
+// them, evicts it if that does not help, and lifts throttles in calm times.
+func (r *round) react() {
+	for i := range r.nodes {
+		n := &r.nodes[i]
+		if len(n.services) == 0 && len(r.plan.Memory.Ladders[n.worker.ID].Throttled) == 0 {
+			continue
+		}
+		r.reactOn(n)
+	}
+}
+
+func (r *round) reactOn(n *node) {
+	ladder := r.plan.Memory.Ladders[n.worker.ID]
+	ladder.Throttled = r.present(n, ladder.Throttled)
+	if growth, worst, end, fresh := r.judge(n, &ladder); fresh {
+		ladder.LastReport = end
+		o := &r.options.Ladder
+		switch {
+		case growth > o.Upper:
+			ladder.Trouble++
+			ladder.Calm = 0
+		case growth < o.Lower:
+			ladder.Calm++
+			ladder.Trouble = 0
+		default:
+			// Between the bounds nothing changes, so that a small swing of
+			// latency does not switch throttles on and off.
+			ladder.Trouble, ladder.Calm = 0, 0
+		}
+		if ladder.Trouble >= o.Reports {
+			r.climb(n, &ladder, worst, growth)
+		} else if ladder.Calm >= o.CalmReports {
+			r.release(n, &ladder)
+		}
+	} else if len(n.services) == 0 {
+		r.release(n, &ladder)
+	}
+	r.plan.Memory.Ladders[n.worker.ID] = ladder
+}
+
+// judge returns the largest growth of tail latency on the node and the service
+// that has it. A report is fresh when it is newer than the last one judged and
+// its window began after the last action: an older one tells of the time
+// before.
+func (r *round) judge(n *node, ladder *Ladder) (growth float64, worst *Run, end time.Duration, fresh bool) {
+	for i := range n.services {
+		run := n.services[i].run
+		if run == nil || run.LatencyMS <= 0 {
+			continue
+		}
+		band := r.estimates.Band(run.Class, run.Usage)
+		baseline, known := r.estimates.Baseline(run.Class, band)
+		if !known || baseline <= 0 {
+			continue
+		}
+		reported := r.snapshot.Now - run.ReportAge
+		if reported <= ladder.LastReport || (ladder.LastAction > 0 && reported-r.options.Ladder.Window < ladder.LastAction) {
+			continue
+		}
+		g := run.LatencyMS/baseline - 1
+		if !fresh || g > growth {
+			growth, worst = g, run
+		}
+		end = max(end, reported)
+		fresh = true
+	}
+	return growth, worst, end, fresh
+}
+
+// present drops the throttled runs that have left the worker.
+func (r *round) present(n *node, list []ThrottledRun) []ThrottledRun {
+	kept := list[:0]
+	for _, t := range list {
+		for i := range n.worker.Runs {
+			if n.worker.Runs[i].Attempt == t.Attempt {
+				kept = append(kept, t)
+				break
+			}
+		}
+	}
+	return kept
+}
+
+// climb takes the next step against the likeliest culprit.
+func (r *round) climb(n *node, ladder *Ladder, worst *Run, growth float64) {
+	run, throttled := r.culprit(n, ladder, worst)
+	if run == nil {
+		return
+	}
+	ladder.LastAction = r.snapshot.Now
+	ladder.Trouble = 0
+	d := Decision{Reason: ReasonInterference, Subject: worst.Attempt.Task.String(), Harm: growth}
+	if throttled {
+		r.evict(n, run, d)
+		r.plan.Memory.Avoided[run.Attempt.Task] = Avoidance{Worker: n.worker.ID, Until: r.snapshot.Now + r.options.Ladder.Avoid}
+		return
+	}
+	r.throttle(n, run, ladder)
+	d.Action, d.Task, d.Worker = ActionThrottle, run.Attempt.Task, n.worker.ID
+	r.record(d)
+}
+
+// culprit returns the batch run that most likely harms the service: an
+// unthrottled one first, else a throttled one.
+func (r *round) culprit(n *node, ladder *Ladder, worst *Run) (culprit *Run, throttled bool) {
+	service := r.classes.service(r.classes.class(worst.Class), r.estimates.Band(worst.Class, worst.Usage))
+	var best, bestThrottled *Run
+	most, mostThrottled := r.options.Ladder.Culprit, r.options.Ladder.Culprit
+	for i := range n.worker.Runs {
+		run := &n.worker.Runs[i]
+		if run.Kind != structs.WorkBatch || run.Stopping || r.evicting[run.Attempt] {
+			continue
+		}
+		p := r.classes.pair(service, r.classes.class(run.Class))
+		harm := p.mean + p.deviation
+		if ladder.active(run.Attempt) {
+			if harm > mostThrottled {
+				bestThrottled, mostThrottled = run, harm
+			}
+			continue
+		}
+		if harm > most {
+			best, most = run, harm
+		}
+	}
+	if best != nil {
+		return best, false
+	}
+	return bestThrottled, bestThrottled != nil
+}
+
+func (l *Ladder) active(a structs.AttemptID) bool {
+	for _, t := range l.Throttled {
+		if t.Attempt == a {
+			return t.Active
+		}
+	}
+	return false
+}
+
+// throttle limits the run. A run that is throttled again is held twice as
+// long.
+func (r *round) throttle(n *node, run *Run, ladder *Ladder) {
+	o := &r.options.Ladder
+	r.plan.Throttles = append(r.plan.Throttles, Throttle{Attempt: run.Attempt, Worker: n.worker.ID, Share: o.Share})
+	for i := range ladder.Throttled {
+		t := &ladder.Throttled[i]
+		if t.Attempt == run.Attempt {
+			t.Active, t.Since, t.Hold = true, r.snapshot.Now, min(2*t.Hold, o.MaxHold)
+			return
+		}
+	}
+	ladder.Throttled = append(ladder.Throttled, ThrottledRun{Attempt: run.Attempt, Since: r.snapshot.Now, Hold: o.Hold, Active: true})
+}
+
+// release lifts one throttle whose hold is over, the longest held first.
+func (r *round) release(n *node, ladder *Ladder) {
+	var oldest *ThrottledRun
+	for i := range ladder.Throttled {
+		t := &ladder.Throttled[i]
+		if !t.Active || r.snapshot.Now-t.Since < t.Hold {
+			continue
+		}
+		if oldest == nil || t.Since < oldest.Since {
+			oldest = t
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	oldest.Active, oldest.Since = false, r.snapshot.Now
+	ladder.LastAction = r.snapshot.Now
+	ladder.Calm = 0
+	r.plan.Throttles = append(r.plan.Throttles, Throttle{Attempt: oldest.Attempt, Worker: n.worker.ID, Share: 1})
+	r.record(Decision{Action: ActionRelease, Task: oldest.Attempt.Task, Worker: n.worker.ID, Reason: ReasonRecovered})
+}
