--- a/client/client.go
+++ b/client/client.go
@@ -56,19 +56,22 @@
 		header.Set(HeaderIdempotencyKey, key)
 	}
 	var accepted JobAccepted
-	return accepted, c.json(ctx, http.MethodPost, path("v1", "teams", string(team), "jobs"), header, job, &accepted)
+	err := c.json(ctx, http.MethodPost, path("v1", "teams", string(team), "jobs"), header, job, &accepted)
+	return accepted, err
 }
 
 // Jobs lists the jobs of a team.
 func (c *Client) Jobs(ctx context.Context, team structs.TeamID) ([]JobStatus, error) {
 	var jobs []JobStatus
-	return jobs, c.json(ctx, http.MethodGet, path("v1", "teams", string(team), "jobs"), nil, nil, &jobs)
+	err := c.json(ctx, http.MethodGet, path("v1", "teams", string(team), "jobs"), nil, nil, &jobs)
+	return jobs, err
 }
 
 // Job returns the status of a job.
 func (c *Client) Job(ctx context.Context, id structs.JobID) (JobStatus, error) {
 	var status JobStatus
-	return status, c.json(ctx, http.MethodGet, path("v1", "jobs", string(id)), nil, nil, &status)
+	err := c.json(ctx, http.MethodGet, path("v1", "jobs", string(id)), nil, nil, &status)
+	return status, err
 }
 
 // CancelJob cancels what has not finished of a job.
@@ -85,7 +88,8 @@
 // Domains lists the failure domains.
 func (c *Client) Domains(ctx context.Context) ([]structs.FailureDomain, error) {
 	var domains []structs.FailureDomain
-	return domains, c.json(ctx, http.MethodGet, path("v1", "domains"), nil, nil, &domains)
+	err := c.json(ctx, http.MethodGet, path("v1", "domains"), nil, nil, &domains)
+	return domains, err
 }
 
 // SetDomain takes a failure domain out or brings it back in.
@@ -96,24 +100,24 @@
 // Config returns the configuration that the platform holds.
 func (c *Client) Config(ctx context.Context) (structs.Config, error) {
 	var config structs.Config
-	return config, c.json(ctx, http.MethodGet, path("v1", "config"), nil, nil, &config)
+	err := c.json(ctx, http.MethodGet, path("v1", "config"), nil, nil, &config)
+	return config, err
 }
 
-// ApplyConfig replaces the configuration whose revision is expected.
-func (c *Client) ApplyConfig(ctx context.Context, expected int64, config []byte) (structs.Config, error) {
-	header := http.Header{"If-Match": {strconv.FormatInt(expected, 10)}, "Content-Type": {"application/json"}}
-	answer, err := c.do(ctx, http.MethodPut, path("v1", "config"), header, config)
-	if err != nil {
-		return structs.Config{}, err
-	}
-	var applied structs.Config
-	return applied, decode(answer.Body, &applied)
+// ApplyConfig makes a change to the configuration whose revision is expected
+// and returns the new revision.
+func (c *Client) ApplyConfig(ctx context.Context, expected int64, change ConfigChange) (int64, error) {
+	header := http.Header{"If-Match": {strconv.FormatInt(expected, 10)}}
+	var applied ConfigRevision
+	err := c.json(ctx, http.MethodPost, path("v1", "config"), header, change, &applied)
+	return applied.Revision, err
 }
 
 // ConfigStatus says which revision is in force where.
 func (c *Client) ConfigStatus(ctx context.Context) (ConfigStatus, error) {
 	var status ConfigStatus
-	return status, c.json(ctx, http.MethodGet, path("v1", "config", "status"), nil, nil, &status)
+	err := c.json(ctx, http.MethodGet, path("v1", "config", "status"), nil, nil, &status)
+	return status, err
 }
 
 // Raw returns the body of a GET of an API path, for documents that are printed
@@ -127,16 +131,19 @@
 	return answer.Body, err
 }
 
-// Rollback makes the content of an earlier revision the newest one.
-func (c *Client) Rollback(ctx context.Context, to int64) (structs.Config, error) {
-	var config structs.Config
-	return config, c.json(ctx, http.MethodPost, path("v1", "config", "rollback"), nil, RollbackRequest{To: to}, &config)
+// Rollback makes the content of an earlier revision the newest one and returns
+// the new revision.
+func (c *Client) Rollback(ctx context.Context, to int64) (int64, error) {
+	var applied ConfigRevision
+	err := c.json(ctx, http.MethodPost, path("v1", "config", "rollback"), nil, RollbackRequest{To: to}, &applied)
+	return applied.Revision, err
 }
 
 // Targets lists the targets that the answering entry knows.
 func (c *Client) Targets(ctx context.Context) ([]TargetStatus, error) {
 	var targets []TargetStatus
-	return targets, c.json(ctx, http.MethodGet, path("v1", "targets"), nil, nil, &targets)
+	err := c.json(ctx, http.MethodGet, path("v1", "targets"), nil, nil, &targets)
+	return targets, err
 }
 
 // path joins escaped path segments.
--- a/client/types.go
+++ b/client/types.go
@@ -77,6 +77,17 @@
 	InUse         int                     `json:"in_use"`
 }
 
+// ConfigChange adds or replaces teams, and removes teams.
+type ConfigChange struct {
+	Put    []structs.TeamConfig `json:"put,omitempty"`
+	Remove []structs.TeamID     `json:"remove,omitempty"`
+}
+
+// ConfigRevision answers a change of the configuration.
+type ConfigRevision struct {
+	Revision int64 `json:"revision"`
+}
+
 // RollbackRequest names the revision whose content becomes a new revision.
 type RollbackRequest struct {
 	To int64 `json:"to"`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"testing"
 
 	"github.com/matryer/is"
@@ -62,3 +63,19 @@
 		}
 	})
 }
+
+func TestSampleSettingsAreValid(t *testing.T) {
+	decoders := map[string]func([]byte) error{
+		"entry":   func(b []byte) error { _, err := DecodeEntry(b); return err },
+		"agent":   func(b []byte) error { _, err := DecodeAgent(b); return err },
+		"standin": func(b []byte) error { _, err := DecodeStandIn(b); return err },
+	}
+	for name, decode := range decoders {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := os.ReadFile("../examples/settings/" + name + ".json")
+			is.NoErr(err)
+			is.NoErr(decode(data))
+		})
+	}
+}
