Questionnaire: typed questions, answers file, generated configuration

Answers about urgency, harm of a second run and tolerance for delay become a team's configuration; every field has its reason.

--- /dev/null
+++ b/config/questionnaire/terminal.go
@@ -0,0 +1,169 @@
+package questionnaire
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// IncompleteError reports that the input ended before every question was
+// answered.
+type IncompleteError struct {
+	Question string
+	Err      error // cause, may be nil
+}
+
+func (e *IncompleteError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("questionnaire ended at %q: %v", e.Question, e.Err)
+	}
+	return fmt.Sprintf("questionnaire ended at %q", e.Question)
+}
+
+// Unwrap returns the cause.
+func (e *IncompleteError) Unwrap() error { return e.Err }
+
+var namePattern = regexp.MustCompile(nameRule)
+
+// dialogue asks questions on a terminal.
+type dialogue struct {
+	in  *bufio.Scanner
+	out io.Writer
+}
+
+// Ask asks the whole questionnaire. A wrong answer is asked again with the rule
+// that it broke. It returns *IncompleteError when the input ends too early and
+// *structs.InvalidError when answers contradict each other.
+func Ask(in io.Reader, out io.Writer) (*Answers, error) {
+	d := &dialogue{in: bufio.NewScanner(in), out: out}
+	document := object{}
+	for _, section := range Sections() {
+		fmt.Fprintf(out, "\n%s\n", section.Title)
+		if section.Key == "" {
+			if err := d.fill(document, section); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		items, err := d.list(section)
+		if err != nil {
+			return nil, err
+		}
+		document[section.Key] = items
+	}
+	data, err := json.Marshal(document)
+	if err != nil {
+		return nil, fmt.Errorf("encode answers: %w", err)
+	}
+	return Decode(data)
+}
+
+// list asks for the items of a section until there are no more.
+func (d *dialogue) list(section Section) ([]object, error) {
+	items := []object{}
+	for {
+		more := Question{
+			Text: fmt.Sprintf("Add a %s (%d so far)?", section.Item, len(items)), Kind: KindChoice, Default: "no",
+			Choices: []Choice{{"yes", "describe one"}, {"no", "go on"}},
+		}
+		answer, err := d.ask(more)
+		if err != nil {
+			return nil, err
+		}
+		if answer == "no" {
+			return items, nil
+		}
+		item := object{}
+		if err := d.fill(item, section); err != nil {
+			return nil, err
+		}
+		items = append(items, item)
+	}
+}
+
+func (d *dialogue) fill(into object, section Section) error {
+	for _, q := range section.Questions {
+		answer, err := d.ask(q)
+		if err != nil {
+			return err
+		}
+		into[q.Key] = answer
+	}
+	return nil
+}
+
+// ask repeats the question until the answer keeps its rule.
+func (d *dialogue) ask(q Question) (any, error) {
+	for {
+		d.prompt(q)
+		if !d.in.Scan() {
+			return nil, &IncompleteError{Question: q.Text, Err: d.in.Err()}
+		}
+		text := strings.TrimSpace(d.in.Text())
+		if text == "" {
+			text = q.Default
+		}
+		value, rule := q.parse(text)
+		if rule == "" {
+			return value, nil
+		}
+		fmt.Fprintf(d.out, "  %q: %s\n", text, rule)
+	}
+}
+
+func (d *dialogue) prompt(q Question) {
+	fmt.Fprintln(d.out, q.Text)
+	for i, c := range q.Choices {
+		fmt.Fprintf(d.out, "  %d. %s: %s\n", i+1, c.Value, c.Text)
+	}
+	hint := q.Unit
+	if q.Default != "" {
+		hint = strings.TrimSpace(hint + " [" + q.Default + "]")
+	}
+	if hint != "" {
+		hint += " "
+	}
+	fmt.Fprintf(d.out, "  %s> ", hint)
+}
+
+// parse reads an answer. It returns the broken rule, or "".
+func (q Question) parse(text string) (value any, rule string) {
+	switch q.Kind {
+	case KindChoice:
+		return q.parseChoice(text)
+	case KindCount:
+		n, err := strconv.ParseInt(text, 10, 64)
+		return n, q.numberRule(float64(n), err, "a whole number")
+	case KindAmount:
+		n, err := strconv.ParseFloat(text, 64)
+		return n, q.numberRule(n, err, "a number")
+	default:
+		if !namePattern.MatchString(text) {
+			return nil, "must be lower case letters, digits and hyphens, at most 63"
+		}
+		return text, ""
+	}
+}
+
+func (q Question) numberRule(n float64, err error, what string) string {
+	if err != nil || !(n >= q.Min && n <= q.Max) {
+		return fmt.Sprintf("must be %s from %v to %v", what, q.Min, q.Max)
+	}
+	return ""
+}
+
+// parseChoice takes the value or the number of a choice.
+func (q Question) parseChoice(text string) (value any, rule string) {
+	var values []string
+	for i, c := range q.Choices {
+		if text == c.Value || text == strconv.Itoa(i+1) {
+			return c.Value, ""
+		}
+		values = append(values, c.Value)
+	}
+	return nil, "must be one of " + strings.Join(values, ", ")
+}
--- a/config/store.go
+++ b/config/store.go
@@ -22,6 +22,9 @@
 	// settleInterval is the first wait before a commit of unknown outcome is
 	// repeated.
 	settleInterval = 50 * time.Millisecond
+	// commitTimeout bounds one try of a commit. An answer that takes longer is
+	// taken as lost.
+	commitTimeout = 2 * time.Second
 )
 
 // Store keeps the configuration in the platform's table.
@@ -184,7 +187,9 @@
 	wait.InitialInterval = settleInterval
 	unknown := false
 	_, err := backoff.Retry(ctx, func() (struct{}, error) {
-		_, err := s.table.Commit(ctx, txn)
+		try, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		_, err := s.table.Commit(try, txn)
 		var conflict *structs.ConflictError
 		switch {
 		case err == nil:
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -10,13 +10,14 @@
 
 	"github.com/matryer/is"
 
+	"github.com/daisywall/daisywall/platform/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
 func TestAppliedChangeIsTheNextRevision(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := NewStore(newFakeTable())
+	store := NewStore(standin.NewTable())
 	for i := int64(0); i < 3; i++ {
 		revision, err := store.Apply(ctx, i, put(testTeam("jabuka", 800+i)), "ana")
 		is.NoErr(err)
@@ -36,7 +37,7 @@
 func TestRacingOperatorGetsTheDifference(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := NewStore(newFakeTable())
+	store := NewStore(standin.NewTable())
 	_, err := store.Apply(ctx, 0, put(testTeam("jabuka", 800)), "ana")
 	is.NoErr(err)
 	_, err = store.Apply(ctx, 1, put(testTeam("jabuka", 900)), "ana")
@@ -54,7 +55,7 @@
 func TestConcurrentOperatorsOneWinsEachRevision(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := NewStore(newFakeTable())
+	store := NewStore(standin.NewTable())
 	results := make(chan error, 8)
 	for i := range 8 {
 		go func() {
@@ -81,7 +82,7 @@
 func TestRollbackIsANewRevision(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := NewStore(newFakeTable())
+	store := NewStore(standin.NewTable())
 	_, err := store.Apply(ctx, 0, put(testTeam("jabuka", 800)), "ana")
 	is.NoErr(err)
 	_, err = store.Apply(ctx, 1, Change{Put: []structs.TeamConfig{testTeam("graz", 500)}, Remove: []structs.TeamID{"jabuka"}}, "ana")
@@ -101,23 +102,28 @@
 }
 
 func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
-	for name, fault := range map[string]func(f *fakeTable){
-		"after the effect":  func(f *fakeTable) { f.loseNext = 1 },
-		"before the effect": func(f *fakeTable) { f.dropNext = 1 },
-		"twice":             func(f *fakeTable) { f.dropNext, f.loseNext = 1, 1 },
+	for name, fault := range map[string]func(f *standin.Faults){
+		"after the effect":        func(f *standin.Faults) { f.LoseAnswer(1) },
+		"before the effect":       func(f *standin.Faults) { f.Silence(1) },
+		"both, one after another": func(f *standin.Faults) { f.Silence(1); f.LoseAnswer(1) },
+		"long before the effect":  func(f *standin.Faults) { f.Delay(3*commitTimeout, 1) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				table := newFakeTable()
+				table := standin.NewTable()
 				store := NewStore(table)
-				table.set(fault)
-				revision, err := store.Apply(t.Context(), 0, put(testTeam("jabuka", 800)), "ana")
+				at, err := store.position(t.Context())
+				is.NoErr(err)
+				fault(&table.Faults)
+				revision, err := store.apply(t.Context(), at, put(testTeam("jabuka", 800)), HistoryEntry{Operator: "ana"})
 				is.NoErr(err)
 				is.Equal(revision, int64(1))
+				time.Sleep(10 * commitTimeout) // writes on the way arrive
 				history, err := store.History(t.Context(), 10)
 				is.NoErr(err)
 				is.Equal(len(history), 1)
+				is.Equal(table.Load().RowsWritten, int64(3))
 			})
 		})
 	}
@@ -126,16 +132,18 @@
 func TestOutcomeStaysUnknownWhenTheTableGoesDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		table := newFakeTable()
+		table := standin.NewTable()
 		store := NewStore(table)
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		table.set(func(f *fakeTable) { f.loseNext = 1000 })
+		at, err := store.position(ctx)
+		is.NoErr(err)
+		table.Faults.LoseAnswer(1)
 		go func() {
-			time.Sleep(10 * time.Millisecond)
-			table.set(func(f *fakeTable) { f.down = true })
+			time.Sleep(settleInterval / 10)
+			table.Faults.Refuse(standin.Every)
 		}()
-		_, err := store.Apply(ctx, 0, put(testTeam("jabuka", 800)), "ana")
+		_, err = store.apply(ctx, at, put(testTeam("jabuka", 800)), HistoryEntry{Operator: "ana"})
 		var unknown *structs.UnknownOutcomeError
 		is.True(errors.As(err, &unknown))
 	})
@@ -144,7 +152,7 @@
 func TestRefusedChangeNamesEveryFaultAndChangesNothing(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := NewStore(newFakeTable())
+	store := NewStore(standin.NewTable())
 	bad := testTeam("jabuka", 800)
 	bad.Requests[0].Urgency = "soon"
 	bad.Services[0].Minimum = 9
