--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,6 +61,9 @@
 	if err != nil {
 		return s.invalid(structs.Fault{Path: "/", Value: shorten(string(data)), Rule: "must be one JSON document: " + err.Error()})
 	}
+	if list := oversized(nil, document); len(list) > 0 {
+		return s.invalid(list...)
+	}
 	if err := s.compiled.Validate(document); err != nil {
 		return s.invalid(faults(err, document)...)
 	}
