--- /dev/null
+++ b/cell/commit.go
@@ -0,0 +1,144 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// work is the content of one transaction of a leader.
+type work struct {
+	batch    Batch
+	compares []platform.Compare // besides the leadership row
+	puts     []platform.Put     // besides the log row
+	deletes  []string
+	renew    bool // write the leadership row
+	sequence map[structs.WorkerID]int64
+	snapshot *builtSnapshot
+	summary  *Summary
+}
+
+func (w *work) empty() bool {
+	return !w.renew && w.batch.Empty() && len(w.puts) == 0 && len(w.deletes) == 0
+}
+
+// commit writes the work in one transaction that compares the leadership row,
+// and applies it. It returns *structs.ConflictError when a comparison failed.
+func (l *leader) commit(ctx context.Context, w *work) error {
+	txn := platform.Txn{
+		ID:       newTxnID(),
+		Compares: append([]platform.Compare{{Key: leaderKey(l.cell), Revision: l.revision}}, w.compares...),
+		Puts:     w.puts,
+		Deletes:  w.deletes,
+	}
+	seq := l.state.Seq + 1
+	size := 0
+	witness := leaderKey(l.cell)
+	row := l.row
+	if w.renew || w.batch.Empty() {
+		row.Renewals++
+		row.Ride, row.Lease = l.bounds(time.Now())
+		txn.Puts = append(txn.Puts, platform.Put{Key: leaderKey(l.cell), Value: encode(row)})
+	}
+	if !w.batch.Empty() {
+		w.batch.Epoch = l.epoch
+		witness = logKey(l.cell, seq)
+		value := encode(&w.batch)
+		size = len(value)
+		txn.Compares = append(txn.Compares, platform.Compare{Key: witness})
+		txn.Puts = append(txn.Puts, platform.Put{Key: witness, Value: value})
+	}
+	revision, sent, err := l.settler.commit(ctx, txn, witness)
+	if err != nil {
+		return err
+	}
+	if w.renew || w.batch.Empty() {
+		l.row, l.revision, l.renewed = row, revision, sent
+	}
+	count(l.metrics.commits, 1)
+	count(l.metrics.logBytes, size)
+	count(l.metrics.records, w.batch.Records())
+	l.applied(seq, w, sent)
+	return nil
+}
+
+// bounds returns what this leader and those before it may still grant.
+func (l *leader) bounds(now time.Time) (ride, lease KindDurations) {
+	t := l.o.Timing
+	longest := max(l.lapse.ride.Batch+l.lapse.lease.Batch, l.lapse.ride.Service+l.lapse.lease.Service)
+	if now.Sub(l.lapse.tookOver) > t.drifted(longest) {
+		return t.Ride, t.Lease
+	}
+	return t.Ride.max(l.row.Ride), t.Lease.max(l.row.Lease)
+}
+
+// applied takes a committed transaction into the state and queues its effects
+// for the agents.
+func (l *leader) applied(seq int64, w *work, sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if sent.After(l.proof) {
+		l.proof = sent
+	}
+	if w.snapshot != nil {
+		l.logged = max(0, l.logged-w.snapshot.rows)
+	}
+	if w.summary != nil {
+		l.summary = summaryRow{written: time.Now(), last: *w.summary}
+	}
+	l.acceptsApplied(w)
+	if w.batch.Empty() {
+		return
+	}
+	l.logged++
+	now := time.Now()
+	for _, e := range w.batch.Ends {
+		l.ended(e)
+	}
+	l.state.Apply(seq, &w.batch)
+	for _, change := range w.batch.Workers {
+		if l.queue.workers[change.Worker] == change.Incarnation {
+			delete(l.queue.workers, change.Worker)
+		}
+	}
+	for _, s := range w.batch.Starts {
+		l.committed[s.attempt()] = now
+		delete(l.pendingAt, s.attempt().Task)
+		delete(l.reasons, s.attempt().Task)
+		l.assign(s, w.sequence[s.Worker])
+	}
+	count(l.metrics.starts, len(w.batch.Starts))
+	count(l.metrics.handoffs, len(w.batch.Moves))
+	l.signal()
+}
+
+// ended drops what the leader remembers of an attempt whose end is committed
+// and about to be applied.
+func (l *leader) ended(e End) {
+	id := e.attempt()
+	delete(l.queue.ends, id)
+	delete(l.committed, id)
+	l.metrics.countEnd(e.Cause)
+	t := l.state.Task(id.Task)
+	if t == nil {
+		return
+	}
+	v, found := l.views[t.Worker]
+	if !found {
+		return
+	}
+	delete(v.asked, id)
+	delete(v.usage, id)
+	if run, reported := v.runs[id]; reported && over(run) {
+		delete(v.runs, id)
+		v.forget[id] = struct{}{}
+	}
+	switch e.Cause {
+	case structs.EndFailed:
+		v.failed++
+	case structs.EndFinished:
+		v.finished++
+	}
+}
--- /dev/null
+++ b/cell/jobrow.go
@@ -0,0 +1,10 @@
+package cell
+
+import "github.com/daisywall/daisywall/structs"
+
+// jobRow is the value of a job's row.
+type jobRow struct {
+	Job       structs.Job      `json:"job"`
+	Cells     []structs.CellID `json:"cells"` // that the tasks were first given to
+	Cancelled bool             `json:"cancelled,omitempty"`
+}
--- /dev/null
+++ b/cell/jobs.go
@@ -0,0 +1,299 @@
+package cell
+
+import (
+	"context"
+	"encoding/base32"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Bounds of jobs.
+const (
+	// shardTasks is the number of tasks of a job up to which they stay in one
+	// cell.
+	shardTasks = 16
+	// MaxTasks is the largest number of tasks of one job.
+	MaxTasks = 100_000
+	// jobPage is the number of rows that are read at a time.
+	jobPage = 256
+)
+
+// Jobs submits jobs to the cells and reports on them. Any entry may use it.
+type Jobs struct {
+	settler *settler
+	notify  func(cell structs.CellID)
+}
+
+// NewJobs returns the jobs in the table. Call limits one call to it. Notify
+// tells the leader of a cell that its inbox has new rows; it may be nil, and
+// may do nothing.
+func NewJobs(table platform.Table, call time.Duration, notify func(cell structs.CellID)) *Jobs {
+	if notify == nil {
+		notify = func(structs.CellID) {}
+	}
+	return &Jobs{settler: newSettler(table, call), notify: notify}
+}
+
+// JobStatus is the state of a job over all cells.
+type JobStatus struct {
+	Job       structs.Job      `json:"job"`
+	Cancelled bool             `json:"cancelled"` // a cancellation was asked for
+	Waiting   int32            `json:"waiting"`   // tasks that no cell has accepted yet
+	Open      int32            `json:"open"`      // tasks accepted and not reported final
+	Finished  int32            `json:"finished"`
+	Failed    int32            `json:"failed"`
+	Ended     int32            `json:"ended_by_cancellation"`
+	Results   []TaskResult     `json:"results,omitempty"`
+	Details   []TaskResult     `json:"details,omitempty"`
+	Cells     []structs.CellID `json:"cells"`
+}
+
+// Done reports whether every task is final.
+func (s *JobStatus) Done() bool { return s.Finished+s.Failed+s.Ended >= s.Job.Tasks }
+
+// jobIDs is the name space of job IDs.
+var jobIDs = uuid.MustParse("6f1c1f5e-7a0e-5d0b-9f0e-2d4f7b1c9a55")
+
+// JobIDFor returns the ID of the job that the team submits under the
+// idempotency key. The same key always names the same job.
+func JobIDFor(team structs.TeamID, key string) structs.JobID {
+	id := uuid.NewSHA1(jobIDs, []byte(string(team)+"\x00"+key))
+	text := base32.HexEncoding.WithPadding(base32.NoPadding).EncodeToString(id[:])
+	return structs.JobID(strings.ToLower(text))
+}
+
+// Submit gives the job to the cells and returns it with its ID. A key that was
+// used before returns the job of the first submission. It returns
+// *structs.RefusedError when no worker could ever run a task of the job.
+func (j *Jobs) Submit(ctx context.Context, job structs.Job, key string) (structs.Job, error) {
+	if err := checkJob(&job, key); err != nil {
+		return structs.Job{}, err
+	}
+	job.ID = JobIDFor(job.Team, key)
+	if row, found, err := j.read(ctx, job.ID); err != nil || found {
+		return row.Job, err
+	}
+	cells, err := j.choose(ctx, &job)
+	if err != nil {
+		return structs.Job{}, err
+	}
+	txn := submission(&job, cells)
+	_, _, err = j.settler.commit(ctx, txn, jobKey(job.ID))
+	if conflict := asConflict(err); conflict != nil {
+		row, found, err := j.read(ctx, job.ID)
+		if err == nil && !found {
+			err = conflict
+		}
+		return row.Job, err
+	}
+	if err != nil {
+		return structs.Job{}, err
+	}
+	for _, c := range cells {
+		j.notify(c)
+	}
+	return job, nil
+}
+
+func checkJob(job *structs.Job, key string) error {
+	var faults []structs.Fault
+	check := func(path string, ok bool, value any, rule string) {
+		if !ok {
+			faults = append(faults, structs.Fault{Path: path, Value: fmt.Sprint(value), Rule: rule})
+		}
+	}
+	check("idempotency_key", key != "", key, "is required")
+	check("team", job.Team != "", job.Team, "is required")
+	check("program", job.Program != "", job.Program, "is required")
+	check("tasks", job.Tasks >= 1 && job.Tasks <= MaxTasks, job.Tasks, fmt.Sprintf("must be 1 to %d", MaxTasks))
+	check("kind", job.Kind == structs.WorkBatch || job.Kind == structs.WorkService, job.Kind, "must be batch or service")
+	r := job.Resources
+	check("resources", r.MilliCPU >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0, r, "must not be negative")
+	if faults != nil {
+		return &structs.InvalidError{Subject: "job", Faults: faults}
+	}
+	return nil
+}
+
+// choose returns the cells among which the tasks are divided: those in service
+// that are large enough, the emptiest first.
+func (j *Jobs) choose(ctx context.Context, job *structs.Job) ([]structs.CellID, error) {
+	cells, err := listSummaries(ctx, j.settler)
+	if err != nil {
+		return nil, err
+	}
+	if len(cells) == 0 {
+		return nil, &structs.UnavailableError{Dependency: "cells", RetryAfter: summaryPeriod}
+	}
+	fitting := fittingCells(cells, job.Resources)
+	if len(fitting) == 0 {
+		return nil, &structs.RefusedError{
+			Subject: "job", Reason: structs.ReasonUnschedulable,
+			Detail: fmt.Sprintf("no worker has %+v for one task", job.Resources),
+		}
+	}
+	domains, err := listDomains(ctx, j.settler)
+	if err != nil {
+		return nil, err
+	}
+	return spread(fitting, domains, job), nil
+}
+
+// submission writes the job and gives each cell an equal range of its tasks.
+func submission(job *structs.Job, cells []structs.CellID) platform.Txn {
+	txn := platform.Txn{
+		ID:       newTxnID(),
+		Compares: []platform.Compare{{Key: jobKey(job.ID)}},
+		Puts:     []platform.Put{{Key: jobKey(job.ID), Value: encode(jobRow{Job: *job, Cells: cells})}},
+	}
+	n := int32(len(cells))
+	for i, c := range cells {
+		first, end := job.Tasks*int32(i)/n, job.Tasks*(int32(i)+1)/n
+		item := Inbox{Job: job.ID, Tasks: []Handoff{{First: first, Count: end - first}}}
+		txn.Puts = append(txn.Puts, platform.Put{Key: inboxKey(c, job.ID), Value: encode(item)})
+	}
+	return txn
+}
+
+func (j *Jobs) read(ctx context.Context, id structs.JobID) (jobRow, bool, error) {
+	var out jobRow
+	row, found, err := j.settler.get(ctx, jobKey(id))
+	if err != nil || !found {
+		return out, found, err
+	}
+	return out, true, decode(row.Key, row.Value, &out)
+}
+
+// Status returns the state of a job, or *structs.NotFoundError.
+func (j *Jobs) Status(ctx context.Context, id structs.JobID) (JobStatus, error) {
+	job, found, err := j.read(ctx, id)
+	if err != nil {
+		return JobStatus{}, err
+	}
+	if !found {
+		return JobStatus{}, &structs.NotFoundError{Subject: "job", Name: string(id)}
+	}
+	status := JobStatus{Job: job.Job, Cancelled: job.Cancelled}
+	rows, err := j.settler.list(ctx, statusPrefix(id), "", jobPage)
+	if err != nil {
+		return JobStatus{}, err
+	}
+	accepted := int32(0)
+	for _, row := range rows {
+		var part Status
+		if err := decode(row.Key, row.Value, &part); err != nil {
+			return JobStatus{}, err
+		}
+		accepted += part.Accepted
+		status.Finished += part.Finished
+		status.Failed += part.Failed
+		status.Ended += part.Cancelled
+		status.Results = append(status.Results, part.Results...)
+		status.Details = append(status.Details, part.Details...)
+		status.Cells = append(status.Cells, structs.CellID(strings.TrimPrefix(row.Key, statusPrefix(id))))
+	}
+	status.Waiting = max(0, job.Job.Tasks-accepted)
+	status.Open = accepted - status.Finished - status.Failed - status.Ended
+	return status, nil
+}
+
+// Cancel asks every cell to cancel its part of the job. It may be repeated.
+// Tasks that have finished stay finished.
+func (j *Jobs) Cancel(ctx context.Context, id structs.JobID) error {
+	if err := j.markCancelled(ctx, id); err != nil {
+		return err
+	}
+	// A cell that accepts tasks from here on sees the mark; those that have
+	// accepted some before are listed now.
+	rows, err := j.settler.list(ctx, statusPrefix(id), "", jobPage)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		cell := structs.CellID(strings.TrimPrefix(row.Key, statusPrefix(id)))
+		if err := j.sendCancel(ctx, id, cell); err != nil {
+			return err
+		}
+		j.notify(cell)
+	}
+	return nil
+}
+
+// markCancelled writes the mark into the job's row.
+func (j *Jobs) markCancelled(ctx context.Context, id structs.JobID) error {
+	for {
+		row, found, err := j.settler.get(ctx, jobKey(id))
+		if err != nil {
+			return err
+		}
+		if !found {
+			return &structs.NotFoundError{Subject: "job", Name: string(id)}
+		}
+		var job jobRow
+		if err := decode(row.Key, row.Value, &job); err != nil || job.Cancelled {
+			return err
+		}
+		job.Cancelled = true
+		_, _, err = j.settler.commit(ctx, platform.Txn{
+			ID:       newTxnID(),
+			Compares: []platform.Compare{{Key: row.Key, Revision: row.Revision}},
+			Puts:     []platform.Put{{Key: row.Key, Value: encode(job)}},
+		}, row.Key)
+		if asConflict(err) == nil {
+			return err
+		}
+	}
+}
+
+// sendCancel puts the cancellation into the inbox of a cell, unless one is
+// there already.
+func (j *Jobs) sendCancel(ctx context.Context, id structs.JobID, cell structs.CellID) error {
+	key := cancelKey(cell, id)
+	_, _, err := j.settler.commit(ctx, platform.Txn{
+		ID:       newTxnID(),
+		Compares: []platform.Compare{{Key: key}},
+		Puts:     []platform.Put{{Key: key, Value: encode(Inbox{Job: id, Cancel: true})}},
+	}, key)
+	if asConflict(err) == nil {
+		return err
+	}
+	return nil
+}
+
+// List returns up to limit jobs whose IDs sort after the job after.
+func (j *Jobs) List(ctx context.Context, after structs.JobID, limit int) ([]structs.Job, error) {
+	var list []structs.Job
+	start := ""
+	if after != "" {
+		start = jobKey(after)
+	}
+	for {
+		rows, err := j.settler.list(ctx, jobPrefix, start, jobPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			start = row.Key
+			if !isJobKey(row.Key) {
+				continue
+			}
+			var job jobRow
+			if err := decode(row.Key, row.Value, &job); err != nil {
+				return nil, err
+			}
+			list = append(list, job.Job)
+			if len(list) == limit {
+				return list, nil
+			}
+		}
+		if len(rows) < jobPage {
+			return list, nil
+		}
+	}
+}
--- /dev/null
+++ b/cell/keys.go
@@ -0,0 +1,51 @@
+package cell
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Prefixes of the rows that this package owns.
+const (
+	cellPrefix   = "cell/"
+	jobPrefix    = "job/"
+	domainPrefix = "domain/"
+)
+
+func leaderKey(c structs.CellID) string   { return cellPrefix + string(c) + "/leader" }
+func snapshotKey(c structs.CellID) string { return cellPrefix + string(c) + "/snapshot" }
+func logPrefix(c structs.CellID) string   { return cellPrefix + string(c) + "/log/" }
+func inboxPrefix(c structs.CellID) string { return cellPrefix + string(c) + "/inbox/" }
+
+// logKey sorts by sequence number.
+func logKey(c structs.CellID, seq int64) string { return fmt.Sprintf("%s%016x", logPrefix(c), seq) }
+
+func inboxKey(c structs.CellID, job structs.JobID) string { return inboxPrefix(c) + string(job) }
+
+// cancelKey is the inbox row that asks a cell to cancel its part of a job.
+func cancelKey(c structs.CellID, job structs.JobID) string {
+	return inboxKey(c, job) + "/cancel"
+}
+
+// handoffKey is the inbox row for tasks that another cell hands over.
+func handoffKey(to structs.CellID, job structs.JobID, from structs.CellID, seq int64) string {
+	return fmt.Sprintf("%s/%s/%x", inboxKey(to, job), from, seq)
+}
+
+func jobKey(job structs.JobID) string { return jobPrefix + string(job) }
+
+func statusPrefix(job structs.JobID) string { return jobKey(job) + "/cell/" }
+
+// statusKey is the row in which the leader of a cell reports its part of a job.
+func statusKey(job structs.JobID, c structs.CellID) string {
+	return statusPrefix(job) + string(c)
+}
+
+func domainKey(d structs.FailureDomainID) string { return domainPrefix + string(d) }
+
+// isJobKey reports whether the key is that of a job and not of a status row.
+func isJobKey(key string) bool {
+	return !strings.Contains(strings.TrimPrefix(key, jobPrefix), "/")
+}
--- /dev/null
+++ b/cell/record.go
@@ -0,0 +1,144 @@
+package cell
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Batch is the content of one log row: every decision that was queued when the
+// leader wrote it. The parts apply in the order of the fields.
+type Batch struct {
+	Epoch   int64           `json:"x"`
+	Workers []WorkerChange  `json:"w,omitempty"`
+	Accepts []Accept        `json:"a,omitempty"`
+	Cancels []structs.JobID `json:"c,omitempty"`
+	Ends    []End           `json:"e,omitempty"`
+	Drops   []TaskRef       `json:"d,omitempty"` // pending tasks of cancelled jobs
+	Fails   []Fail          `json:"f,omitempty"`
+	Moves   []TaskRef       `json:"m,omitempty"` // handed over to another cell
+	Starts  []Start         `json:"s,omitempty"`
+	Closes  []structs.JobID `json:"z,omitempty"` // every task is final and the status row says so
+}
+
+// Empty reports whether the batch has no records.
+func (b *Batch) Empty() bool { return b.Records() == 0 }
+
+// Records counts the records.
+func (b *Batch) Records() int {
+	return len(b.Workers) + len(b.Accepts) + len(b.Cancels) + len(b.Ends) + len(b.Drops) +
+		len(b.Fails) + len(b.Moves) + len(b.Starts) + len(b.Closes)
+}
+
+// WorkerChange records the runtime incarnation that a worker announced. Every
+// attempt of an older incarnation of that worker is over.
+type WorkerChange struct {
+	Worker      structs.WorkerID `json:"w"`
+	Incarnation string           `json:"i"`
+}
+
+// TaskRef names a task.
+type TaskRef struct {
+	Job   structs.JobID `json:"j"`
+	Index int32         `json:"i"`
+}
+
+func (r TaskRef) id() structs.TaskID { return structs.TaskID{Job: r.Job, Index: r.Index} }
+
+func refOf(id structs.TaskID) TaskRef { return TaskRef{Job: id.Job, Index: id.Index} }
+
+// Start assigns the next attempt of a task to a worker in its recorded
+// incarnation.
+type Start struct {
+	Job    structs.JobID    `json:"j"`
+	Index  int32            `json:"i"`
+	Number int32            `json:"n"`
+	Worker structs.WorkerID `json:"w"`
+}
+
+func (s Start) attempt() structs.AttemptID {
+	return structs.AttemptID{Task: structs.TaskID{Job: s.Job, Index: s.Index}, Number: s.Number}
+}
+
+// End ends an attempt.
+type End struct {
+	Job        structs.JobID    `json:"j"`
+	Index      int32            `json:"i"`
+	Number     int32            `json:"n"`
+	Cause      structs.EndCause `json:"c"`
+	Checkpoint string           `json:"p,omitempty"`
+	Result     string           `json:"r,omitempty"`
+	Detail     string           `json:"d,omitempty"`
+}
+
+func (e End) attempt() structs.AttemptID {
+	return structs.AttemptID{Task: structs.TaskID{Job: e.Job, Index: e.Index}, Number: e.Number}
+}
+
+func endOf(e structs.AttemptEnd) End {
+	return End{
+		Job: e.Attempt.Task.Job, Index: e.Attempt.Task.Index, Number: e.Attempt.Number,
+		Cause: e.Cause, Checkpoint: e.Checkpoint, Result: e.Result, Detail: shorten(e.Detail),
+	}
+}
+
+// Fail ends a pending task that can never run.
+type Fail struct {
+	Job    structs.JobID `json:"j"`
+	Index  int32         `json:"i"`
+	Detail string        `json:"d"`
+}
+
+// Accept takes tasks of a job into the cell.
+type Accept struct {
+	Job   structs.Job `json:"j"`
+	Tasks []Handoff   `json:"t"`
+	Prior Status      `json:"p"` // what the cell's status row said before
+}
+
+// Handoff is a task in the state in which a cell takes it over.
+type Handoff struct {
+	First      int32              `json:"i"`           // index of the first task
+	Count      int32              `json:"n"`           // number of tasks in the same state
+	Number     int32              `json:"a,omitempty"` // attempts so far
+	Checkpoint string             `json:"p,omitempty"`
+	FailedOn   []structs.WorkerID `json:"f,omitempty"`
+}
+
+// maxDetail is the number of bytes of a detail that is kept.
+const maxDetail = 160
+
+func shorten(s string) string {
+	if len(s) <= maxDetail {
+		return s
+	}
+	return s[:maxDetail]
+}
+
+// CorruptError reports a row that cannot be decoded.
+type CorruptError struct {
+	Key string
+	Err error
+}
+
+func (e *CorruptError) Error() string { return fmt.Sprintf("row %q is corrupt: %v", e.Key, e.Err) }
+
+// Unwrap returns the cause.
+func (e *CorruptError) Unwrap() error { return e.Err }
+
+// encode marshals a row value. The types of this package always marshal.
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func decode(key string, data []byte, out any) error {
+	if err := json.Unmarshal(data, out); err != nil {
+		return &CorruptError{Key: key, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/cell/recover.go
@@ -0,0 +1,190 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisywall/daisywall/platform"
+)
+
+// Bounds of the log and of its snapshots.
+const (
+	// logPage is the number of log rows that are read at a time.
+	logPage = 256
+	// snapshotRows is the number of log rows after which a snapshot is made.
+	snapshotRows = 128
+)
+
+// snapshotPointer is the row that names the snapshot in force.
+type snapshotPointer struct {
+	Object string `json:"object"` // object key
+	Seq    int64  `json:"seq"`    // last log row that it contains
+}
+
+// builtSnapshot is a snapshot in the object store whose pointer row is not
+// committed yet.
+type builtSnapshot struct {
+	pointer snapshotPointer
+	rows    int   // log rows that it replaces
+	from    int64 // first log row that it replaces
+}
+
+// recover reads the snapshot and the tail of the log. Nobody else can write
+// them: the takeover has fenced every earlier leader. Leases are renewed
+// meanwhile, which is safe without the state, and the leadership row is kept
+// fresh.
+func (l *leader) recover(ctx context.Context) error {
+	begin := time.Now()
+	delay := newBackoff()
+	for {
+		state, rows, err := l.readState(ctx)
+		if err == nil {
+			l.mu.Lock()
+			l.state, l.ready, l.logged = state, true, rows
+			l.planned = planned{seq: -1}
+			l.mu.Unlock()
+			pending, assigned := state.Counts()
+			l.o.Log.Info("cell recovered", zap.String("cell", string(l.cell)), zap.Int64("epoch", l.epoch),
+				zap.Int("pending", pending), zap.Int("assigned", assigned), zap.Duration("took", time.Since(begin)))
+			return nil
+		}
+		l.o.Log.Debug("recovery", zap.String("cell", string(l.cell)), zap.Error(err))
+		if err := sleep(ctx, delay.NextBackOff()); err != nil {
+			return fmt.Errorf("recover cell %s: %w", l.cell, err)
+		}
+		if time.Since(l.renewed) >= l.o.Timing.Term/renewalsPerTerm {
+			if err := l.renewOnly(ctx); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// renewOnly renews the leadership row and nothing else.
+func (l *leader) renewOnly(ctx context.Context) error {
+	return l.settle(l.commit(ctx, &work{renew: true}))
+}
+
+// readState reads the state of the cell and the number of log rows behind it.
+func (l *leader) readState(ctx context.Context) (*State, int, error) {
+	row, found, err := l.settler.get(ctx, snapshotKey(l.cell))
+	if err != nil {
+		return nil, 0, err
+	}
+	state := NewState()
+	if found {
+		if state, err = l.readSnapshot(ctx, row); err != nil {
+			return nil, 0, err
+		}
+	}
+	rows := 0
+	after := logKey(l.cell, state.Seq)
+	for {
+		page, err := l.settler.list(ctx, logPrefix(l.cell), after, logPage)
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, r := range page {
+			var b Batch
+			if err := decode(r.Key, r.Value, &b); err != nil {
+				return nil, 0, err
+			}
+			state.Apply(state.Seq+1, &b)
+			if r.Key != logKey(l.cell, state.Seq) {
+				return nil, 0, &CorruptError{Key: r.Key, Err: &GapError{Want: state.Seq}}
+			}
+			after = r.Key
+		}
+		rows += len(page)
+		if len(page) < logPage {
+			return state, rows, nil
+		}
+	}
+}
+
+// GapError reports that a row of the log is missing.
+type GapError struct {
+	Want int64 // sequence number that was expected
+}
+
+func (e *GapError) Error() string { return fmt.Sprintf("log row %d is missing", e.Want) }
+
+func (l *leader) readSnapshot(ctx context.Context, row platform.Row) (*State, error) {
+	var pointer snapshotPointer
+	if err := decode(row.Key, row.Value, &pointer); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.o.Timing.Call)
+	defer cancel()
+	data, err := l.o.Objects.Get(ctx, pointer.Object)
+	if err != nil {
+		return nil, err
+	}
+	l.object = pointer.Object
+	return decodeState(pointer.Object, data)
+}
+
+// composeSnapshot starts a snapshot when the log has grown, and commits the
+// pointer to one that is stored. It writes the leadership row too, so that no
+// earlier transaction of this leader can still apply once its log row is gone.
+func (l *leader) composeSnapshot(w *work) {
+	select {
+	case built := <-l.building:
+		l.busy = false
+		if built == nil {
+			return
+		}
+		w.snapshot = built
+		w.renew = true
+		w.puts = append(w.puts, platform.Put{Key: snapshotKey(l.cell), Value: encode(built.pointer)})
+		for seq := built.from; seq <= built.pointer.Seq; seq++ {
+			w.deletes = append(w.deletes, logKey(l.cell, seq))
+		}
+		return
+	default:
+	}
+	if l.busy || l.logged < snapshotRows || !l.ready {
+		return
+	}
+	l.busy = true
+	data := encode(l.state)
+	built := &builtSnapshot{
+		pointer: snapshotPointer{Object: fmt.Sprintf("cell/%s/snapshot/%x-%x", l.cell, l.epoch, l.state.Seq), Seq: l.state.Seq},
+		rows:    l.logged, from: l.state.Seq - int64(l.logged) + 1,
+	}
+	l.sends.Go(func() { l.storeSnapshot(built, data) })
+}
+
+// storeSnapshot puts the snapshot into the object store. The loop goes on
+// meanwhile.
+func (l *leader) storeSnapshot(built *builtSnapshot, data []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), l.o.Timing.Call)
+	defer cancel()
+	if err := l.o.Objects.Put(ctx, built.pointer.Object, data); err != nil {
+		l.o.Log.Debug("snapshot", zap.String("cell", string(l.cell)), zap.Error(err))
+		built = nil
+	}
+	l.building <- built
+	l.signal()
+}
+
+// dropSnapshot deletes the object of the snapshot that has been replaced. It
+// is best effort: a left object is never read again.
+func (l *leader) dropSnapshot(built *builtSnapshot) {
+	old := l.object
+	l.object = built.pointer.Object
+	count(l.metrics.snapshots, 1)
+	if old == "" || old == l.object {
+		return
+	}
+	l.sends.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), l.o.Timing.Call)
+		defer cancel()
+		if err := l.o.Objects.Delete(ctx, old); err != nil {
+			l.o.Log.Debug("old snapshot", zap.String("cell", string(l.cell)), zap.Error(err))
+		}
+	})
+}
