Prove the propagation of revisions in virtual time; a timeout for each read

Test seen to fail: with a table that answers in 400 ms a watcher never had a new revision, because one timeout of 500 ms covered both of its reads. Change: each read has its own timeout of 1 s.

--- a/config/holder.go
+++ b/config/holder.go
@@ -90,29 +90,32 @@
 	return h.offer(next), nil
 }
 
-// UpdateSince returns the update for a daemon at the given revision: nil when
-// nothing newer is in force here, a delta when that revision is retained, and
-// the full configuration otherwise.
-func (h *Holder) UpdateSince(revision int64) ([]byte, error) {
+// UpdateSince returns the revision in force and the update to it for a daemon
+// at the revision have: nil when nothing newer is in force here, a delta when
+// have is retained, and the full configuration otherwise. The update goes into
+// the answer to a heartbeat, and from there into the other's OfferUpdate.
+func (h *Holder) UpdateSince(have int64) (revision int64, data []byte) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if revision >= h.current.revision {
-		return nil, nil
+	revision = h.current.revision
+	if have >= revision {
+		return revision, nil
 	}
-	base := h.find(revision)
+	base := h.find(have)
 	key := int64(0)
 	if base != nil {
 		key = base.revision
 	}
 	if data, found := h.updates[key]; found {
-		return data, nil
+		return revision, data
 	}
 	data, err := encodeUpdate(base, h.current)
 	if err != nil {
-		return nil, err
+		h.counts.rejected("encode")
+		return revision, nil
 	}
 	h.updates[key] = data
-	return data, nil
+	return revision, data
 }
 
 func (h *Holder) snapshot() *snapshot {
--- a/config/metrics.go
+++ b/config/metrics.go
@@ -21,7 +21,7 @@
 	c.revision, _ = meter.Int64Gauge("daisywall.config.revision",
 		metric.WithDescription("Revision of the configuration in force in this daemon."))
 	c.updates, _ = meter.Int64Counter("daisywall.config.updates",
-		metric.WithDescription("Updates by result: applied, old, base, corrupt."))
+		metric.WithDescription("Updates by result: applied, old, base, corrupt, encode."))
 	c.polls, _ = meter.Int64Counter("daisywall.config.polls",
 		metric.WithDescription("Polls of the head row by result: same, changed, failed."))
 	return c
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -168,3 +168,27 @@
 	is.NoErr(err)
 	is.Equal(current.Revision, int64(0))
 }
+
+func TestLostCommitThatAnotherOperatorOvertookIsAConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := standin.NewTable()
+		store := NewStore(table)
+		at, err := store.position(t.Context())
+		is.NoErr(err)
+		table.Faults.Silence(1)
+		go func() {
+			time.Sleep(commitTimeout / 2)
+			_, err := store.apply(t.Context(), at, put(testTeam("graz", 500)), HistoryEntry{Operator: "berta"})
+			is.NoErr(err)
+		}()
+		_, err = store.apply(t.Context(), at, put(testTeam("jabuka", 800)), HistoryEntry{Operator: "ana"})
+		var conflict *ConflictError
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Current, int64(1))
+		is.True(len(conflict.Difference) > 0)
+		history, err := store.History(t.Context(), 10)
+		is.NoErr(err)
+		is.Equal(history[0].Operator, "berta")
+	})
+}
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -17,7 +17,7 @@
 // Default times of a Watcher.
 const (
 	DefaultPollInterval = time.Second
-	DefaultReadTimeout  = 500 * time.Millisecond
+	DefaultReadTimeout  = time.Second
 )
 
 // Peers are other daemons that may hold a higher revision while the table is
@@ -98,8 +98,6 @@
 }
 
 func (w *Watcher) readTable(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, w.options.ReadTimeout)
-	defer cancel()
 	moved, err := w.headMoved(ctx)
 	if err != nil {
 		return err
@@ -109,6 +107,8 @@
 		return nil
 	}
 	w.holder.counts.polled("changed")
+	ctx, cancel := context.WithTimeout(ctx, w.options.ReadTimeout)
+	defer cancel()
 	rows, revision, err := w.table.Changes(ctx, currentPrefix, w.rowsAt)
 	if err != nil {
 		return fmt.Errorf("read configuration: %w", err)
@@ -125,6 +125,8 @@
 // headMoved reads the head row and reports whether it names another revision
 // than the rows read so far.
 func (w *Watcher) headMoved(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.options.ReadTimeout)
+	defer cancel()
 	row, err := w.table.Get(ctx, headKey)
 	var absent *structs.NotFoundError
 	if errors.As(err, &absent) {
