Membership of targets and the path of a request

Cause: requests need targets, routing, limits and outcome rules. Ruled out: wall clocks and unbounded fences: a request carries a reading of the agent's own clock after which it must not begin, and the incarnation it was meant for, so that a restarted agent never vouches for what it forgot.

--- /dev/null
+++ b/membership/local.go
@@ -0,0 +1,176 @@
+package membership
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// LocalOptions configures LocalTargets. Zero fields take defaults.
+type LocalOptions struct {
+	TTL   time.Duration // default TargetTTL
+	Log   *zap.Logger
+	Meter metric.Meter
+}
+
+// LocalTargets holds the targets of one host as they announce themselves. A
+// target that is not refreshed within the TTL is gone. It serves
+// PUT and DELETE /v1/targets/{id} and is safe for concurrent use.
+type LocalTargets struct {
+	options LocalOptions
+	metrics localMetrics
+
+	mu      sync.Mutex
+	targets map[structs.TargetID]*localTarget
+	changed chan struct{}
+}
+
+type localTarget struct {
+	target  structs.Target
+	expires time.Time
+}
+
+// NewLocalTargets returns an empty list.
+func NewLocalTargets(options LocalOptions) *LocalTargets {
+	if options.TTL == 0 {
+		options.TTL = TargetTTL
+	}
+	if options.Log == nil {
+		options.Log = zap.NewNop()
+	}
+	return &LocalTargets{
+		options: options,
+		metrics: newLocalMetrics(options.Meter),
+		targets: map[structs.TargetID]*localTarget{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Announce adds or refreshes a target. It returns *structs.InvalidError with
+// every fault of the announcement.
+func (l *LocalTargets) Announce(target structs.Target) error {
+	if faults := checkTarget(target); len(faults) > 0 {
+		return &structs.InvalidError{Subject: "target", Faults: faults}
+	}
+	l.metrics.announcements.Add(context.Background(), 1)
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, found := l.targets[target.ID]
+	if found && now.Before(known.expires) && equalTargets(known.target, target) {
+		known.expires = now.Add(l.options.TTL)
+		return nil
+	}
+	l.targets[target.ID] = &localTarget{target: target, expires: now.Add(l.options.TTL)}
+	l.options.Log.Info("target announced",
+		zap.String("target", string(target.ID)), zap.String("incarnation", target.Incarnation))
+	l.notify()
+	return nil
+}
+
+// Leave withdraws a target at once. Requests that it has begun go on.
+func (l *LocalTargets) Leave(id structs.TargetID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, found := l.targets[id]; !found {
+		return
+	}
+	delete(l.targets, id)
+	l.metrics.left.Add(context.Background(), 1)
+	l.options.Log.Info("target left", zap.String("target", string(id)))
+	l.notify()
+}
+
+// Targets returns the targets that are present, ordered by ID.
+func (l *LocalTargets) Targets() []structs.Target {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]structs.Target, 0, len(l.targets))
+	for _, t := range l.targets {
+		if now.Before(t.expires) {
+			list = append(list, t.target)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// Target returns the target when it is present.
+func (l *LocalTargets) Target(id structs.TargetID) (structs.Target, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, found := l.targets[id]
+	if !found || !time.Now().Before(t.expires) {
+		return structs.Target{}, false
+	}
+	return t.target, true
+}
+
+// Changed returns a channel that is closed at the next change of the list.
+func (l *LocalTargets) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// Run removes targets whose announcements have ended, until ctx ends.
+func (l *LocalTargets) Run(ctx context.Context) error {
+	const sweeps = 6 // sweeps in each TTL
+	ticker := time.NewTicker(l.options.TTL / sweeps)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.sweep()
+		}
+	}
+}
+
+func (l *LocalTargets) sweep() {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gone := 0
+	for id, t := range l.targets {
+		if now.Before(t.expires) {
+			continue
+		}
+		delete(l.targets, id)
+		gone++
+		l.options.Log.Info("target gone", zap.String("target", string(id)))
+	}
+	if gone > 0 {
+		l.metrics.expired.Add(context.Background(), int64(gone))
+		l.notify()
+	}
+}
+
+// notify wakes the waiters. The caller holds the lock.
+func (l *LocalTargets) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func equalTargets(a, b structs.Target) bool {
+	if a.ID != b.ID || a.Team != b.Team || a.URL != b.URL || a.Incarnation != b.Incarnation {
+		return false
+	}
+	if a.Slots != b.Slots || a.Connections != b.Connections || len(a.Kinds) != len(b.Kinds) {
+		return false
+	}
+	for i := range a.Kinds {
+		if a.Kinds[i] != b.Kinds[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/membership/local_http.go
@@ -0,0 +1,130 @@
+package membership
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// TargetsPath is the path below which LocalTargets answers.
+const TargetsPath = "/v1/targets/"
+
+// Problem is an RFC 9457 problem body.
+type Problem struct {
+	Type   string          `json:"type"`
+	Title  string          `json:"title"`
+	Status int             `json:"status"`
+	Detail string          `json:"detail,omitempty"`
+	Faults []structs.Fault `json:"faults,omitempty"`
+}
+
+// WriteProblem answers with an RFC 9457 problem body.
+func WriteProblem(w http.ResponseWriter, problem Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(problem.Status)
+	_ = json.NewEncoder(w).Encode(problem)
+}
+
+// ServeHTTP answers PUT (announce or refresh) and DELETE (leave) of
+// /v1/targets/{id}.
+func (l *LocalTargets) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id, ok := strings.CutPrefix(r.URL.Path, TargetsPath)
+	if !ok || id == "" || strings.Contains(id, "/") {
+		WriteProblem(w, Problem{Type: "about:blank", Title: "Not Found", Status: http.StatusNotFound})
+		return
+	}
+	switch r.Method {
+	case http.MethodPut:
+		l.put(w, r, structs.TargetID(id))
+	case http.MethodDelete:
+		l.Leave(structs.TargetID(id))
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		w.Header().Set("Allow", "PUT, DELETE")
+		WriteProblem(w, Problem{Type: "about:blank", Title: "Method Not Allowed", Status: http.StatusMethodNotAllowed})
+	}
+}
+
+func (l *LocalTargets) put(w http.ResponseWriter, r *http.Request, id structs.TargetID) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	if err != nil {
+		WriteProblem(w, Problem{Type: "about:blank", Title: "Unreadable body", Status: http.StatusBadRequest, Detail: err.Error()})
+		return
+	}
+	target, err := DecodeTarget(id, body)
+	if err == nil {
+		err = l.Announce(target)
+	}
+	var invalid *structs.InvalidError
+	if errors.As(err, &invalid) {
+		WriteProblem(w, Problem{
+			Type: "urn:daisywall:problem:invalid-target", Title: "Invalid target",
+			Status: http.StatusUnprocessableEntity, Detail: invalid.Error(), Faults: invalid.Faults,
+		})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// DecodeTarget reads the JSON announcement of the target called id. It
+// returns *structs.InvalidError.
+func DecodeTarget(id structs.TargetID, body []byte) (structs.Target, error) {
+	var target structs.Target
+	if err := json.Unmarshal(body, &target); err != nil {
+		return structs.Target{}, &structs.InvalidError{Subject: "target", Faults: []structs.Fault{
+			{Path: "/", Value: strconv.Itoa(len(body)) + " bytes", Rule: "must be the JSON of a target: " + err.Error()},
+		}}
+	}
+	if target.ID == "" {
+		target.ID = id
+	}
+	if target.ID != id {
+		return structs.Target{}, &structs.InvalidError{Subject: "target", Faults: []structs.Fault{
+			{Path: "/id", Value: string(target.ID), Rule: "must equal the ID in the path"},
+		}}
+	}
+	return target, nil
+}
+
+// checkTarget returns every broken rule of an announcement.
+func checkTarget(t structs.Target) []structs.Fault {
+	var faults []structs.Fault
+	fault := func(path, value, rule string) {
+		faults = append(faults, structs.Fault{Path: path, Value: value, Rule: rule})
+	}
+	if t.ID == "" || strings.Contains(string(t.ID), "/") {
+		fault("/id", string(t.ID), "must be a name without a slash")
+	}
+	if t.Team == "" {
+		fault("/team", "", "must be named")
+	}
+	if len(t.Kinds) == 0 {
+		fault("/kinds", "[]", "must name at least one kind")
+	}
+	for i, kind := range t.Kinds {
+		if kind == "" {
+			fault(fmt.Sprintf("/kinds/%d", i), "", "must be named")
+		}
+	}
+	u, err := url.Parse(t.URL)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		fault("/url", t.URL, "must be an absolute http or https URL")
+	}
+	if t.Incarnation == "" {
+		fault("/incarnation", "", "must be set")
+	}
+	if t.Slots < 1 || t.Slots > maxSlots {
+		fault("/slots", strconv.Itoa(t.Slots), fmt.Sprintf("must be from 1 to %d", maxSlots))
+	}
+	if t.Connections < 1 || t.Connections > maxConnections {
+		fault("/connections", strconv.Itoa(t.Connections), fmt.Sprintf("must be from 1 to %d", maxConnections))
+	}
+	return faults
+}
--- /dev/null
+++ b/request/conn.go
@@ -0,0 +1,73 @@
+package request
+
+import (
+	"context"
+	"fmt"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// MaxMessageBytes is the size of the largest message between entries and
+// agents. Servers of the Agent service must accept messages of this size.
+const MaxMessageBytes = 2 * maxAnswerBytes
+
+// AgentConn is a connection to one agent.
+type AgentConn interface {
+	daisywallpb.AgentClient
+	// Ready waits until the connection is up. It returns
+	// *structs.UnavailableError when it cannot be established.
+	Ready(ctx context.Context) error
+	Close() error
+}
+
+// GRPCDialer returns a dialer of agents for RouterOptions.
+func GRPCDialer(options ...grpc.DialOption) func(address string) (AgentConn, error) {
+	return func(address string) (AgentConn, error) {
+		all := append([]grpc.DialOption{
+			grpc.WithDisableServiceConfig(),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
+		}, options...)
+		conn, err := grpc.NewClient("passthrough:///"+address, all...)
+		if err != nil {
+			return nil, fmt.Errorf("dial agent %s: %w", address, err)
+		}
+		conn.Connect()
+		return &grpcAgentConn{AgentClient: daisywallpb.NewAgentClient(conn), conn: conn, address: address}, nil
+	}
+}
+
+type grpcAgentConn struct {
+	daisywallpb.AgentClient
+	conn    *grpc.ClientConn
+	address string
+}
+
+func (c *grpcAgentConn) Ready(ctx context.Context) error {
+	failed := false
+	for {
+		state := c.conn.GetState()
+		switch state {
+		case connectivity.Ready:
+			return nil
+		case connectivity.TransientFailure:
+			if failed {
+				return &structs.UnavailableError{Dependency: "agent " + c.address}
+			}
+			failed = true
+			c.conn.ResetConnectBackoff()
+		case connectivity.Shutdown:
+			return &structs.UnavailableError{Dependency: "agent " + c.address}
+		case connectivity.Idle:
+			c.conn.Connect()
+		}
+		if !c.conn.WaitForStateChange(ctx, state) {
+			return &structs.UnavailableError{Dependency: "agent " + c.address, Err: ctx.Err()}
+		}
+	}
+}
+
+func (c *grpcAgentConn) Close() error { return c.conn.Close() }
--- /dev/null
+++ b/request/table_test.go
@@ -0,0 +1,94 @@
+package request
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// fakeTable is the table service with fault switches.
+type fakeTable struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	revision int64
+	writes   int
+	down     bool
+	slow     time.Duration
+	loseNext int // answers to lose after the effect
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func (t *fakeTable) set(change func(t *fakeTable)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change(t)
+}
+
+func (t *fakeTable) enter(ctx context.Context) error {
+	t.mu.Lock()
+	down, slow := t.down, t.slow
+	t.mu.Unlock()
+	if slow == 0 {
+		slow = 2 * time.Millisecond
+	}
+	select {
+	case <-time.After(slow):
+	case <-ctx.Done():
+		return &structs.UnavailableError{Dependency: "table", Err: ctx.Err()}
+	}
+	if down {
+		return &structs.UnavailableError{Dependency: "table"}
+	}
+	return nil
+}
+
+func (t *fakeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.enter(ctx); err != nil {
+		return platform.Row{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, found := t.rows[key]
+	if !found {
+		return platform.Row{}, &structs.NotFoundError{Subject: "row", Name: key}
+	}
+	return row, nil
+}
+
+func (t *fakeTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+	if err := t.enter(ctx); err != nil {
+		return 0, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range txn.Compares {
+		if have := t.rows[c.Key].Revision; have != c.Revision {
+			return 0, &structs.ConflictError{Key: c.Key, Want: c.Revision, Have: have}
+		}
+	}
+	t.revision++
+	for _, p := range txn.Puts {
+		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: t.revision, TxnID: txn.ID}
+		t.writes++
+	}
+	for _, d := range txn.Deletes {
+		delete(t.rows, d)
+	}
+	if t.loseNext > 0 {
+		t.loseNext--
+		return 0, &structs.UnknownOutcomeError{Operation: "commit"}
+	}
+	return t.revision, nil
+}
+
+func (t *fakeTable) List(ctx context.Context, _, _ string, _ int) ([]platform.Row, error) {
+	return nil, t.enter(ctx)
+}
+
+func (t *fakeTable) Changes(ctx context.Context, _ string, _ int64) ([]platform.Row, int64, error) {
+	return nil, 0, t.enter(ctx)
+}
