--- a/client/client.go
+++ b/client/client.go
@@ -18,7 +18,7 @@
 const maxResponseBytes = 64 << 20
 
 // Client calls one entry, or the balancer before them. Errors of the API are
-// *problem.Details.
+// *problem.Error.
 type Client struct {
 	base     string
 	operator string
--- a/client/types.go
+++ b/client/types.go
@@ -74,7 +74,6 @@
 	Team          structs.TeamID          `json:"team"`
 	Kinds         []string                `json:"kinds"`
 	Slots         int                     `json:"slots"`
-	InUse         int                     `json:"in_use"`
 }
 
 // ConfigChange adds or replaces teams, and removes teams.
--- /dev/null
+++ b/cmd/daisywall-agent/main.go
@@ -0,0 +1,13 @@
+// Command daisywall-agent runs beside the targets and tasks of one host.
+package main
+
+import (
+	"os"
+
+	"github.com/daisywall/daisywall/daemon"
+	"github.com/daisywall/daisywall/settings"
+)
+
+func main() {
+	os.Exit(daemon.Main("daisywall-agent", "Runs beside the targets and tasks of one host.", settings.DecodeAgent, daemon.RunAgent))
+}
--- /dev/null
+++ b/command/config.go
@@ -0,0 +1,265 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"sort"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/daisywall/daisywall/client"
+	"github.com/daisywall/daisywall/config"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// ConfigCommands groups the commands about the configuration.
+type ConfigCommands struct {
+	Show     ConfigShowCommand     `cmd:"" help:"Print the configuration that the platform holds."`
+	Validate ConfigValidateCommand `cmd:"" help:"Check a configuration file without changing anything."`
+	Apply    ConfigApplyCommand    `cmd:"" help:"Add or replace the teams of a file."`
+	Remove   ConfigRemoveCommand   `cmd:"" help:"Remove a team."`
+	Status   ConfigStatusCommand   `cmd:"" help:"Show which revision is in force where."`
+	Diff     ConfigDiffCommand     `cmd:"" help:"Compare two revisions, or a file with the configuration."`
+	History  ConfigHistoryCommand  `cmd:"" help:"List the changes."`
+	Rollback ConfigRollbackCommand `cmd:"" help:"Make an earlier revision's content the newest revision."`
+}
+
+// ConfigShowCommand prints the configuration.
+type ConfigShowCommand struct{}
+
+// Run prints the configuration.
+func (c *ConfigShowCommand) Run(root *Root, env Env) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	current, err := api.Config(ctx)
+	if err != nil {
+		return err
+	}
+	document, err := config.Encode(&current)
+	if err != nil {
+		return err
+	}
+	_, err = env.Out.Write(document)
+	return err
+}
+
+// ConfigValidateCommand checks a file.
+type ConfigValidateCommand struct {
+	File string `arg:"" help:"Configuration file."`
+}
+
+// Run checks the file.
+func (c *ConfigValidateCommand) Run(env Env) error {
+	wanted, err := readConfig(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(env.Out, "%s: %d teams, no faults\n", c.File, len(wanted.Teams))
+	return nil
+}
+
+// readConfig reads a file with a whole configuration or, as the questionnaire
+// writes it, with the place of one team.
+func readConfig(file string) (*structs.Config, error) {
+	document, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	var shape struct {
+		Teams *json.RawMessage `json:"teams"`
+	}
+	// What is no JSON object is left to the decoder, which names its faults.
+	if json.Unmarshal(document, &shape) == nil && shape.Teams != nil {
+		return config.Decode(document)
+	}
+	team, err := config.DecodeTeam(document)
+	if err != nil {
+		return nil, err
+	}
+	return &structs.Config{Teams: []structs.TeamConfig{team}}, nil
+}
+
+// ConfigApplyCommand applies a file.
+type ConfigApplyCommand struct {
+	File   string `arg:"" help:"Configuration file. Teams that it does not name stay as they are."`
+	Expect int64  `help:"Revision that the change was made from; the current one when absent." default:"-1"`
+}
+
+// Run applies the file.
+func (c *ConfigApplyCommand) Run(root *Root, env Env) error {
+	wanted, err := readConfig(c.File)
+	if err != nil {
+		return err
+	}
+	return applyChange(root, env, c.Expect, client.ConfigChange{Put: wanted.Teams})
+}
+
+// ConfigRemoveCommand removes a team.
+type ConfigRemoveCommand struct {
+	Team   string `arg:"" help:"Team."`
+	Expect int64  `help:"Revision that the change was made from; the current one when absent." default:"-1"`
+}
+
+// Run removes the team.
+func (c *ConfigRemoveCommand) Run(root *Root, env Env) error {
+	return applyChange(root, env, c.Expect, client.ConfigChange{Remove: []structs.TeamID{structs.TeamID(c.Team)}})
+}
+
+func applyChange(root *Root, env Env, expected int64, change client.ConfigChange) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	if expected < 0 {
+		current, err := api.Config(ctx)
+		if err != nil {
+			return err
+		}
+		expected = current.Revision
+	}
+	revision, err := api.ApplyConfig(ctx, expected, change)
+	if err != nil {
+		return err
+	}
+	return printRevision(root, env, revision)
+}
+
+func printRevision(root *Root, env Env, revision int64) error {
+	return root.print(env, client.ConfigRevision{Revision: revision}, func(w io.Writer) { fmt.Fprintf(w, "revision %d\n", revision) })
+}
+
+// ConfigStatusCommand shows where which revision is in force.
+type ConfigStatusCommand struct{}
+
+// Run shows the revisions.
+func (c *ConfigStatusCommand) Run(root *Root, env Env) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	status, err := api.ConfigStatus(ctx)
+	if err != nil {
+		return err
+	}
+	return root.print(env, status, func(w io.Writer) {
+		fmt.Fprintf(w, "committed revision %d, in force at this entry %d\n", status.Committed, status.Entry)
+		workers := make([]string, 0, len(status.Workers))
+		for worker := range status.Workers {
+			workers = append(workers, worker)
+		}
+		sort.Strings(workers)
+		table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(table, "WORKER\tREVISION")
+		for _, worker := range workers {
+			fmt.Fprintf(table, "%s\t%d\n", worker, status.Workers[worker])
+		}
+		_ = table.Flush()
+	})
+}
+
+// ConfigDiffCommand compares configurations.
+type ConfigDiffCommand struct {
+	From int64  `help:"Earlier revision; the one before --to when absent." default:"-1"`
+	To   int64  `help:"Later revision; the current one when absent." default:"-1"`
+	File string `help:"Compare the current configuration with applying this file instead."`
+}
+
+// Run prints the difference.
+func (c *ConfigDiffCommand) Run(root *Root, env Env) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	current, err := api.Config(ctx)
+	if err != nil {
+		return err
+	}
+	if c.File != "" {
+		wanted, err := readConfig(c.File)
+		if err != nil {
+			return err
+		}
+		return printDifference(root, env, config.Diff(&current, overlay(current, wanted)))
+	}
+	from, to := c.From, c.To
+	if to < 0 {
+		to = current.Revision
+	}
+	if from < 0 {
+		from = max(to-1, 0)
+	}
+	query := url.Values{"from": {strconv.FormatInt(from, 10)}, "to": {strconv.FormatInt(to, 10)}}
+	body, err := api.Raw(ctx, query, "v1", "config", "diff")
+	if err != nil {
+		return err
+	}
+	var difference config.Difference
+	if err := json.Unmarshal(body, &difference); err != nil {
+		return fmt.Errorf("decode difference: %w", err)
+	}
+	return printDifference(root, env, difference)
+}
+
+// overlay is current with the teams of wanted added or replaced.
+func overlay(current structs.Config, wanted *structs.Config) *structs.Config {
+	next := &structs.Config{Teams: append([]structs.TeamConfig{}, wanted.Teams...)}
+	for _, team := range current.Teams {
+		if _, err := wanted.Team(team.ID); err != nil {
+			next.Teams = append(next.Teams, team)
+		}
+	}
+	return next
+}
+
+func printDifference(root *Root, env Env, difference config.Difference) error {
+	return root.print(env, difference, func(w io.Writer) { fmt.Fprint(w, difference) })
+}
+
+// ConfigHistoryCommand lists the changes.
+type ConfigHistoryCommand struct{}
+
+// Run lists the changes.
+func (c *ConfigHistoryCommand) Run(root *Root, env Env) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	body, err := api.Raw(ctx, nil, "v1", "config", "history")
+	if err != nil {
+		return err
+	}
+	if root.Output == "json" {
+		var indented bytes.Buffer
+		if err := json.Indent(&indented, body, "", "  "); err != nil {
+			return fmt.Errorf("format history: %w", err)
+		}
+		_, err = indented.WriteTo(env.Out)
+		return err
+	}
+	var entries []config.HistoryEntry
+	if err := json.Unmarshal(body, &entries); err != nil {
+		return fmt.Errorf("decode history: %w", err)
+	}
+	table := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "REVISION\tTIME\tOPERATOR\tTEAMS\tROLLBACK TO")
+	for _, e := range entries {
+		teams := make([]structs.TeamID, 0, len(e.Changes))
+		for _, change := range e.Changes {
+			teams = append(teams, change.Team)
+		}
+		fmt.Fprintf(table, "%d\t%s\t%s\t%v\t%d\n", e.Revision, e.At.Format("2006-01-02 15:04:05"), e.Operator, teams, e.RollbackTo)
+	}
+	return table.Flush()
+}
+
+// ConfigRollbackCommand rolls back.
+type ConfigRollbackCommand struct {
+	To int64 `arg:"" help:"Revision whose content is wanted."`
+}
+
+// Run rolls back.
+func (c *ConfigRollbackCommand) Run(root *Root, env Env) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	revision, err := api.Rollback(ctx, c.To)
+	if err != nil {
+		return err
+	}
+	return printRevision(root, env, revision)
+}
--- /dev/null
+++ b/command/dev.go
@@ -0,0 +1,191 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/daisywall/daisywall/client"
+	"github.com/daisywall/daisywall/daemon"
+	"github.com/daisywall/daisywall/settings"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// DevCommand runs everything in one process.
+type DevCommand struct {
+	HTTP string `help:"host:port of the first entry." default:"127.0.0.1:8080"`
+	Exit bool   `help:"Stop after the tour instead of serving on."`
+}
+
+// devDomains are the failure domains of the development mode, with one worker
+// each.
+var devDomains = []structs.FailureDomainID{"kordun", "banovina", "zagorje", "podravina"}
+
+// Size of each worker of the development mode.
+var devCapacity = structs.Resources{MilliCPU: 16_000, MemoryMB: 60_000, Accelerators: 2}
+
+const (
+	devEntries       = 2
+	devDrainMS       = 200
+	devEvacuateMS    = 0
+	devServiceTimeMS = 5
+	devSlots         = 8
+	devConnections   = 60
+	devTimeoutMS     = 1000
+	devLogLevel      = "warn"
+)
+
+// devSystem is the settings of every daemon of the development mode.
+type devSystem struct {
+	standIn settings.StandIn
+	agents  []settings.Agent
+	entries []settings.Entry
+}
+
+// Run starts the daemons, walks through the tour and serves on.
+func (c *DevCommand) Run(root *Root, env Env) error {
+	system, err := newDevSystem(c.HTTP)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(env.Context)
+	defer cancel()
+	group, groupCtx := errgroup.WithContext(context.WithoutCancel(ctx))
+	// The platform outlives the daemons, so that they can stop gracefully.
+	platformCtx, stopPlatform := context.WithCancel(groupCtx)
+	defer stopPlatform()
+	group.Go(func() error { return daemon.RunStandIn(platformCtx, system.standIn) })
+	daemons, daemonsCtx := errgroup.WithContext(ctx)
+	for _, s := range system.agents {
+		daemons.Go(func() error { return daemon.RunAgent(daemonsCtx, s) })
+	}
+	for _, s := range system.entries {
+		daemons.Go(func() error { return daemon.RunEntry(daemonsCtx, s) })
+	}
+	api := client.New("http://"+system.entries[0].HTTPAddress, root.Operator, &http.Client{})
+	tour := &tour{api: api, out: env.Out}
+	daemons.Go(func() error {
+		if err := tour.run(daemonsCtx); err != nil {
+			return fmt.Errorf("tour: %w", err)
+		}
+		if c.Exit {
+			cancel()
+			return nil
+		}
+		fmt.Fprintf(env.Out, "\nServing on http://%s; Ctrl-C stops. Try:\n%s", system.entries[0].HTTPAddress, tryOut(system.entries[0].HTTPAddress))
+		return nil
+	})
+	err = daemons.Wait()
+	stopPlatform()
+	if platformErr := group.Wait(); err == nil {
+		err = platformErr
+	}
+	return err
+}
+
+func tryOut(address string) string {
+	return fmt.Sprintf(`  curl -d '{"delivery":"HR-2041"}' http://%[1]s/v1/teams/jabuka/requests/slot-check
+  curl -d '{"class":"pricing","input":{"work_ms":100,"contracts":[]}}' http://%[1]s/v1/teams/jabuka/jobs
+  daisywall domain list
+`, address)
+}
+
+// newDevSystem chooses free loopback addresses and fills in the settings.
+func newDevSystem(httpAddress string) (*devSystem, error) {
+	free := &freeAddresses{}
+	defer free.release()
+	platform := settings.Platform{Address: free.take(), TimeoutMS: devTimeoutMS}
+	system := &devSystem{standIn: settings.StandIn{Address: platform.Address, ControlAddress: free.take(), LogLevel: devLogLevel}}
+	evacuate, drain := int64(devEvacuateMS), int64(devDrainMS)
+	for _, domain := range devDomains {
+		worker := structs.WorkerID("worker-" + domain)
+		local := free.take()
+		system.standIn.Workers = append(system.standIn.Workers, settings.StandInWorker{Worker: worker, Capacity: devCapacity})
+		system.agents = append(system.agents, settings.Agent{
+			Worker: worker, FailureDomain: domain, Rack: "rack-1", Cell: structs.CellID(domain),
+			LocalAddress: local, PeerAddress: free.take(), Platform: platform,
+			Capacity: devCapacity, EvacuateMS: &evacuate, LogLevel: devLogLevel,
+		})
+		system.standIn.Targets = append(system.standIn.Targets,
+			devTarget("contract-"+string(domain), "jabuka", free.take(), local, "slot-check", "grower-payment"),
+			devTarget("alert-"+string(domain), "graz", free.take(), local, "alert", "sighting"))
+	}
+	for i := range devEntries {
+		address := httpAddress
+		if i > 0 {
+			address = free.take()
+		}
+		system.entries = append(system.entries, settings.Entry{
+			Entry: structs.EntryID(fmt.Sprintf("entry-%d", i+1)), FailureDomain: devDomains[i],
+			HTTPAddress: address, PeerAddress: free.take(), Platform: platform, DrainMS: &drain, LogLevel: devLogLevel,
+		})
+	}
+	return system, free.err
+}
+
+func devTarget(id, team, address, agent string, kinds ...string) settings.StandInTarget {
+	return settings.StandInTarget{
+		Target: structs.TargetID(id), Team: structs.TeamID(team), Kinds: kinds, Address: address, Agent: agent,
+		Slots: devSlots, Connections: devConnections, ServiceTimeMS: devServiceTimeMS,
+	}
+}
+
+// freeAddresses finds free loopback ports. They stay bound until release, so
+// that each is found once.
+type freeAddresses struct {
+	listeners []net.Listener
+	err       error
+}
+
+func (f *freeAddresses) take() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.err = fmt.Errorf("find a free port: %w", err)
+		return ""
+	}
+	f.listeners = append(f.listeners, listener)
+	return listener.Addr().String()
+}
+
+func (f *freeAddresses) release() {
+	for _, l := range f.listeners {
+		l.Close()
+	}
+}
+
+// tour shows the system at work.
+type tour struct {
+	api *client.Client
+	out io.Writer
+}
+
+const (
+	tourPoll  = 200 * time.Millisecond
+	tourLimit = 50 * time.Second
+)
+
+// until waits for a condition of the system.
+func until(ctx context.Context, what string, condition func(ctx context.Context) (bool, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, tourLimit)
+	defer cancel()
+	var last error
+	for {
+		ok, err := condition(ctx)
+		if ok {
+			return nil
+		}
+		if err != nil && ctx.Err() == nil {
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return &structs.UnavailableError{Dependency: what, Err: last}
+		case <-time.After(tourPoll):
+		}
+	}
+}
--- /dev/null
+++ b/command/questionnaire.go
@@ -0,0 +1,86 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/daisywall/daisywall/config"
+	"github.com/daisywall/daisywall/config/questionnaire"
+)
+
+// fileMode is the mode of files that commands write.
+const fileMode = 0o644
+
+// QuestionnaireCommand makes a configuration from answers.
+type QuestionnaireCommand struct {
+	Answers     string `help:"Answers file; asked in the terminal when absent."`
+	SaveAnswers string `help:"Write the answers to this file, so that the configuration can be made again."`
+	Out         string `help:"Write the configuration to this file instead of printing it."`
+	Explain     bool   `help:"Print why each field has its value."`
+}
+
+// Run asks or reads the answers and writes the configuration.
+func (c *QuestionnaireCommand) Run(env Env) error {
+	answers, err := c.answers(env)
+	if err != nil {
+		return err
+	}
+	if c.SaveAnswers != "" {
+		if err := saveJSON(c.SaveAnswers, answers); err != nil {
+			return err
+		}
+	}
+	result, err := questionnaire.Generate(answers)
+	if err != nil {
+		return err
+	}
+	document, err := config.EncodeTeam(result.Team)
+	if err != nil {
+		return err
+	}
+	if c.Explain {
+		explain(env.Err, result.Explanations)
+	}
+	if c.Out == "" {
+		_, err := env.Out.Write(document)
+		return err
+	}
+	if err := os.WriteFile(c.Out, document, fileMode); err != nil {
+		return fmt.Errorf("write configuration: %w", err)
+	}
+	return nil
+}
+
+func (c *QuestionnaireCommand) answers(env Env) (*questionnaire.Answers, error) {
+	if c.Answers == "" {
+		return questionnaire.Ask(env.In, env.Err)
+	}
+	document, err := os.ReadFile(c.Answers)
+	if err != nil {
+		return nil, fmt.Errorf("read answers: %w", err)
+	}
+	return questionnaire.Decode(document)
+}
+
+func saveJSON(file string, value any) error {
+	document, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode answers: %w", err)
+	}
+	if err := os.WriteFile(file, append(document, '\n'), fileMode); err != nil {
+		return fmt.Errorf("write answers: %w", err)
+	}
+	return nil
+}
+
+func explain(w io.Writer, explanations []questionnaire.Explanation) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "FIELD\tVALUE\tWHY")
+	for _, e := range explanations {
+		fmt.Fprintf(table, "%s\t%s\t%s\n", e.Path, e.Value, e.Reason)
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/command/root.go
@@ -0,0 +1,159 @@
+// Package command is the operators' command line: a thin layer over package
+// client.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
+
+	"github.com/daisywall/daisywall/client"
+	"github.com/daisywall/daisywall/problem"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1 // any other failure
+	ExitUsage       = 2 // the command line or an input document is invalid
+	ExitNotFound    = 3
+	ExitConflict    = 4 // somebody else changed it first
+	ExitNotRun      = 5 // refused, surely not run
+	ExitUnknown     = 6 // the outcome is unknown
+	ExitUnavailable = 7 // the entry or the platform cannot be reached
+)
+
+// Root is the whole command line.
+type Root struct {
+	Entry    string        `help:"URL of an entry, or of the balancer before them." default:"http://127.0.0.1:8080" env:"DAISYWALL_ENTRY"`
+	Operator string        `help:"Name that goes into the history of changes." env:"USER" default:"operator"`
+	Output   string        `help:"How data is printed: text or json." enum:"text,json" default:"text" short:"o"`
+	Timeout  time.Duration `help:"Longest wait for an answer." default:"10s"`
+
+	Dev           DevCommand                   `cmd:"" help:"Run everything in this process, with stand-ins for the platform and sample input of two deployments."`
+	Questionnaire QuestionnaireCommand         `cmd:"" help:"Make a team's configuration from answers about its work."`
+	Config        ConfigCommands               `cmd:"" help:"Show and change the configuration."`
+	Domain        DomainCommands               `cmd:"" help:"Take failure domains out of service and bring them back."`
+	Jobs          JobCommands                  `cmd:"" help:"Submit, follow and cancel jobs."`
+	Request       RequestCommand               `cmd:"" help:"Send one request and print its answer."`
+	Targets       TargetsCommand               `cmd:"" help:"List the targets that have announced themselves."`
+	Explain       ExplainCommand               `cmd:"" help:"Say why a task, a job or a worker is where it is."`
+	Burn          BurnCommand                  `cmd:"" help:"Print the service-level burn report."`
+	Completion    kongplete.InstallCompletions `cmd:"" help:"Print the lines that install shell completion."`
+}
+
+const description = `Schedules latency-critical and batch work on shared hosts.
+
+Exit codes: 0 done, 1 failed, 2 invalid input, 3 not found, 4 conflict with
+another change, 5 refused and surely not run, 6 outcome unknown,
+7 entry or platform unavailable.`
+
+// Env is what commands get from the process.
+type Env struct {
+	Context context.Context
+	In      io.Reader
+	Out     io.Writer
+	Err     io.Writer
+}
+
+// Run parses the arguments, runs the command and returns its exit code.
+func Run(env Env, args []string) int {
+	var root Root
+	exit := -1
+	parser, err := kong.New(&root,
+		kong.Name("daisywall"),
+		kong.Description(description),
+		kong.UsageOnError(),
+		kong.Writers(env.Out, env.Err),
+		kong.Exit(func(code int) { exit = code }),
+		kong.Bind(&root),
+		kong.Bind(env),
+	)
+	if err != nil {
+		fmt.Fprintln(env.Err, err)
+		return ExitFailure
+	}
+	kongplete.Complete(parser)
+	parsed, err := parser.Parse(args)
+	if exit >= 0 {
+		return exit // --help has printed
+	}
+	if err != nil {
+		fmt.Fprintln(env.Err, "daisywall:", err)
+		return ExitUsage
+	}
+	if err := parsed.Run(); err != nil {
+		report(env.Err, err)
+		return exitCode(err)
+	}
+	return ExitOK
+}
+
+// report prints an error with all its faults.
+func report(w io.Writer, err error) {
+	fmt.Fprintln(w, "daisywall:", err)
+	details := problem.From(err)
+	for _, fault := range details.Faults {
+		fmt.Fprintf(w, "  %s: %s (got %s)\n", fault.Path, fault.Rule, fault.Value)
+	}
+	if details.RetryAfter > 0 {
+		fmt.Fprintf(w, "  try again after %s\n", details.RetryAfter)
+	}
+}
+
+// exitCode maps an error to the documented exit codes.
+func exitCode(err error) int {
+	var details *problem.Error
+	if !errors.As(err, &details) {
+		details = problem.From(err)
+	}
+	switch details.Type {
+	case problem.TypeInvalid, problem.TypeTooLarge:
+		return ExitUsage
+	case problem.TypeNotFound:
+		return ExitNotFound
+	case problem.TypeConflict:
+		return ExitConflict
+	case problem.TypeNotRun, problem.TypeRefused:
+		return ExitNotRun
+	case problem.TypeOutcomeUnknown:
+		return ExitUnknown
+	case problem.TypeUnavailable:
+		return ExitUnavailable
+	}
+	return ExitFailure
+}
+
+// api returns the client that the flags name, and a context that ends with the
+// timeout.
+func (r *Root) api(env Env) (*client.Client, context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(env.Context, r.Timeout)
+	return client.New(r.Entry, r.Operator, &http.Client{}), ctx, cancel
+}
+
+// print writes data as JSON, or as text by the given function.
+func (r *Root) print(env Env, data any, text func(w io.Writer)) error {
+	if r.Output != "json" {
+		text(env.Out)
+		return nil
+	}
+	encoder := json.NewEncoder(env.Out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(data); err != nil {
+		return fmt.Errorf("encode output: %w", err)
+	}
+	return nil
+}
+
+// invalid reports one broken rule of the command line's input.
+func invalid(subject, path, value, rule string) error {
+	return &structs.InvalidError{Subject: subject, Faults: []structs.Fault{{Path: path, Value: value, Rule: rule}}}
+}
--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,313 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/cell"
+	"github.com/daisywall/daisywall/config"
+	"github.com/daisywall/daisywall/kernel"
+	"github.com/daisywall/daisywall/membership"
+	platformclient "github.com/daisywall/daisywall/platform/client"
+	"github.com/daisywall/daisywall/request"
+	"github.com/daisywall/daisywall/settings"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/telemetry"
+	"github.com/daisywall/daisywall/worker"
+)
+
+// Times of an agent.
+const (
+	agentStop  = 20 * time.Second // bound of the stop of each service, beside the evacuation
+	configPoll = time.Second      // between reads of the configuration by a cell's leader
+	// leaveTimeout bounds the wait for entries that do not answer. The agent
+	// refuses what they still send, as surely not run.
+	leaveTimeout   = 3 * time.Second
+	localAddressOK = "ok\n"
+)
+
+// RunAgent runs an agent until ctx ends, and then stops it gracefully.
+func RunAgent(ctx context.Context, s settings.Agent) error {
+	a, err := newAgent(s)
+	if err != nil {
+		return err
+	}
+	return a.kernel.Run(ctx)
+}
+
+// agent is the composition of one agent.
+type agent struct {
+	settings  settings.Agent
+	telemetry *telemetry.Telemetry
+	kernel    *kernel.Kernel
+	platform  *platformclient.Conn
+	peers     *peers
+	holder    *config.Holder
+	node      *cell.Node
+	tasks     *worker.Agent
+	targets   *membership.LocalTargets
+	requests  *request.Executor
+	announcer *membership.Announcer
+}
+
+func newAgent(s settings.Agent) (*agent, error) {
+	t, err := telemetry.New("agent", s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	a := &agent{
+		settings:  s,
+		telemetry: t,
+		kernel:    kernel.New(agentStop + s.Evacuate()),
+		peers:     newPeers(),
+		holder:    config.NewHolder(),
+	}
+	for _, build := range []func() error{a.buildPlatform, a.buildCell, a.buildTasks, a.buildRequests, a.register} {
+		if err := build(); err != nil {
+			return nil, err
+		}
+	}
+	return a, nil
+}
+
+func (a *agent) host() structs.Worker {
+	return structs.Worker{
+		ID:            a.settings.Worker,
+		FailureDomain: a.settings.FailureDomain,
+		Rack:          a.settings.Rack,
+		Cell:          a.settings.Cell,
+		Capacity:      a.settings.Capacity,
+		Address:       a.settings.PeerAddress,
+	}
+}
+
+func (a *agent) buildPlatform() error {
+	conn, err := platformclient.Dial(a.settings.Platform.Address, platformclient.Options{
+		Timeout: a.settings.Platform.Timeout(),
+		Meters:  a.telemetry.Meters,
+	})
+	a.platform = conn
+	return err
+}
+
+func (a *agent) buildCell() error {
+	node, err := cell.New(cell.Options{
+		Cell:    a.settings.Cell,
+		Domain:  a.settings.FailureDomain,
+		Worker:  a.settings.Worker,
+		Address: a.settings.PeerAddress,
+		Table:   a.platform.Table(),
+		Objects: a.platform.Objects(),
+		Assign:  a.peers.assign,
+		Config:  a.holder.UpdateSince,
+		Log:     a.telemetry.Log.Named("cell"),
+		Meters:  a.telemetry.Meters,
+	})
+	a.node = node
+	return err
+}
+
+// takeConfig puts a newer configuration in force.
+func (a *agent) takeConfig(_ int64, update []byte) {
+	if len(update) == 0 {
+		return
+	}
+	if _, err := a.holder.OfferUpdate(update); err != nil {
+		a.telemetry.Log.Warn("configuration update refused", zap.Error(err))
+	}
+}
+
+func (a *agent) buildTasks() error {
+	tasks, err := worker.New(worker.Options{
+		Worker:         a.host(),
+		Runtime:        a.platform.Runtime(a.settings.Worker),
+		Finder:         a,
+		Heartbeat:      a.peers.heartbeat,
+		ConfigRevision: a.holder.Revision,
+		TakeConfig:     a.takeConfig,
+		Log:            a.telemetry.Log.Named("worker"),
+		Meters:         a.telemetry.Meters,
+	})
+	a.tasks = tasks
+	return err
+}
+
+// Find implements worker.LeaderFinder: this host's own part in the cell knows
+// the leader, and answers a heartbeat with its address.
+func (a *agent) Find(context.Context, structs.CellID) (string, error) {
+	return a.settings.PeerAddress, nil
+}
+
+func (a *agent) buildRequests() error {
+	incarnation := uuid.NewString()
+	a.targets = membership.NewLocalTargets(membership.LocalOptions{
+		Log:   a.telemetry.Log.Named("targets"),
+		Meter: a.telemetry.Meters.Meter("targets"),
+	})
+	executor, err := request.NewExecutor(request.ExecutorOptions{
+		Targets:     a.targets,
+		Incarnation: incarnation,
+		Log:         a.telemetry.Log.Named("requests"),
+		Meter:       a.telemetry.Meters.Meter("requests"),
+	})
+	if err != nil {
+		return err
+	}
+	a.requests = executor
+	a.announcer, err = membership.NewAnnouncer(membership.AnnouncerOptions{
+		Worker:         a.host(),
+		Incarnation:    incarnation,
+		Targets:        a.targets.Targets,
+		Changed:        a.targets.Changed,
+		Table:          a.platform.Table(),
+		Seeds:          a.settings.Entries,
+		Dial:           membership.GRPCDialer(peerDialOptions()...),
+		Clock:          executor.Clock,
+		ConfigRevision: a.holder.Revision,
+		Log:            a.telemetry.Log.Named("announcer"),
+		Meter:          a.telemetry.Meters.Meter("announcer"),
+	})
+	return err
+}
+
+// register puts the services into the kernel. They stop in the reverse order:
+// the entries learn that the agent leaves, its requests finish, its tasks move
+// off, its leadership is released.
+func (a *agent) register() error {
+	server := &grpcServer{address: a.settings.PeerAddress, register: func(g *grpc.Server) {
+		daisywallpb.RegisterAgentServer(g, &agentServer{requests: a.requests, tasks: a.tasks})
+		daisywallpb.RegisterCellServer(g, a.node)
+	}}
+	announce := newRunner(a.announcer.Run)
+	work := newRunner(a.tasks.Run)
+	services := []struct {
+		name    string
+		service kernel.Service
+		needs   []string
+	}{
+		{"telemetry", hooks{stop: a.telemetry.Close}, nil},
+		{"platform", hooks{stop: func(context.Context) error { return a.platform.Close() }}, []string{"telemetry"}},
+		{"peers", hooks{stop: func(context.Context) error { a.peers.close(); return nil }}, []string{"telemetry"}},
+		{"cell", newRunner(a.node.Run), []string{"platform", "peers"}},
+		{"config", newRunner(a.watchConfig), []string{"platform", "cell"}},
+		{"peer-server", server, []string{"cell"}},
+		{"tasks", hooks{start: work.Start, stop: a.stopTasks(work)}, []string{"peer-server", "platform"}},
+		{"requests", newRunner(a.requests.Run), []string{"peer-server"}},
+		{"targets", newRunner(a.targets.Run), []string{"requests"}},
+		{"local", &httpServer{address: a.settings.LocalAddress, handler: a.localHandler()}, []string{"targets"}},
+		{"announcer", hooks{start: announce.Start, stop: a.stopAnnouncing(announce)}, []string{"local", "requests", "config"}},
+	}
+	for _, s := range services {
+		if err := a.kernel.Register(s.name, s.service, s.needs...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stopAnnouncing withdraws from the entries and then finishes the requests in
+// flight.
+func (a *agent) stopAnnouncing(announce *runner) func(context.Context) error {
+	return func(ctx context.Context) error {
+		leave, cancel := context.WithTimeout(ctx, leaveTimeout)
+		defer cancel()
+		a.announcer.Leave(leave)
+		if err := a.requests.Stop(ctx); err != nil {
+			return err
+		}
+		return announce.Stop(ctx)
+	}
+}
+
+// stopTasks moves the tasks off, as far as the settings give time for it.
+func (a *agent) stopTasks(work *runner) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if a.settings.Evacuate() > 0 {
+			leave, cancel := context.WithTimeout(ctx, a.settings.Evacuate())
+			defer cancel()
+			if err := a.tasks.Leave(leave); err != nil {
+				// The next agent of this host adopts what is left.
+				a.telemetry.Log.Warn("tasks are left on this host", zap.Error(err))
+			}
+		}
+		return work.Stop(ctx)
+	}
+}
+
+// watchConfig reads the configuration from the table while this agent leads
+// its cell; the others get it with their heartbeats.
+func (a *agent) watchConfig(ctx context.Context) error {
+	watcher := config.NewWatcher(a.platform.Table(), a.holder, config.NoPeers{}, a.telemetry.Log.Named("config"), config.WatcherOptions{})
+	ticker := time.NewTicker(configPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if _, leading := a.node.Leading(); leading {
+			watcher.Poll(ctx)
+		}
+	}
+}
+
+// localHandler serves this host's targets and its operators.
+func (a *agent) localHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/v1/targets/", a.targets)
+	mux.Handle("GET /metrics", a.telemetry.Metrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, localAddressOK)
+	})
+	return mux
+}
+
+// agentServer joins the parts of an agent that entries and leaders call.
+type agentServer struct {
+	daisywallpb.UnimplementedAgentServer
+	requests *request.Executor
+	tasks    *worker.Agent
+}
+
+// Execute implements daisywallpb.AgentServer.
+func (s *agentServer) Execute(ctx context.Context, in *daisywallpb.ExecuteRequest) (*daisywallpb.ExecuteResponse, error) {
+	return s.requests.Execute(ctx, in)
+}
+
+// Settle implements daisywallpb.AgentServer.
+func (s *agentServer) Settle(ctx context.Context, in *daisywallpb.SettleRequest) (*daisywallpb.SettleResponse, error) {
+	return s.requests.Settle(ctx, in)
+}
+
+// Acknowledge implements daisywallpb.AgentServer.
+func (s *agentServer) Acknowledge(ctx context.Context, in *daisywallpb.AcknowledgeRequest) (*daisywallpb.AcknowledgeResponse, error) {
+	return s.requests.Acknowledge(ctx, in)
+}
+
+// Ping implements daisywallpb.AgentServer.
+func (s *agentServer) Ping(ctx context.Context, in *daisywallpb.PingRequest) (*daisywallpb.PingResponse, error) {
+	return s.requests.Ping(ctx, in)
+}
+
+// Claim implements daisywallpb.AgentServer.
+func (s *agentServer) Claim(ctx context.Context, in *daisywallpb.ClaimRequest) (*daisywallpb.ClaimResponse, error) {
+	return s.requests.Claim(ctx, in)
+}
+
+// Assign implements daisywallpb.AgentServer.
+func (s *agentServer) Assign(ctx context.Context, in *daisywallpb.AssignRequest) (*daisywallpb.AssignResponse, error) {
+	response, err := s.tasks.Assign(ctx, in)
+	if err != nil {
+		return nil, fmt.Errorf("assign: %w", err)
+	}
+	return response, nil
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,256 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/cell"
+	"github.com/daisywall/daisywall/client"
+	"github.com/daisywall/daisywall/config"
+	"github.com/daisywall/daisywall/entryapi"
+	"github.com/daisywall/daisywall/kernel"
+	"github.com/daisywall/daisywall/membership"
+	platformclient "github.com/daisywall/daisywall/platform/client"
+	"github.com/daisywall/daisywall/request"
+	"github.com/daisywall/daisywall/settings"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/telemetry"
+)
+
+// Times of an entry.
+const (
+	entryStop   = 30 * time.Second // bound of the stop of each service, beside the drain
+	entryWarmUp = 30 * time.Second // until it accepts calls without knowing any agent
+)
+
+// RunEntry runs an entry until ctx ends, and then stops it gracefully.
+func RunEntry(ctx context.Context, s settings.Entry) error {
+	e, err := newEntry(s)
+	if err != nil {
+		return err
+	}
+	return e.kernel.Run(ctx)
+}
+
+// entry is the composition of one entry.
+type entry struct {
+	settings  settings.Entry
+	telemetry *telemetry.Telemetry
+	kernel    *kernel.Kernel
+	platform  *platformclient.Conn
+	peers     *peers
+	holder    *config.Holder
+	watcher   *config.Watcher
+	rows      *membership.EntryRows
+	registry  *membership.Registry
+	router    *request.Router
+	jobs      *cell.Jobs
+	leaders   *leaders
+	services  *serviceJobs
+	api       *entryapi.Server
+	started   time.Time
+	draining  atomic.Bool
+}
+
+func newEntry(s settings.Entry) (*entry, error) {
+	t, err := telemetry.New("entry", s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	e := &entry{
+		settings:  s,
+		telemetry: t,
+		kernel:    kernel.New(entryStop + s.Drain()),
+		peers:     newPeers(),
+		holder:    config.NewHolder(),
+		started:   time.Now(),
+	}
+	for _, build := range []func() error{e.buildPlatform, e.buildMembership, e.buildJobs, e.buildRouter, e.buildAPI, e.register} {
+		if err := build(); err != nil {
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+func (e *entry) buildPlatform() error {
+	conn, err := platformclient.Dial(e.settings.Platform.Address, platformclient.Options{
+		Timeout: e.settings.Platform.Timeout(),
+		Meters:  e.telemetry.Meters,
+	})
+	if err != nil {
+		return err
+	}
+	e.platform = conn
+	e.watcher = config.NewWatcher(conn.Table(), e.holder, config.NoPeers{}, e.telemetry.Log.Named("config"), config.WatcherOptions{})
+	return nil
+}
+
+func (e *entry) buildMembership() error {
+	e.rows = membership.NewEntryRows(membership.EntryRowsOptions{
+		Entry:   e.settings.Entry,
+		Address: e.settings.PeerAddress,
+		Table:   e.platform.Table(),
+		Seeds:   e.settings.Entries,
+		Dial:    membership.GRPCDialer(peerDialOptions()...),
+		Log:     e.telemetry.Log.Named("entries"),
+		Meter:   e.telemetry.Meters.Meter("entries"),
+	})
+	e.registry = membership.NewRegistry(membership.RegistryOptions{
+		Entry:     e.settings.Entry,
+		Address:   e.settings.PeerAddress,
+		Entries:   e.rows.Entries,
+		NoteEntry: e.rows.Note,
+		// Agents get the content from the leaders of their cells.
+		Config: func() (int64, []byte) { return e.holder.Revision(), nil },
+		Log:    e.telemetry.Log.Named("registry"),
+		Meter:  e.telemetry.Meters.Meter("registry"),
+	})
+	return nil
+}
+
+func (e *entry) buildJobs() error {
+	timeout := e.settings.Platform.Timeout()
+	e.leaders = newLeaders(cell.NewDirectory(e.platform.Table(), timeout), e.peers)
+	e.jobs = cell.NewJobs(e.platform.Table(), timeout, e.leaders.notify)
+	e.services = &serviceJobs{jobs: e.jobs, holder: e.holder, log: e.telemetry.Log.Named("services")}
+	return nil
+}
+
+func (e *entry) buildRouter() error {
+	router, err := request.NewRouter(request.RouterOptions{
+		FailureDomain: e.settings.FailureDomain,
+		Members:       e.registry,
+		Dial:          request.GRPCDialer(peerDialOptions()...),
+		Config:        e.holder.Current,
+		Claims:        request.NewTableClaims(e.platform.Table()),
+		Log:           e.telemetry.Log.Named("router"),
+		Meter:         e.telemetry.Meters.Meter("router"),
+	})
+	e.router = router
+	return err
+}
+
+func (e *entry) buildAPI() error {
+	api, err := entryapi.New(entryapi.Options{
+		Requests:  e.router,
+		Observer:  noObserver{},
+		Jobs:      jobs{e.jobs},
+		Domains:   domains{cell.NewDomains(e.platform.Table(), e.settings.Platform.Timeout())},
+		Config:    configuration{store: config.NewStore(e.platform.Table()), holder: e.holder, workers: e.revisions},
+		Targets:   e.targets,
+		Explain:   e.leaders,
+		Burn:      noBurn{},
+		Objects:   e.platform.Objects(),
+		Metrics:   e.telemetry.Metrics,
+		Meter:     e.telemetry.Meters.Meter("api"),
+		Accepting: e.accepting,
+	})
+	e.api = api
+	return err
+}
+
+// register puts the services into the kernel. The balancer's check fails
+// first, then the calls in flight finish, then the rest stops.
+func (e *entry) register() error {
+	server := &grpcServer{address: e.settings.PeerAddress, register: func(g *grpc.Server) {
+		daisywallpb.RegisterEntryServer(g, e.registry)
+	}}
+	routing := newRunner(e.router.Run)
+	http := &httpServer{address: e.settings.HTTPAddress, handler: e.api, before: e.drain}
+	services := []struct {
+		name    string
+		service kernel.Service
+		needs   []string
+	}{
+		{"telemetry", hooks{stop: e.telemetry.Close}, nil},
+		{"platform", hooks{stop: func(context.Context) error { return e.platform.Close() }}, []string{"telemetry"}},
+		{"peers", hooks{stop: func(context.Context) error { e.peers.close(); return nil }}, []string{"telemetry"}},
+		{"config", newRunner(e.watcher.Run), []string{"platform"}},
+		{"peer-server", server, []string{"telemetry"}},
+		{"registry", newRunner(e.registry.Run), []string{"peer-server"}},
+		{"entries", newRunner(e.rows.Run), []string{"peer-server", "platform"}},
+		{"services", newRunner(e.services.run), []string{"config"}},
+		{"router", hooks{start: routing.Start, stop: e.stopRouter(routing)}, []string{"registry", "config", "peers"}},
+		{"api", http, []string{"router", "platform"}},
+	}
+	for _, s := range services {
+		if err := e.kernel.Register(s.name, s.service, s.needs...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// accepting reports whether the balancer should send calls here: from the time
+// when this entry knows the configuration and some agent, or has waited for
+// them for long enough, until it drains.
+func (e *entry) accepting() bool {
+	if e.draining.Load() {
+		return false
+	}
+	informed := e.registry.Agents() > 0 && e.holder.Revision() > 0
+	return informed || time.Since(e.started) > entryWarmUp
+}
+
+// drain fails the balancer's check and goes on accepting until the balancer
+// has seen it.
+func (e *entry) drain(ctx context.Context) {
+	e.draining.Store(true)
+	timer := time.NewTimer(e.settings.Drain())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (e *entry) stopRouter(routing *runner) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if err := e.router.Stop(ctx); err != nil {
+			return err
+		}
+		return routing.Stop(ctx)
+	}
+}
+
+// targets lists what the registered agents have announced.
+func (e *entry) targets() []client.TargetStatus {
+	list := []client.TargetStatus{}
+	for _, a := range e.registry.List() {
+		if a.Leaving {
+			continue
+		}
+		for _, t := range a.Targets {
+			list = append(list, client.TargetStatus{
+				ID: t.ID, Worker: a.Worker, FailureDomain: a.FailureDomain, Team: t.Team, Kinds: t.Kinds, Slots: t.Slots,
+			})
+		}
+	}
+	return list
+}
+
+// revisions returns the configuration in force by worker.
+func (e *entry) revisions() map[string]int64 {
+	byWorker := map[string]int64{}
+	for _, a := range e.registry.List() {
+		byWorker[string(a.Worker)] = a.ConfigRevision
+	}
+	return byWorker
+}
+
+// noObserver counts nothing.
+type noObserver struct{}
+
+func (noObserver) Request(structs.TeamID, string, string, time.Duration) {}
+
+// noBurn has no report.
+type noBurn struct{}
+
+func (noBurn) Render(context.Context, string) ([]byte, string, error) {
+	return nil, "", &structs.NotFoundError{Subject: "report", Name: "burn"}
+}
--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,299 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/daisywall/daisywall/client"
+	"github.com/daisywall/daisywall/command"
+)
+
+// waitLimit bounds every wait on a condition; it is far above what any needs.
+const waitLimit = 60 * time.Second
+
+// pollEvery is how often a condition is looked at.
+const pollEvery = 20 * time.Millisecond
+
+var binaries string // folder of the built programs
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "daisywall-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+// ports hands out free loopback ports, each once in this process.
+var ports = struct {
+	sync.Mutex
+	used map[int]bool
+}{used: map[int]bool{}}
+
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	ports.Lock()
+	defer ports.Unlock()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		l.Close()
+		if !ports.used[port] {
+			ports.used[port] = true
+			return l.Addr().String()
+		}
+	}
+}
+
+// process is one running daemon.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	out  *safeBuffer
+	done chan struct{}
+	err  error
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+func start(t testing.TB, program, name string, settings any) *process {
+	t.Helper()
+	document, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), name+".json")
+	if err := os.WriteFile(file, document, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{name: name, cmd: exec.Command(filepath.Join(binaries, program), file), out: &safeBuffer{}, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("output of %s:\n%s", p.name, tail(p.out.String()))
+		}
+	})
+	return p
+}
+
+func tail(s string) string {
+	const keep = 4000
+	if len(s) > keep {
+		return "…" + s[len(s)-keep:]
+	}
+	return s
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once, also when it is frozen.
+func (p *process) kill() {
+	select {
+	case <-p.done:
+		return
+	default:
+	}
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// terminate asks for a graceful shutdown and waits for it.
+func (p *process) terminate(t testing.TB) {
+	t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		if p.err != nil {
+			t.Fatalf("%s: graceful shutdown failed: %v", p.name, p.err)
+		}
+	case <-time.After(waitLimit):
+		t.Fatalf("%s did not stop", p.name)
+	}
+}
+
+// eventually waits until the condition holds. The condition says what it saw.
+func eventually(t testing.TB, what string, condition func() (bool, string)) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for {
+		ok, saw := condition()
+		if ok {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: last saw %s", what, saw)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+type object = map[string]any
+
+// domains are the failure domains of the test cluster.
+var domains = []string{"kordun", "banovina", "zagorje", "podravina"}
+
+// targetSpec is one sample target of the test cluster.
+type targetSpec struct {
+	id, team, address string
+	kinds             []string
+	worker            int
+	serviceTimeMS     int
+}
+
+// cluster is a whole system of processes on loopback.
+type cluster struct {
+	t         testing.TB
+	platform  string
+	control   string
+	standin   *process
+	agents    []*process
+	entries   []*process
+	urls      []string // of the entries
+	locals    []string // local addresses of the agents
+	settings  []object // of the agents
+	entrySets []object
+	targets   []targetSpec
+}
+
+// newCluster starts a stand-in, two entries and an agent in each failure
+// domain, applies the sample configuration and waits until every target is
+// known to every entry.
+func newCluster(t testing.TB) *cluster {
+	t.Helper()
+	c := &cluster{t: t, platform: freeAddress(t), control: freeAddress(t)}
+	capacity := object{"milli_cpu": 16000, "memory_mb": 60000, "accelerators": 2}
+	var workers, targets []object
+	for i, domain := range domains {
+		worker := "worker-" + domain
+		local := freeAddress(t)
+		c.locals = append(c.locals, local)
+		workers = append(workers, object{"worker": worker, "capacity": capacity})
+		c.settings = append(c.settings, object{
+			"worker": worker, "failure_domain": domain, "rack": "rack-1",
+			"local_address": local, "peer_address": freeAddress(t),
+			"platform": object{"address": c.platform}, "capacity": capacity,
+		})
+		for _, spec := range []targetSpec{
+			{id: "contract-" + domain, team: "jabuka", kinds: []string{"slot-check", "grower-payment"}, worker: i},
+			{id: "alert-" + domain, team: "graz", kinds: []string{"alert", "sighting"}, worker: i},
+		} {
+			spec.address = freeAddress(t)
+			c.targets = append(c.targets, spec)
+			targets = append(targets, object{
+				"target": spec.id, "team": spec.team, "kinds": spec.kinds, "address": spec.address, "agent": local,
+				"slots": 8, "connections": 60, "service_time_ms": spec.serviceTimeMS,
+			})
+		}
+	}
+	c.standin = start(t, "daisywall-standin", "standin", object{
+		"address": c.platform, "control_address": c.control, "workers": workers, "targets": targets,
+	})
+	for i := range domains {
+		c.agents = append(c.agents, c.startAgent(i))
+	}
+	for i := range 2 {
+		httpAddress := freeAddress(t)
+		c.urls = append(c.urls, "http://"+httpAddress)
+		c.entrySets = append(c.entrySets, object{
+			"entry": fmt.Sprintf("entry-%d", i+1), "failure_domain": domains[i],
+			"http_address": httpAddress, "peer_address": freeAddress(t),
+			"platform": object{"address": c.platform}, "drain_ms": 300,
+		})
+		c.entries = append(c.entries, c.startEntry(i))
+	}
+	c.applyConfig()
+	c.waitForTargets(len(c.targets))
+	return c
+}
+
+func (c *cluster) startAgent(i int) *process {
+	return start(c.t, "daisywall-agent", fmt.Sprint(c.settings[i]["worker"]), c.settings[i])
+}
+
+func (c *cluster) startEntry(i int) *process {
+	return start(c.t, "daisywall-entry", fmt.Sprint(c.entrySets[i]["entry"]), c.entrySets[i])
+}
+
+func (c *cluster) client(entry int) *client.Client {
+	return client.New(c.urls[entry], "tester", &http.Client{Timeout: waitLimit})
+}
+
+// run runs the command line against the first entry and returns what it
+// printed.
+func (c *cluster) run(args ...string) (string, int) {
+	var out, errs bytes.Buffer
+	env := command.Env{Context: context.Background(), In: strings.NewReader(""), Out: &out, Err: &errs}
+	code := command.Run(env, append([]string{"--entry", c.urls[0], "--operator", "tester", "--timeout", waitLimit.String()}, args...))
+	return out.String() + errs.String(), code
+}
+
+func (c *cluster) applyConfig() {
+	c.t.Helper()
+	for _, file := range []string{"../examples/jabuka/config.json", "../examples/graz/config.json"} {
+		eventually(c.t, "apply "+file, func() (bool, string) {
+			out, code := c.run("config", "apply", file)
+			return code == command.ExitOK, out
+		})
+	}
+}
+
+func (c *cluster) waitForTargets(n int) {
+	c.t.Helper()
+	for entry := range c.entries {
+		eventually(c.t, fmt.Sprintf("entry %d knows %d targets", entry, n), func() (bool, string) {
+			targets, err := c.client(entry).Targets(context.Background())
+			return err == nil && len(targets) == n, fmt.Sprintf("%d targets, %v", len(targets), err)
+		})
+	}
+}
--- /dev/null
+++ b/entryapi/metrics.go
@@ -0,0 +1,47 @@
+package entryapi
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// counters are the metrics of the API.
+type counters struct {
+	requests metric.Int64Counter
+	latency  metric.Float64Histogram
+	jobs     metric.Int64Counter
+}
+
+func newCounters(meter metric.Meter) (counters, error) {
+	requests, err := meter.Int64Counter("daisywall_requests", metric.WithDescription("Requests by team, kind and outcome."))
+	if err != nil {
+		return counters{}, fmt.Errorf("requests counter: %w", err)
+	}
+	latency, err := meter.Float64Histogram("daisywall_request_seconds",
+		metric.WithDescription("Time from the head of a request to its whole answer."),
+		metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5))
+	if err != nil {
+		return counters{}, fmt.Errorf("latency histogram: %w", err)
+	}
+	jobs, err := meter.Int64Counter("daisywall_jobs_submitted", metric.WithDescription("Accepted jobs by team and class."))
+	if err != nil {
+		return counters{}, fmt.Errorf("jobs counter: %w", err)
+	}
+	return counters{requests: requests, latency: latency, jobs: jobs}, nil
+}
+
+func (c counters) request(ctx context.Context, team structs.TeamID, kind, outcome string, took time.Duration) {
+	attributes := metric.WithAttributes(
+		attribute.String("team", string(team)),
+		attribute.String("kind", kind),
+		attribute.String("outcome", outcome))
+	c.requests.Add(ctx, 1, attributes)
+	c.latency.Record(ctx, took.Seconds(), attributes)
+}
--- /dev/null
+++ b/entryapi/request.go
@@ -0,0 +1,156 @@
+package entryapi
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/client"
+	"github.com/daisywall/daisywall/problem"
+	"github.com/daisywall/daisywall/request"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 256
+
+// Outcomes of requests in metrics and in the burn report.
+const (
+	OutcomeAnswered = "answered"
+	OutcomeFailed   = "target_error" // the target answered with a 5xx status
+	OutcomeNotRun   = "not_run"
+	OutcomeUnknown  = "unknown"
+	OutcomeInvalid  = "invalid"
+	OutcomeCanceled = "canceled" // the caller hung up
+)
+
+// Requests carries requests to targets.
+type Requests interface {
+	Do(ctx context.Context, call request.Call) (request.Answer, error)
+}
+
+// Observer learns the outcome of every request of a configured kind.
+type Observer interface {
+	Request(team structs.TeamID, kind, outcome string, took time.Duration)
+}
+
+// forwardedHeaders are the headers of a caller that reach the target.
+var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", "Traceparent", "Tracestate"}
+
+// request handles POST /v1/teams/{team}/requests/{kind}.
+func (s *Server) request(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
+	team, kind := structs.TeamID(r.PathValue("team")), r.PathValue("kind")
+	call, err := callFrom(w, r, team, kind)
+	if err != nil {
+		s.observe(r.Context(), team, kind, OutcomeInvalid, time.Since(begun))
+		problem.Write(w, err, "")
+		return
+	}
+	answer, err := s.Requests.Do(r.Context(), call)
+	outcome := outcomeOf(r.Context(), answer, err)
+	s.observe(r.Context(), team, kind, outcome, time.Since(begun))
+	if err != nil {
+		problem.Write(w, err, call.ID)
+		return
+	}
+	writeAnswer(w, answer)
+}
+
+// observe counts a request under its configured names only, so that callers
+// cannot make up new series.
+func (s *Server) observe(ctx context.Context, team structs.TeamID, kind, outcome string, took time.Duration) {
+	teamConfig, err := s.Config.Current().Team(team)
+	if err != nil {
+		return
+	}
+	if _, err := teamConfig.Request(kind); err != nil {
+		return
+	}
+	s.counters.request(ctx, team, kind, outcome, took)
+	s.Observer.Request(team, kind, outcome, took)
+}
+
+// callFrom checks the head and the body of a request.
+func callFrom(w http.ResponseWriter, r *http.Request, team structs.TeamID, kind string) (request.Call, error) {
+	timeout, err := timeoutOf(r)
+	if err != nil {
+		return request.Call{}, err
+	}
+	key := r.Header.Get(client.HeaderIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		return request.Call{}, headerFault(client.HeaderIdempotencyKey, key[:32]+"…", "must have at most "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
+	if err != nil {
+		return request.Call{}, bodyError("request", err)
+	}
+	call := request.Call{
+		Team:    team,
+		Kind:    kind,
+		Key:     key,
+		Method:  http.MethodPost,
+		Path:    "/v1/" + kind,
+		Body:    body,
+		Timeout: timeout,
+	}
+	if r.URL.RawQuery != "" {
+		call.Path += "?" + r.URL.RawQuery
+	}
+	for _, name := range forwardedHeaders {
+		if value := r.Header.Get(name); value != "" {
+			call.Headers = append(call.Headers, &daisywallpb.Header{Name: name, Value: value})
+		}
+	}
+	return call, nil
+}
+
+// timeoutOf reads how long the caller waits, 0 when it does not say.
+func timeoutOf(r *http.Request) (time.Duration, error) {
+	text := r.Header.Get(client.HeaderTimeoutMS)
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, headerFault(client.HeaderTimeoutMS, text, "must be a number of milliseconds above 0")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func headerFault(name, value, rule string) error {
+	return &structs.InvalidError{Subject: "request", Faults: []structs.Fault{{Path: name, Value: value, Rule: rule}}}
+}
+
+// outcomeOf classifies the end of a request.
+func outcomeOf(ctx context.Context, answer request.Answer, err error) string {
+	var notRun *structs.NotRunError
+	var unavailable *structs.UnavailableError
+	switch {
+	case err == nil && answer.Status >= http.StatusInternalServerError:
+		return OutcomeFailed
+	case err == nil:
+		return OutcomeAnswered
+	case ctx.Err() != nil:
+		return OutcomeCanceled
+	case errors.As(err, &notRun), errors.As(err, &unavailable):
+		return OutcomeNotRun
+	}
+	return OutcomeUnknown
+}
+
+// writeAnswer sends the target's answer as it is.
+func writeAnswer(w http.ResponseWriter, answer request.Answer) {
+	header := w.Header()
+	for _, h := range answer.Headers {
+		header.Add(h.GetName(), h.GetValue())
+	}
+	header.Set(client.HeaderRequestID, string(answer.ID))
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/membership/listing.go
@@ -0,0 +1,33 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Agent is a registered agent as an entry knows it.
+type Agent struct {
+	Worker         structs.WorkerID
+	FailureDomain  structs.FailureDomainID
+	Address        string // peer address
+	Targets        []structs.Target
+	Leaving        bool
+	ConfigRevision int64 // in force at the agent when it last registered
+}
+
+// List returns the registered agents, ordered by worker.
+func (r *Registry) List() []Agent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]Agent, 0, len(r.agents))
+	for _, a := range r.agents {
+		list = append(list, Agent{
+			Worker: a.worker, FailureDomain: a.domain, Address: a.address,
+			Targets: a.targets, Leaving: a.leaving, ConfigRevision: a.revision,
+		})
+	}
+	slices.SortFunc(list, func(a, b Agent) int { return strings.Compare(string(a.Worker), string(b.Worker)) })
+	return list
+}
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -88,6 +88,7 @@
 	expires     time.Time
 	clock       time.Duration
 	clockRead   time.Time
+	revision    int64 // of the configuration in force at the agent
 }
 
 // NewRegistry returns an empty registry.
@@ -188,6 +189,7 @@
 	record.address = request.Address
 	record.sequence = request.Sequence
 	record.leaving = request.Leaving
+	record.revision = request.ConfigRevision
 	record.clock = time.Duration(request.AgentClockMs) * time.Millisecond
 	record.clockRead = now
 	if !request.Unchanged {
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -33,8 +33,8 @@
 	TypeInternal       = "urn:daisywall:internal"
 )
 
-// Details is a problem body.
-type Details struct {
+// Error is a problem body.
+type Error struct {
 	Type      string          `json:"type"`
 	Title     string          `json:"title"`
 	Status    int             `json:"status"`
@@ -46,59 +46,59 @@
 	RetryAfter time.Duration `json:"-"`
 }
 
-// Error makes Details the typed error that a client returns.
-func (d *Details) Error() string {
-	return fmt.Sprintf("%s (%d): %s", d.Title, d.Status, d.Detail)
+// Error makes it the typed error that a client returns.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%d): %s", e.Title, e.Status, e.Detail)
 }
 
 // From maps an error to its problem.
-func From(err error) *Details {
-	var details *Details
+func From(err error) *Error {
+	var details *Error
 	if errors.As(err, &details) {
 		return details
 	}
 	// An unknown outcome comes first: whatever it wraps, "not run" would be false.
 	var unknown *structs.UnknownOutcomeError
 	if errors.As(err, &unknown) {
-		return &Details{Type: TypeOutcomeUnknown, Title: "Outcome unknown", Status: http.StatusBadGateway, Detail: err.Error()}
+		return &Error{Type: TypeOutcomeUnknown, Title: "Outcome unknown", Status: http.StatusBadGateway, Detail: err.Error()}
 	}
 	var invalid *structs.InvalidError
 	if errors.As(err, &invalid) {
-		return &Details{Type: TypeInvalid, Title: "Invalid " + invalid.Subject, Status: http.StatusBadRequest, Detail: err.Error(), Faults: invalid.Faults}
+		return &Error{Type: TypeInvalid, Title: "Invalid " + invalid.Subject, Status: http.StatusBadRequest, Detail: err.Error(), Faults: invalid.Faults}
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return &Details{Type: TypeTooLarge, Title: "Body too large", Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("the limit is %d bytes", tooLarge.Limit)}
+		return &Error{Type: TypeTooLarge, Title: "Body too large", Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("the limit is %d bytes", tooLarge.Limit)}
 	}
 	var notFound *structs.NotFoundError
 	if errors.As(err, &notFound) {
-		return &Details{Type: TypeNotFound, Title: "Not found", Status: http.StatusNotFound, Detail: err.Error()}
+		return &Error{Type: TypeNotFound, Title: "Not found", Status: http.StatusNotFound, Detail: err.Error()}
 	}
 	return fromOutcome(err)
 }
 
 // fromOutcome maps the errors that tell why an operation took no effect.
-func fromOutcome(err error) *Details {
+func fromOutcome(err error) *Error {
 	var notRun *structs.NotRunError
 	if errors.As(err, &notRun) {
-		return &Details{Type: TypeNotRun, Title: "Not run", Status: notRunStatus(notRun.Reason), Detail: err.Error(), Reason: notRun.Reason, RetryAfter: notRun.RetryAfter}
+		return &Error{Type: TypeNotRun, Title: "Not run", Status: notRunStatus(notRun.Reason), Detail: err.Error(), Reason: notRun.Reason, RetryAfter: notRun.RetryAfter}
 	}
 	var conflict *structs.ConflictError
 	if errors.As(err, &conflict) {
-		return &Details{Type: TypeConflict, Title: "Conflict", Status: http.StatusConflict, Detail: err.Error()}
+		return &Error{Type: TypeConflict, Title: "Conflict", Status: http.StatusConflict, Detail: err.Error()}
 	}
 	var refused *structs.RefusedError
 	if errors.As(err, &refused) {
-		return &Details{Type: TypeRefused, Title: "Refused", Status: http.StatusUnprocessableEntity, Detail: err.Error(), Reason: refused.Reason}
+		return &Error{Type: TypeRefused, Title: "Refused", Status: http.StatusUnprocessableEntity, Detail: err.Error(), Reason: refused.Reason}
 	}
 	var unavailable *structs.UnavailableError
 	if errors.As(err, &unavailable) {
-		return &Details{Type: TypeUnavailable, Title: "Unavailable", Status: http.StatusServiceUnavailable, Detail: err.Error(), RetryAfter: unavailable.RetryAfter}
+		return &Error{Type: TypeUnavailable, Title: "Unavailable", Status: http.StatusServiceUnavailable, Detail: err.Error(), RetryAfter: unavailable.RetryAfter}
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
-		return &Details{Type: TypeOutcomeUnknown, Title: "Outcome unknown", Status: http.StatusGatewayTimeout, Detail: err.Error()}
+		return &Error{Type: TypeOutcomeUnknown, Title: "Outcome unknown", Status: http.StatusGatewayTimeout, Detail: err.Error()}
 	}
-	return &Details{Type: TypeInternal, Title: "Internal error", Status: http.StatusInternalServerError, Detail: err.Error()}
+	return &Error{Type: TypeInternal, Title: "Internal error", Status: http.StatusInternalServerError, Detail: err.Error()}
 }
 
 // notRunStatus separates the limits of a team from the state of the system.
@@ -130,14 +130,14 @@
 
 // Read returns the problem of an HTTP response with an error status. A body
 // that is no problem document still gives a typed error.
-func Read(response *http.Response) *Details {
+func Read(response *http.Response) *Error {
 	const maxProblemBytes = 1 << 20
-	fallback := &Details{Type: TypeInternal, Title: http.StatusText(response.StatusCode), Status: response.StatusCode}
+	fallback := &Error{Type: TypeInternal, Title: http.StatusText(response.StatusCode), Status: response.StatusCode}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes))
 	if err != nil {
 		return fallback
 	}
-	var details Details
+	var details Error
 	if json.Unmarshal(body, &details) != nil || details.Type == "" {
 		fallback.Detail = string(body)
 		return fallback
--- a/request/router.go
+++ b/request/router.go
@@ -48,7 +48,7 @@
 
 // Answer is the whole answer of a target.
 type Answer struct {
-	ID       structs.RequestID
+	ID       structs.RequestID // under which the target ran it
 	Status   int
 	Headers  []*daisywallpb.Header
 	Body     []byte
--- a/request/run.go
+++ b/request/run.go
@@ -76,7 +76,7 @@
 
 func (j *job) answer(a *attempt) Answer {
 	return Answer{
-		ID: j.call.ID, Status: int(a.answer.Status), Headers: a.answer.Headers, Body: a.answer.Body,
+		ID: a.id, Status: int(a.answer.Status), Headers: a.answer.Headers, Body: a.answer.Body,
 		Worker: a.target.candidate.Worker, Attempts: j.attempts,
 	}
 }
--- a/settings/daemons.go
+++ b/settings/daemons.go
@@ -30,6 +30,7 @@
 const (
 	defaultPlatformTimeoutMS = 1000
 	defaultDrainMS           = 2000
+	defaultEvacuateMS        = 30_000
 	defaultLogLevel          = "info"
 	defaultSlots             = 8
 	defaultConnections       = 60
@@ -59,6 +60,7 @@
 	PeerAddress   string                  `json:"peer_address"`
 	Platform      Platform                `json:"platform"`
 	DrainMS       *int64                  `json:"drain_ms"`
+	Entries       []string                `json:"entries"`
 	LogLevel      string                  `json:"log_level"`
 }
 
@@ -76,9 +78,15 @@
 	PeerAddress   string                  `json:"peer_address"`
 	Platform      Platform                `json:"platform"`
 	Capacity      structs.Resources       `json:"capacity"`
+	Entries       []string                `json:"entries"`
+	EvacuateMS    *int64                  `json:"evacuate_ms"`
 	LogLevel      string                  `json:"log_level"`
 }
 
+// Evacuate is how long a planned stop waits until the tasks of the host have
+// been moved off. Zero leaves them to the next agent of the host.
+func (a Agent) Evacuate() time.Duration { return time.Duration(*a.EvacuateMS) * time.Millisecond }
+
 // StandIn is the settings of daisywall-standin.
 type StandIn struct {
 	Address        string          `json:"address"`
@@ -118,10 +126,7 @@
 		return Entry{}, err
 	}
 	e.Platform.complete()
-	if e.DrainMS == nil {
-		drain := int64(defaultDrainMS)
-		e.DrainMS = &drain
-	}
+	setDefault(&e.DrainMS, defaultDrainMS)
 	e.LogLevel = orDefault(e.LogLevel)
 	return e, checkAddresses(EntrySchema, map[string]string{
 		"/http_address":     e.HTTPAddress,
@@ -140,6 +145,7 @@
 	if a.Cell == "" {
 		a.Cell = structs.CellID(a.FailureDomain)
 	}
+	setDefault(&a.EvacuateMS, defaultEvacuateMS)
 	a.LogLevel = orDefault(a.LogLevel)
 	return a, checkAddresses(AgentSchema, map[string]string{
 		"/local_address":    a.LocalAddress,
@@ -170,6 +176,12 @@
 	return s, checkAddresses(StandInSchema, addresses)
 }
 
+func setDefault(field **int64, value int64) {
+	if *field == nil {
+		*field = &value
+	}
+}
+
 func orDefault(level string) string {
 	if level == "" {
 		return defaultLogLevel
