--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -20,6 +20,6 @@
 		status, done := w.settled(id, time.Minute)
 		is.True(done)
 		is.Equal(status.Finished, int32(20))
-		is.NoErr(check(w.history.events, w.capacity))
+		is.NoErr(w.verdict())
 	})
 }
--- a/cell/compose.go
+++ b/cell/compose.go
@@ -63,6 +63,24 @@
 // composeEnds takes the reported ends and those of attempts whose lease has
 // surely lapsed.
 func (l *leader) composeEnds(w *work, now time.Time) {
+	if l.listening(now) {
+		l.queueLapses(now)
+	}
+	l.takeEnds(w)
+}
+
+// listening reports whether the leader has run without a pause for long enough
+// to have heard every worker that could reach it.
+func (l *leader) listening(now time.Time) bool {
+	if now.Sub(l.composed) > l.o.Timing.Heartbeat {
+		l.resumed = now
+	}
+	l.composed = now
+	return now.Sub(l.resumed) > 2*l.o.Timing.Grant
+}
+
+// queueLapses ends the attempts whose lease has surely lapsed.
+func (l *leader) queueLapses(now time.Time) {
 	for worker, tasks := range l.state.byWorker {
 		v := l.views[worker]
 		for id, t := range tasks {
@@ -76,8 +94,11 @@
 			}
 		}
 	}
+}
+
+func (l *leader) takeEnds(w *work) {
 	for id, e := range l.queue.ends {
-		if !l.isAssigned(id) {
+		if !l.state.takesEnd(id, e.Cause) {
 			delete(l.queue.ends, id)
 			continue
 		}
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -26,8 +26,8 @@
 func (l *leader) assign(s Start, sequence int64) {
 	v, found := l.views[s.Worker]
 	t := l.state.Task(s.attempt().Task)
-	if !found || t == nil {
-		return
+	if !found || t == nil || t.State != structs.TaskAssigned || t.Number != s.Number {
+		return // an end in the same batch has made the start void
 	}
 	if len(v.outbox.assignments) == 0 || sequence < v.outbox.sequence {
 		v.outbox.sequence = sequence
--- a/cell/heartbeat.go
+++ b/cell/heartbeat.go
@@ -122,17 +122,15 @@
 	if !l.ready {
 		return
 	}
-	if !l.isAssigned(id) {
+	t := l.state.Task(id.Task)
+	cause := endCause(r, t != nil && t.job.CancelRequested)
+	if !l.state.takesEnd(id, cause) {
 		delete(v.runs, id)
 		v.forget[id] = struct{}{}
 		return
 	}
-	if _, queued := l.queue.ends[id]; queued {
-		return
-	}
 	l.queueEnd(structs.AttemptEnd{
-		Attempt: id, Cause: endCause(r, l.state.Task(id.Task).job.CancelRequested),
-		Checkpoint: r.GetCheckpoint(), Result: r.GetResult(), Detail: r.GetDetail(),
+		Attempt: id, Cause: cause, Checkpoint: r.GetCheckpoint(), Result: r.GetResult(), Detail: r.GetDetail(),
 	})
 }
 
@@ -154,9 +152,9 @@
 }
 
 // queueEnd queues an end for the next log row. The first report of an attempt
-// counts.
+// counts, but for one that it has finished.
 func (l *leader) queueEnd(e structs.AttemptEnd) {
-	if _, queued := l.queue.ends[e.Attempt]; queued {
+	if old, queued := l.queue.ends[e.Attempt]; queued && (old.Cause == structs.EndFinished || e.Cause != structs.EndFinished) {
 		return
 	}
 	l.queue.ends[e.Attempt] = e
--- a/cell/history_test.go
+++ b/cell/history_test.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +16,8 @@
 const (
 	eventStart eventKind = "start" // the runtime started an attempt
 	eventStop  eventKind = "stop"  // an attempt no longer runs
-	eventAck   eventKind = "ack"   // a leader let the worker forget a finished attempt
-	eventLead  eventKind = "lead"  // a leadership row was seen in the table
+	eventEnd   eventKind = "end"   // the end of an attempt was committed to the table
+	eventLead  eventKind = "lead"  // a leadership row was written
 	eventOut   eventKind = "out"   // a failure domain went out
 	eventIn    eventKind = "in"
 )
@@ -31,7 +33,7 @@
 	epoch      int64
 	size       structs.Resources
 	checkpoint string
-	finished   bool // the program ended by itself and did not fail
+	cause      structs.EndCause // of a committed end
 }
 
 func (e event) String() string {
@@ -44,8 +46,10 @@
 	events []event
 }
 
-func (h *history) add(e event) {
-	e.at = time.Now()
+func (h *history) add(e event) { h.addAt(e, time.Now()) }
+
+func (h *history) addAt(e event, at time.Time) {
+	e.at = at
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.events = append(h.events, e)
@@ -63,6 +67,29 @@
 	return &violation{rule: rule, detail: fmt.Sprint(list...)}
 }
 
+// sorted returns the entries in the order of their times. A stop comes before
+// a start at the same time.
+func (h *history) sorted() []event {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := slices.Clone(h.events)
+	slices.SortStableFunc(list, func(a, b event) int {
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.kind.order(), b.kind.order())
+	})
+	return list
+}
+
+// order puts the stops of a moment first.
+func (k eventKind) order() int {
+	if k == eventStop {
+		return 0
+	}
+	return 1
+}
+
 // check applies every checker.
 func check(events []event, capacity structs.Resources) error {
 	for _, c := range []func([]event) error{
@@ -136,22 +163,18 @@
 	return nil
 }
 
-// checkAcknowledged: once a worker was told that the end of a finished attempt
-// is committed, the task never starts again.
+// checkAcknowledged: a task whose finished end is committed never starts again.
 func checkAcknowledged(events []event) error {
-	finished := map[structs.AttemptID]bool{}
-	acked := map[structs.TaskID]event{}
+	finished := map[structs.TaskID]event{}
 	for _, e := range events {
 		switch e.kind {
-		case eventStop:
-			finished[e.attempt] = finished[e.attempt] || e.finished
-		case eventAck:
-			if finished[e.attempt] {
-				acked[e.attempt.Task] = e
+		case eventEnd:
+			if e.cause == structs.EndFinished {
+				finished[e.attempt.Task] = e
 			}
 		case eventStart:
-			if ack, found := acked[e.attempt.Task]; found {
-				return violated("acknowledged end", ack, " but ", e)
+			if end, found := finished[e.attempt.Task]; found {
+				return violated("acknowledged end", end, " but ", e)
 			}
 		}
 	}
@@ -181,34 +204,17 @@
 	return nil
 }
 
-// checkCheckpoints: an attempt starts from the checkpoint of the last attempt
-// that was acknowledged before, or from the same one as an attempt before it.
+// checkCheckpoints: an attempt starts from exactly the checkpoint that was
+// committed last for its task.
 func checkCheckpoints(events []event) error {
-	from := map[structs.TaskID]map[string]bool{}
-	acked := map[structs.TaskID]event{}
-	stops := map[structs.AttemptID]event{}
+	last := map[structs.TaskID]string{}
 	for _, e := range events {
 		task := e.attempt.Task
-		switch e.kind {
-		case eventStart:
-			if last, found := acked[task]; found && last.attempt.Number == e.attempt.Number-1 && last.checkpoint != e.checkpoint {
-				return violated("checkpoint", "acknowledged ", last.checkpoint, " but started from ", e.checkpoint, " at ", e)
-			}
-			if from[task] == nil {
-				from[task] = map[string]bool{"": true}
-			}
-			if !from[task][e.checkpoint] {
-				return violated("checkpoint", "unknown ", e.checkpoint, " at ", e)
-			}
-		case eventStop:
-			stops[e.attempt] = e
-			if from[task] != nil && e.checkpoint != "" {
-				from[task][e.checkpoint] = true
-			}
-		case eventAck:
-			if stop, found := stops[e.attempt]; found && stop.checkpoint != "" {
-				acked[task] = stop
-			}
+		switch {
+		case e.kind == eventEnd && e.checkpoint != "":
+			last[task] = e.checkpoint
+		case e.kind == eventStart && e.checkpoint != last[task]:
+			return violated("checkpoint", "committed ", last[task], " but ", e, " from ", e.checkpoint)
 		}
 	}
 	return nil
--- a/cell/host_test.go
+++ b/cell/host_test.go
@@ -61,38 +61,26 @@
 
 func (h *host) name() string { return fmt.Sprintf("%s-%d", h.id, h.incarnation) }
 
-// tick ends what has ended: programs and leases.
+// tick ends what has ended by now: programs and leases. The record gets the
+// time at which the runtime would have done so by itself.
 func (h *host) tick(now time.Time) {
 	for id, r := range h.runs {
+		lapses := !h.ignoreLease && r.until.Before(r.done)
 		switch {
 		case r.state.Over():
-		case !h.ignoreLease && !r.until.After(now) && (r.done.After(now) || r.until.Before(r.done)):
-			h.over(id, r, platform.RunLapsed)
-		case !r.done.After(now):
-			h.over(id, r, platform.RunExited)
+		case lapses && !r.until.After(now):
+			h.over(id, r, platform.RunLapsed, r.until)
+		case !lapses && !r.done.After(now):
+			h.over(id, r, platform.RunExited, r.done)
 		}
 	}
 }
 
-func (h *host) over(id structs.AttemptID, r *fakeRun, state platform.RunState) {
+func (h *host) over(id structs.AttemptID, r *fakeRun, state platform.RunState, at time.Time) {
 	r.state = state
-	h.world.history.add(event{
-		kind: eventStop, attempt: id, host: h.id, size: r.size, checkpoint: r.checkpoint,
-		finished: state == platform.RunExited && !r.failed,
-	})
+	h.world.history.addAt(event{kind: eventStop, attempt: id, host: h.id, size: r.size}, at)
 }
 
-// runtime enforces leases until ctx ends. It goes on while the agent is frozen.
-func (h *host) runtime(ctx context.Context) {
-	for sleep(ctx, runtimeTick) == nil {
-		h.mu.Lock()
-		h.tick(time.Now())
-		h.mu.Unlock()
-	}
-}
-
-const runtimeTick = 100 * time.Millisecond
-
 // agent sends heartbeats until ctx ends.
 func (h *host) agent(ctx context.Context) {
 	for {
@@ -247,14 +235,13 @@
 	case daisywallpb.Action_VERB_EVICT:
 		if !r.state.Over() {
 			r.checkpoint = "checkpoint/" + id.String()
-			h.over(id, r, platform.RunStopped)
+			h.over(id, r, platform.RunStopped, time.Now())
 		}
 	case daisywallpb.Action_VERB_CANCEL:
 		if !r.state.Over() {
-			h.over(id, r, platform.RunStopped)
+			h.over(id, r, platform.RunStopped, time.Now())
 		}
 	case daisywallpb.Action_VERB_FORGET:
-		h.world.history.add(event{kind: eventAck, attempt: id, host: h.id})
 		delete(h.runs, id)
 	}
 }
@@ -263,9 +250,10 @@
 func (h *host) restartRuntime() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.tick(time.Now())
 	for id, r := range h.runs {
 		if !r.state.Over() {
-			h.over(id, r, platform.RunLapsed)
+			h.over(id, r, platform.RunLapsed, time.Now())
 		}
 	}
 	h.incarnation++
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -52,6 +52,8 @@
 	domain    domainView
 	summary   summaryRow
 	planned   planned
+	composed  time.Time // when the loop composed last
+	resumed   time.Time // when it went on after a pause
 	moved     time.Time // when a service was last evicted from an evacuated domain
 	visited   bool      // a worker of a foreign cell has reported
 }
--- a/cell/port_test.go
+++ b/cell/port_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,6 +51,7 @@
 type port struct {
 	platform.Table
 	objects platform.Objects
+	history *history
 	gate    *gate
 	late    *sync.WaitGroup // writes that are still under way
 
@@ -101,7 +103,7 @@
 	return p.Table.List(ctx, prefix, after, limit)
 }
 
-func (p *port) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (p *port) Commit(_ context.Context, txn platform.Txn) (int64, error) {
 	defer p.gate.pass()
 	cut, lose, delay := p.enter(true)
 	unknown := &structs.UnknownOutcomeError{Operation: "commit"}
@@ -111,17 +113,38 @@
 	case delay > 0:
 		p.late.Go(func() {
 			time.Sleep(delay)
-			_, _ = p.Table.Commit(context.Background(), txn)
+			_, _ = p.commit(txn)
 		})
 		return 0, unknown
 	}
-	revision, err := p.Table.Commit(context.WithoutCancel(ctx), txn)
+	revision, err := p.commit(txn)
 	if lose {
 		return 0, unknown
 	}
 	return revision, err
 }
 
+// commit reaches the table and records the ends that took effect there.
+func (p *port) commit(txn platform.Txn) (int64, error) {
+	revision, err := p.Table.Commit(context.Background(), txn)
+	if err != nil {
+		return 0, err
+	}
+	for _, put := range txn.Puts {
+		if strings.HasSuffix(put.Key, "/leader") {
+			p.recordLeader(put)
+		}
+		var b Batch
+		if !strings.Contains(put.Key, "/log/") || decode(put.Key, put.Value, &b) != nil {
+			continue
+		}
+		for _, e := range b.Ends {
+			p.history.add(event{kind: eventEnd, attempt: e.attempt(), cause: e.Cause, checkpoint: e.Checkpoint})
+		}
+	}
+	return revision, nil
+}
+
 // objectPort is the same way to the object store.
 type objectPort struct{ *port }
 
@@ -148,3 +171,11 @@
 func (p objectPort) List(ctx context.Context, prefix string) ([]string, error) {
 	return p.objects.List(ctx, prefix)
 }
+
+func (p *port) recordLeader(put platform.Put) {
+	var l Leadership
+	if decode(put.Key, put.Value, &l) == nil {
+		cell := structs.CellID(strings.Split(put.Key, "/")[1])
+		p.history.add(event{kind: eventLead, cell: cell, host: l.Worker, epoch: l.Epoch})
+	}
+}
--- a/cell/state.go
+++ b/cell/state.go
@@ -276,10 +276,10 @@
 }
 
 func (s *State) applyEnd(e End) {
-	t, found := s.assigned[e.attempt().Task]
-	if !found || t.Number != e.Number {
+	if !s.takesEnd(e.attempt(), e.Cause) {
 		return
 	}
+	t := s.tasks[e.attempt().Task]
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
@@ -299,6 +299,17 @@
 	}
 }
 
+// takesEnd reports whether an end of the attempt still counts. Work that turns
+// out to have finished before its worker fell silent counts until the next
+// attempt is committed.
+func (s *State) takesEnd(id structs.AttemptID, cause structs.EndCause) bool {
+	t, found := s.tasks[id.Task]
+	if !found || t.Number != id.Number {
+		return false
+	}
+	return t.State == structs.TaskAssigned || (t.State == structs.TaskPending && cause == structs.EndFinished)
+}
+
 // exhausted reports whether the task has failed on as many different workers
 // as its job allows, or far more often on fewer.
 func (t *Task) exhausted() bool {
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	_ "pgregory.net/rapid"
-
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/platform/standin"
 	"github.com/daisywall/daisywall/structs"
@@ -19,9 +17,12 @@
 // fixedSeed makes every run of the property tests the same.
 const fixedSeed = "20261203"
 
+// checks is the number of interleavings of each kind of fault.
+const checks = "1250"
+
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": fixedSeed, "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": fixedSeed, "rapid.nofailfile": "true", "rapid.checks": checks} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			if err := flag.Set(name, value); err != nil {
 				panic(err)
@@ -46,6 +47,7 @@
 	node   *Node
 	cancel context.CancelFunc
 	ended  chan struct{}
+	dead   bool
 }
 
 // world is a set of cells on one table, inside a synctest bubble.
@@ -83,13 +85,12 @@
 func (w *world) add(cell structs.CellID, domain structs.FailureDomainID, n int) {
 	for i := range n {
 		m := &member{host: newHost(w, structs.WorkerID(fmt.Sprintf("%s-%d", cell, i)), cell, domain)}
-		m.port = &port{Table: w.table, objects: w.objects, gate: &m.host.gate, late: &w.work}
+		m.port = &port{Table: w.table, objects: w.objects, history: &w.history, gate: &m.host.gate, late: &w.work}
+		w.boot(m)
 		w.mu.Lock()
 		w.members = append(w.members, m)
 		w.mu.Unlock()
-		w.work.Go(func() { m.host.runtime(w.ctx) })
 		w.work.Go(func() { m.host.agent(w.ctx) })
-		w.boot(m)
 	}
 }
 
@@ -107,7 +108,7 @@
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.mu.Lock()
-	m.node, m.cancel, m.ended = node, cancel, make(chan struct{})
+	m.node, m.cancel, m.ended, m.dead = node, cancel, make(chan struct{}), false
 	ended := m.ended
 	w.mu.Unlock()
 	w.work.Go(func() {
@@ -116,13 +117,28 @@
 	})
 }
 
-// kill ends a candidate without letting it release anything.
-func (w *world) kill(m *member) {
+// kill ends a candidate without letting it release anything. It returns false
+// when the candidate is dead already.
+func (w *world) kill(m *member) bool {
+	w.mu.Lock()
+	dead, cancel, ended := m.dead, m.cancel, m.ended
+	m.dead = true
+	w.mu.Unlock()
+	if dead {
+		return false
+	}
 	m.port.set(func(p *port) { p.cut = true })
-	m.cancel()
+	cancel()
 	m.host.gate.thaw()
-	<-m.ended
+	<-ended
 	m.port.set(func(p *port) { p.cut = false })
+	return true
+}
+
+func (w *world) nodeOf(m *member) *Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return m.node
 }
 
 func (w *world) member(id structs.WorkerID) *member {
@@ -200,10 +216,7 @@
 	}
 	return carry(ctx, w, func() *daisywallpb.HeartbeatResponse {
 		m.host.gate.pass()
-		w.mu.Lock()
-		node := m.node
-		w.mu.Unlock()
-		resp, _ := node.Heartbeat(ctx, req)
+		resp, _ := w.nodeOf(m).Heartbeat(ctx, req)
 		m.host.gate.pass()
 		return resp
 	})
@@ -225,21 +238,6 @@
 	return w.runs
 }
 
-// watch writes the leadership rows into the history until ctx ends.
-func (w *world) watch(cells ...structs.CellID) {
-	w.work.Go(func() {
-		for sleep(w.ctx, 50*time.Millisecond) == nil {
-			for _, cell := range cells {
-				row, err := w.table.Get(w.ctx, leaderKey(cell))
-				var l Leadership
-				if err == nil && decode(row.Key, row.Value, &l) == nil {
-					w.history.add(event{kind: eventLead, cell: cell, host: l.Worker, epoch: l.Epoch})
-				}
-			}
-		}
-	})
-}
-
 // heal ends every fault.
 func (w *world) heal() {
 	for _, m := range w.members {
@@ -258,6 +256,16 @@
 	w.work.Wait()
 }
 
+// verdict checks the record so far.
+func (w *world) verdict() error {
+	for _, m := range w.members {
+		m.host.mu.Lock()
+		m.host.tick(time.Now())
+		m.host.mu.Unlock()
+	}
+	return check(w.history.sorted(), w.capacity)
+}
+
 // submit gives a job to the cells, waiting until some cell is there.
 func (w *world) submit(key string, kind structs.WorkKind, tasks int32) structs.JobID {
 	job := structs.Job{
