--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -35,7 +35,7 @@
 	job := t.Job()
 	v.outbox.assignments = append(v.outbox.assignments, &daisywallpb.Assignment{
 		Attempt: attemptProto(t.Attempt()), Incarnation: t.Incarnation, Class: job.Class, Program: job.Program,
-		Input: job.Input, Checkpoint: t.Checkpoint, Resources: resourcesProto(job.Resources),
+		Input: job.Input, Checkpoint: t.Checkpoint, Resources: resourcesProto(job.Resources), Kind: string(job.Kind),
 	})
 	l.deliver(v)
 }
