--- a/cell/leader.go
+++ b/cell/leader.go
@@ -47,11 +47,14 @@
 	queue     queue
 	committed map[structs.AttemptID]time.Time // attempts of this epoch
 	pendingAt map[structs.TaskID]time.Time    // when this leader first saw it pending
+	retryAt   map[structs.TaskID]time.Time    // earliest next attempt after a failure
 	reasons   map[structs.TaskID]Unschedulable
 	inbox     []acceptance
 	domain    domainView
 	summary   summaryRow
 	planned   planned
+	composed  time.Time // when the loop composed last
+	resumed   time.Time // when it went on after a pause
 	moved     time.Time // when a service was last evicted from an evacuated domain
 	visited   bool      // a worker of a foreign cell has reported
 }
@@ -89,6 +92,7 @@
 		queue:     newQueue(),
 		committed: map[structs.AttemptID]time.Time{},
 		pendingAt: map[structs.TaskID]time.Time{},
+		retryAt:   map[structs.TaskID]time.Time{},
 		reasons:   map[structs.TaskID]Unschedulable{},
 	}
 }
