--- /dev/null
+++ b/bench/placement/policy_test.go
@@ -0,0 +1,44 @@
+package placement
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/daisywall/daisywall/placement"
+)
+
+// contender names a policy and makes a fresh one for each run.
+type contender struct {
+	name string
+	make func(seed uint64) Policy
+}
+
+var contenders = []contender{
+	{"random", Random},
+	{"first fit", func(uint64) Policy { return FirstFit() }},
+	{"least loaded", func(uint64) Policy { return LeastLoaded() }},
+	{"previous", func(uint64) Policy { return Previous() }},
+	{"policy", func(uint64) Policy { return placement.New(placement.Options{}) }},
+}
+
+// Seeds on which options were chosen, and seeds that only reports use.
+var (
+	trainingSeeds = []uint64{1, 2, 3, 4, 5}
+	reportSeeds   = []uint64{101, 102, 103, 104, 105}
+)
+
+// TestReport prints one line for each seed and policy. It runs when
+// PLACEMENT_REPORT is set to "training" or "report".
+func TestReport(t *testing.T) {
+	seeds := map[string][]uint64{"training": trainingSeeds, "report": reportSeeds}[os.Getenv("PLACEMENT_REPORT")]
+	for _, load := range []float64{0.7, 1.0} {
+		for _, seed := range seeds {
+			for _, c := range contenders {
+				r := Run(NewTrace(seed, load), c.make(seed))
+				fmt.Printf("load %.1f seed %3d %-12s p99 ratio %.3f work %7.0f absence %6.0f finished %5d evictions %4d throttles %4d lost %3d missed %3d/%d failures %4d refused %3d rejected %d up %.4f wait %s\n",
+					load, seed, c.name, r.TailRatio(), r.Work, r.WorkInAbsence, r.Finished, r.Evictions, r.Throttles, r.Lost, r.Missed, r.Deadlines, r.Failures, r.Refused, r.Rejected, r.Up(), r.MeanWait())
+			}
+		}
+	}
+}
