--- a/placement/filter.go
+++ b/placement/filter.go
@@ -18,7 +18,7 @@
 func (gateFilter) name() string { return "worker" }
 
 func (gateFilter) filter(_ *round, _ *candidate, n *node) structs.Reason {
-	if n.trial && len(n.worker.Runs)+n.starts > 0 {
+	if n.trial && (n.trying || n.starts > 0) {
 		return structs.ReasonQuarantined
 	}
 	return n.gate
--- a/placement/node.go
+++ b/placement/node.go
@@ -14,6 +14,7 @@
 	gate      structs.Reason    // why nothing may start here, empty when open
 	throttled bool              // some resident is throttled
 	trial     bool              // one task at a time may try this quarantined worker
+	trying    bool              // a trial task is running
 	holder    *structs.TaskID   // the only task that may start here, nil for any
 	starts    int               // starts planned in this round
 	untried   int               // residents whose effect on a service is unknown
--- a/placement/quarantine.go
+++ b/placement/quarantine.go
@@ -181,5 +181,17 @@
 		r.record(Decision{Action: ActionReadmit, Worker: n.worker.ID, Reason: ReasonRecovered, Detail: "the trial task finished"})
 		break
 	}
+	n.trying = startedSince(n.worker.Runs, now-q.Since)
 	r.plan.Memory.Quarantines[n.worker.ID] = q
 }
+
+// startedSince reports whether a run started less than age ago. Runs that were
+// there before a trial are no part of it.
+func startedSince(runs []Run, age time.Duration) bool {
+	for i := range runs {
+		if runs[i].Age < age {
+			return true
+		}
+	}
+	return false
+}
--- a/placement/worker_test.go
+++ b/placement/worker_test.go
@@ -116,6 +116,20 @@
 	is.Equal(len(plan.Placements), 2)
 }
 
+func TestResidentsFromBeforeDoNotBlockTheTrial(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(workers(1), task("pricing", 0, cores(1)), task("pricing", 1, cores(1)))
+	old := service("slot-check", 0, 0)
+	old.Age = time.Hour
+	s.Workers[0].Runs = []Run{old}
+	s.Memory.Quarantines = map[structs.WorkerID]Quarantine{"w00": {Since: s.Now - time.Minute, Term: time.Minute, Stage: QuarantineTrial}}
+	is.Equal(len(New(Options{}).Plan(s).Placements), 1)
+	fresh := run("pricing", 2, cores(1))
+	fresh.Age = time.Second
+	s.Workers[0].Runs = append(s.Workers[0].Runs, fresh)
+	is.Equal(len(New(Options{}).Plan(s).Placements), 0)
+}
+
 func TestFailedTrialDoublesTheTerm(t *testing.T) {
 	is := is.New(t)
 	p := New(Options{})
