Keep workers without services for the classes that need them

Cause: spread over racks outweighed the match score, so classes that harm nobody took the few workers without services from classes that harm all. Change: match before spread.

--- a/placement/score.go
+++ b/placement/score.go
@@ -22,8 +22,8 @@
 // the one before, so a score decides only where those before it are equal.
 var scorers = []weighted{
 	{harmScorer{}, 1000},
-	{spreadScorer{}, 100},
-	{matchScorer{}, 10},
+	{matchScorer{}, 100},
+	{spreadScorer{}, 10},
 	{packScorer{}, 1},
 }
 
