--- a/cell/commit.go
+++ b/cell/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/daisywall/daisywall/platform"
@@ -145,11 +146,26 @@
 	switch e.Cause {
 	case structs.EndFailed:
 		v.failed++
+		l.observeOutcome(t, true)
 	case structs.EndFinished:
 		v.finished++
+		l.observeOutcome(t, false)
 	}
 }
 
+// maxOutcomes bounds the ends of attempts that a leader remembers.
+const maxOutcomes = 512
+
+// observeOutcome remembers the end of an attempt for the planner.
+func (l *leader) observeOutcome(t *Task, failed bool) {
+	if len(l.outcomes) == maxOutcomes {
+		l.outcomes = slices.Delete(l.outcomes, 0, maxOutcomes/2)
+	}
+	l.outcomes = append(l.outcomes, Outcome{
+		At: time.Now(), Task: t.ID(), Class: t.Job().Class, Worker: t.Worker, Failed: failed,
+	})
+}
+
 // Bounds of the delay between a failed attempt and the next one.
 const (
 	minRetry = time.Second
--- a/cell/explain.go
+++ b/cell/explain.go
@@ -26,6 +26,15 @@
 	Status   *Status           `json:"status,omitempty"`
 	Free     structs.Resources `json:"free"`
 	Runs     []string          `json:"runs,omitempty"`
+	// Decisions are the planner's records about the subject, if it keeps any.
+	Decisions any `json:"decisions,omitempty"`
+}
+
+// Explainer is a Planner that remembers its decisions.
+type Explainer interface {
+	// Explain returns a JSON value with the decisions about a task, a job or
+	// a worker.
+	Explain(subject, id string) (any, error)
 }
 
 // Subjects of Explain.
@@ -45,6 +54,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if explainer, keeps := n.o.Planner.(Explainer); keeps {
+		if report.Decisions, err = explainer.Explain(req.GetSubject(), req.GetId()); err != nil {
+			return nil, err
+		}
+	}
 	data, err := json.Marshal(report)
 	if err != nil {
 		return nil, err
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -49,6 +49,7 @@
 	pendingAt map[structs.TaskID]time.Time    // when this leader first saw it pending
 	retryAt   map[structs.TaskID]time.Time    // earliest next attempt after a failure
 	reasons   map[structs.TaskID]Unschedulable
+	outcomes  []Outcome // for the planner, oldest first
 	inbox     []acceptance
 	domain    domainView
 	summary   summaryRow
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -130,7 +131,7 @@
 
 // snapshot copies what the planner needs.
 func (l *leader) snapshot(now time.Time) *Snapshot {
-	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: maxStarts}
+	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: maxStarts, Outcomes: slices.Clone(l.outcomes)}
 	for _, t := range l.state.Pending() {
 		if t.job.CancelRequested || len(s.Pending) == maxPending {
 			continue
@@ -172,7 +173,7 @@
 	for id, t := range held {
 		attempt := structs.AttemptID{Task: id, Number: t.Number}
 		view.Free = view.Free.Sub(t.job.Job.Resources)
-		view.Residents = append(view.Residents, v.resident(attempt, t))
+		view.Residents = append(view.Residents, v.resident(attempt, t, now))
 	}
 	for id, r := range v.runs {
 		if t, found := held[id.Task]; !over(r) && (!found || t.Number != id.Number) {
@@ -186,7 +187,7 @@
 }
 
 // resident describes an attempt on the worker.
-func (v *view) resident(id structs.AttemptID, t *Task) Resident {
+func (v *view) resident(id structs.AttemptID, t *Task, now time.Time) Resident {
 	r := Resident{Attempt: id, Job: t.Job()}
 	if run, reported := v.runs[id]; reported {
 		r.Running = !over(run)
@@ -196,6 +197,7 @@
 	if u, measured := v.usage[id]; measured {
 		used := resourcesOf(u.GetResources())
 		r.Usage, r.Latency = &used, u.GetLatencyMs()
+		r.Measured = now.Sub(v.seen) + time.Duration(u.GetAgeMs())*time.Millisecond
 	}
 	_, r.Evicting = v.asked[id]
 	return r
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -19,6 +19,16 @@
 	MaxStarts int       // placements that the leader takes from this plan
 	Pending   []PendingTask
 	Workers   []WorkerView
+	Outcomes  []Outcome // recent ends of attempts that ran, oldest first
+}
+
+// Outcome is the end of an attempt that ran to its own end.
+type Outcome struct {
+	At     time.Time // by this leader's clock
+	Task   structs.TaskID
+	Class  string
+	Worker structs.WorkerID
+	Failed bool
 }
 
 // PendingTask is a task that waits for a worker. Pending tasks are ordered by
@@ -51,8 +61,9 @@
 	Throttle bool         // it runs throttled
 	Progress float64      // 0 to 1
 	Usage    *structs.Resources
-	Latency  float64 // tail latency of a service in milliseconds, 0 if unknown
-	Evicting bool    // its eviction has been asked for
+	Measured time.Duration // age of Usage and Latency
+	Latency  float64       // tail latency of a service in milliseconds, 0 if unknown
+	Evicting bool          // its eviction has been asked for
 }
 
 // Plan is what a planner proposes.
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -16,6 +16,8 @@
 	"github.com/daisywall/daisywall/config"
 	"github.com/daisywall/daisywall/kernel"
 	"github.com/daisywall/daisywall/membership"
+	"github.com/daisywall/daisywall/placement"
+	"github.com/daisywall/daisywall/planner"
 	platformclient "github.com/daisywall/daisywall/platform/client"
 	"github.com/daisywall/daisywall/request"
 	"github.com/daisywall/daisywall/settings"
@@ -107,6 +109,7 @@
 		Table:   a.platform.Table(),
 		Objects: a.platform.Objects(),
 		Assign:  a.peers.assign,
+		Planner: planner.New(a.holder.Current, placement.Options{}),
 		Config:  a.holder.UpdateSince,
 		Log:     a.telemetry.Log.Named("cell"),
 		Meters:  a.telemetry.Meters,
--- a/daemon/leaders.go
+++ b/daemon/leaders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -89,7 +91,11 @@
 			last = &structs.UnavailableError{Dependency: "leader of cell " + string(c), Err: err}
 			continue
 		}
-		if len(response.GetReport()) > 0 {
+		var report cell.Report
+		if err := json.Unmarshal(response.GetReport(), &report); err != nil {
+			return nil, fmt.Errorf("decode report of cell %s: %w", c, err)
+		}
+		if report.Found {
 			return response.GetReport(), nil
 		}
 	}
--- /dev/null
+++ b/planner/snapshot.go
@@ -0,0 +1,111 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/daisywall/daisywall/cell"
+	"github.com/daisywall/daisywall/placement"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// declared answers for the estimator, but commits what a job has declared: an
+// agent counts declared sizes against its host's capacity.
+type declared struct{ placement.Estimates }
+
+// Reserve returns the declared size.
+func (declared) Reserve(_ string, size structs.Resources) structs.Resources { return size }
+
+// snapshot turns the leader's snapshot into the policy's.
+func (p *Planner) snapshot(s *cell.Snapshot, now time.Duration) *placement.Snapshot {
+	config := p.config()
+	view := &placement.Snapshot{
+		Now:       now,
+		Teams:     teams(config),
+		Domains:   map[structs.FailureDomainID]structs.DomainState{},
+		Estimates: declared{p.model},
+		Memory:    p.memory,
+	}
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		view.Workers = append(view.Workers, p.worker(w, s.Now, now))
+		// The leader itself moves work out of a failure domain that is out and
+		// places nothing into it; it marks such workers as not placeable.
+		view.Domains[w.Worker.FailureDomain] = structs.DomainIn
+	}
+	for i := range s.Pending {
+		view.Pending = append(view.Pending, task(&s.Pending[i], s.Now))
+	}
+	for _, o := range s.Outcomes {
+		view.Outcomes = append(view.Outcomes, placement.Outcome{
+			At: o.At.Sub(p.started), Task: o.Task, Class: o.Class, Worker: o.Worker, Failed: o.Failed,
+		})
+	}
+	return view
+}
+
+// teams returns the quotas. Each cell may commit a team's whole quota.
+func teams(config *structs.Config) []placement.Team {
+	list := make([]placement.Team, 0, len(config.Teams))
+	for _, t := range config.Teams {
+		list = append(list, placement.Team{ID: t.ID, Share: t.Quota, Quota: t.Quota})
+	}
+	return list
+}
+
+func (p *Planner) worker(w *cell.WorkerView, wall time.Time, now time.Duration) placement.Worker {
+	out := placement.Worker{Worker: w.Worker, State: placement.WorkerReady}
+	if !w.Placeable {
+		out.State = placement.WorkerSilent
+	}
+	for i := range w.Residents {
+		r := &w.Residents[i]
+		seen := p.runs[r.Attempt]
+		run := placement.Run{
+			Attempt:   r.Attempt,
+			Team:      r.Job.Team,
+			Class:     r.Job.Class,
+			Kind:      r.Job.Kind,
+			Resources: r.Job.Resources,
+			Age:       now - seen.since,
+			RunTime:   r.Job.RunTime,
+			Progress:  r.Progress,
+			Stopping:  r.Evicting,
+			LatencyMS: r.Latency,
+			ReportAge: r.Measured,
+		}
+		if r.Usage != nil {
+			run.Usage = *r.Usage
+		}
+		if seen.throttle < 1 {
+			run.Throttle = seen.throttle
+		}
+		run.TimeLeft, run.HasDeadline = timeLeft(r.Job, wall)
+		out.Runs = append(out.Runs, run)
+	}
+	return out
+}
+
+func task(t *cell.PendingTask, wall time.Time) placement.Task {
+	out := placement.Task{
+		ID:          t.Task,
+		Team:        t.Job.Team,
+		Class:       t.Job.Class,
+		Kind:        t.Job.Kind,
+		Resources:   t.Job.Resources,
+		RunTime:     t.Job.RunTime,
+		Waited:      t.Waiting,
+		MaxAttempts: t.Job.MaxAttempts,
+		FailedOn:    t.FailedOn,
+	}
+	out.TimeLeft, out.HasDeadline = timeLeft(t.Job, wall)
+	return out
+}
+
+// timeLeft returns the time until the deadline of a job by the wall clock. It
+// orders work and decides nothing about safety.
+func timeLeft(job *structs.Job, wall time.Time) (time.Duration, bool) {
+	if job.Deadline.IsZero() {
+		return 0, false
+	}
+	return job.Deadline.Sub(wall), true
+}
