--- a/worker/agent_test.go
+++ b/worker/agent_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
@@ -357,3 +358,66 @@
 		h.is.Equal(h.leader.last().GetConfigRevision(), int64(4))
 	})
 }
+
+func TestUnknownStartStaysUnknownWhenTheRuntimeGoesOut(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		calls := 0
+		h.port.start = func(spec platform.StartSpec) error {
+			calls++
+			if calls > 1 {
+				return &structs.UnavailableError{Dependency: "runtime"}
+			}
+			h.is.NoErr(h.runtime.Start(context.Background(), spec))
+			return &structs.UnknownOutcomeError{Operation: "start"}
+		}
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		time.Sleep(2 * time.Second)
+		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunRunning))
+	})
+}
+
+func TestRejectedAttemptIsNeverAccepted(t *testing.T) {
+	onHost(t, func(h *host) {
+		large, id := attemptOf("large", 1), attemptOf("j", 1)
+		req := h.request(large, "long")
+		req.Assignments[0].Resources = api.FromResources(hostCapacity)
+		h.is.Equal(len(h.assign(req)), 0)
+		refused := h.request(id, "long")
+		h.is.Equal(h.assign(refused), []structs.Reason{structs.ReasonCapacity})
+		h.act(daisywallpb.Action_VERB_CANCEL, large)
+		synctest.Wait()
+		h.is.Equal(h.state(large), platform.RunStopped)
+		h.is.Equal(h.assign(refused), []structs.Reason{structs.ReasonCapacity})
+	})
+}
+
+func TestAssignmentForAnEarlierAgentIsUnknown(t *testing.T) {
+	onHost(t, func(h *host) {
+		req := h.request(attemptOf("j", 1), "long")
+		h.startAgent()
+		for range 10 {
+			time.Sleep(time.Second)
+			reasons := h.assign(req)
+			h.is.Equal(reasons, []structs.Reason{structs.ReasonStaleGrant})
+			req.Assignments[0].Attempt.Number++
+		}
+	})
+}
+
+func TestRunThatIsMissingBringsAFullReport(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
+		time.Sleep(2 * time.Second)
+		h.is.True(!h.leader.last().GetFull())
+		synctest.Wait()
+		h.port.setSnapshot(func(s platform.Snapshot) platform.Snapshot {
+			s.Runs = nil
+			return s
+		})
+		time.Sleep(time.Second)
+		h.is.True(h.leader.last().GetFull())
+		h.is.Equal(len(h.leader.last().GetRuns()), 0)
+	})
+}
--- a/worker/fake_test.go
+++ b/worker/fake_test.go
@@ -89,6 +89,37 @@
 	return &structs.UnavailableError{Dependency: "leader"}
 }
 
+// port is the runtime as the agent sees it.
+type port struct {
+	platform.WorkerRuntime
+	mu       sync.Mutex
+	start    func(spec platform.StartSpec) error         // in the place of Start, if set
+	snapshot func(s platform.Snapshot) platform.Snapshot // changes snapshots, if set
+}
+
+func (p *port) Start(ctx context.Context, spec platform.StartSpec) error {
+	if p.start != nil {
+		return p.start(spec)
+	}
+	return p.WorkerRuntime.Start(ctx, spec)
+}
+
+func (p *port) Snapshot(ctx context.Context) (platform.Snapshot, error) {
+	s, err := p.WorkerRuntime.Snapshot(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.snapshot != nil {
+		s = p.snapshot(s)
+	}
+	return s, err
+}
+
+func (p *port) setSnapshot(change func(platform.Snapshot) platform.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.snapshot = change
+}
+
 // host is one worker with its runtime, its agent and a leader.
 type host struct {
 	t       *testing.T
@@ -96,6 +127,7 @@
 	leader  *fakeLeader
 	objects *standin.Objects
 	runtime *standin.Runtime
+	port    *port
 	agent   *Agent
 	stop    func()
 
@@ -132,6 +164,7 @@
 	h.runtime = standin.NewRuntime(standin.RuntimeOptions{
 		Worker: "w1", Capacity: hostCapacity, Objects: objects, Programs: programs,
 	})
+	h.port = &port{WorkerRuntime: h.runtime}
 	h.is.NoErr(objects.Put(context.Background(), "long", []byte("1h")))
 	h.is.NoErr(objects.Put(context.Background(), "short", []byte("500ms")))
 	return h
@@ -148,7 +181,7 @@
 	h.stop()
 	agent, err := New(Options{
 		Worker:     structs.Worker{ID: "w1", Cell: "c1", FailureDomain: "d1", Capacity: h.capacity, Address: "w1:1"},
-		Runtime:    h.runtime,
+		Runtime:    h.port,
 		Finder:     h.leader,
 		Heartbeat:  h.leader.Heartbeat,
 		StartGrant: h.grant,
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -83,7 +83,7 @@
 		l.openAfter = s.Now.Add(l.grant)
 	} else if l.incarnation != s.Incarnation {
 		lost.restarted = true
-		l.openAfter = 0
+		l.openAfter = -1 // the runtime refuses starts for the earlier incarnation
 	}
 	if l.incarnation != s.Incarnation {
 		l.reset(s.Incarnation)
