--- a/cell/heartbeat.go
+++ b/cell/heartbeat.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
@@ -122,31 +121,31 @@
 	if !l.ready {
 		return
 	}
-	if !l.isAssigned(id) {
+	t := l.state.Task(id.Task)
+	cause := endCause(r, t)
+	if !l.state.takesEnd(id, cause) {
 		delete(v.runs, id)
 		v.forget[id] = struct{}{}
 		return
 	}
-	if _, queued := l.queue.ends[id]; queued {
-		return
-	}
 	l.queueEnd(structs.AttemptEnd{
-		Attempt: id, Cause: endCause(r, l.state.Task(id.Task).job.CancelRequested),
-		Checkpoint: r.GetCheckpoint(), Result: r.GetResult(), Detail: r.GetDetail(),
+		Attempt: id, Cause: cause, Checkpoint: r.GetCheckpoint(), Result: r.GetResult(), Detail: r.GetDetail(),
 	})
 }
 
-func endCause(r *daisywallpb.RunReport, cancelled bool) structs.EndCause {
+// endCause translates the state of a run that is over. A service that ends by
+// itself has failed: it is meant to stay up.
+func endCause(r *daisywallpb.RunReport, t *Task) structs.EndCause {
 	switch platform.RunState(r.GetState()) {
 	case platform.RunExited:
-		if r.GetFailed() {
+		if r.GetFailed() || (t != nil && t.job.Job.Kind == structs.WorkService) {
 			return structs.EndFailed
 		}
 		return structs.EndFinished
 	case platform.RunLapsed:
 		return structs.EndLost
 	default:
-		if cancelled {
+		if t != nil && t.job.CancelRequested {
 			return structs.EndCancelled
 		}
 		return structs.EndEvicted
@@ -154,9 +153,9 @@
 }
 
 // queueEnd queues an end for the next log row. The first report of an attempt
-// counts.
+// counts, but for one that it has finished.
 func (l *leader) queueEnd(e structs.AttemptEnd) {
-	if _, queued := l.queue.ends[e.Attempt]; queued {
+	if old, queued := l.queue.ends[e.Attempt]; queued && (old.Cause == structs.EndFinished || e.Cause != structs.EndFinished) {
 		return
 	}
 	l.queue.ends[e.Attempt] = e
@@ -171,7 +170,7 @@
 // takeIncarnation queues the change of a worker's incarnation.
 func (l *leader) takeIncarnation(v *view) {
 	known, found := l.state.Workers[v.worker.ID]
-	if found && (known.Incarnation == v.incarnation || slices.Contains(known.Superseded, v.incarnation)) {
+	if found && known.Incarnation == v.incarnation {
 		return
 	}
 	l.queue.workers[v.worker.ID] = v.incarnation
