--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/structs"
 )
@@ -34,8 +35,8 @@
 	}
 	job := t.Job()
 	v.outbox.assignments = append(v.outbox.assignments, &daisywallpb.Assignment{
-		Attempt: attemptProto(t.Attempt()), Incarnation: t.Incarnation, Class: job.Class, Program: job.Program,
-		Input: job.Input, Checkpoint: t.Checkpoint, Resources: resourcesProto(job.Resources), Kind: string(job.Kind),
+		Attempt: api.FromAttempt(t.Attempt()), Incarnation: t.Incarnation, Class: job.Class, Program: job.Program,
+		Input: job.Input, Checkpoint: t.Checkpoint, Resources: api.FromResources(job.Resources), Kind: string(job.Kind),
 	})
 	l.deliver(v)
 }
@@ -67,7 +68,7 @@
 		l.o.Log.Debug("assign", zap.String("worker", string(v.worker.ID)), zap.Error(err))
 	}
 	for _, r := range resp.GetRejections() {
-		id := attemptOf(r.GetAttempt())
+		id := api.ToAttempt(r.GetAttempt())
 		if structs.Reason(r.GetReason()) == structs.ReasonDuplicate || !l.isAssigned(id) {
 			continue
 		}
--- a/cell/heartbeat.go
+++ b/cell/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
@@ -102,7 +103,7 @@
 // believed at any age; everything else needs a proved age.
 func (l *leader) takeRuns(v *view, req *daisywallpb.HeartbeatRequest, proved bool) {
 	for _, r := range req.GetRuns() {
-		id := attemptOf(r.GetAttempt())
+		id := api.ToAttempt(r.GetAttempt())
 		switch {
 		case over(r):
 			v.runs[id] = r
@@ -219,7 +220,7 @@
 		}
 	}
 	for id := range v.forget {
-		v.outbox.add(&daisywallpb.Action{Attempt: attemptProto(id), Verb: daisywallpb.Action_VERB_FORGET})
+		v.outbox.add(&daisywallpb.Action{Attempt: api.FromAttempt(id), Verb: daisywallpb.Action_VERB_FORGET})
 		delete(v.forget, id)
 	}
 	l.deliver(v)
@@ -231,5 +232,5 @@
 		return
 	}
 	v.asked[id] = now
-	v.outbox.add(&daisywallpb.Action{Attempt: attemptProto(id), Verb: verb})
+	v.outbox.add(&daisywallpb.Action{Attempt: api.FromAttempt(id), Verb: verb})
 }
--- a/cell/host_test.go
+++ b/cell/host_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
@@ -126,13 +127,13 @@
 	h.sent[h.sequence] = now
 	req := &daisywallpb.HeartbeatRequest{
 		Cell: string(h.cell), Worker: string(h.id), FailureDomain: string(h.domain), Address: string(h.id),
-		Incarnation: h.name(), Sequence: h.sequence, Capacity: resourcesProto(h.capacity), Full: true,
+		Incarnation: h.name(), Sequence: h.sequence, Capacity: api.FromResources(h.capacity), Full: true,
 		Reply: h.reply, ReplyEpoch: h.replyEpoch, Leaving: h.leaving,
 	}
 	for id, r := range h.runs {
 		req.Runs = append(req.Runs, &daisywallpb.RunReport{
-			Attempt: attemptProto(id), State: string(r.state), Failed: r.failed,
-			Checkpoint: r.checkpoint, Resources: resourcesProto(r.size),
+			Attempt: api.FromAttempt(id), State: string(r.state), Failed: r.failed,
+			Checkpoint: r.checkpoint, Resources: api.FromResources(r.size),
 		})
 	}
 	return req, h.leader
@@ -188,10 +189,10 @@
 }
 
 func (h *host) start(req *daisywallpb.AssignRequest, a *daisywallpb.Assignment, now time.Time) structs.Reason {
-	id := attemptOf(a.GetAttempt())
-	size := resourcesOf(a.GetResources())
+	id := api.ToAttempt(a.GetAttempt())
+	size := api.ToResources(a.GetResources())
 	sent, known := h.sent[req.GetHeartbeatSeq()]
-	kind := structs.WorkKind(a.GetClass())
+	kind := structs.WorkKind(a.GetKind())
 	used := size
 	for _, r := range h.runs {
 		if !r.state.Over() {
@@ -226,7 +227,7 @@
 }
 
 func (h *host) act(a *daisywallpb.Action) {
-	id := attemptOf(a.GetAttempt())
+	id := api.ToAttempt(a.GetAttempt())
 	r, found := h.runs[id]
 	if !found {
 		return
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
@@ -113,7 +114,7 @@
 	for _, t := range plan.Throttles {
 		if v := l.holder(t.Attempt); v != nil {
 			v.outbox.add(&daisywallpb.Action{
-				Attempt: attemptProto(t.Attempt), Verb: daisywallpb.Action_VERB_THROTTLE, Share: t.Share,
+				Attempt: api.FromAttempt(t.Attempt), Verb: daisywallpb.Action_VERB_THROTTLE, Share: t.Share,
 			})
 			l.deliver(v)
 		}
@@ -176,7 +177,7 @@
 	}
 	for id, r := range v.runs {
 		if t, found := held[id.Task]; !over(r) && (!found || t.Number != id.Number) {
-			view.Free = view.Free.Sub(resourcesOf(r.GetResources()))
+			view.Free = view.Free.Sub(api.ToResources(r.GetResources()))
 		}
 	}
 	sort.Slice(view.Residents, func(i, k int) bool {
@@ -194,7 +195,7 @@
 		r.Progress = run.GetProgress()
 	}
 	if u, measured := v.usage[id]; measured {
-		used := resourcesOf(u.GetResources())
+		used := api.ToResources(u.GetResources())
 		r.Usage, r.Latency = &used, u.GetLatencyMs()
 	}
 	_, r.Evicting = v.asked[id]
--- a/cell/view.go
+++ b/cell/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/structs"
 )
@@ -78,7 +79,7 @@
 	v.worker = structs.Worker{
 		ID: structs.WorkerID(req.GetWorker()), FailureDomain: structs.FailureDomainID(req.GetFailureDomain()),
 		Rack: req.GetRack(), Cell: structs.CellID(req.GetCell()), Address: req.GetAddress(),
-		Capacity: resourcesOf(req.GetCapacity()),
+		Capacity: api.ToResources(req.GetCapacity()),
 	}
 	v.leaving = req.GetLeaving()
 	v.seen = now
@@ -92,6 +93,6 @@
 		clear(v.runs)
 	}
 	for _, u := range req.GetUsage() {
-		v.usage[attemptOf(u.GetAttempt())] = u
+		v.usage[api.ToAttempt(u.GetAttempt())] = u
 	}
 }
