Evict throttled runs that are known to go on harming a service

Cause: a run with a known harm of 0.5 kept a service 12% above its baseline at a quarter of its processor share: below the upper bound, so the ladder stopped there for the rest of the run. Change: such a run is evicted when the trouble lasts. The ladder test expected every neighbour to be throttled first; it now covers both the known culprit and the uncertain ones.

--- a/placement/ladder.go
+++ b/placement/ladder.go
@@ -30,6 +30,9 @@
 		case growth < o.Lower:
 			ladder.Calm++
 			ladder.Trouble = 0
+		case r.remains(n, &ladder, worst):
+			ladder.Trouble++
+			ladder.Calm = 0
 		default:
 			// Between the bounds nothing changes, so that a small swing of
 			// latency does not switch throttles on and off.
@@ -139,6 +142,9 @@
 // unthrottled one first, else a throttled one.
 func (r *round) culprit(n *node, ladder *Ladder, worst *Run) (culprit *Run, throttled bool) {
 	service := r.classes.service(r.classes.class(worst.Class), r.estimates.Band(worst.Class, worst.Usage))
+	if run := r.remaining(n, ladder, service); run != nil {
+		return run, true
+	}
 	var best, bestThrottled *Run
 	most, mostThrottled := r.options.Ladder.Culprit, r.options.Ladder.Culprit
 	for i := range n.worker.Runs {
@@ -164,6 +170,34 @@
 	return bestThrottled, bestThrottled != nil
 }
 
+// remains reports whether a throttled run still harms the service more than is
+// accepted, so that the throttle is no way out of the trouble.
+func (r *round) remains(n *node, ladder *Ladder, worst *Run) bool {
+	if worst == nil {
+		return false
+	}
+	service := r.classes.service(r.classes.class(worst.Class), r.estimates.Band(worst.Class, worst.Usage))
+	return r.remaining(n, ladder, service) != nil
+}
+
+// remaining returns the throttled run that is known to harm the service more
+// than is accepted although it is throttled.
+func (r *round) remaining(n *node, ladder *Ladder, service int) *Run {
+	var worst *Run
+	most := r.options.HarmLimit
+	for i := range n.worker.Runs {
+		run := &n.worker.Runs[i]
+		if run.Kind != structs.WorkBatch || run.Stopping || r.evicting[run.Attempt] || !ladder.active(run.Attempt) {
+			continue
+		}
+		p := r.classes.pair(service, r.classes.class(run.Class))
+		if harm := p.mean * r.options.Ladder.Share; p.deviation <= r.options.UnknownDeviation && harm > most {
+			worst, most = run, harm
+		}
+	}
+	return worst
+}
+
 func (l *Ladder) active(a structs.AttemptID) bool {
 	t, found := throttled(l.Throttled, a)
 	return found && t.Active
