--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -66,10 +66,14 @@
 	if t.Kind == structs.WorkService {
 		c.service = r.classes.service(class, r.estimates.Band(t.Class, structs.Resources{}))
 	}
-	c.critical = t.Kind == structs.WorkService || (t.HasDeadline && c.slack < r.options.CriticalSlack)
+	c.critical = t.Kind == structs.WorkService || (t.HasDeadline && t.TimeLeft > 0 && c.slack < r.options.CriticalSlack)
 	c.forced = t.Waited > r.options.RelaxAfter || c.critical
 	c.limit = r.limit(t, c.critical)
 	floored := max(c.slack, -r.options.CriticalSlack)
+	if t.HasDeadline && t.TimeLeft <= 0 {
+		// The deadline has passed: what can still be in time goes first.
+		floored = r.options.OpenSlack
+	}
 	c.order = floored - time.Duration(r.options.AgeFactor*float64(t.Waited))
 	return c
 }
