Measure growth against a baseline that follows the service's load

Bands were also relative to the peak so far, which moved their meaning. Change: the quiet baseline is a line over the service's processor use with slowly fading reports; bands are absolute, doubling in size. A new test covers a load that grows beside a harmless neighbour.

--- a/placement/build_test.go
+++ b/placement/build_test.go
@@ -42,7 +42,7 @@
 	return f.harm[key], f.deviation[key]
 }
 
-func (f *fixedEstimates) Baseline(service string, _ int) (ms float64, known bool) {
+func (f *fixedEstimates) Baseline(service string, _ structs.Resources) (ms float64, known bool) {
 	ms, known = f.baseline[service]
 	return ms, known
 }
--- a/placement/estimate/interference.go
+++ b/placement/estimate/interference.go
@@ -7,102 +7,27 @@
 	"github.com/daisywall/daisywall/structs"
 )
 
-// Load bands of a service, by its processor use against the peak of its class.
+// Load bands of a service: each is twice as much processor use as the one
+// before. They are absolute, so that a new peak does not change their meaning.
 const (
-	bandLow = iota
-	bandMiddle
-	bandHigh
-	bands
+	bandBase = 125 // thousandths of a processor at which band 1 begins
+	maxBand  = 12
 )
 
-// Upper bounds of the low and the middle band.
-const (
-	lowLoad    = 0.5
-	middleLoad = 0.8
-)
-
-// Band returns the load band of a service that uses usage.
+// Band returns the load band of a service that uses usage, or of its mean
+// usage while the use of this run is unknown.
 func (m *Model) Band(service string, usage structs.Resources) int {
-	peak := m.peaks[service]
-	if peak <= 0 || usage.MilliCPU <= 0 {
-		return bandMiddle
-	}
-	switch load := float64(usage.MilliCPU) / peak; {
-	case load < lowLoad:
-		return bandLow
-	case load < middleLoad:
-		return bandMiddle
-	}
-	return bandHigh
-}
-
-type baselineKey struct {
-	service string
-	band    int
-}
-
-// baseline is the tail latency of a service class without neighbours.
-type baseline struct {
-	quiet    moments // reports without neighbours
-	low      float64 // running low quantile of all reports
-	lowCount float64
-}
-
-// lowQuantile is the quantile of all reports that stands in for the quiet
-// baseline until quiet reports were seen.
-const lowQuantile = 0.10
-
-func (b *baseline) add(latency float64, alone bool) {
-	if alone {
-		b.quiet.add(latency)
-	}
-	b.lowCount++
-	if b.lowCount == 1 {
-		b.low = latency
-		return
-	}
-	// Stochastic approximation of the quantile with a relative step.
-	step := max(0.5/b.lowCount, 0.01) * b.low
-	if latency < b.low {
-		b.low -= step * (1 - lowQuantile)
-	} else {
-		b.low += step * lowQuantile
-	}
-}
-
-// minQuiet is the number of quiet reports that make a baseline of their own.
-const minQuiet = 5
-
-func (b *baseline) value() (ms float64, known bool) {
-	switch {
-	case b == nil || b.lowCount == 0:
-		return 0, false
-	case b.quiet.weight >= minQuiet:
-		return b.quiet.mean, true
-	}
-	return b.low, true
-}
-
-// Baseline returns the tail latency of the service without neighbours at the
-// band, or at the nearest band that is known.
-func (m *Model) Baseline(service string, band int) (ms float64, known bool) {
-	for _, b := range nearest(band) {
-		if ms, known = m.baselines[baselineKey{service, b}].value(); known {
-			return ms, true
+	cpu := float64(usage.MilliCPU)
+	if cpu <= 0 {
+		if u, found := m.usage[service]; found {
+			cpu = u.cpu.mean
 		}
 	}
-	return 0, false
-}
-
-// nearest lists the bands by their distance from band.
-func nearest(band int) []int {
-	switch band {
-	case bandLow:
-		return []int{bandLow, bandMiddle, bandHigh}
-	case bandHigh:
-		return []int{bandHigh, bandMiddle, bandLow}
+	band := 0
+	for limit := float64(bandBase); cpu >= limit && band < maxBand; limit *= 2 {
+		band++
 	}
-	return []int{bandMiddle, bandHigh, bandLow}
+	return band
 }
 
 type pairKey struct {
@@ -137,18 +62,17 @@
 	if !known {
 		return
 	}
-	band := m.Band(r.Class, r.Usage)
-	key := baselineKey{r.Class, band}
-	b, found := m.baselines[key]
+	b, found := m.baselines[r.Class]
 	if !found {
 		b = &baseline{}
-		m.baselines[key] = b
+		m.baselines[r.Class] = b
 	}
-	b.add(r.LatencyMS, alone(list))
-	quiet, _ := m.Baseline(r.Class, band)
-	if quiet <= 0 || alone(list) {
+	b.add(float64(r.Usage.MilliCPU), r.LatencyMS, alone(list))
+	quiet, known := m.Baseline(r.Class, r.Usage)
+	if !known || quiet <= 0 || alone(list) {
 		return
 	}
+	band := m.Band(r.Class, r.Usage)
 	growth := min(max(r.LatencyMS/quiet-1, -1), maxGrowth)
 	m.attribute(now, r.Class, band, list, growth)
 }
@@ -212,14 +136,16 @@
 // guess returns what to expect of a pair that was never seen at the band: the
 // effect at the nearest known band with more uncertainty, else the prior.
 func (m *Model) guess(now time.Duration, key pairKey) (mean, deviation float64) {
-	for _, b := range nearest(key.band) {
-		e, found := m.pairs[pairKey{key.service, key.class, b}]
-		if b == key.band || !found {
-			continue
+	for distance := 1; distance <= maxBand; distance++ {
+		for _, band := range [2]int{key.band + distance, key.band - distance} {
+			e, found := m.pairs[pairKey{key.service, key.class, band}]
+			if !found {
+				continue
+			}
+			const otherBandFactor = 2
+			old := m.aged(*e, now)
+			return old.mean, min(m.options.PriorDeviation, otherBandFactor*math.Sqrt(old.variance))
 		}
-		const otherBandFactor = 2
-		old := m.aged(*e, now)
-		return old.mean, min(m.options.PriorDeviation, otherBandFactor*math.Sqrt(old.variance))
 	}
 	return m.options.PriorHarm, m.options.PriorDeviation
 }
--- a/placement/estimate/model.go
+++ b/placement/estimate/model.go
@@ -15,8 +15,7 @@
 	options   Options
 	usage     map[string]*usageStat
 	runTimes  map[string]*moments
-	peaks     map[string]float64 // largest processor use of a service class, decayed
-	baselines map[baselineKey]*baseline
+	baselines map[string]*baseline // by service class
 	pairs     map[pairKey]*effect
 	histories map[structs.WorkerID]*history
 	learned   time.Duration // time of the last report, for decay
@@ -28,8 +27,7 @@
 		options:   options.complete(),
 		usage:     map[string]*usageStat{},
 		runTimes:  map[string]*moments{},
-		peaks:     map[string]float64{},
-		baselines: map[baselineKey]*baseline{},
+		baselines: map[string]*baseline{},
 		pairs:     map[pairKey]*effect{},
 		histories: map[structs.WorkerID]*history{},
 	}
--- a/placement/estimate/model_test.go
+++ b/placement/estimate/model_test.go
@@ -239,6 +239,35 @@
 	is.True(high > 0.4)
 }
 
+func TestBaselineFollowsTheLoadOfTheService(t *testing.T) {
+	is := is.New(t)
+	m := New(Options{})
+	service := Resident{Attempt: attempt("slot-check", 0), Class: "slot-check", Kind: structs.WorkService, Share: 1}
+	now := time.Duration(0)
+	latency := func(use int64) float64 { return 20 + float64(use)/100 }
+	report := func(use int64) {
+		now += step
+		m.Learn(now, "w1", []Report{{Attempt: service.Attempt, Class: "slot-check", Kind: structs.WorkService,
+			Usage: structs.Resources{MilliCPU: use}, LatencyMS: latency(use)}})
+	}
+	m.Observe(0, "w1", []Resident{service})
+	for use := int64(1000); use < 1500; use += 10 {
+		report(use)
+	}
+	// The load grows on while a harmless neighbour is there.
+	m.Observe(now, "w1", []Resident{service, resident("report", 0)})
+	for use := int64(1500); use < 2500; use += 10 {
+		report(use)
+	}
+	for _, use := range []int64{1000, 2000, 2500} {
+		got, known := m.Baseline("slot-check", structs.Resources{MilliCPU: use})
+		is.True(known)
+		is.True(math.Abs(got/latency(use)-1) < 0.05)
+	}
+	harm, _ := m.Harm("slot-check", "report", m.Band("slot-check", structs.Resources{MilliCPU: 2400}))
+	is.True(math.Abs(harm) < 0.05)
+}
+
 func TestHistoryStaysBounded(t *testing.T) {
 	is := is.New(t)
 	m := New(Options{Horizon: time.Minute})
--- a/placement/estimate/usage.go
+++ b/placement/estimate/usage.go
@@ -52,9 +52,6 @@
 	u.memory.add(float64(r.Usage.MemoryMB))
 	const peakDecay = 0.999
 	u.peakMemory = max(u.peakMemory*peakDecay, float64(r.Usage.MemoryMB))
-	if r.Kind == structs.WorkService {
-		m.peaks[r.Class] = max(m.peaks[r.Class]*peakDecay, float64(r.Usage.MilliCPU))
-	}
 }
 
 // memoryMargin is what is reserved of memory beyond the peak that was seen,
--- a/placement/ladder.go
+++ b/placement/ladder.go
@@ -59,8 +59,7 @@
 		if run == nil || run.LatencyMS <= 0 {
 			continue
 		}
-		band := r.estimates.Band(run.Class, run.Usage)
-		baseline, known := r.estimates.Baseline(run.Class, band)
+		baseline, known := r.estimates.Baseline(run.Class, run.Usage)
 		if !known || baseline <= 0 {
 			continue
 		}
--- a/placement/node.go
+++ b/placement/node.go
@@ -57,7 +57,7 @@
 	if run.LatencyMS > 0 {
 		return true
 	}
-	_, known := r.estimates.Baseline(run.Class, 0)
+	_, known := r.estimates.Baseline(run.Class, run.Usage)
 	return known
 }
 
--- a/placement/snapshot.go
+++ b/placement/snapshot.go
@@ -139,7 +139,7 @@
 	// service through one task of the class beside it, such as 0.1 for a tenth,
 	// and the standard deviation of that estimate.
 	Harm(service, class string, band int) (mean, deviation float64)
-	// Baseline returns the tail latency of the service without neighbours, in
-	// milliseconds, and false while it is unknown.
-	Baseline(service string, band int) (ms float64, known bool)
+	// Baseline returns the tail latency of the service without neighbours at
+	// the usage, in milliseconds, and false while it is unknown.
+	Baseline(service string, usage structs.Resources) (ms float64, known bool)
 }
