--- /dev/null
+++ b/bench/config/propagation_test.go
@@ -0,0 +1,265 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisywall/daisywall/config"
+	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/structs"
+)
+
+const (
+	teamCount         = 63
+	cellSize          = 64
+	heartbeatInterval = time.Second
+	hop               = 3 * time.Millisecond
+	changesPerDay     = 14_000
+	secondsPerDay     = 86_400
+)
+
+// fullConfig varies the samples into a configuration of 63 teams.
+func fullConfig(tb testing.TB, revision int64) *structs.Config {
+	tb.Helper()
+	random := rand.New(rand.NewPCG(20261203, 1))
+	c := &structs.Config{Revision: revision}
+	for i := range teamCount {
+		team := sample(tb, []string{"jabuka", "graz"}[i%2])
+		team.ID = structs.TeamID(fmt.Sprintf("team-%02d", i))
+		for k := range team.Requests {
+			team.Requests[k].Name = fmt.Sprintf("%s-%d", team.Requests[k].Name, random.IntN(100))
+			team.Requests[k].DeadlineMS += random.Int64N(1000)
+		}
+		for k := range team.Batch {
+			team.Batch[k].Class = fmt.Sprintf("%s-%d", team.Batch[k].Class, random.IntN(100))
+			team.Batch[k].DeadlineMS += random.Int64N(1_000_000)
+		}
+		c.Teams = append(c.Teams, team)
+	}
+	return c
+}
+
+func sample(tb testing.TB, name string) structs.TeamConfig {
+	tb.Helper()
+	data, err := os.ReadFile("../../examples/" + name + "/config.json")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	team, err := config.DecodeTeam(data)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return team
+}
+
+// touch changes the deadline of n teams, as an operator would.
+func touch(c *structs.Config, n int) config.Change {
+	change := config.Change{}
+	for _, team := range c.Teams[:n] {
+		team.Requests = append([]structs.RequestKind(nil), team.Requests...)
+		team.Requests[0].DeadlineMS += 1 + c.Revision
+		change.Put = append(change.Put, team)
+	}
+	return change
+}
+
+func offer(tb testing.TB, holder *config.Holder, c *structs.Config) {
+	tb.Helper()
+	if _, err := holder.Offer(c); err != nil {
+		tb.Fatal(err)
+	}
+}
+
+// BenchmarkUpdateSize reports the bytes of an update by what changed.
+func BenchmarkUpdateSize(b *testing.B) {
+	c := fullConfig(b, 1)
+	plain, err := json.Marshal(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, changed := range []int{1, 10, teamCount} {
+		b.Run(fmt.Sprintf("changed=%d", changed), func(b *testing.B) {
+			leader := config.NewHolder()
+			offer(b, leader, c)
+			next := &structs.Config{Revision: 2, Teams: append([]structs.TeamConfig(nil), c.Teams...)}
+			copy(next.Teams, touch(c, changed).Put)
+			offer(b, leader, next)
+			var delta, full []byte
+			for range b.N {
+				_, delta = leader.UpdateSince(1)
+				_, full = leader.UpdateSince(0)
+			}
+			b.ReportMetric(float64(len(plain)), "plain-bytes")
+			b.ReportMetric(float64(len(full)), "full-bytes")
+			b.ReportMetric(float64(len(delta)), "delta-bytes")
+		})
+	}
+}
+
+// BenchmarkOfferUpdate is an agent's processor time for one changed team among
+// 63.
+func BenchmarkOfferUpdate(b *testing.B) {
+	c := fullConfig(b, 1)
+	leader, agent := config.NewHolder(), config.NewHolder()
+	offer(b, leader, c)
+	offer(b, agent, c)
+	b.ReportAllocs()
+	for range b.N {
+		b.StopTimer()
+		current := leader.Current()
+		next := &structs.Config{Revision: current.Revision + 1, Teams: append([]structs.TeamConfig(nil), current.Teams...)}
+		copy(next.Teams, touch(current, 1).Put)
+		offer(b, leader, next)
+		_, data := leader.UpdateSince(agent.Revision())
+		b.StartTimer()
+		if _, err := agent.OfferUpdate(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// fleet is the propagation path in one process: leaders watch the table, and
+// agents ask their leader once a heartbeat.
+type fleet struct {
+	table   *standin.Table
+	holders []*config.Holder // leaders first
+	out     []atomic.Int64   // bytes sent by each leader
+	in      atomic.Int64     // bytes received by all agents
+	updates atomic.Int64     // updates sent
+}
+
+func startFleet(ctx context.Context, group *sync.WaitGroup, table *standin.Table, size int) *fleet {
+	leaders := (size + cellSize - 1) / cellSize
+	f := &fleet{table: table, out: make([]atomic.Int64, leaders)}
+	for i := range size {
+		holder := config.NewHolder()
+		f.holders = append(f.holders, holder)
+		if i < leaders {
+			watcher := config.NewWatcher(table, holder, config.NoPeers{}, zap.NewNop(), config.WatcherOptions{})
+			group.Go(func() {
+				pause(ctx, rand.N(config.DefaultPollInterval))
+				_ = watcher.Run(ctx)
+			})
+			continue
+		}
+		group.Go(func() { f.heartbeats(ctx, i%leaders, holder) })
+	}
+	return f
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (f *fleet) heartbeats(ctx context.Context, leader int, holder *config.Holder) {
+	pause(ctx, rand.N(heartbeatInterval))
+	for ctx.Err() == nil {
+		have := holder.Revision()
+		pause(ctx, hop)
+		_, data := f.holders[leader].UpdateSince(have)
+		pause(ctx, hop)
+		if data != nil {
+			f.out[leader].Add(int64(len(data)))
+			f.in.Add(int64(len(data)))
+			f.updates.Add(1)
+			_, _ = holder.OfferUpdate(data)
+		}
+		pause(ctx, heartbeatInterval)
+	}
+}
+
+// waitFor returns once every holder has the revision.
+func (f *fleet) waitFor(revision int64) {
+	for _, holder := range f.holders {
+		for {
+			changed := holder.Changed()
+			if holder.Revision() >= revision {
+				break
+			}
+			<-changed
+		}
+	}
+}
+
+func (f *fleet) busiestLeader() int64 {
+	var most int64
+	for i := range f.out {
+		most = max(most, f.out[i].Load())
+	}
+	return most
+}
+
+// BenchmarkPropagation is the time from acceptance until the last daemon has
+// the revision, and the bytes that it costs. A burst is 100 changes in a row.
+func BenchmarkPropagation(b *testing.B) {
+	for _, size := range []int{64, 500, 4700} {
+		for _, burst := range []int{1, 100} {
+			b.Run(fmt.Sprintf("daemons=%d/burst=%d", size, burst), func(b *testing.B) { propagate(b, size, burst) })
+		}
+	}
+}
+
+func propagate(b *testing.B, size, burst int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	table := standin.NewTable()
+	store := config.NewStore(table)
+	if _, err := store.Apply(ctx, 0, config.Change{Put: fullConfig(b, 0).Teams}, "bench"); err != nil {
+		b.Fatal(err)
+	}
+	f := startFleet(ctx, &group, table, size)
+	f.waitFor(1)
+	updates, in := f.updates.Load(), f.in.Load()
+	leaderOut := f.busiestLeader()
+	var worst, total time.Duration
+	b.ResetTimer()
+	for range b.N {
+		pause(ctx, rand.N(heartbeatInterval)) // any phase of polls and heartbeats
+		revision := applyBurst(ctx, b, store, burst)
+		accepted := time.Now()
+		f.waitFor(revision)
+		took := time.Since(accepted)
+		worst, total = max(worst, took), total+took
+	}
+	b.StopTimer()
+	rounds := float64(b.N)
+	b.ReportMetric(worst.Seconds(), "worst-s")
+	b.ReportMetric(total.Seconds()/rounds, "mean-s")
+	b.ReportMetric(float64(f.updates.Load()-updates)/rounds/float64(size), "updates/daemon")
+	b.ReportMetric(float64(f.in.Load()-in)/rounds/float64(size), "B/agent")
+	perLeader := float64(f.busiestLeader()-leaderOut) / rounds
+	b.ReportMetric(perLeader, "B/leader")
+	b.ReportMetric(perLeader/float64(burst)*changesPerDay/secondsPerDay, "B/s-leader-at-14000/day")
+}
+
+func applyBurst(ctx context.Context, b *testing.B, store *config.Store, burst int) (revision int64) {
+	for i := range burst {
+		current, err := store.Current(ctx)
+		if err != nil {
+			b.Fatal(err)
+		}
+		change := touch(current, 1)
+		if i%teamCount > 0 {
+			current.Teams[0], current.Teams[i%teamCount] = current.Teams[i%teamCount], current.Teams[0]
+			change = touch(current, 1)
+		}
+		if revision, err = store.Apply(ctx, current.Revision, change, "bench"); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return revision
+}
--- /dev/null
+++ b/config/fuzz_test.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+func addExamples(f *testing.F) {
+	f.Helper()
+	for _, team := range []string{"jabuka", "graz"} {
+		data, err := os.ReadFile("../examples/" + team + "/config.json")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+}
+
+func FuzzDecodeTeam(f *testing.F) {
+	addExamples(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		team, err := DecodeTeam(data)
+		if err != nil {
+			var invalid *structs.InvalidError
+			is.New(t).True(errors.As(err, &invalid) && len(invalid.Faults) > 0)
+			return
+		}
+		again, err := EncodeTeam(team)
+		is.New(t).NoErr(err)
+		same, err := DecodeTeam(again)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(same, team)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"revision": 1, "teams": []}`))
+	if data, err := Encode(revisionOf(3, 2)); err == nil {
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		config, err := Decode(data)
+		if err != nil {
+			var invalid *structs.InvalidError
+			is.New(t).True(errors.As(err, &invalid) && len(invalid.Faults) > 0)
+			return
+		}
+		again, err := Encode(config)
+		is.New(t).NoErr(err)
+		same, err := Decode(again)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(same, config)
+	})
+}
+
+func FuzzOfferUpdate(f *testing.F) {
+	leader := NewHolder()
+	for revision := int64(3); revision < 5; revision++ {
+		if _, err := leader.Offer(revisionOf(revision, 2)); err != nil {
+			f.Fatal(err)
+		}
+	}
+	for _, have := range []int64{0, 3} {
+		_, data := leader.UpdateSince(have)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		agent := NewHolder()
+		if _, err := agent.Offer(revisionOf(3, 2)); err != nil {
+			t.Fatal(err)
+		}
+		taken, err := agent.OfferUpdate(data)
+		var base *BaseError
+		var corrupt *CorruptError
+		is := is.New(t)
+		is.True(err == nil || errors.As(err, &base) || errors.As(err, &corrupt))
+		is.Equal(taken, agent.Revision() > 3)
+	})
+}
