Report the whole capacity while the ledger is not open

A cell publishes the sizes of its workers from heartbeats, and a job that fits none is refused for good. An agent that had just started reported only what was committed, so the first job after a restart of a cell could be refused.

--- a/worker/agent_test.go
+++ b/worker/agent_test.go
@@ -194,6 +194,8 @@
 		synctest.Wait()
 		reasons := h.assign(h.request(attemptOf("other", 1), "long"))
 		h.is.Equal(reasons, []structs.Reason{structs.ReasonStaleGrant})
+		// Cells publish the sizes of their workers: it stays the whole one.
+		h.is.Equal(api.ToResources(h.leader.last().GetCapacity()), hostCapacity)
 		time.Sleep(DefaultStartGrant + 2*time.Second)
 		h.is.Equal(h.starts(), 4)
 		reasons = h.assign(h.request(attemptOf("another", 1), "long"))
--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -48,10 +48,6 @@
 	defer a.mu.Unlock()
 	a.sequence++
 	a.readings.add(reading{sequence: a.sequence, incarnation: s.Incarnation, clock: s.Now})
-	capacity := a.o.Worker.Capacity
-	if !a.ledger.isOpen() {
-		capacity = a.ledger.committed() // nothing can start yet
-	}
 	return &daisywallpb.HeartbeatRequest{
 		Cell:           string(a.o.Worker.Cell),
 		Worker:         string(a.o.Worker.ID),
@@ -60,7 +56,7 @@
 		Address:        a.o.Worker.Address,
 		Incarnation:    s.Incarnation,
 		Sequence:       a.sequence,
-		Capacity:       api.FromResources(capacity),
+		Capacity:       api.FromResources(a.o.Worker.Capacity),
 		Full:           a.wantFull,
 		Runs:           a.acked.compose(a.ledger, a.wantFull),
 		Usage:          usage,
