--- /dev/null
+++ b/cell/cell_bench_test.go
@@ -0,0 +1,347 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/daisywall/daisywall/api"
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// writeLatency is the time that the table takes for a write.
+const writeLatency = 5 * time.Millisecond
+
+// slowTable adds the latency of a write and counts log rows.
+type slowTable struct {
+	*standin.Table
+	latency time.Duration
+
+	mu       sync.Mutex
+	rows     int // log rows
+	allRows  int
+	bytes    int // of log rows
+	assigned int
+}
+
+func (t *slowTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+	if t.latency > 0 {
+		time.Sleep(t.latency)
+	}
+	revision, err := t.Table.Commit(ctx, txn)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil {
+		t.allRows += len(txn.Puts) + len(txn.Deletes)
+	}
+	for _, p := range txn.Puts {
+		var b Batch
+		if decode(p.Key, p.Value, &b) == nil && b.Epoch > 0 && !b.Empty() {
+			t.rows++
+			t.bytes += len(p.Value)
+			t.assigned += len(b.Starts)
+		}
+	}
+	return revision, err
+}
+
+// bench is a cell whose workers finish what they run with every heartbeat.
+type bench struct {
+	b       *testing.B
+	table   *slowTable
+	node    *Node
+	slots   int64
+	workers int
+
+	mu      sync.Mutex
+	running map[structs.WorkerID][]*daisywallpb.Assignment
+	freed   map[structs.WorkerID]time.Time // last heartbeat
+	latency *hdrhistogram.Histogram        // from the heartbeat that freed a slot to the delivery, in microseconds
+	starts  int
+	bytes   int // of assignments
+	beats   int // bytes of heartbeats and responses
+	counted bool
+}
+
+func newBench(b *testing.B, workers int, slots int64, rowRecords int, latency time.Duration) *bench {
+	x := &bench{
+		b: b, slots: slots, workers: workers, table: &slowTable{Table: standin.NewTable(), latency: latency},
+		running: map[structs.WorkerID][]*daisywallpb.Assignment{}, freed: map[structs.WorkerID]time.Time{},
+		latency: hdrhistogram.New(1, 60_000_000, 3),
+	}
+	node, err := New(Options{
+		Cell: "a", Domain: "north", Worker: "w0", Table: x.table, Objects: standin.NewObjects(),
+		Assign: x.assign, rowRecords: rowRecords,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	x.node = node
+	return x
+}
+
+func (x *bench) assign(_ context.Context, address string, req *daisywallpb.AssignRequest) (*daisywallpb.AssignResponse, error) {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	id := structs.WorkerID(address)
+	x.running[id] = append(x.running[id], req.GetAssignments()...)
+	if !x.counted {
+		return &daisywallpb.AssignResponse{}, nil
+	}
+	x.bytes += proto.Size(req)
+	for range req.GetAssignments() {
+		x.starts++
+		if err := x.latency.RecordValue(now.Sub(x.freed[id]).Microseconds()); err != nil {
+			return nil, err
+		}
+	}
+	return &daisywallpb.AssignResponse{}, nil
+}
+
+// beat sends a worker's heartbeats until ctx ends.
+func (x *bench) beat(ctx context.Context, i int) {
+	id := structs.WorkerID(fmt.Sprintf("w%d", i))
+	req := &daisywallpb.HeartbeatRequest{
+		Cell: "a", Worker: string(id), FailureDomain: "north", Address: string(id), Incarnation: "8f14e45f-ceea-467f-9c8b-9e0b6f2a7d11",
+		Capacity: api.FromResources(structs.Resources{MilliCPU: 1000 * x.slots, MemoryMB: 1000 * x.slots}),
+	}
+	_ = sleep(ctx, time.Duration(i)*time.Second/time.Duration(x.workers))
+	for ctx.Err() == nil {
+		req.Sequence++
+		req.Runs = nil
+		x.mu.Lock()
+		for _, a := range x.running[id] {
+			req.Runs = append(req.Runs, &daisywallpb.RunReport{Attempt: a.GetAttempt(), State: string(platform.RunExited), Resources: a.GetResources()})
+		}
+		x.running[id] = nil
+		x.freed[id] = time.Now()
+		x.mu.Unlock()
+		resp, _ := x.node.Heartbeat(ctx, req)
+		x.mu.Lock()
+		x.beats += proto.Size(req) + proto.Size(resp)
+		x.mu.Unlock()
+		req.Reply, req.ReplyEpoch, req.Full = resp.GetReply(), resp.GetEpoch(), resp.GetWantFull()
+		_ = sleep(ctx, time.Second)
+	}
+}
+
+// run measures the cell for a while.
+func (x *bench) run(warm, measured time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = x.node.Run(ctx) })
+	for i := range x.workers {
+		group.Go(func() { x.beat(ctx, i) })
+	}
+	time.Sleep(2 * time.Second)
+	jobs := NewJobs(x.table.Table, time.Second, nil)
+	job := pricing
+	job.Tasks = 20_000
+	for {
+		if _, err := jobs.Submit(ctx, job, "bench"); err == nil {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(warm)
+	x.mark(true)
+	time.Sleep(measured)
+	x.mark(false)
+	cancel()
+	group.Wait()
+	seconds := measured.Seconds()
+	x.b.ReportMetric(float64(x.starts)/seconds, "starts/s")
+	x.b.ReportMetric(float64(x.table.rows)/seconds, "logrows/s")
+	x.b.ReportMetric(float64(x.table.allRows)/seconds, "rows/s")
+	x.b.ReportMetric(float64(x.latency.ValueAtQuantile(50))/1000, "p50-ms")
+	x.b.ReportMetric(float64(x.latency.ValueAtQuantile(99))/1000, "p99-ms")
+	x.b.ReportMetric(float64(x.table.bytes)/float64(max(1, x.starts)), "logB/start")
+	x.b.ReportMetric(float64(x.bytes)/float64(max(1, x.starts)), "assignB/start")
+	x.b.ReportMetric(float64(x.beats)/float64(max(1, x.starts)), "beatB/start")
+	x.b.ReportMetric(0, "ns/op")
+}
+
+// mark begins or ends the measured time.
+func (x *bench) mark(begin bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.counted = begin
+	if begin {
+		x.beats = 0
+		x.table.mu.Lock()
+		defer x.table.mu.Unlock()
+		x.table.rows, x.table.allRows, x.table.bytes = 0, 0, 0
+		return
+	}
+	x.b.StopTimer()
+}
+
+// BenchmarkGroupCommit compares group commit with one row for each record, on
+// a table of 5 ms a write. Run it with -benchtime 1x.
+func BenchmarkGroupCommit(b *testing.B) {
+	for _, load := range []struct {
+		rate, workers int
+		slots         int64
+	}{{36, 36, 1}, {300, 60, 5}} {
+		for name, records := range map[string]int{"grouped": 0, "single": 1} {
+			b.Run(fmt.Sprintf("%s/%d", name, load.rate), func(b *testing.B) {
+				newBench(b, load.workers, load.slots, records, writeLatency).run(3*time.Second, 10*time.Second)
+			})
+		}
+	}
+}
+
+// benchState returns a state with n assigned tasks on 64 workers.
+func benchState(n int) *State {
+	s := NewState()
+	job := pricing
+	job.ID = JobIDFor("jabuka", "bench")
+	job.Tasks = int32(n)
+	b := &Batch{Epoch: 1, Accepts: []Accept{{Job: job, Tasks: []Handoff{{Count: int32(n)}}}}}
+	for i := range benchWorkers {
+		b.Workers = append(b.Workers, WorkerChange{Worker: benchWorker(i), Incarnation: "8f14e45f-ceea-467f-9c8b-9e0b6f2a7d11"})
+	}
+	for i := range n {
+		b.Starts = append(b.Starts, Start{Job: job.ID, Index: int32(i), Number: 1, Worker: benchWorker(i % benchWorkers)})
+	}
+	s.Apply(1, b)
+	return s
+}
+
+const benchWorkers = 64
+
+func benchWorker(i int) structs.WorkerID { return structs.WorkerID(fmt.Sprintf("worker-%04d", i)) }
+
+// benchLeader leads a cell in the state, on a table without latency.
+func benchLeader(b *testing.B, s *State) *leader {
+	b.Helper()
+	o, err := Options{
+		Cell: "a", Domain: "north", Worker: "w0", Table: standin.NewTable(), Objects: standin.NewObjects(),
+		Assign: func(context.Context, string, *daisywallpb.AssignRequest) (*daisywallpb.AssignResponse, error) {
+			return &daisywallpb.AssignResponse{}, nil
+		},
+	}.complete()
+	if err != nil {
+		b.Fatal(err)
+	}
+	settler := newSettler(o.Table, time.Second)
+	c := candidate{settler: settler, cell: "a", worker: "w0", term: time.Second, timing: o.Timing}
+	t, err := c.takeOver(b.Context())
+	if err != nil {
+		b.Fatal(err)
+	}
+	l := newLeader(o, "a", settler, settler.metrics, t)
+	l.state, l.ready, l.domain.polled = s, true, true
+	return l
+}
+
+// BenchmarkRecovery reads a cell back from its snapshot and a full tail of log
+// rows.
+func BenchmarkRecovery(b *testing.B) {
+	for _, tasks := range []int{200, 1400, 10_000} {
+		b.Run(fmt.Sprint(tasks), func(b *testing.B) {
+			state := benchState(tasks)
+			l := benchLeader(b, state)
+			data := encode(state)
+			if err := l.o.Objects.Put(b.Context(), "snapshot", data); err != nil {
+				b.Fatal(err)
+			}
+			puts := []platform.Put{{Key: snapshotKey("a"), Value: encode(snapshotPointer{Object: "snapshot", Seq: 1})}}
+			for i := range snapshotRows {
+				e := End{Job: JobIDFor("jabuka", "bench"), Index: int32(i), Number: 1, Cause: structs.EndFinished}
+				puts = append(puts, platform.Put{Key: logKey("a", int64(i+2)), Value: encode(&Batch{Epoch: 1, Ends: []End{e}})})
+			}
+			if _, err := l.o.Table.Commit(b.Context(), platform.Txn{ID: "setup", Puts: puts}); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if _, rows, err := l.readState(b.Context()); err != nil || rows != snapshotRows {
+					b.Fatal(rows, err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "snapshotB")
+			b.ReportMetric(float64(len(data))/float64(tasks), "B/task")
+		})
+	}
+}
+
+// BenchmarkHeartbeat measures the leader's processor time for a heartbeat in a
+// cell with 1,400 running tasks.
+func BenchmarkHeartbeat(b *testing.B) {
+	l := benchLeader(b, benchState(1400))
+	reqs := make([]*daisywallpb.HeartbeatRequest, benchWorkers)
+	for i := range reqs {
+		reqs[i] = &daisywallpb.HeartbeatRequest{
+			Cell: "a", Worker: string(benchWorker(i)), Address: "w", Incarnation: "8f14e45f-ceea-467f-9c8b-9e0b6f2a7d11", Full: true,
+			Capacity: api.FromResources(structs.Resources{MilliCPU: 16_000, MemoryMB: 60_000}),
+		}
+		for _, t := range l.state.AssignedTo(benchWorker(i)) {
+			reqs[i].Runs = append(reqs[i].Runs, &daisywallpb.RunReport{Attempt: api.FromAttempt(t.Attempt()), State: string(platform.RunRunning)})
+		}
+	}
+	beat := func(req *daisywallpb.HeartbeatRequest) {
+		req.Sequence++
+		resp, _ := l.heartbeat(req)
+		req.Reply, req.ReplyEpoch = resp.GetReply(), resp.GetEpoch()
+	}
+	for _, full := range []bool{true, false} {
+		b.Run(fmt.Sprintf("full=%t", full), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				req := reqs[i%benchWorkers]
+				if !full && i >= 2*benchWorkers {
+					req.Full, req.Runs = false, nil
+				}
+				beat(req)
+			}
+		})
+	}
+}
+
+// BenchmarkStart measures the leader's processor time for a start with the end
+// before it: planning, encoding, the stand-in's commit, applying.
+func BenchmarkStart(b *testing.B) {
+	l := benchLeader(b, benchState(1400))
+	now := time.Now()
+	for i := range benchWorkers {
+		id := benchWorker(i)
+		v := newView(id)
+		v.worker.Capacity = structs.Resources{MilliCPU: 1 << 30, MemoryMB: 1 << 30}
+		v.incarnation = "8f14e45f-ceea-467f-9c8b-9e0b6f2a7d11"
+		v.outbox.sending = true // deliveries are not part of it
+		l.views[id] = v
+	}
+	const batch = 36
+	starts := 0
+	for i := 0; b.Loop(); i++ {
+		now = time.Now()
+		for _, v := range l.views {
+			v.seen = now
+		}
+		tasks := l.state.Assigned()
+		for k := range batch {
+			t := tasks[(i*batch+k)%len(tasks)]
+			l.queueEnd(structs.AttemptEnd{Attempt: t.Attempt(), Cause: structs.EndEvicted, Checkpoint: "checkpoint/" + t.ID().String()})
+		}
+		for len(l.queue.ends)+len(l.state.pending) > 0 {
+			w := l.compose(now)
+			if err := l.commit(b.Context(), w); err != nil {
+				b.Fatal(err)
+			}
+			l.logged = 0 // no snapshots
+		}
+		for _, v := range l.views {
+			v.outbox.assignments = nil
+		}
+		starts += batch
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(starts), "ns/start")
+}
--- a/cell/compose.go
+++ b/cell/compose.go
@@ -14,13 +14,22 @@
 const (
 	maxEnds    = 256
 	maxDrops   = 256
-	maxStarts  = 128
+	maxStarts  = 128 // also the number of placements taken from one plan
 	maxMoves   = 64
 	maxCloses  = 16
 	maxAccepts = 8
 	maxFails   = 64
 )
 
+// rowLimit returns the bound of one kind of record. Benchmarks lower it to
+// measure what packing gives.
+func (l *leader) rowLimit(bound int) int {
+	if l.o.rowRecords > 0 {
+		return min(bound, l.o.rowRecords)
+	}
+	return bound
+}
+
 // renewalsPerTerm is the number of renewals that a leader makes within the
 // term after which others take over.
 const renewalsPerTerm = 3
@@ -118,7 +127,7 @@
 			delete(l.queue.ends, id)
 			continue
 		}
-		if len(w.batch.Ends) < maxEnds {
+		if len(w.batch.Ends) < l.rowLimit(maxEnds) {
 			w.batch.Ends = append(w.batch.Ends, endOf(e))
 		}
 	}
--- a/cell/options.go
+++ b/cell/options.go
@@ -37,6 +37,8 @@
 	Timing Timing // zero fields get defaults
 	Log    *zap.Logger
 	Meters metric.MeterProvider
+
+	rowRecords int // bound of each kind of record in a log row, 0 for the usual ones
 }
 
 // Timing holds the durations of a cell. Every member must use the same values,
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -131,7 +131,7 @@
 
 // snapshot copies what the planner needs.
 func (l *leader) snapshot(now time.Time) *Snapshot {
-	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: maxStarts}
+	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: l.rowLimit(maxStarts)}
 	for _, t := range l.state.Pending() {
 		if t.job.CancelRequested || len(s.Pending) == maxPending {
 			continue
