--- a/cell/cell_bench_test.go
+++ b/cell/cell_bench_test.go
@@ -71,15 +71,15 @@
 	counted bool
 }
 
-func newBench(b *testing.B, workers int, slots int64, rowRecords int, latency time.Duration) *bench {
+func newBench(b *testing.B, workers int, slots int64, v variant) *bench {
 	x := &bench{
-		b: b, slots: slots, workers: workers, table: &slowTable{Table: standin.NewTable(), latency: latency},
+		b: b, slots: slots, workers: workers, table: &slowTable{Table: standin.NewTable(), latency: writeLatency},
 		running: map[structs.WorkerID][]*daisywallpb.Assignment{}, freed: map[structs.WorkerID]time.Time{},
 		latency: hdrhistogram.New(1, 60_000_000, 3),
 	}
 	node, err := New(Options{
 		Cell: "a", Domain: "north", Worker: "w0", Table: x.table, Objects: standin.NewObjects(),
-		Assign: x.assign, rowRecords: rowRecords,
+		Assign: x.assign, rowRecords: v.records, Timing: Timing{CommitRate: v.rate},
 	})
 	if err != nil {
 		b.Fatal(err)
@@ -185,6 +185,13 @@
 	x.b.StopTimer()
 }
 
+// variant is a way of writing the log.
+type variant struct {
+	name    string
+	records int     // bound of each kind of record in a row, 0 for the usual ones
+	rate    float64 // log rows a second
+}
+
 // BenchmarkGroupCommit compares group commit with one row for each record, on
 // a table of 5 ms a write. Run it with -benchtime 1x.
 func BenchmarkGroupCommit(b *testing.B) {
@@ -192,9 +199,9 @@
 		rate, workers int
 		slots         int64
 	}{{36, 36, 1}, {300, 60, 5}} {
-		for name, records := range map[string]int{"grouped": 0, "single": 1} {
-			b.Run(fmt.Sprintf("%s/%d", name, load.rate), func(b *testing.B) {
-				newBench(b, load.workers, load.slots, records, writeLatency).run(3*time.Second, 10*time.Second)
+		for _, v := range []variant{{"single", 1, -1}, {"grouped", 0, -1}, {"grouped-4/s", 0, 4}, {"grouped-2/s", 0, 2}} {
+			b.Run(fmt.Sprintf("%s/%d", v.name, load.rate), func(b *testing.B) {
+				newBench(b, load.workers, load.slots, v).run(3*time.Second, 10*time.Second)
 			})
 		}
 	}
@@ -221,8 +228,8 @@
 
 func benchWorker(i int) structs.WorkerID { return structs.WorkerID(fmt.Sprintf("worker-%04d", i)) }
 
-// benchLeader leads a cell in the state, on a table without latency.
-func benchLeader(b *testing.B, s *State) *leader {
+// testLeader leads a cell in the state, on a table without latency.
+func testLeader(b testing.TB, s *State) *leader {
 	b.Helper()
 	o, err := Options{
 		Cell: "a", Domain: "north", Worker: "w0", Table: standin.NewTable(), Objects: standin.NewObjects(),
@@ -250,7 +257,7 @@
 	for _, tasks := range []int{200, 1400, 10_000} {
 		b.Run(fmt.Sprint(tasks), func(b *testing.B) {
 			state := benchState(tasks)
-			l := benchLeader(b, state)
+			l := testLeader(b, state)
 			data := encode(state)
 			if err := l.o.Objects.Put(b.Context(), "snapshot", data); err != nil {
 				b.Fatal(err)
@@ -277,7 +284,7 @@
 // BenchmarkHeartbeat measures the leader's processor time for a heartbeat in a
 // cell with 1,400 running tasks.
 func BenchmarkHeartbeat(b *testing.B) {
-	l := benchLeader(b, benchState(1400))
+	l := testLeader(b, benchState(1400))
 	reqs := make([]*daisywallpb.HeartbeatRequest, benchWorkers)
 	for i := range reqs {
 		reqs[i] = &daisywallpb.HeartbeatRequest{
@@ -309,8 +316,7 @@
 // BenchmarkStart measures the leader's processor time for a start with the end
 // before it: planning, encoding, the stand-in's commit, applying.
 func BenchmarkStart(b *testing.B) {
-	l := benchLeader(b, benchState(1400))
-	now := time.Now()
+	l := testLeader(b, benchState(1400))
 	for i := range benchWorkers {
 		id := benchWorker(i)
 		v := newView(id)
@@ -322,7 +328,7 @@
 	const batch = 36
 	starts := 0
 	for i := 0; b.Loop(); i++ {
-		now = time.Now()
+		now := time.Now()
 		for _, v := range l.views {
 			v.seen = now
 		}
--- a/cell/explain.go
+++ b/cell/explain.go
@@ -110,7 +110,7 @@
 	if !found {
 		return
 	}
-	view := l.workerView(v, now)
+	view := l.workerView(v, nil, now)
 	r.Found, r.Worker, r.Free = true, id, view.Free
 	r.State = "placeable"
 	if !view.Placeable {
--- a/cell/heartbeat.go
+++ b/cell/heartbeat.go
@@ -48,8 +48,8 @@
 	}
 	l.replies++
 	resp = &daisywallpb.HeartbeatResponse{Epoch: l.epoch, Reply: l.replies}
-	v.answered(l.replies, now)
 	proved := v.proveAge(req, l.epoch)
+	v.answered(l.replies, now)
 	if proved {
 		v.describe(req, now)
 	} else {
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -142,7 +142,8 @@
 	l.over = true
 }
 
-// wait blocks until there may be something to do.
+// wait blocks until there may be something to do and a write is allowed. A
+// write after a quiet time is allowed at once; it never waits for company.
 func (l *leader) wait(ctx context.Context) error {
 	timer := time.NewTimer(l.o.Timing.Poll / 4)
 	defer timer.Stop()
@@ -152,7 +153,10 @@
 	case <-l.wake:
 	case <-timer.C:
 	}
-	return l.limiter.Wait(ctx)
+	if missing := 1 - l.limiter.Tokens(); missing > 0 {
+		return sleep(ctx, time.Duration(missing/float64(l.limiter.Limit())*float64(time.Second)))
+	}
+	return nil
 }
 
 // step commits one transaction if there is something to commit.
@@ -161,6 +165,7 @@
 	if work.empty() {
 		return nil
 	}
+	l.limiter.Allow()
 	err := l.commit(ctx, work)
 	if conflict := asConflict(err); conflict != nil && conflict.Key != leaderKey(l.cell) {
 		count(l.metrics.conflicts, 1)
--- a/cell/options.go
+++ b/cell/options.go
@@ -53,7 +53,7 @@
 	Poll        time.Duration // interval of reads of the inbox and the failure domain
 	Call        time.Duration // limit of one call to the table, the object store or an agent
 	ClockRate   float64       // largest relative difference between the rates of two clocks
-	CommitRate  float64       // log rows a second, 0 for no limit
+	CommitRate  float64       // log rows a second, negative for no limit
 	MovePace    int           // evictions in flight while the failure domain is out
 	StartPace   int           // starts a second after the failure domain came in
 }
@@ -90,6 +90,7 @@
 	DefaultPoll         = time.Second
 	DefaultCall         = 2 * time.Second
 	DefaultClockRate    = 0.005
+	DefaultCommitRate   = 4.0 // log rows a second
 	DefaultMovePace     = 4
 	DefaultStartPace    = 8
 )
@@ -114,6 +115,7 @@
 	orDefault(&t.Poll, DefaultPoll)
 	orDefault(&t.Call, DefaultCall)
 	orDefault(&t.ClockRate, DefaultClockRate)
+	orDefault(&t.CommitRate, DefaultCommitRate)
 	orDefault(&t.MovePace, DefaultMovePace)
 	orDefault(&t.StartPace, DefaultStartPace)
 	return t
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -38,7 +39,7 @@
 	if idle || len(l.state.pending)+len(l.state.assigned) == 0 {
 		return
 	}
-	s := l.snapshot(now)
+	s := l.snapshot(w, now)
 	l.planned = planned{seq: l.state.Seq, at: now}
 	// The planner sees copies only, so heartbeats go on meanwhile.
 	l.mu.Unlock()
@@ -129,15 +130,20 @@
 	return l.views[l.state.assigned[id.Task].Worker]
 }
 
-// snapshot copies what the planner needs.
-func (l *leader) snapshot(now time.Time) *Snapshot {
+// snapshot copies what the planner needs. The ends in the batch count as
+// committed: they apply before the starts of the same log row.
+func (l *leader) snapshot(w *work, now time.Time) *Snapshot {
+	ending := make(map[structs.AttemptID]struct{}, len(w.batch.Ends))
+	for _, e := range w.batch.Ends {
+		ending[e.attempt()] = struct{}{}
+	}
 	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: l.rowLimit(maxStarts)}
 	for _, t := range l.state.Pending() {
 		if t.job.CancelRequested || len(s.Pending) == maxPending {
 			continue
 		}
 		id := t.ID()
-		if l.retryAt[id].After(now) {
+		if _, ends := ending[t.Attempt()]; ends || l.retryAt[id].After(now) {
 			continue
 		}
 		if _, seen := l.pendingAt[id]; !seen {
@@ -150,7 +156,7 @@
 	}
 	for _, v := range l.views {
 		if v.incarnation != "" {
-			s.Workers = append(s.Workers, l.workerView(v, now))
+			s.Workers = append(s.Workers, l.workerView(v, ending, now))
 		}
 	}
 	sort.Slice(s.Workers, func(i, k int) bool { return s.Workers[i].Worker.ID < s.Workers[k].Worker.ID })
@@ -158,8 +164,8 @@
 }
 
 // workerView computes what is free on a worker. An attempt that the worker
-// reports but the cell does not hold counts as well.
-func (l *leader) workerView(v *view, now time.Time) WorkerView {
+// reports as running but the cell does not hold counts as well.
+func (l *leader) workerView(v *view, ending map[structs.AttemptID]struct{}, now time.Time) WorkerView {
 	known := l.state.Workers[v.worker.ID]
 	view := WorkerView{
 		Worker: v.worker, Free: v.worker.Capacity, Leaving: v.leaving,
@@ -172,6 +178,9 @@
 	held := l.state.byWorker[v.worker.ID]
 	for id, t := range held {
 		attempt := structs.AttemptID{Task: id, Number: t.Number}
+		if _, ends := ending[attempt]; ends {
+			continue
+		}
 		view.Free = view.Free.Sub(t.job.Job.Resources)
 		view.Residents = append(view.Residents, v.resident(attempt, t))
 	}
@@ -180,9 +189,7 @@
 			view.Free = view.Free.Sub(api.ToResources(r.GetResources()))
 		}
 	}
-	sort.Slice(view.Residents, func(i, k int) bool {
-		return view.Residents[i].Attempt.String() < view.Residents[k].Attempt.String()
-	})
+	slices.SortFunc(view.Residents, func(a, b Resident) int { return compareTasks(a.Attempt.Task, b.Attempt.Task) })
 	return view
 }
 
--- a/cell/state.go
+++ b/cell/state.go
@@ -1,8 +1,8 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 
 	"github.com/daisywall/daisywall/structs"
 )
@@ -435,11 +435,14 @@
 }
 
 func sortTasks(list []*Task) {
-	sort.Slice(list, func(i, k int) bool {
-		a, b := list[i], list[k]
-		if a.job != b.job {
-			return a.job.Job.ID < b.job.Job.ID
+	slices.SortFunc(list, func(a, b *Task) int {
+		if a.job == b.job {
+			return cmp.Compare(a.Index, b.Index)
 		}
-		return a.Index < b.Index
+		return cmp.Compare(a.job.Job.ID, b.job.Job.ID)
 	})
 }
+
+func compareTasks(a, b structs.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+}
--- a/cell/view.go
+++ b/cell/view.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisywall/daisywall/api"
@@ -26,7 +27,8 @@
 	usage       map[structs.AttemptID]*daisywallpb.UsageReport
 	forget      map[structs.AttemptID]struct{} // over, and their end is committed
 	asked       map[structs.AttemptID]time.Time
-	replies     [repliesKept]reply
+	replies     [repliesKept]reply // the last ones, in a ring
+	answers     int                // responses so far
 	outbox      outbox
 	failed      float64 // decayed number of attempts that failed here
 	finished    float64 // the same of those that finished
@@ -50,7 +52,8 @@
 
 // answered remembers when a response was sent.
 func (v *view) answered(number int64, now time.Time) {
-	v.replies[number%repliesKept] = reply{number: number, sent: now}
+	v.replies[v.answers%repliesKept] = reply{number: number, sent: now}
+	v.answers++
 }
 
 // proveAge reports whether the heartbeat is younger than every one before it,
@@ -64,11 +67,11 @@
 		return false
 	}
 	if req.GetReply() > v.echo {
-		r := v.replies[req.GetReply()%repliesKept]
-		if r.number != req.GetReply() {
+		i := slices.IndexFunc(v.replies[:], func(r reply) bool { return r.number == req.GetReply() })
+		if i < 0 {
 			return false
 		}
-		v.echo, v.echoSent = r.number, r.sent
+		v.echo, v.echoSent = req.GetReply(), v.replies[i].sent
 	}
 	v.sequence = req.GetSequence()
 	return true
