Drive leaders, agents and runtimes through every fault at every step of a task

Every test checks the record of the runtimes: one run of a task at a time, capacity, starts in a failure domain that is out, and resumed checkpoints.

--- /dev/null
+++ b/faults/world_test.go
@@ -0,0 +1,318 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/cell"
+	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/worker"
+)
+
+const (
+	callTimeout = time.Second
+	// outBound is how long after operators have taken a failure domain out
+	// something may still start in it.
+	outBound = 3 * time.Second
+)
+
+var (
+	oneTask  = structs.Resources{MilliCPU: 1000, MemoryMB: 1000}
+	capacity = oneTask.Scale(4)
+)
+
+// timing is short, so that a run covers many leaders.
+var timing = cell.Timing{
+	Term: 3 * time.Second, ForeignTerm: 12 * time.Second,
+	Lease: cell.KindDurations{Batch: 5 * time.Second, Service: 4 * time.Second},
+	Ride:  cell.KindDurations{Batch: 12 * time.Second, Service: 6 * time.Second},
+	Grant: worker.DefaultStartGrant, Heartbeat: time.Second, Poll: time.Second, Call: callTimeout,
+}
+
+// world is a set of cells in two failure domains on one platform, inside a
+// synctest bubble.
+type world struct {
+	t          *testing.T
+	ctx        context.Context
+	stop       context.CancelFunc
+	platform   *standin.Platform
+	jobs       *cell.Jobs
+	domains    *cell.Domains
+	background sync.WaitGroup
+	exact      bool // nothing keeps leaders from hearing of ends
+
+	mu        sync.Mutex
+	processes []*process // the newest of each worker
+	delays    []time.Duration
+	asked     map[daisywallpb.Action_Verb]int // actions that leaders sent
+	assigned  int                             // assignments that leaders sent
+	out       map[structs.FailureDomainID]time.Time
+	outages   []outage
+}
+
+// outage is the time in which a failure domain was out.
+type outage struct {
+	domain   structs.FailureDomainID
+	from, to time.Time
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{
+		t: t, platform: standin.NewPlatform(),
+		asked: map[daisywallpb.Action_Verb]int{}, out: map[structs.FailureDomainID]time.Time{},
+	}
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	w.jobs = cell.NewJobs(w.platform.Table, callTimeout, nil)
+	w.domains = cell.NewDomains(w.platform.Table, callTimeout)
+	w.addCell("a", "north", 3)
+	w.addCell("b", "south", 3)
+	return w
+}
+
+func (w *world) addCell(id structs.CellID, domain structs.FailureDomainID, workers int) {
+	for i := range workers {
+		name := fmt.Sprintf("%s-%d", id, i)
+		w.platform.AddWorker(structs.WorkerID(name), capacity)
+		w.boot(structs.Worker{
+			ID: structs.WorkerID(name), Cell: id, FailureDomain: domain, Rack: name, Capacity: capacity, Address: name,
+		})
+	}
+}
+
+// boot starts the agent process of a worker, in the place of the one before.
+func (w *world) boot(host structs.Worker) {
+	p := &process{worker: host}
+	var err error
+	p.node, err = cell.New(cell.Options{
+		Cell: host.Cell, Domain: host.FailureDomain, Worker: host.ID, Address: host.Address,
+		Table: tableOf{p, w.platform.Table}, Objects: objectsOf{p, w.platform.Objects},
+		Assign: w.assignFrom(p), Timing: timing,
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	p.agent, err = worker.New(worker.Options{
+		Worker: host, Runtime: runtimeOf{w.platform.Runtimes[host.ID], p}, Finder: finder{w, p},
+		Heartbeat: w.heartbeatFrom(p), CallTimeout: callTimeout,
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(w.ctx)
+	p.cancel = cancel
+	w.replace(p)
+	p.done.Go(func() { _ = p.node.Run(ctx) })
+	p.done.Go(func() { _ = p.agent.Run(ctx) })
+}
+
+func (w *world) replace(p *process) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, old := range w.processes {
+		if old.worker.ID == p.worker.ID {
+			w.processes[i] = p
+			return
+		}
+	}
+	w.processes = append(w.processes, p)
+}
+
+// restart kills the agent process of a worker and starts another.
+func (w *world) restart(p *process) {
+	p.kill()
+	w.boot(p.worker)
+}
+
+func (w *world) process(address string) *process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.processes {
+		if p.worker.Address == address {
+			return p
+		}
+	}
+	return nil
+}
+
+// nextAddress returns a member of the cell of p, another with every call.
+func (w *world) nextAddress(p *process) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var own []string
+	for _, other := range w.processes {
+		if other.worker.Cell == p.worker.Cell {
+			own = append(own, other.worker.Address)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tries++
+	return own[p.tries%len(own)]
+}
+
+// leader returns the process that leads the cell, or its first member.
+func (w *world) leader(id structs.CellID) *process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var first *process
+	for _, p := range w.processes {
+		if p.worker.Cell != id {
+			continue
+		}
+		if first == nil {
+			first = p
+		}
+		if _, leading := p.node.Leading(); leading {
+			return p
+		}
+	}
+	return first
+}
+
+// follower returns a process of the cell that does not lead it.
+func (w *world) follower(id structs.CellID) *process {
+	leader := w.leader(id)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.processes {
+		if p.worker.Cell == id && p != leader {
+			return p
+		}
+	}
+	return leader
+}
+
+func (w *world) takeDelay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.delays) == 0 {
+		return 0
+	}
+	delay := w.delays[0]
+	w.delays = w.delays[1:]
+	return delay
+}
+
+// delay holds the next messages back.
+func (w *world) delay(d time.Duration, messages int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for range messages {
+		w.delays = append(w.delays, d)
+	}
+}
+
+func (w *world) noteAssign(req *daisywallpb.AssignRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.assigned += len(req.GetAssignments())
+	for _, a := range req.GetActions() {
+		w.asked[a.GetVerb()]++
+	}
+}
+
+// submit gives a job to the cells, waiting until some cell takes it.
+func (w *world) submit(key string, kind structs.WorkKind, program, input string, tasks int32) structs.JobID {
+	job := structs.Job{
+		Team: "jabuka", Class: program, Kind: kind, Program: program, Input: input, Tasks: tasks, MaxAttempts: 2, Resources: oneTask,
+	}
+	for {
+		got, err := w.jobs.Submit(w.ctx, job, key)
+		if err == nil {
+			return got.ID
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// setDomain takes a failure domain out or in, as often as the table needs it.
+func (w *world) setDomain(id structs.FailureDomainID, out bool) {
+	for {
+		if err := w.tryDomain(id, out); err == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (w *world) tryDomain(id structs.FailureDomainID, out bool) error {
+	row, err := w.domains.Get(w.ctx, id)
+	if err != nil {
+		return err
+	}
+	change := w.domains.In
+	if out {
+		change = w.domains.Out
+	}
+	asked := time.Now()
+	if _, err = change(w.ctx, id, row.Revision, "operator", "test"); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	from, isOut := w.out[id]
+	switch {
+	case out && !isOut:
+		w.out[id] = time.Now()
+	case !out && isOut:
+		w.outages = append(w.outages, outage{id, from, asked})
+		delete(w.out, id)
+	}
+	return nil
+}
+
+// heal ends every fault.
+func (w *world) heal() {
+	w.platform.Table.Faults.Clear()
+	w.platform.Objects.Faults.Clear()
+	for _, r := range w.platform.Runtimes {
+		r.Faults.Clear()
+	}
+	w.mu.Lock()
+	processes := append([]*process{}, w.processes...)
+	w.delays = nil
+	w.mu.Unlock()
+	for _, p := range processes {
+		p.set(func(p *process) { p.cut, p.isolated = false, false })
+		p.gate.thaw()
+	}
+}
+
+// close ends the world and waits for everything in it.
+func (w *world) close() {
+	w.heal()
+	w.stop()
+	for _, p := range w.processes {
+		p.done.Wait()
+	}
+	w.background.Wait()
+	w.platform.Close()
+}
+
+// eventually waits for a condition, for limit at most.
+func eventually(limit time.Duration, condition func() bool) bool {
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return condition()
+}
+
+// settled waits until the job is done.
+func (w *world) settled(id structs.JobID, limit time.Duration) (cell.JobStatus, bool) {
+	var status cell.JobStatus
+	done := eventually(limit, func() bool {
+		got, err := w.jobs.Status(w.ctx, id)
+		if err == nil {
+			status = got
+		}
+		return err == nil && got.Done()
+	})
+	return status, done
+}
