--- a/cell/plan.go
+++ b/cell/plan.go
@@ -1,11 +1,13 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
 	"golang.org/x/time/rate"
 
+	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
@@ -113,7 +115,7 @@
 	for _, t := range plan.Throttles {
 		if v := l.holder(t.Attempt); v != nil {
 			v.outbox.add(&daisywallpb.Action{
-				Attempt: attemptProto(t.Attempt), Verb: daisywallpb.Action_VERB_THROTTLE, Share: t.Share,
+				Attempt: api.FromAttempt(t.Attempt), Verb: daisywallpb.Action_VERB_THROTTLE, Share: t.Share,
 			})
 			l.deliver(v)
 		}
@@ -130,7 +132,7 @@
 
 // snapshot copies what the planner needs.
 func (l *leader) snapshot(now time.Time) *Snapshot {
-	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: maxStarts}
+	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: maxStarts, Outcomes: slices.Clone(l.outcomes)}
 	for _, t := range l.state.Pending() {
 		if t.job.CancelRequested || len(s.Pending) == maxPending {
 			continue
@@ -172,11 +174,11 @@
 	for id, t := range held {
 		attempt := structs.AttemptID{Task: id, Number: t.Number}
 		view.Free = view.Free.Sub(t.job.Job.Resources)
-		view.Residents = append(view.Residents, v.resident(attempt, t))
+		view.Residents = append(view.Residents, v.resident(attempt, t, now))
 	}
 	for id, r := range v.runs {
 		if t, found := held[id.Task]; !over(r) && (!found || t.Number != id.Number) {
-			view.Free = view.Free.Sub(resourcesOf(r.GetResources()))
+			view.Free = view.Free.Sub(api.ToResources(r.GetResources()))
 		}
 	}
 	sort.Slice(view.Residents, func(i, k int) bool {
@@ -186,7 +188,7 @@
 }
 
 // resident describes an attempt on the worker.
-func (v *view) resident(id structs.AttemptID, t *Task) Resident {
+func (v *view) resident(id structs.AttemptID, t *Task, now time.Time) Resident {
 	r := Resident{Attempt: id, Job: t.Job()}
 	if run, reported := v.runs[id]; reported {
 		r.Running = !over(run)
@@ -194,8 +196,9 @@
 		r.Progress = run.GetProgress()
 	}
 	if u, measured := v.usage[id]; measured {
-		used := resourcesOf(u.GetResources())
+		used := api.ToResources(u.GetResources())
 		r.Usage, r.Latency = &used, u.GetLatencyMs()
+		r.Measured = now.Sub(v.seen) + time.Duration(u.GetAgeMs())*time.Millisecond
 	}
 	_, r.Evicting = v.asked[id]
 	return r
