Keep only the best workers of a search

Cause: profile of 64 workers and 35 pending tasks: sorting all scored workers for the decision record was 45% of placing. Change: the search ranks the few that the record shows.

--- a/placement/place.go
+++ b/placement/place.go
@@ -63,8 +63,8 @@
 		return
 	}
 	found := r.search(c)
-	if found.best < 0 {
-		rejections := found.rejections()
+	if len(found.ranked) == 0 {
+		rejections := found.rejected
 		if len(c.task.FailedOn) == 0 && c.avoid == "" {
 			r.shapes[key] = &misfit{limit: c.limit, forced: c.forced, rejections: rejections}
 		}
@@ -92,11 +92,11 @@
 
 // start enters the placement into the plan and into the node.
 func (r *round) start(c *candidate, found *search) {
-	n := &r.nodes[found.best]
+	n := &r.nodes[found.ranked[0].node]
 	r.plan.Placements = append(r.plan.Placements, Placement{Task: c.task.ID, Worker: n.worker.ID, Resources: c.need})
 	if r.recording() {
-		d := Decision{Action: ActionPlace, Task: c.task.ID, Worker: n.worker.ID, Harm: r.harm(c, n), Score: found.bestScore, Slack: c.slack}
-		d.Rejected = found.rejections()
+		d := Decision{Action: ActionPlace, Task: c.task.ID, Worker: n.worker.ID, Harm: r.harm(c, n), Score: found.ranked[0].total, Slack: c.slack}
+		d.Rejected = found.rejected
 		d.Alternatives = found.alternatives(r, c)
 		r.record(d)
 	} else {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -33,6 +33,7 @@
 	evicting  map[structs.AttemptID]bool
 	shapes    map[shape]*misfit
 	outcomes  *outcomeTable
+	ranked    []scored // buffer of searches
 	plan      Plan
 }
 
--- a/placement/search.go
+++ b/placement/search.go
@@ -1,17 +1,11 @@
 package placement
 
-import (
-	"sort"
-
-	"github.com/daisywall/daisywall/structs"
-)
+import "github.com/daisywall/daisywall/structs"
 
 // search is the result of looking for a worker for one task.
 type search struct {
-	best      int // number of the node, -1 for none
-	bestScore float64
-	scored    []scored
-	rejected  []Rejection
+	ranked   []scored // the best workers, best first, a few only
+	rejected []Rejection
 }
 
 type scored struct {
@@ -19,14 +13,15 @@
 	total float64
 }
 
-// search filters and scores workers until it has seen enough candidates.
+// search filters and scores workers until it has seen enough candidates. The
+// result is valid until the next search of the round.
 func (r *round) search(c *candidate) search {
-	result := search{best: -1}
-	if len(r.active) == 0 {
-		r.rejectClosed(c, &result)
-		return result
+	result := search{ranked: r.ranked[:0]}
+	seen := 0
+	offset := 0
+	if len(r.active) > 0 {
+		offset = startOffset(c.task.ID, len(r.active))
 	}
-	offset := startOffset(c.task.ID, len(r.active))
 	for i := range r.active {
 		at := offset + i
 		if at >= len(r.active) {
@@ -37,21 +32,41 @@
 			result.count(f.name(), reason, n.worker.ID)
 			continue
 		}
-		total := r.score(c, n)
-		result.scored = append(result.scored, scored{n.index, total})
-		if result.best < 0 || total > result.bestScore || (total == result.bestScore && n.index < result.best) {
-			result.best, result.bestScore = n.index, total
-		}
-		if len(result.scored) >= r.options.MaxCandidates {
+		result.rank(scored{n.index, r.score(c, n)}, 1+r.options.MaxAlternatives)
+		seen++
+		if seen >= r.options.MaxCandidates {
 			break
 		}
 	}
-	if result.best < 0 {
-		r.rejectClosed(c, &result)
+	if seen == 0 {
+		r.rejectClosed(&result)
 	}
+	r.ranked = result.ranked
 	return result
 }
 
+// rank enters the worker among the best, which are at most limit.
+func (s *search) rank(x scored, limit int) {
+	at := len(s.ranked)
+	for at > 0 && x.beats(s.ranked[at-1]) {
+		at--
+	}
+	if at >= limit {
+		return
+	}
+	if len(s.ranked) < limit {
+		s.ranked = append(s.ranked, scored{})
+	}
+	copy(s.ranked[at+1:], s.ranked[at:])
+	s.ranked[at] = x
+}
+
+// beats reports whether x is the better choice; equal scores go to the worker
+// that is first in the snapshot.
+func (x scored) beats(o scored) bool {
+	return x.total > o.total || (x.total == o.total && x.node < o.node)
+}
+
 // reject returns the first filter that rejects the node and its reason.
 func (r *round) reject(c *candidate, n *node) (filter, structs.Reason) {
 	for _, f := range filters {
@@ -63,7 +78,7 @@
 }
 
 // rejectClosed counts the workers that take no work at all.
-func (r *round) rejectClosed(_ *candidate, result *search) {
+func (r *round) rejectClosed(result *search) {
 	for i := range r.nodes {
 		if n := &r.nodes[i]; n.gate != "" {
 			result.count(gateFilter{}.name(), n.gate, n.worker.ID)
@@ -90,25 +105,15 @@
 	s.rejected = append(s.rejected, Rejection{Filter: filter, Reason: reason, Workers: 1, Example: example})
 }
 
-// rejections returns how many workers each filter rejected.
-func (s *search) rejections() []Rejection { return s.rejected }
-
 // alternatives returns the best workers that lost and the score that decided
 // against each.
 func (s *search) alternatives(r *round, c *candidate) []Alternative {
-	sort.SliceStable(s.scored, func(i, j int) bool {
-		a, b := s.scored[i], s.scored[j]
-		return a.total > b.total || (a.total == b.total && a.node < b.node)
-	})
-	var list []Alternative
-	best := &r.nodes[s.best]
-	for _, x := range s.scored {
-		if x.node == s.best {
-			continue
-		}
-		if len(list) >= r.options.MaxAlternatives {
-			break
-		}
+	if len(s.ranked) < 2 {
+		return nil
+	}
+	best := &r.nodes[s.ranked[0].node]
+	list := make([]Alternative, 0, len(s.ranked)-1)
+	for _, x := range s.ranked[1:] {
 		n := &r.nodes[x.node]
 		list = append(list, Alternative{Worker: n.worker.ID, Score: x.total, Lost: r.decider(c, best, n), Harm: r.harm(c, n)})
 	}
