--- a/placement/ladder.go
+++ b/placement/ladder.go
@@ -151,7 +151,7 @@
 		if run.Kind != structs.WorkBatch || run.Stopping || r.evicting[run.Attempt] {
 			continue
 		}
-		p := r.classes.pair(service, r.classes.class(run.Class))
+		p := r.classes.pair(service, n.classes[i])
 		harm := p.mean + p.deviation
 		if ladder.active(run.Attempt) {
 			if harm > mostThrottled {
@@ -189,7 +189,7 @@
 		if run.Kind != structs.WorkBatch || run.Stopping || r.evicting[run.Attempt] || !ladder.active(run.Attempt) {
 			continue
 		}
-		p := r.classes.pair(service, r.classes.class(run.Class))
+		p := r.classes.pair(service, n.classes[i])
 		if harm := p.mean * r.options.Ladder.Share; p.deviation <= r.options.UnknownDeviation && harm > most {
 			worst, most = run, harm
 		}
--- a/placement/node.go
+++ b/placement/node.go
@@ -7,6 +7,7 @@
 // node is a worker as the planner sees it during a round.
 type node struct {
 	worker    *Worker
+	classes   []int             // class number of each run of the worker
 	free      structs.Resources // capacity less what is committed
 	used      structs.Resources // expected use of the residents
 	stopping  structs.Resources // part of the committed resources that ends soon
@@ -71,15 +72,28 @@
 	n.rack = number(r.racks, rackKey{w.FailureDomain, w.Rack})
 	n.free = w.Capacity.Sub(committed(w.Runs))
 	n.gate = r.gate(w)
+	n.classes = r.classNumbers(len(w.Runs))
 	for i := range w.Runs {
-		run := &w.Runs[i]
-		r.addRun(n, run)
+		n.classes[i] = r.classes.class(w.Runs[i].Class)
+		r.addRun(n, &w.Runs[i], n.classes[i])
 	}
 	r.addHarm(n)
 }
 
-func (r *round) addRun(n *node, run *Run) {
-	class := r.classes.class(run.Class)
+// classNumbers cuts the class numbers of one worker off a shared buffer.
+func (r *round) classNumbers(count int) []int {
+	if count > len(r.numbers) {
+		r.numbers = make([]int, max(count, numbersChunk))
+	}
+	part := r.numbers[:count:count]
+	r.numbers = r.numbers[count:]
+	return part
+}
+
+// numbersChunk is the size of the buffer for class numbers.
+const numbersChunk = 4096
+
+func (r *round) addRun(n *node, run *Run, class int) {
 	usage := run.Usage
 	if usage == (structs.Resources{}) {
 		usage = r.classes.size(class, run.Resources).usage
@@ -112,7 +126,7 @@
 		if run.Stopping {
 			continue
 		}
-		class := r.classes.class(run.Class)
+		class := n.classes[i]
 		untried := false
 		for j := range n.services {
 			s := &n.services[j]
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -34,6 +34,7 @@
 	shapes    map[shape]*misfit
 	outcomes  *outcomeTable
 	ranked    []scored // buffer of searches
+	numbers   []int    // buffer of class numbers
 	plan      Plan
 }
 
--- a/placement/score.go
+++ b/placement/score.go
@@ -62,7 +62,7 @@
 	for i := range n.worker.Runs {
 		run := &n.worker.Runs[i]
 		if !run.Stopping {
-			sum += r.classes.pair(service, r.classes.class(run.Class)).mean * run.share()
+			sum += r.classes.pair(service, n.classes[i]).mean * run.share()
 		}
 	}
 	return max(0, sum)
