--- a/placement/classes.go
+++ b/placement/classes.go
@@ -27,13 +27,18 @@
 	services  map[serviceKey]int
 	keys      []serviceKey
 	pairs     [][]pair // by service number, then class number
+	width     int      // length of the rows of pairs
 	lastName  string   // most recent lookup, since equal classes come in runs
 	lastClass int
 }
 
+// initialWidth is the number of classes that a new table has room for.
+const initialWidth = 64
+
 func newClassTable(e Estimates) *classTable {
 	return &classTable{
 		estimates: e,
+		width:     initialWidth,
 		numbers:   map[string]int{},
 		sizes:     map[sizeKey]size{},
 		services:  map[serviceKey]int{},
@@ -51,6 +56,7 @@
 		number = len(t.names)
 		t.numbers[name] = number
 		t.names = append(t.names, name)
+		t.widen(number)
 	}
 	t.lastName, t.lastClass = name, number
 	return number
@@ -76,23 +82,34 @@
 		number = len(t.keys)
 		t.services[key] = number
 		t.keys = append(t.keys, key)
-		t.pairs = append(t.pairs, nil)
+		t.pairs = append(t.pairs, make([]pair, t.width))
 	}
 	return number
 }
 
 // pair returns the predicted effect of one task of the class on the service.
-func (t *classTable) pair(service, class int) pair {
-	row := t.pairs[service]
-	if class >= len(row) {
-		row = append(row, make([]pair, len(t.names)-len(row))...)
-		t.pairs[service] = row
-	}
-	p := &row[class]
+// It is small, so that the compiler can inline the common case.
+func (t *classTable) pair(service, class int) *pair {
+	p := &t.pairs[service][class]
 	if !p.loaded {
-		key := t.keys[service]
-		p.mean, p.deviation = t.estimates.Harm(t.names[key.class], t.names[class], key.band)
-		p.loaded = true
+		t.load(p, service, class)
+	}
+	return p
+}
+
+func (t *classTable) load(p *pair, service, class int) {
+	key := t.keys[service]
+	p.mean, p.deviation = t.estimates.Harm(t.names[key.class], t.names[class], key.band)
+	p.loaded = true
+}
+
+// widen makes room for the class in the rows of every service.
+func (t *classTable) widen(class int) {
+	if class < t.width {
+		return
+	}
+	t.width = 2 * (class + 1)
+	for i, row := range t.pairs {
+		t.pairs[i] = append(make([]pair, 0, t.width), row...)[:t.width]
 	}
-	return *p
 }
