--- a/placement/options.go
+++ b/placement/options.go
@@ -53,7 +53,7 @@
 	defaultMaxTasks           = 4096
 	defaultMaxDecisions       = 512
 	defaultMaxAlternatives    = 3
-	defaultMaxCandidates      = 48
+	defaultMaxCandidates      = 32
 	defaultMaxStartsPerWorker = 4
 	defaultMaxMoves           = 8
 	defaultMaxCancels         = 256
