--- a/bench/placement/cost_test.go
+++ b/bench/placement/cost_test.go
@@ -74,7 +74,7 @@
 		for services += servicesPerWorker; services >= 1; services-- {
 			add(costServices[next%len(costServices)], structs.WorkService, 20)
 		}
-		for range batchPerWorker - i%3 {
+		for range batchPerWorker {
 			add(fmt.Sprintf("batch-%d", next%costClasses), structs.WorkBatch, 0)
 		}
 		s.Workers = append(s.Workers, w)
