--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -82,8 +82,8 @@
 // entryLink is the state of the registration with one entry.
 type entryLink struct {
 	address   string
-	names     []string // entries that this one named in its last answer
-	named     time.Time
+	names     []string  // entries that this one named in its last answer
+	fresh     time.Time // until when names count
 	acked     time.Time
 	cancel    context.CancelFunc
 	leftAcked bool
@@ -260,7 +260,7 @@
 		wanted[address] = true
 	}
 	for _, link := range a.entries {
-		if now.Sub(link.named) > entryForget+entriesPoll {
+		if now.After(link.fresh) {
 			continue
 		}
 		for _, address := range link.names {
@@ -282,9 +282,10 @@
 	}
 	defer func() { _ = conn.Close() }()
 	full := true
+	changed := a.options.Changed()
 	for {
-		changed := a.options.Changed()
-		response, err := a.registerOnce(ctx, conn, full)
+		leaving := a.leaving.Load()
+		response, err := a.registerOnce(ctx, conn, full, leaving)
 		wait := retry.NextBackOff()
 		if err == nil {
 			retry.Reset()
@@ -293,7 +294,7 @@
 			if full {
 				wait = 0
 			}
-			a.accept(link, response)
+			a.accept(link, response, leaving)
 		}
 		lost, stop := watchLost(ctx, conn, err == nil)
 		select {
@@ -301,22 +302,33 @@
 			stop()
 			return
 		case <-changed:
-			full = true
-		case <-a.leavingSignal(link):
+		case <-a.leavingSignal(leaving):
 		case <-lost:
 			full = true
 		case <-time.After(wait):
 		}
 		stop()
+		// A change may coincide with the end of the wait. The next signal is
+		// taken before the last one is read, so that none is missed.
+		next := a.options.Changed()
+		full = full || isClosed(changed)
+		changed = next
 	}
 }
 
-// leavingSignal returns the channel that Leave closes, until the entry has
-// acknowledged it.
-func (a *Announcer) leavingSignal(link *entryLink) <-chan struct{} {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if link.leftAcked || a.leaving.Load() {
+func isClosed(signal <-chan struct{}) bool {
+	select {
+	case <-signal:
+		return true
+	default:
+		return false
+	}
+}
+
+// leavingSignal returns the channel that Leave closes, unless the entry has
+// been sent that already.
+func (a *Announcer) leavingSignal(sent bool) <-chan struct{} {
+	if sent {
 		return nil
 	}
 	return a.withdrawn
@@ -340,8 +352,7 @@
 	return lost, func() { cancel(); <-done }
 }
 
-func (a *Announcer) registerOnce(ctx context.Context, conn EntryConn, full bool) (*daisywallpb.RegisterResponse, error) {
-	leaving := a.leaving.Load()
+func (a *Announcer) registerOnce(ctx context.Context, conn EntryConn, full, leaving bool) (*daisywallpb.RegisterResponse, error) {
 	request := &daisywallpb.RegisterRequest{
 		Worker:           string(a.options.Worker.ID),
 		FailureDomain:    string(a.options.Worker.FailureDomain),
@@ -368,16 +379,16 @@
 }
 
 // accept takes what an entry answered.
-func (a *Announcer) accept(link *entryLink, response *daisywallpb.RegisterResponse) {
+func (a *Announcer) accept(link *entryLink, response *daisywallpb.RegisterResponse, leaving bool) {
 	if len(response.Config) > 0 && response.ConfigRevision > a.options.ConfigRevision() {
 		a.options.ApplyConfig(response.ConfigRevision, response.Config)
 	}
 	now := time.Now()
 	a.mu.Lock()
 	link.names = response.Entries
-	link.named = now
+	link.fresh = now.Add(ttlIntervals*time.Duration(response.IntervalMs)*time.Millisecond + entryForget)
 	link.acked = now
-	link.leftAcked = a.leaving.Load()
+	link.leftAcked = leaving
 	a.mu.Unlock()
 	a.signal()
 }
--- a/membership/candidates.go
+++ b/membership/candidates.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 	"sync"
 
@@ -53,9 +54,9 @@
 	services := make(map[serviceKey]bool, len(added))
 	for key, list := range added {
 		services[key] = true
-		next := append(without(x.byService[key], worker), list...)
-		sort.SliceStable(next, func(i, j int) bool { return next[i].Worker < next[j].Worker })
-		x.set(key, next)
+		others := without(x.byService[key], worker)
+		at := sort.Search(len(others), func(i int) bool { return others[i].Worker > worker })
+		x.set(key, slices.Insert(others, at, list...))
 	}
 	x.services[worker] = services
 	if len(services) == 0 {
