--- a/membership/announcer_test.go
+++ b/membership/announcer_test.go
@@ -27,7 +27,9 @@
 		one, two := c.start("e1"), c.start("e2")
 		a := c.agent("w1")
 		defer a.cancel()
-		time.Sleep(5 * time.Second)
+		// An entry whose row was not there yet is named by the others, which
+		// read the rows at every beat.
+		time.Sleep(entryBeat + 2*minInterval)
 		is.Equal(len(names(one.registry)), 1)
 		is.Equal(len(names(two.registry)), 1)
 	})
