--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -152,6 +152,7 @@
 	dialled  []*fakeConn
 	thawed   chan struct{} // closed unless frozen
 	restarts int
+	freezes  int // under way at once
 	started  sync.WaitGroup
 }
 
@@ -190,7 +191,10 @@
 
 // boot starts the agent process; it forgets everything.
 func (a *fakeAgent) boot() {
-	executor, err := NewExecutor(ExecutorOptions{Targets: a.locals, Incarnation: fmt.Sprintf("%s-%d", a.id, a.restarts)})
+	a.mu.Lock()
+	incarnation := fmt.Sprintf("%s-%d", a.id, a.restarts)
+	a.mu.Unlock()
+	executor, err := NewExecutor(ExecutorOptions{Targets: a.locals, Incarnation: incarnation})
 	if err != nil {
 		panic(err)
 	}
@@ -218,20 +222,26 @@
 
 func (a *fakeAgent) restart() {
 	a.kill()
+	a.mu.Lock()
 	a.restarts++
+	a.mu.Unlock()
 	a.boot()
 }
 
 func (a *fakeAgent) freeze() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.thawed = make(chan struct{})
+	if a.freezes++; a.freezes == 1 {
+		a.thawed = make(chan struct{})
+	}
 }
 
 func (a *fakeAgent) thaw() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	close(a.thawed)
+	if a.freezes--; a.freezes == 0 {
+		close(a.thawed)
+	}
 }
 
 func (a *fakeAgent) stop() {
--- a/request/matrix_test.go
+++ b/request/matrix_test.go
@@ -16,6 +16,7 @@
 	idempotent bool
 	answer     Answer
 	err        error
+	repeated   bool // the caller sent the same key again, which may have run
 }
 
 // violation names a broken promise.
@@ -36,7 +37,7 @@
 			return &violation{fmt.Sprintf("%s was answered and never ran", v.name)}
 		case v.err == nil && !isWhole(v.answer, v.name):
 			return &violation{fmt.Sprintf("%s got the answer %q", v.name, v.answer.Body)}
-		case errors.As(v.err, &notRun) && ran > 0:
+		case errors.As(v.err, &notRun) && ran > 0 && !v.repeated:
 			return &violation{fmt.Sprintf("%s was refused as not run (%v) and ran", v.name, v.err)}
 		case errors.As(v.err, &notRun) && notRun.RetryAfter <= 0:
 			return &violation{fmt.Sprintf("%s was refused without a time to retry after", v.name)}
@@ -52,12 +53,12 @@
 		verdict verdict
 		runs    int
 	}{
-		"ran twice":            {verdict{"r", false, whole, nil}, 2},
-		"answered, never ran":  {verdict{"r", true, whole, nil}, 0},
-		"truncated answer":     {verdict{"r", true, Answer{Status: 200, Body: []byte("answer t")}, nil}, 1},
-		"answer of another":    {verdict{"r", true, Answer{Status: 200, Body: []byte("answer to q")}, nil}, 1},
-		"not run, but ran":     {verdict{"r", true, Answer{}, notRun}, 1},
-		"refused without time": {verdict{"r", true, Answer{}, &structs.NotRunError{}}, 0},
+		"ran twice":            {verdict{"r", false, whole, nil, false}, 2},
+		"answered, never ran":  {verdict{"r", true, whole, nil, false}, 0},
+		"truncated answer":     {verdict{"r", true, Answer{Status: 200, Body: []byte("answer t")}, nil, false}, 1},
+		"answer of another":    {verdict{"r", true, Answer{Status: 200, Body: []byte("answer to q")}, nil, false}, 1},
+		"not run, but ran":     {verdict{"r", true, Answer{}, notRun, false}, 1},
+		"refused without time": {verdict{"r", true, Answer{}, &structs.NotRunError{}, false}, 0},
 	}
 	for name, p := range planted {
 		t.Run(name, func(t *testing.T) {
@@ -66,7 +67,7 @@
 			}
 		})
 	}
-	if err := check([]verdict{{"r", false, whole, nil}}, map[string]int{"r": 1}); err != nil {
+	if err := check([]verdict{{"r", false, whole, nil, false}}, map[string]int{"r": 1}); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -149,10 +150,10 @@
 	if took := time.Since(began); took > 5*time.Second+settleExtra+time.Second {
 		t.Fatalf("took %v", took)
 	}
-	verdicts := []verdict{{"r1", kind == "lookup", answer, err}}
+	verdicts := []verdict{{"r1", kind == "lookup", answer, err, false}}
 	time.Sleep(time.Second)
 	answer, err = r.Do(context.Background(), call("alert", "r2"))
-	verdicts = append(verdicts, verdict{"r2", false, answer, err})
+	verdicts = append(verdicts, verdict{"r2", false, answer, err, false})
 	time.Sleep(2 * time.Minute) // lets late messages arrive
 	if err := check(verdicts, w.history.runs()); err != nil {
 		t.Fatal(err)
--- a/request/router.go
+++ b/request/router.go
@@ -157,6 +157,7 @@
 	deadline   time.Time
 	attempts   int
 	tried      map[*targetState]bool
+	unknown    *attempt // first attempt that may have run
 }
 
 // prepare looks up the configuration of a call.
--- a/request/run.go
+++ b/request/run.go
@@ -26,13 +26,22 @@
 			r.acknowledge(j, last)
 			return j.answer(last), nil
 		}
+		j.note(last)
 		if !r.mayRetry(ctx, j, last) {
-			return Answer{}, last.finalError()
+			return Answer{}, j.exhausted(last)
 		}
 		r.metrics.retries.Add(ctx, 1)
 	}
 }
 
+// note remembers an attempt that may have run. The request can then no longer
+// be reported as not run, whatever later attempts say.
+func (j *job) note(a *attempt) {
+	if a.outcome == daisywallpb.Outcome_OUTCOME_UNKNOWN && j.unknown == nil {
+		j.unknown = a
+	}
+}
+
 // attempt makes one attempt and settles its outcome by the rules.
 func (r *Router) attempt(ctx context.Context, j *job, target *targetState) *attempt {
 	if j.idempotent {
@@ -58,8 +67,11 @@
 	return j.service.budget.spend()
 }
 
-// exhausted is the outcome when no target is left to try.
+// exhausted is the outcome when no attempt was answered.
 func (j *job) exhausted(last *attempt) error {
+	if j.unknown != nil {
+		return j.unknown.unknownError()
+	}
 	if last != nil {
 		return last.finalError()
 	}
@@ -105,6 +117,7 @@
 			if a.outcome == daisywallpb.Outcome_OUTCOME_ANSWERED {
 				return a
 			}
+			j.note(a)
 		case <-timer.C:
 			if second := r.pickHedge(j); second != nil {
 				r.metrics.hedges.Add(ctx, 1)
