--- a/command/dev.go
+++ b/command/dev.go
@@ -104,11 +104,11 @@
 	evacuate, drain := int64(devEvacuateMS), int64(devDrainMS)
 	for _, domain := range devDomains {
 		worker := structs.WorkerID("worker-" + domain)
-		local := free.take()
+		local, peer := free.take(), free.take()
 		system.standIn.Workers = append(system.standIn.Workers, settings.StandInWorker{Worker: worker, Capacity: devCapacity})
 		system.agents = append(system.agents, settings.Agent{
 			Worker: worker, FailureDomain: domain, Rack: "rack-1", Cell: structs.CellID(domain),
-			LocalAddress: local, PeerAddress: free.take(), Platform: platform,
+			LocalAddress: local, PeerAddress: peer, Advertise: peer, Platform: platform,
 			Capacity: devCapacity, EvacuateMS: &evacuate, LogLevel: devLogLevel,
 		})
 		system.standIn.Targets = append(system.standIn.Targets,
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -87,7 +87,7 @@
 		Rack:          a.settings.Rack,
 		Cell:          a.settings.Cell,
 		Capacity:      a.settings.Capacity,
-		Address:       a.settings.PeerAddress,
+		Address:       a.settings.Advertise,
 	}
 }
 
@@ -105,7 +105,7 @@
 		Cell:    a.settings.Cell,
 		Domain:  a.settings.FailureDomain,
 		Worker:  a.settings.Worker,
-		Address: a.settings.PeerAddress,
+		Address: a.settings.Advertise,
 		Table:   a.platform.Table(),
 		Objects: a.platform.Objects(),
 		Assign:  a.peers.assign,
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -188,7 +188,6 @@
 	id, team, address string
 	kinds             []string
 	worker            int
-	serviceTimeMS     int
 }
 
 // cluster is a whole system of processes on loopback.
@@ -204,12 +203,25 @@
 	settings  []object // of the agents
 	entrySets []object
 	targets   []targetSpec
+	relays    []*relay // before the agents, if asked for
+}
+
+// clusterOptions differ from test to test. Zero fields take defaults.
+type clusterOptions struct {
+	slots         int // of each target
+	serviceTimeMS int // of each target
+	evacuateMS    int // of each agent
+	relays        bool
 }
 
 // newCluster starts a stand-in, two entries and an agent in each failure
 // domain, applies the sample configuration and waits until every target is
 // known to every entry.
 func newCluster(t testing.TB) *cluster {
+	return newClusterWith(t, clusterOptions{slots: 8, evacuateMS: 30_000})
+}
+
+func newClusterWith(t testing.TB, o clusterOptions) *cluster {
 	t.Helper()
 	c := &cluster{t: t, platform: freeAddress(t), control: freeAddress(t)}
 	capacity := object{"milli_cpu": 16000, "memory_mb": 60000, "accelerators": 2}
@@ -219,10 +231,16 @@
 		local := freeAddress(t)
 		c.locals = append(c.locals, local)
 		workers = append(workers, object{"worker": worker, "capacity": capacity})
+		peer := freeAddress(t)
+		advertised := peer
+		if o.relays {
+			c.relays = append(c.relays, newRelay(t, peer))
+			advertised = c.relays[i].address()
+		}
 		c.settings = append(c.settings, object{
 			"worker": worker, "failure_domain": domain, "rack": "rack-1",
-			"local_address": local, "peer_address": freeAddress(t),
-			"platform": object{"address": c.platform}, "capacity": capacity,
+			"local_address": local, "peer_address": peer, "advertise_address": advertised,
+			"platform": object{"address": c.platform}, "capacity": capacity, "evacuate_ms": o.evacuateMS,
 		})
 		for _, spec := range []targetSpec{
 			{id: "contract-" + domain, team: "jabuka", kinds: []string{"slot-check", "grower-payment"}, worker: i},
@@ -232,7 +250,7 @@
 			c.targets = append(c.targets, spec)
 			targets = append(targets, object{
 				"target": spec.id, "team": spec.team, "kinds": spec.kinds, "address": spec.address, "agent": local,
-				"slots": 8, "connections": 60, "service_time_ms": spec.serviceTimeMS,
+				"slots": o.slots, "connections": max(4*o.slots, 60), "service_time_ms": o.serviceTimeMS,
 			})
 		}
 	}
@@ -254,9 +272,22 @@
 	}
 	c.applyConfig()
 	c.waitForTargets(len(c.targets))
+	c.waitForConfig()
 	return c
 }
 
+// waitForConfig waits until the committed configuration is in force at every
+// entry.
+func (c *cluster) waitForConfig() {
+	c.t.Helper()
+	for entry := range c.entries {
+		eventually(c.t, fmt.Sprintf("entry %d has the configuration", entry), func() (bool, string) {
+			status, err := c.client(entry).ConfigStatus(context.Background())
+			return err == nil && status.Committed > 0 && status.Entry == status.Committed, fmt.Sprintf("%+v, %v", status, err)
+		})
+	}
+}
+
 func (c *cluster) startAgent(i int) *process {
 	return start(c.t, "daisywall-agent", fmt.Sprint(c.settings[i]["worker"]), c.settings[i])
 }
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -109,6 +109,7 @@
 }
 
 func TestWholePathOfBothDeployments(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t)
 	ctx := context.Background()
@@ -157,6 +158,7 @@
 }
 
 func TestFailureDomainLeavesAndReturns(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t)
 	const domain, worker = "kordun", structs.WorkerID("worker-kordun")
@@ -201,6 +203,7 @@
 const callerPause = 20 * time.Millisecond
 
 func TestGracefulStopsCutOffNoRequest(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	stop := make(chan struct{})
 	failures := make(chan error, 64)
--- a/settings/daemons.go
+++ b/settings/daemons.go
@@ -76,6 +76,7 @@
 	Cell          structs.CellID          `json:"cell"`
 	LocalAddress  string                  `json:"local_address"`
 	PeerAddress   string                  `json:"peer_address"`
+	Advertise     string                  `json:"advertise_address"`
 	Platform      Platform                `json:"platform"`
 	Capacity      structs.Resources       `json:"capacity"`
 	Entries       []string                `json:"entries"`
@@ -145,12 +146,16 @@
 	if a.Cell == "" {
 		a.Cell = structs.CellID(a.FailureDomain)
 	}
+	if a.Advertise == "" {
+		a.Advertise = a.PeerAddress
+	}
 	setDefault(&a.EvacuateMS, defaultEvacuateMS)
 	a.LogLevel = orDefault(a.LogLevel)
 	return a, checkAddresses(AgentSchema, map[string]string{
-		"/local_address":    a.LocalAddress,
-		"/peer_address":     a.PeerAddress,
-		"/platform/address": a.Platform.Address,
+		"/local_address":     a.LocalAddress,
+		"/peer_address":      a.PeerAddress,
+		"/advertise_address": a.Advertise,
+		"/platform/address":  a.Platform.Address,
 	})
 }
 
