--- a/cell/plan.go
+++ b/cell/plan.go
@@ -137,7 +137,7 @@
 	for _, e := range w.batch.Ends {
 		ending[e.attempt()] = struct{}{}
 	}
-	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: l.rowLimit(maxStarts)}
+	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: l.rowLimit(maxStarts), Outcomes: slices.Clone(l.outcomes)}
 	for _, t := range l.state.Pending() {
 		if t.job.CancelRequested || len(s.Pending) == maxPending {
 			continue
@@ -182,7 +182,7 @@
 			continue
 		}
 		view.Free = view.Free.Sub(t.job.Job.Resources)
-		view.Residents = append(view.Residents, v.resident(attempt, t))
+		view.Residents = append(view.Residents, v.resident(attempt, t, now))
 	}
 	for id, r := range v.runs {
 		if t, found := held[id.Task]; !over(r) && (!found || t.Number != id.Number) {
@@ -194,7 +194,7 @@
 }
 
 // resident describes an attempt on the worker.
-func (v *view) resident(id structs.AttemptID, t *Task) Resident {
+func (v *view) resident(id structs.AttemptID, t *Task, now time.Time) Resident {
 	r := Resident{Attempt: id, Job: t.Job()}
 	if run, reported := v.runs[id]; reported {
 		r.Running = !over(run)
@@ -204,6 +204,7 @@
 	if u, measured := v.usage[id]; measured {
 		used := api.ToResources(u.GetResources())
 		r.Usage, r.Latency = &used, u.GetLatencyMs()
+		r.Measured = now.Sub(v.seen) + time.Duration(u.GetAgeMs())*time.Millisecond
 	}
 	_, r.Evicting = v.asked[id]
 	return r
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -33,6 +33,8 @@
 	evicting  map[structs.AttemptID]bool
 	shapes    map[shape]*misfit
 	outcomes  *outcomeTable
+	ranked    []scored // buffer of searches
+	numbers   []int    // buffer of class numbers
 	plan      Plan
 }
 
--- a/placement/score.go
+++ b/placement/score.go
@@ -22,8 +22,8 @@
 // the one before, so a score decides only where those before it are equal.
 var scorers = []weighted{
 	{harmScorer{}, 1000},
-	{spreadScorer{}, 100},
-	{matchScorer{}, 10},
+	{matchScorer{}, 100},
+	{spreadScorer{}, 10},
 	{packScorer{}, 1},
 }
 
@@ -62,7 +62,7 @@
 	for i := range n.worker.Runs {
 		run := &n.worker.Runs[i]
 		if !run.Stopping {
-			sum += r.classes.pair(service, r.classes.class(run.Class)).mean * run.share()
+			sum += r.classes.pair(service, n.classes[i]).mean * run.share()
 		}
 	}
 	return max(0, sum)
