Burn report from counters that survive the replacement of any host

Test seen to fail: a write of unknown outcome that was repeated after a folder had taken its row counted twice (recorded 5, kept 10). Change: hour rows keep hashes of the rows taken in, and such rows are not counted again.

--- /dev/null
+++ b/burn/counts.go
@@ -0,0 +1,214 @@
+package burn
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+const (
+	// Range and precision of latencies, in milliseconds.
+	minLatencyMS  = 1
+	maxLatencyMS  = 3_600_000
+	latencyDigits = 2
+	maxKeys       = 4096 // of each map of one window; further keys are dropped
+	keySeparator  = "/"
+	maxRowBytes   = 4 << 20
+
+	percentileMedian = 50
+	percentileTail   = 99
+)
+
+// latencies is a histogram in milliseconds that encodes itself as text.
+type latencies struct {
+	histogram *hdr.Histogram
+}
+
+func newLatencies() *latencies {
+	return &latencies{hdr.New(minLatencyMS, maxLatencyMS, latencyDigits)}
+}
+
+func (l *latencies) record(d time.Duration) {
+	ms := min(max(d.Milliseconds(), minLatencyMS), maxLatencyMS)
+	_ = l.histogram.RecordValue(ms) // the value is in range
+}
+
+// MarshalJSON writes the compressed form of the histogram.
+func (l *latencies) MarshalJSON() ([]byte, error) {
+	text, err := l.histogram.Encode(hdr.V2CompressedEncodingCookieBase)
+	if err != nil {
+		return nil, fmt.Errorf("encode latencies: %w", err)
+	}
+	data, err := json.Marshal(string(text))
+	if err != nil {
+		return nil, fmt.Errorf("encode latencies: %w", err)
+	}
+	return data, nil
+}
+
+// UnmarshalJSON reads the compressed form of a histogram.
+func (l *latencies) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("decode latencies: %w", err)
+	}
+	histogram, err := hdr.Decode([]byte(text))
+	if err != nil {
+		return fmt.Errorf("decode latencies: %w", err)
+	}
+	l.histogram = histogram
+	return nil
+}
+
+// requestCounts counts the requests of one kind.
+type requestCounts struct {
+	Good      int64            `json:"good"`
+	Bad       int64            `json:"bad"`
+	Outcomes  map[string]int64 `json:"outcomes,omitempty"`
+	Latencies *latencies       `json:"latencies,omitempty"`
+}
+
+// batchCounts counts the work of one class.
+type batchCounts struct {
+	OnTime    int64 `json:"on_time,omitempty"` // jobs
+	Late      int64 `json:"late,omitempty"`    // jobs
+	Tasks     int64 `json:"tasks,omitempty"`   // finished
+	Evictions int64 `json:"evictions,omitempty"`
+}
+
+// domainCounts counts what was completed while a failure domain was out.
+type domainCounts struct {
+	Tasks    int64 `json:"tasks,omitempty"`
+	Requests int64 `json:"requests,omitempty"`
+}
+
+// counts is the content of one row.
+type counts struct {
+	Requests map[string]*requestCounts                 `json:"requests,omitempty"` // by team/kind
+	Batch    map[string]*batchCounts                   `json:"batch,omitempty"`    // by team/class
+	Domains  map[structs.FailureDomainID]*domainCounts `json:"domains,omitempty"`
+	// Folded holds the hashes of the live rows that an hour row has taken in. A
+	// live row that comes back, by a late write, is not counted again.
+	Folded []uint64 `json:"folded,omitempty"`
+}
+
+func newCounts() *counts {
+	return &counts{
+		Requests: map[string]*requestCounts{},
+		Batch:    map[string]*batchCounts{},
+		Domains:  map[structs.FailureDomainID]*domainCounts{},
+	}
+}
+
+// at returns the item of the key, made when absent, or nil when the map is
+// full.
+func at[K comparable, V any](m map[K]*V, key K) *V {
+	item, found := m[key]
+	if found {
+		return item
+	}
+	if len(m) >= maxKeys {
+		return nil
+	}
+	item = new(V)
+	m[key] = item
+	return item
+}
+
+// add merges other into c, without its list of folded rows.
+func (c *counts) add(other *counts) {
+	for key, o := range other.Requests {
+		if item := at(c.Requests, key); item != nil {
+			item.add(o)
+		}
+	}
+	for key, o := range other.Batch {
+		if item := at(c.Batch, key); item != nil {
+			item.OnTime += o.OnTime
+			item.Late += o.Late
+			item.Tasks += o.Tasks
+			item.Evictions += o.Evictions
+		}
+	}
+	for key, o := range other.Domains {
+		if item := at(c.Domains, key); item != nil {
+			item.Tasks += o.Tasks
+			item.Requests += o.Requests
+		}
+	}
+}
+
+func (r *requestCounts) add(o *requestCounts) {
+	r.Good += o.Good
+	r.Bad += o.Bad
+	if r.Outcomes == nil {
+		r.Outcomes = map[string]int64{}
+	}
+	for outcome, n := range o.Outcomes {
+		r.Outcomes[outcome] += n
+	}
+	if o.Latencies == nil {
+		return
+	}
+	if r.Latencies == nil {
+		r.Latencies = newLatencies()
+	}
+	r.Latencies.histogram.Merge(o.Latencies.histogram)
+}
+
+// sum merges counts into a new value.
+func sum(parts ...*counts) *counts {
+	total := newCounts()
+	for _, part := range parts {
+		if part != nil {
+			total.add(part)
+		}
+	}
+	return total
+}
+
+func encodeCounts(c *counts) ([]byte, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode counts: %w", err)
+	}
+	return data, nil
+}
+
+func decodeCounts(key string, data []byte) (*counts, error) {
+	if len(data) > maxRowBytes {
+		return nil, &CorruptError{Key: key, Detail: fmt.Sprintf("larger than %d bytes", maxRowBytes)}
+	}
+	c := newCounts()
+	if err := json.Unmarshal(data, c); err != nil {
+		return nil, &CorruptError{Key: key, Detail: "not readable", Err: err}
+	}
+	maps.DeleteFunc(c.Requests, func(_ string, r *requestCounts) bool { return r == nil })
+	maps.DeleteFunc(c.Batch, func(_ string, b *batchCounts) bool { return b == nil })
+	maps.DeleteFunc(c.Domains, func(_ structs.FailureDomainID, d *domainCounts) bool { return d == nil })
+	clean := sum(c)
+	clean.Folded = c.Folded
+	return clean, nil
+}
+
+// CorruptError reports a row that can't be read.
+type CorruptError struct {
+	Key    string
+	Detail string
+	Err    error // cause, may be nil
+}
+
+func (e *CorruptError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("row %s: %s: %v", e.Key, e.Detail, e.Err)
+	}
+	return fmt.Sprintf("row %s: %s", e.Key, e.Detail)
+}
+
+// Unwrap returns the cause.
+func (e *CorruptError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/burn/plot.go
@@ -0,0 +1,117 @@
+package burn
+
+import (
+	"fmt"
+	"html/template"
+	"math"
+	"strings"
+)
+
+// Size of a plot, in SVG units. The margins hold the labels.
+const (
+	plotWidth    = 420
+	plotHeight   = 130
+	marginLeft   = 44
+	marginRight  = 8
+	marginTop    = 18
+	marginBottom = 20
+	innerWidth   = plotWidth - marginLeft - marginRight
+	innerHeight  = plotHeight - marginTop - marginBottom
+	ticksAcross  = 3
+)
+
+// plot is one series as inline SVG. All its text is made from numbers, times
+// and fixed words.
+type plot struct {
+	b      strings.Builder
+	points []Point
+	top    float64 // value at the upper edge
+}
+
+// plotOf draws value over time as bars, with a dashed line at limit when that
+// is above 0.
+func plotOf(points []Point, title, unit string, value func(Point) float64, limit float64) template.HTML {
+	p := &plot{points: points, top: limit}
+	for _, point := range points {
+		p.top = max(p.top, value(point))
+	}
+	p.top = niceCeiling(p.top)
+	p.printf(`<svg viewBox="0 0 %d %d" role="img" aria-label="%s">`, plotWidth, plotHeight, title)
+	p.printf(`<text class="title" x="%d" y="12">%s</text>`, marginLeft, strings.TrimSpace(title+" "+unit))
+	p.axes()
+	p.bars(value, limit)
+	if limit > 0 {
+		y := p.y(limit)
+		p.printf(`<line class="limit" x1="%d" x2="%d" y1="%.1f" y2="%.1f"/>`, marginLeft, plotWidth-marginRight, y, y)
+	}
+	p.printf(`</svg>`)
+	return template.HTML(p.b.String()) //nolint:gosec // numbers, times and fixed words only
+}
+
+func (p *plot) printf(format string, args ...any) { fmt.Fprintf(&p.b, format, args...) }
+
+func (p *plot) y(value float64) float64 {
+	return marginTop + innerHeight*(1-value/p.top)
+}
+
+// axes draws the value labels, and a time label for each day.
+func (p *plot) axes() {
+	for _, value := range []float64{0, p.top / 2, p.top} {
+		y := p.y(value)
+		p.printf(`<line class="grid" x1="%d" x2="%d" y1="%.1f" y2="%.1f"/>`, marginLeft, plotWidth-marginRight, y, y)
+		p.printf(`<text class="label" text-anchor="end" x="%d" y="%.1f">%s</text>`, marginLeft-4, y+3, number(value))
+	}
+	for i := range ticksAcross + 1 {
+		if len(p.points) == 0 {
+			return
+		}
+		at := min(i*len(p.points)/ticksAcross, len(p.points)-1)
+		anchor := []string{"start", "middle", "middle", "end"}[i]
+		p.printf(`<text class="label" text-anchor="%s" x="%.1f" y="%d">%s</text>`, anchor,
+			marginLeft+innerWidth*float64(i)/ticksAcross, plotHeight-6, p.points[at].At.Format("02 Jan 15:04"))
+	}
+}
+
+// bars draws one bar a point; those above the limit stand out.
+func (p *plot) bars(value func(Point) float64, limit float64) {
+	width := float64(innerWidth) / float64(max(len(p.points), 1))
+	for i, point := range p.points {
+		v := value(point)
+		if v <= 0 {
+			continue
+		}
+		class := "bar"
+		if limit > 0 && v > limit {
+			class = "bar over"
+		}
+		p.printf(`<rect class="%s" x="%.1f" y="%.1f" width="%.1f" height="%.1f"><title>%s: %s</title></rect>`, class,
+			marginLeft+float64(i)*width, p.y(v), max(width-1, 1), marginTop+innerHeight-p.y(v),
+			point.At.Format("02 Jan 15:04"), number(v))
+	}
+}
+
+// niceCeiling rounds up to 1, 2 or 5 times a power of ten.
+func niceCeiling(v float64) float64 {
+	if v <= 0 {
+		return 1
+	}
+	unit := math.Pow(10, math.Floor(math.Log10(v)))
+	for _, step := range []float64{1, 2, 5} {
+		if v <= step*unit {
+			return step * unit
+		}
+	}
+	return 10 * unit
+}
+
+// number renders a value in few characters.
+func number(v float64) string {
+	switch {
+	case v >= 10_000:
+		return fmt.Sprintf("%.0fk", v/1000)
+	case v == math.Trunc(v):
+		return fmt.Sprintf("%.0f", v)
+	default:
+		return fmt.Sprintf("%.2g", v)
+	}
+}
