--- a/cell/commit.go
+++ b/cell/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/daisywall/daisywall/platform"
@@ -102,11 +103,15 @@
 		if l.queue.workers[change.Worker] == change.Incarnation {
 			delete(l.queue.workers, change.Worker)
 		}
+		if change.Incarnation == "" {
+			delete(l.views, change.Worker)
+		}
 	}
 	for _, s := range w.batch.Starts {
 		l.committed[s.attempt()] = now
 		delete(l.pendingAt, s.attempt().Task)
 		delete(l.reasons, s.attempt().Task)
+		delete(l.retryAt, s.attempt().Task)
 		l.assign(s, w.sequence[s.Worker])
 	}
 	count(l.metrics.starts, len(w.batch.Starts))
@@ -125,6 +130,9 @@
 	if t == nil {
 		return
 	}
+	if e.Cause == structs.EndFailed {
+		l.retryAt[id.Task] = time.Now().Add(retryDelay(len(t.FailedOn)))
+	}
 	v, found := l.views[t.Worker]
 	if !found {
 		return
@@ -138,7 +146,33 @@
 	switch e.Cause {
 	case structs.EndFailed:
 		v.failed++
+		l.observeOutcome(t, true)
 	case structs.EndFinished:
 		v.finished++
+		l.observeOutcome(t, false)
 	}
 }
+
+// maxOutcomes bounds the ends of attempts that a leader remembers.
+const maxOutcomes = 512
+
+// observeOutcome remembers the end of an attempt for the planner.
+func (l *leader) observeOutcome(t *Task, failed bool) {
+	if len(l.outcomes) == maxOutcomes {
+		l.outcomes = slices.Delete(l.outcomes, 0, maxOutcomes/2)
+	}
+	l.outcomes = append(l.outcomes, Outcome{
+		At: time.Now(), Task: t.ID(), Class: t.Job().Class, Worker: t.Worker, Failed: failed,
+	})
+}
+
+// Bounds of the delay between a failed attempt and the next one.
+const (
+	minRetry = time.Second
+	maxRetry = time.Minute
+)
+
+// retryDelay grows with the number of earlier failures.
+func retryDelay(failures int) time.Duration {
+	return min(minRetry<<min(failures, 10), maxRetry)
+}
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -47,11 +47,15 @@
 	queue     queue
 	committed map[structs.AttemptID]time.Time // attempts of this epoch
 	pendingAt map[structs.TaskID]time.Time    // when this leader first saw it pending
+	retryAt   map[structs.TaskID]time.Time    // earliest next attempt after a failure
 	reasons   map[structs.TaskID]Unschedulable
+	outcomes  []Outcome // for the planner, oldest first
 	inbox     []acceptance
 	domain    domainView
 	summary   summaryRow
 	planned   planned
+	composed  time.Time // when the loop composed last
+	resumed   time.Time // when it went on after a pause
 	moved     time.Time // when a service was last evicted from an evacuated domain
 	visited   bool      // a worker of a foreign cell has reported
 }
@@ -89,6 +93,7 @@
 		queue:     newQueue(),
 		committed: map[structs.AttemptID]time.Time{},
 		pendingAt: map[structs.TaskID]time.Time{},
+		retryAt:   map[structs.TaskID]time.Time{},
 		reasons:   map[structs.TaskID]Unschedulable{},
 	}
 }
@@ -138,7 +143,8 @@
 	l.over = true
 }
 
-// wait blocks until there may be something to do.
+// wait blocks until there may be something to do and a write is allowed. A
+// write after a quiet time is allowed at once; it never waits for company.
 func (l *leader) wait(ctx context.Context) error {
 	timer := time.NewTimer(l.o.Timing.Poll / 4)
 	defer timer.Stop()
@@ -148,7 +154,10 @@
 	case <-l.wake:
 	case <-timer.C:
 	}
-	return l.limiter.Wait(ctx)
+	if missing := 1 - l.limiter.Tokens(); missing > 0 {
+		return sleep(ctx, time.Duration(missing/float64(l.limiter.Limit())*float64(time.Second)))
+	}
+	return nil
 }
 
 // step commits one transaction if there is something to commit.
@@ -157,6 +166,7 @@
 	if work.empty() {
 		return nil
 	}
+	l.limiter.Allow()
 	err := l.commit(ctx, work)
 	if conflict := asConflict(err); conflict != nil && conflict.Key != leaderKey(l.cell) {
 		count(l.metrics.conflicts, 1)
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	_ "pgregory.net/rapid"
-
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/platform/standin"
 	"github.com/daisywall/daisywall/structs"
@@ -21,7 +19,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": fixedSeed, "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": fixedSeed, "rapid.nofailfile": "true", "rapid.checks": interleavings} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			if err := flag.Set(name, value); err != nil {
 				panic(err)
@@ -46,6 +44,7 @@
 	node   *Node
 	cancel context.CancelFunc
 	ended  chan struct{}
+	dead   bool
 }
 
 // world is a set of cells on one table, inside a synctest bubble.
@@ -66,6 +65,8 @@
 	members []*member
 	delays  []time.Duration // of the next messages
 	runs    time.Duration   // run time of every task
+	// lateAssign holds assignments back, also when their sender has given up.
+	lateAssign time.Duration
 }
 
 func newWorld(t testing.TB, timing Timing) *world {
@@ -83,13 +84,12 @@
 func (w *world) add(cell structs.CellID, domain structs.FailureDomainID, n int) {
 	for i := range n {
 		m := &member{host: newHost(w, structs.WorkerID(fmt.Sprintf("%s-%d", cell, i)), cell, domain)}
-		m.port = &port{Table: w.table, objects: w.objects, gate: &m.host.gate, late: &w.work}
+		m.port = &port{Table: w.table, objects: w.objects, history: &w.history, gate: &m.host.gate, late: &w.work}
+		w.boot(m)
 		w.mu.Lock()
 		w.members = append(w.members, m)
 		w.mu.Unlock()
-		w.work.Go(func() { m.host.runtime(w.ctx) })
 		w.work.Go(func() { m.host.agent(w.ctx) })
-		w.boot(m)
 	}
 }
 
@@ -107,7 +107,7 @@
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.mu.Lock()
-	m.node, m.cancel, m.ended = node, cancel, make(chan struct{})
+	m.node, m.cancel, m.ended, m.dead = node, cancel, make(chan struct{}), false
 	ended := m.ended
 	w.mu.Unlock()
 	w.work.Go(func() {
@@ -116,13 +116,28 @@
 	})
 }
 
-// kill ends a candidate without letting it release anything.
-func (w *world) kill(m *member) {
+// kill ends a candidate without letting it release anything. It returns false
+// when the candidate is dead already.
+func (w *world) kill(m *member) bool {
+	w.mu.Lock()
+	dead, cancel, ended := m.dead, m.cancel, m.ended
+	m.dead = true
+	w.mu.Unlock()
+	if dead {
+		return false
+	}
 	m.port.set(func(p *port) { p.cut = true })
-	m.cancel()
+	cancel()
 	m.host.gate.thaw()
-	<-m.ended
+	<-ended
 	m.port.set(func(p *port) { p.cut = false })
+	return true
+}
+
+func (w *world) nodeOf(m *member) *Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return m.node
 }
 
 func (w *world) member(id structs.WorkerID) *member {
@@ -200,10 +215,7 @@
 	}
 	return carry(ctx, w, func() *daisywallpb.HeartbeatResponse {
 		m.host.gate.pass()
-		w.mu.Lock()
-		node := m.node
-		w.mu.Unlock()
-		resp, _ := node.Heartbeat(ctx, req)
+		resp, _ := w.nodeOf(m).Heartbeat(ctx, req)
 		m.host.gate.pass()
 		return resp
 	})
@@ -215,29 +227,49 @@
 	if m == nil || !connected(from.host, m.host) {
 		return nil, errLost
 	}
-	return carry(ctx, w, func() *daisywallpb.AssignResponse { return m.host.assign(req) })
+	w.mu.Lock()
+	late := w.lateAssign
+	w.mu.Unlock()
+	return carry(ctx, w, func() *daisywallpb.AssignResponse {
+		time.Sleep(late)
+		return m.host.assign(req)
+	})
 }
 
 // runTime returns how long an attempt runs.
-func (w *world) runTime(structs.AttemptID) time.Duration {
+func (w *world) runTime(kind structs.WorkKind) time.Duration {
+	if kind == structs.WorkService {
+		return 24 * time.Hour
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.runs
 }
 
-// watch writes the leadership rows into the history until ctx ends.
-func (w *world) watch(cells ...structs.CellID) {
-	w.work.Go(func() {
-		for sleep(w.ctx, 50*time.Millisecond) == nil {
-			for _, cell := range cells {
-				row, err := w.table.Get(w.ctx, leaderKey(cell))
-				var l Leadership
-				if err == nil && decode(row.Key, row.Value, &l) == nil {
-					w.history.add(event{kind: eventLead, cell: cell, host: l.Worker, epoch: l.Epoch})
-				}
+// running counts the tasks of the job that run now.
+func (w *world) running(job structs.JobID) int {
+	n := 0
+	for _, m := range w.members {
+		m.host.mu.Lock()
+		m.host.tick(time.Now())
+		for id, r := range m.host.runs {
+			if id.Task.Job == job && !r.state.Over() {
+				n++
 			}
 		}
-	})
+		m.host.mu.Unlock()
+	}
+	return n
+}
+
+// eventually waits until the condition holds, for limit at most.
+func eventually(limit time.Duration, condition func() bool) bool {
+	for begin := time.Now(); !condition(); time.Sleep(time.Second) {
+		if time.Since(begin) > limit {
+			return false
+		}
+	}
+	return true
 }
 
 // heal ends every fault.
@@ -258,6 +290,16 @@
 	w.work.Wait()
 }
 
+// verdict checks the record so far.
+func (w *world) verdict() error {
+	for _, m := range w.members {
+		m.host.mu.Lock()
+		m.host.tick(time.Now())
+		m.host.mu.Unlock()
+	}
+	return check(w.history.sorted(), w.capacity)
+}
+
 // submit gives a job to the cells, waiting until some cell is there.
 func (w *world) submit(key string, kind structs.WorkKind, tasks int32) structs.JobID {
 	job := structs.Job{
@@ -278,15 +320,13 @@
 
 // settled waits until the job is done, for limit at most.
 func (w *world) settled(id structs.JobID, limit time.Duration) (JobStatus, bool) {
-	begin := time.Now()
-	for {
-		status, err := w.jobs.Status(w.ctx, id)
-		if err == nil && status.Done() {
-			return status, true
-		}
-		if time.Since(begin) > limit {
-			return status, false
+	var status JobStatus
+	done := eventually(limit, func() bool {
+		got, err := w.jobs.Status(w.ctx, id)
+		if err == nil {
+			status = got
 		}
-		time.Sleep(time.Second)
-	}
+		return err == nil && got.Done()
+	})
+	return status, done
 }
--- a/request/router.go
+++ b/request/router.go
@@ -48,7 +48,7 @@
 
 // Answer is the whole answer of a target.
 type Answer struct {
-	ID       structs.RequestID
+	ID       structs.RequestID // under which the target ran it
 	Status   int
 	Headers  []*daisywallpb.Header
 	Body     []byte
@@ -157,6 +157,7 @@
 	deadline   time.Time
 	attempts   int
 	tried      map[*targetState]bool
+	unknown    *attempt // first attempt that may have run
 }
 
 // prepare looks up the configuration of a call.
--- a/worker/fake_test.go
+++ b/worker/fake_test.go
@@ -89,6 +89,37 @@
 	return &structs.UnavailableError{Dependency: "leader"}
 }
 
+// port is the runtime as the agent sees it.
+type port struct {
+	platform.WorkerRuntime
+	mu       sync.Mutex
+	start    func(spec platform.StartSpec) error         // in the place of Start, if set
+	snapshot func(s platform.Snapshot) platform.Snapshot // changes snapshots, if set
+}
+
+func (p *port) Start(ctx context.Context, spec platform.StartSpec) error {
+	if p.start != nil {
+		return p.start(spec)
+	}
+	return p.WorkerRuntime.Start(ctx, spec)
+}
+
+func (p *port) Snapshot(ctx context.Context) (platform.Snapshot, error) {
+	s, err := p.WorkerRuntime.Snapshot(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.snapshot != nil {
+		s = p.snapshot(s)
+	}
+	return s, err
+}
+
+func (p *port) setSnapshot(change func(platform.Snapshot) platform.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.snapshot = change
+}
+
 // host is one worker with its runtime, its agent and a leader.
 type host struct {
 	t       *testing.T
@@ -96,8 +127,13 @@
 	leader  *fakeLeader
 	objects *standin.Objects
 	runtime *standin.Runtime
+	port    *port
 	agent   *Agent
 	stop    func()
+
+	// Planted faults of the agent.
+	capacity structs.Resources
+	grant    time.Duration
 }
 
 // onHost runs a test on an open agent in a bubble.
@@ -111,12 +147,24 @@
 	})
 }
 
+// hold runs until it is stopped.
+func hold(ctx context.Context, _ *standin.Input) ([]byte, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 func newHost(t *testing.T) *host {
 	objects := standin.NewObjects()
-	h := &host{t: t, is: is.New(t), leader: &fakeLeader{epoch: 1}, objects: objects, stop: func() {}}
+	h := &host{
+		t: t, is: is.New(t), leader: &fakeLeader{epoch: 1}, objects: objects, stop: func() {},
+		capacity: hostCapacity, grant: DefaultStartGrant,
+	}
+	programs := standin.Programs()
+	programs["hold"] = standin.ProgramFunc(hold)
 	h.runtime = standin.NewRuntime(standin.RuntimeOptions{
-		Worker: "w1", Capacity: hostCapacity, Objects: objects, Programs: standin.Programs(),
+		Worker: "w1", Capacity: hostCapacity, Objects: objects, Programs: programs,
 	})
+	h.port = &port{WorkerRuntime: h.runtime}
 	h.is.NoErr(objects.Put(context.Background(), "long", []byte("1h")))
 	h.is.NoErr(objects.Put(context.Background(), "short", []byte("500ms")))
 	return h
@@ -132,10 +180,11 @@
 func (h *host) startAgent() {
 	h.stop()
 	agent, err := New(Options{
-		Worker:    structs.Worker{ID: "w1", Cell: "c1", FailureDomain: "d1", Capacity: hostCapacity, Address: "w1:1"},
-		Runtime:   h.runtime,
-		Finder:    h.leader,
-		Heartbeat: h.leader.Heartbeat,
+		Worker:     structs.Worker{ID: "w1", Cell: "c1", FailureDomain: "d1", Capacity: h.capacity, Address: "w1:1"},
+		Runtime:    h.port,
+		Finder:     h.leader,
+		Heartbeat:  h.leader.Heartbeat,
+		StartGrant: h.grant,
 	})
 	h.is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
