Service-level counts of entries and leaders; bad input of the HTTP API

Cause: the burn report had no counts; nothing showed that bad input changes nothing. Ruled out: counting a job only when it ends: a run that never finishes would never be late. A leader now also tells of deadlines that pass while it leads. Change: cell.Observer, daemon.burnCounts, the tour of daisywall dev waits for the leaders' counts; table test and fuzz target of the HTTP API.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -99,6 +99,7 @@
 		l.ended(e)
 	}
 	l.state.Apply(seq, &w.batch)
+	l.observeBatch(&w.batch, now)
 	for _, change := range w.batch.Workers {
 		if l.queue.workers[change.Worker] == change.Incarnation {
 			delete(l.queue.workers, change.Worker)
--- a/cell/compose.go
+++ b/cell/compose.go
@@ -55,6 +55,7 @@
 		l.composeStarts(w, now)
 	}
 	l.composeSummary(w, now)
+	l.observeDeadlines(now)
 	return w
 }
 
--- a/cell/options.go
+++ b/cell/options.go
@@ -33,6 +33,8 @@
 	Assign  AssignFunc
 	Planner Planner    // FirstFit if nil
 	Config  ConfigFunc // may be nil
+	// Observer is told of ends and deadlines; may be nil.
+	Observer Observer
 
 	Timing Timing // zero fields get defaults
 	Log    *zap.Logger
@@ -148,6 +150,9 @@
 	if o.Planner == nil {
 		o.Planner = FirstFit{}
 	}
+	if o.Observer == nil {
+		o.Observer = noObserver{}
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
--- a/command/tour.go
+++ b/command/tour.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/url"
 
+	"github.com/daisywall/daisywall/burn"
 	"github.com/daisywall/daisywall/client"
 	"github.com/daisywall/daisywall/config"
 	"github.com/daisywall/daisywall/examples"
@@ -145,9 +147,36 @@
 	return t.api.SetDomain(ctx, domain, structs.DomainIn, "tour")
 }
 
+// tourJobs is the number of parts of jobs that the tour leaves finished: one
+// for each cell that a job was given to.
+const tourJobs = 3
+
+// finishedOnTime counts the finished parts of jobs.
+func finishedOnTime(report *burn.Report) int64 {
+	total := int64(0)
+	for _, b := range report.Batch {
+		total += b.Status.Good
+	}
+	return total
+}
+
 // report prints the service-level burn report.
 func (t *tour) report(ctx context.Context) error {
-	t.step("service-level burn report")
+	t.step("service-level burn report (the leaders write their counts every few seconds)")
+	err := until(ctx, "counts", func(ctx context.Context) (bool, error) {
+		document, err := t.api.Raw(ctx, url.Values{"format": {"json"}}, "v1", "burn")
+		if err != nil {
+			return false, err
+		}
+		var report burn.Report
+		if err := json.Unmarshal(document, &report); err != nil {
+			return false, fmt.Errorf("decode report: %w", err)
+		}
+		return finishedOnTime(&report) >= tourJobs, nil
+	})
+	if err != nil {
+		return err
+	}
 	report, err := t.api.Raw(ctx, url.Values{"format": {"text"}}, "v1", "burn")
 	if err != nil {
 		return err
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -54,6 +54,7 @@
 	peers     *peers
 	holder    *config.Holder
 	node      *cell.Node
+	burn      *burnCounts
 	tasks     *worker.Agent
 	targets   *membership.LocalTargets
 	requests  *request.Executor
@@ -101,18 +102,21 @@
 }
 
 func (a *agent) buildCell() error {
+	leading := func() bool { _, leads := a.node.Leading(); return leads }
+	a.burn = newBurnCounts(a.platform.Table(), a.settings.Platform.Timeout(), string(a.settings.Worker), a.holder.Current, leading, a.telemetry.Log.Named("burn"))
 	node, err := cell.New(cell.Options{
-		Cell:    a.settings.Cell,
-		Domain:  a.settings.FailureDomain,
-		Worker:  a.settings.Worker,
-		Address: a.settings.Advertise,
-		Table:   a.platform.Table(),
-		Objects: a.platform.Objects(),
-		Assign:  a.peers.assign,
-		Planner: planner.New(a.holder.Current, placement.Options{}),
-		Config:  a.holder.UpdateSince,
-		Log:     a.telemetry.Log.Named("cell"),
-		Meters:  a.telemetry.Meters,
+		Cell:     a.settings.Cell,
+		Domain:   a.settings.FailureDomain,
+		Worker:   a.settings.Worker,
+		Address:  a.settings.Advertise,
+		Table:    a.platform.Table(),
+		Objects:  a.platform.Objects(),
+		Assign:   a.peers.assign,
+		Observer: a.burn,
+		Planner:  planner.New(a.holder.Current, placement.Options{}),
+		Config:   a.holder.UpdateSince,
+		Log:      a.telemetry.Log.Named("cell"),
+		Meters:   a.telemetry.Meters,
 	})
 	a.node = node
 	return err
@@ -199,7 +203,8 @@
 		{"telemetry", hooks{stop: a.telemetry.Close}, nil},
 		{"platform", hooks{stop: func(context.Context) error { return a.platform.Close() }}, []string{"telemetry"}},
 		{"peers", hooks{stop: func(context.Context) error { a.peers.close(); return nil }}, []string{"telemetry"}},
-		{"cell", newRunner(a.node.Run), []string{"platform", "peers"}},
+		{"burn", newRunner(a.burn.run), []string{"platform"}},
+		{"cell", newRunner(a.node.Run), []string{"platform", "peers", "burn"}},
 		{"config", newRunner(a.watchConfig), []string{"platform", "cell"}},
 		{"peer-server", server, []string{"cell"}},
 		{"tasks", hooks{start: work.Start, stop: a.stopTasks(work)}, []string{"peer-server", "platform"}},
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/burn"
 	"github.com/daisywall/daisywall/cell"
 	"github.com/daisywall/daisywall/client"
 	"github.com/daisywall/daisywall/config"
@@ -17,7 +18,6 @@
 	platformclient "github.com/daisywall/daisywall/platform/client"
 	"github.com/daisywall/daisywall/request"
 	"github.com/daisywall/daisywall/settings"
-	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/telemetry"
 )
 
@@ -51,6 +51,7 @@
 	jobs      *cell.Jobs
 	leaders   *leaders
 	services  *serviceJobs
+	burn      *burnCounts
 	api       *entryapi.Server
 	started   time.Time
 	draining  atomic.Bool
@@ -117,6 +118,7 @@
 	timeout := e.settings.Platform.Timeout()
 	e.leaders = newLeaders(cell.NewDirectory(e.platform.Table(), timeout), e.peers)
 	e.jobs = cell.NewJobs(e.platform.Table(), timeout, e.leaders.notify)
+	e.burn = newBurnCounts(e.platform.Table(), timeout, string(e.settings.Entry), e.holder.Current, func() bool { return true }, e.telemetry.Log.Named("burn"))
 	e.services = &serviceJobs{jobs: e.jobs, holder: e.holder, log: e.telemetry.Log.Named("services")}
 	return nil
 }
@@ -138,13 +140,13 @@
 func (e *entry) buildAPI() error {
 	api, err := entryapi.New(entryapi.Options{
 		Requests:  e.router,
-		Observer:  noObserver{},
+		Observer:  e.burn,
 		Jobs:      jobs{e.jobs},
 		Domains:   domains{cell.NewDomains(e.platform.Table(), e.settings.Platform.Timeout())},
 		Config:    configuration{store: config.NewStore(e.platform.Table()), holder: e.holder, workers: e.revisions},
 		Targets:   e.targets,
 		Explain:   e.leaders,
-		Burn:      noBurn{},
+		Burn:      e.burn,
 		Objects:   e.platform.Objects(),
 		Metrics:   e.telemetry.Metrics,
 		Meter:     e.telemetry.Meters.Meter("api"),
@@ -175,8 +177,10 @@
 		{"registry", newRunner(e.registry.Run), []string{"peer-server"}},
 		{"entries", newRunner(e.rows.Run), []string{"peer-server", "platform"}},
 		{"services", newRunner(e.services.run), []string{"config"}},
+		{"burn", newRunner(e.burn.run), []string{"platform"}},
+		{"burn-folder", newRunner(burn.NewFolder(e.platform.Table(), e.telemetry.Log.Named("burn")).Run), []string{"platform"}},
 		{"router", hooks{start: routing.Start, stop: e.stopRouter(routing)}, []string{"registry", "config", "peers"}},
-		{"api", http, []string{"router", "platform"}},
+		{"api", http, []string{"router", "platform", "burn"}},
 	}
 	for _, s := range services {
 		if err := e.kernel.Register(s.name, s.service, s.needs...); err != nil {
@@ -242,15 +246,3 @@
 	}
 	return byWorker
 }
-
-// noObserver counts nothing.
-type noObserver struct{}
-
-func (noObserver) Request(structs.TeamID, string, string, time.Duration) {}
-
-// noBurn has no report.
-type noBurn struct{}
-
-func (noBurn) Render(context.Context, string) ([]byte, string, error) {
-	return nil, "", &structs.NotFoundError{Subject: "report", Name: "burn"}
-}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/daisywall/daisywall/burn"
 	"github.com/daisywall/daisywall/client"
 	"github.com/daisywall/daisywall/command"
 	"github.com/daisywall/daisywall/platform/standin"
@@ -140,6 +141,27 @@
 	matching := c.submit("graz", "matching", client.JobRequest{Input: sample(t, "matching")})
 	is.Equal(c.waitForJob(0, matching).State, string(structs.TaskFinished))
 
+	// The counts of entries and leaders meet in the burn report, also after the
+	// entry that counted is gone.
+	c.entries[0].terminate(t)
+	c.entries[0] = c.startEntry(0)
+	eventually(t, "burn report", func() (bool, string) {
+		out, _ := c.run("burn", "-o", "json")
+		var report burn.Report
+		if err := json.Unmarshal([]byte(out), &report); err != nil {
+			return false, out
+		}
+		good := map[string]int64{}
+		for _, r := range report.Requests {
+			good[string(r.Team)+"/"+r.Kind] = r.Status.Good + r.Status.Bad
+		}
+		for _, b := range report.Batch {
+			good[string(b.Team)+"/"+b.Class] = b.Status.Good
+		}
+		// The second alert with the same key is a request of its own.
+		return good["graz/alert"] == 2 && good["jabuka/slot-check"] == 2 && good["jabuka/pricing"] >= 1 && good["graz/matching"] == 1, fmt.Sprint(good)
+	})
+
 	// The watchers of the configuration run without having been submitted.
 	eventually(t, "watchers run", func() (bool, string) {
 		out, _ := c.run("jobs", "list", "graz", "-o", "json")
--- /dev/null
+++ b/entryapi/server_test.go
@@ -0,0 +1,164 @@
+package entryapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/daisywall/daisywall/client"
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/problem"
+	"github.com/daisywall/daisywall/request"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// calls counts every call that changes something.
+type calls struct{ n int }
+
+func (c *calls) Do(_ context.Context, call request.Call) (request.Answer, error) {
+	c.n++
+	return request.Answer{ID: "r1", Status: http.StatusOK, Body: call.Body}, nil
+}
+func (c *calls) Submit(_ context.Context, job structs.Job, _ string) (structs.Job, error) {
+	c.n++
+	return job, nil
+}
+func (c *calls) Status(context.Context, structs.JobID) (client.JobStatus, error) {
+	return client.JobStatus{}, &structs.NotFoundError{Subject: "job", Name: "x"}
+}
+func (c *calls) Cancel(context.Context, structs.JobID) error { c.n++; return nil }
+func (c *calls) List(context.Context, structs.TeamID) ([]client.JobStatus, error) {
+	return nil, nil
+}
+
+type domainCalls struct{ calls *calls }
+
+func (d domainCalls) List(context.Context) ([]structs.FailureDomain, error) { return nil, nil }
+func (d domainCalls) Set(context.Context, structs.FailureDomainID, structs.DomainState, string, string) error {
+	d.calls.n++
+	return nil
+}
+
+type configCalls struct{ calls *calls }
+
+func (c configCalls) Current() *structs.Config {
+	return &structs.Config{Revision: 1, Teams: []structs.TeamConfig{{
+		ID:       "jabuka",
+		Requests: []structs.RequestKind{{Name: "slot-check", DeadlineMS: 800}},
+		Batch:    []structs.BatchConfig{{Class: "pricing", Program: "pricing"}},
+	}}}
+}
+func (c configCalls) Committed(context.Context) (structs.Config, error) { return *c.Current(), nil }
+func (c configCalls) Apply(context.Context, int64, client.ConfigChange, string) (int64, error) {
+	c.calls.n++
+	return 2, nil
+}
+func (c configCalls) History(context.Context) (any, error)            { return nil, nil }
+func (c configCalls) Diff(context.Context, int64, int64) (any, error) { return nil, nil }
+func (c configCalls) Rollback(context.Context, int64, string) (int64, error) {
+	c.calls.n++
+	return 2, nil
+}
+func (c configCalls) Workers() map[string]int64 { return nil }
+
+type silent struct{}
+
+func (silent) Request(structs.TeamID, string, string, time.Duration) {}
+func (silent) Explain(context.Context, string, string) ([]byte, error) {
+	return nil, &structs.NotFoundError{Subject: "task", Name: "x"}
+}
+func (silent) Render(context.Context, string) ([]byte, string, error) {
+	return nil, "", &structs.InvalidError{Subject: "query"}
+}
+
+func newTestServer(t testing.TB, objects platform.Objects) (*Server, *calls) {
+	t.Helper()
+	c := &calls{}
+	server, err := New(Options{
+		Requests: c, Observer: silent{}, Jobs: c, Domains: domainCalls{c}, Config: configCalls{c},
+		Targets: func() []client.TargetStatus { return nil }, Explain: silent{}, Burn: silent{}, Objects: objects,
+		Metrics: http.NotFoundHandler(), Meter: noop.NewMeterProvider().Meter(""), Accepting: func() bool { return true },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return server, c
+}
+
+func TestBadInputGetsATypedAnswerAndChangesNothing(t *testing.T) {
+	long := strings.Repeat("k", maxKeyBytes+1)
+	cases := []struct {
+		name, method, path, body string
+		header                   http.Header
+		status                   int
+		kind                     string
+	}{
+		{"unknown path", "GET", "/v2", "", nil, 404, problem.TypeNotFound},
+		{"timeout that is no number", "POST", "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderTimeoutMS: {"soon"}}, 400, problem.TypeInvalid},
+		{"timeout below zero", "POST", "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderTimeoutMS: {"-5"}}, 400, problem.TypeInvalid},
+		{"idempotency key that is too long", "POST", "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderIdempotencyKey: {long}}, 400, problem.TypeInvalid},
+		{"request body that is too large", "POST", "/v1/teams/jabuka/requests/slot-check", strings.Repeat("x", maxRequestBody+1), nil, 413, problem.TypeTooLarge},
+		{"job of an unknown team", "POST", "/v1/teams/nobody/jobs", `{"class":"pricing"}`, nil, 404, problem.TypeNotFound},
+		{"job of an unknown class", "POST", "/v1/teams/jabuka/jobs", `{"class":"unknown"}`, nil, 404, problem.TypeNotFound},
+		{"job that is no JSON", "POST", "/v1/teams/jabuka/jobs", `{"class":`, nil, 400, problem.TypeInvalid},
+		{"job with an unknown field", "POST", "/v1/teams/jabuka/jobs", `{"class":"pricing","taks":2}`, nil, 400, problem.TypeInvalid},
+		{"two documents as a job", "POST", "/v1/teams/jabuka/jobs", `{"class":"pricing"}{}`, nil, 400, problem.TypeInvalid},
+		{"job with a negative size", "POST", "/v1/teams/jabuka/jobs", `{"class":"pricing","tasks":-1,"deadline_ms":-2,"resources":{"milli_cpu":0,"memory_mb":1,"accelerators":0}}`, nil, 400, problem.TypeInvalid},
+		{"result of no number", "GET", "/v1/jobs/j/results/first", "", nil, 400, problem.TypeInvalid},
+		{"unknown state of a failure domain", "POST", "/v1/domains/kordun/away", "", nil, 400, problem.TypeInvalid},
+		{"configuration change without the revision", "POST", "/v1/config", `{}`, nil, 400, problem.TypeInvalid},
+		{"configuration change that is too large", "POST", "/v1/config", `{"remove":["` + strings.Repeat("x", maxConfigBody) + `"]}`, http.Header{"If-Match": {"1"}}, 413, problem.TypeTooLarge},
+		{"rollback without a body", "POST", "/v1/config/rollback", "", nil, 400, problem.TypeInvalid},
+		{"difference from no revision", "GET", "/v1/config/diff?from=a&to=2", "", nil, 400, problem.TypeInvalid},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			objects := standin.NewObjects()
+			server, changed := newTestServer(t, objects)
+			r := httptest.NewRequest(c.method, c.path, strings.NewReader(c.body))
+			for name, values := range c.header {
+				r.Header[name] = values
+			}
+			w := httptest.NewRecorder()
+			server.ServeHTTP(w, r)
+			is.Equal(w.Code, c.status)
+			is.Equal(w.Header().Get("Content-Type"), problem.ContentType)
+			is.Equal(problem.Read(w.Result()).Type, c.kind)
+			is.Equal(changed.n, 0)
+			stored, err := objects.List(context.Background(), "")
+			is.NoErr(err)
+			is.Equal(len(stored), 0)
+		})
+	}
+}
+
+func TestEveryFaultOfAJobIsNamed(t *testing.T) {
+	is := is.New(t)
+	server, _ := newTestServer(t, standin.NewObjects())
+	w := httptest.NewRecorder()
+	body := `{"class":"pricing","tasks":-1,"deadline_ms":-2,"resources":{"milli_cpu":0,"memory_mb":0,"accelerators":-1}}`
+	server.ServeHTTP(w, httptest.NewRequest("POST", "/v1/teams/jabuka/jobs", strings.NewReader(body)))
+	is.Equal(len(problem.Read(w.Result()).Faults), 5)
+}
+
+func FuzzJobSubmission(f *testing.F) {
+	f.Add(`{"class":"pricing","tasks":2}`)
+	f.Add(`{"class":"pricing","input":{"a":[1,2]},"resources":{"milli_cpu":1}}`)
+	f.Add(`[`)
+	f.Fuzz(func(t *testing.T, body string) {
+		server, _ := newTestServer(t, standin.NewObjects())
+		w := httptest.NewRecorder()
+		server.ServeHTTP(w, httptest.NewRequest("POST", "/v1/teams/jabuka/jobs", strings.NewReader(body)))
+		if w.Code >= http.StatusInternalServerError {
+			t.Fatalf("status %d for %q: %s", w.Code, body, w.Body)
+		}
+	})
+}
