--- a/faults/process_test.go
+++ b/faults/process_test.go
@@ -209,7 +209,7 @@
 		err   error
 	}
 	answer := make(chan result, 1)
-	delay := w.takeDelay()
+	delay := w.takeDelay(&w.delays)
 	w.background.Go(func() {
 		time.Sleep(delay)
 		to.gate.pass()
@@ -241,7 +241,13 @@
 func (w *world) heartbeatFrom(p *process) worker.HeartbeatFunc {
 	return func(ctx context.Context, address string, req *daisywallpb.HeartbeatRequest) (*daisywallpb.HeartbeatResponse, error) {
 		to := w.process(address)
-		return message(ctx, w, p, to, func() (*daisywallpb.HeartbeatResponse, error) { return to.node.Heartbeat(ctx, req) })
+		return message(ctx, w, p, to, func() (*daisywallpb.HeartbeatResponse, error) {
+			resp, err := to.node.Heartbeat(ctx, req)
+			if w.planted.lease > 0 && err == nil {
+				resp.BatchLeaseMs *= w.planted.lease
+			}
+			return resp, err
+		})
 	}
 }
 
@@ -249,6 +255,10 @@
 	return func(ctx context.Context, address string, req *daisywallpb.AssignRequest) (*daisywallpb.AssignResponse, error) {
 		w.noteAssign(req)
 		to := w.process(address)
-		return message(ctx, w, p, to, func() (*daisywallpb.AssignResponse, error) { return to.agent.Assign(ctx, req) })
+		delay := w.takeDelay(&w.assigns)
+		return message(ctx, w, p, to, func() (*daisywallpb.AssignResponse, error) {
+			time.Sleep(delay)
+			return to.agent.Assign(ctx, req)
+		})
 	}
 }
--- a/faults/tasks_test.go
+++ b/faults/tasks_test.go
@@ -49,7 +49,8 @@
 	"runtimes silent":       {func(w *world) { runtimes(w, func(f *standin.Faults) { f.Silence(5) }) }, 8 * time.Second, false},
 	"runtimes slow":         {func(w *world) { runtimes(w, func(f *standin.Faults) { f.Delay(2*time.Second, 5) }) }, 8 * time.Second, false},
 	"runtimes lose answers": {func(w *world) { runtimes(w, func(f *standin.Faults) { f.LoseAnswer(4) }) }, 8 * time.Second, false},
-	"messages late":         {func(w *world) { w.delay(3*time.Second, 12) }, 10 * time.Second, false},
+	"messages late":         {func(w *world) { w.delay(&w.delays, 5*time.Second, 12) }, 10 * time.Second, false},
+	"assignments late":      {func(w *world) { w.delay(&w.assigns, 5*time.Second, 8) }, 10 * time.Second, false},
 	"domain out":            {func(w *world) { w.setDomain("north", true) }, 20 * time.Second, true},
 	"agent frozen and table paused": {func(w *world) {
 		w.follower("a").gate.freeze()
@@ -122,7 +123,7 @@
 
 func faultAtStep(t *testing.T, f fault, step string, reached func(*world, []standin.Event) bool) {
 	is := is.New(t)
-	w := newWorld(t)
+	w := newWorld(t, planted{})
 	defer w.close()
 	w.exact = f.exact
 	is.NoErr(w.platform.Objects.Put(context.Background(), "input", []byte("8s")))
--- a/faults/world_test.go
+++ b/faults/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -44,26 +45,36 @@
 	jobs       *cell.Jobs
 	domains    *cell.Domains
 	background sync.WaitGroup
-	exact      bool // nothing keeps leaders from hearing of ends
+	exact      bool          // nothing keeps leaders from hearing of ends
+	operator   chan struct{} // held by the one at work
+	planted    planted
 
 	mu        sync.Mutex
-	processes []*process // the newest of each worker
-	delays    []time.Duration
+	processes []*process                      // the newest of each worker
+	delays    []time.Duration                 // of the next messages
+	assigns   []time.Duration                 // of the next requests to agents, besides
 	asked     map[daisywallpb.Action_Verb]int // actions that leaders sent
 	assigned  int                             // assignments that leaders sent
 	out       map[structs.FailureDomainID]time.Time
 	outages   []outage
 }
 
+// planted holds faults of the code under test.
+type planted struct {
+	grant time.Duration // of the agents, in the place of the leaders'
+	lease int64         // factor of the leases that agents read
+}
+
 // outage is the time in which a failure domain was out.
 type outage struct {
 	domain   structs.FailureDomainID
 	from, to time.Time
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T, p planted) *world {
 	w := &world{
-		t: t, platform: standin.NewPlatform(),
+		planted: p,
+		t:       t, platform: standin.NewPlatform(), operator: make(chan struct{}, 1),
 		asked: map[daisywallpb.Action_Verb]int{}, out: map[structs.FailureDomainID]time.Time{},
 	}
 	w.ctx, w.stop = context.WithCancel(context.Background())
@@ -98,7 +109,7 @@
 	}
 	p.agent, err = worker.New(worker.Options{
 		Worker: host, Runtime: runtimeOf{w.platform.Runtimes[host.ID], p}, Finder: finder{w, p},
-		Heartbeat: w.heartbeatFrom(p), CallTimeout: callTimeout,
+		Heartbeat: w.heartbeatFrom(p), CallTimeout: callTimeout, StartGrant: w.planted.grant,
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -187,24 +198,23 @@
 	return leader
 }
 
-func (w *world) takeDelay() time.Duration {
+// takeDelay returns the delay of the next message from a list.
+func (w *world) takeDelay(list *[]time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.delays) == 0 {
+	if len(*list) == 0 {
 		return 0
 	}
-	delay := w.delays[0]
-	w.delays = w.delays[1:]
+	delay := (*list)[0]
+	*list = (*list)[1:]
 	return delay
 }
 
-// delay holds the next messages back.
-func (w *world) delay(d time.Duration, messages int) {
+// delay holds the next messages of a list back.
+func (w *world) delay(list *[]time.Duration, d time.Duration, messages int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for range messages {
-		w.delays = append(w.delays, d)
-	}
+	*list = append(*list, slices.Repeat([]time.Duration{d}, messages)...)
 }
 
 func (w *world) noteAssign(req *daisywallpb.AssignRequest) {
@@ -232,15 +242,20 @@
 
 // setDomain takes a failure domain out or in, as often as the table needs it.
 func (w *world) setDomain(id structs.FailureDomainID, out bool) {
+	w.operator <- struct{}{}
+	defer func() { <-w.operator }()
+	asked := time.Now()
 	for {
-		if err := w.tryDomain(id, out); err == nil {
+		if err := w.tryDomain(id, out, asked); err == nil {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 }
 
-func (w *world) tryDomain(id structs.FailureDomainID, out bool) error {
+// tryDomain records a failure domain as out from when that is known, and as in
+// from when it was asked for: an answer may have been lost.
+func (w *world) tryDomain(id structs.FailureDomainID, out bool, asked time.Time) error {
 	row, err := w.domains.Get(w.ctx, id)
 	if err != nil {
 		return err
@@ -249,7 +264,6 @@
 	if out {
 		change = w.domains.Out
 	}
-	asked := time.Now()
 	if _, err = change(w.ctx, id, row.Revision, "operator", "test"); err != nil {
 		return err
 	}
@@ -275,7 +289,7 @@
 	}
 	w.mu.Lock()
 	processes := append([]*process{}, w.processes...)
-	w.delays = nil
+	w.delays, w.assigns = nil, nil
 	w.mu.Unlock()
 	for _, p := range processes {
 		p.set(func(p *process) { p.cut, p.isolated = false, false })
