Request: refuse deferred requests at arrival while urgent ones are refused

Change: an urgent refusal refuses deferred ones for 200 ms, a deferred one that waited in vain stops others from waiting, the entry grows its concurrency ten times slower; a silent connection's target may be tried again, under a new ID when the request is not idempotent.

--- a/bench/request/deployment.go
+++ b/bench/request/deployment.go
@@ -21,8 +21,7 @@
 
 const (
 	team        = "graz"
-	slots       = 8
-	connections = 60
+	connections = 64
 )
 
 // target is an HTTP server that works on a fixed number of requests at once
@@ -35,7 +34,7 @@
 	deferred atomic.Int64 // deferred requests that it works on
 }
 
-func startTarget(takes time.Duration) (*target, error) {
+func startTarget(slots int, takes time.Duration) (*target, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -124,11 +123,11 @@
 }
 
 // deploy starts targets, agents and entries.
-func deploy(targets, entries int, takes, deadline time.Duration, hedge bool) (*deployment, error) {
+func deploy(targets, entries, slots int, takes, deadline time.Duration, hedge bool) (*deployment, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &deployment{members: &members{}, cancel: cancel}
 	for i := range targets {
-		if err := d.addAgent(ctx, i, takes); err != nil {
+		if err := d.addAgent(ctx, i, slots, takes); err != nil {
 			d.stop()
 			return nil, err
 		}
@@ -151,8 +150,8 @@
 }
 
 // addAgent starts a target with its agent behind a relay.
-func (d *deployment) addAgent(ctx context.Context, i int, takes time.Duration) error {
-	t, err := startTarget(takes)
+func (d *deployment) addAgent(ctx context.Context, i, slots int, takes time.Duration) error {
+	t, err := startTarget(slots, takes)
 	if err != nil {
 		return err
 	}
--- a/bench/request/measure.go
+++ b/bench/request/measure.go
@@ -11,6 +11,7 @@
 const (
 	benchTargets  = 10
 	benchEntries  = 2
+	benchSlots    = 8
 	benchTakes    = 40 * time.Millisecond
 	benchDeadline = 400 * time.Millisecond
 	addedCallers  = 64
@@ -22,12 +23,12 @@
 
 // measureOverload offers multiples of the capacity.
 func measureOverload(o options) error {
-	capacity := float64(benchTargets*slots) / benchTakes.Seconds()
+	capacity := float64(benchTargets*benchSlots) / benchTakes.Seconds()
 	fmt.Printf("overload: capacity %.0f/s, deadline %v, half urgent\n", capacity, benchDeadline)
 	fmt.Println("load policy       goodput/s  p50 ms  p99 ms  urgent p99  refused  refusal p99 ms  late  urgent refused  (deferred ran)  deferred done")
 	for _, load := range []float64{0.5, 1, 2, 4} {
 		for _, policy := range []string{"round robin", "daisywall"} {
-			d, err := deploy(benchTargets, benchEntries, benchTakes, benchDeadline, false)
+			d, err := deploy(benchTargets, benchEntries, benchSlots, benchTakes, benchDeadline, false)
 			if err != nil {
 				return err
 			}
@@ -53,11 +54,11 @@
 
 // measureSlowTarget makes one target ten times slower at half of the capacity.
 func measureSlowTarget(o options) error {
-	capacity := float64(benchTargets*slots) / benchTakes.Seconds()
+	capacity := float64(benchTargets*benchSlots) / benchTakes.Seconds()
 	fmt.Println("one of ten targets 10x slow, load 0.5x, deadline 2 s")
 	const deadline = 2 * time.Second
 	for _, policy := range []string{"round robin", "daisywall", "with hedging"} {
-		d, err := deploy(benchTargets, benchEntries, benchTakes, deadline, policy == "with hedging")
+		d, err := deploy(benchTargets, benchEntries, benchSlots, benchTakes, deadline, policy == "with hedging")
 		if err != nil {
 			return err
 		}
@@ -80,7 +81,7 @@
 // are at its target, and measures the time to their answers.
 func measureSilence(o options) error {
 	const deadline = 5 * time.Second
-	d, err := deploy(2, 1, 20*time.Millisecond, deadline, false)
+	d, err := deploy(2, 1, benchSlots, 20*time.Millisecond, deadline, false)
 	if err != nil {
 		return err
 	}
@@ -119,7 +120,7 @@
 // measureAdded compares requests through entry and agent with requests sent
 // straight to the targets, in alternating rounds.
 func measureAdded(o options) error {
-	d, err := deploy(4, 1, 0, 5*time.Second, false)
+	d, err := deploy(4, 1, addedCallers, 0, 5*time.Second, false)
 	if err != nil {
 		return err
 	}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -12,6 +12,9 @@
 const (
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
+	// maxRefusals is the number of attempts up to which a refusal for lack of
+	// room is followed by another attempt whatever the retry budget.
+	maxRefusals = 3
 	// settleExtra is the time past the deadline in which an unknown outcome is
 	// settled.
 	settleExtra = 100 * time.Millisecond
@@ -34,6 +37,12 @@
 	err        error // cause of an unknown outcome
 }
 
+// silent reports whether the connection of the attempt was silent.
+func (a *attempt) silent() bool {
+	var silent *SilentConnectionError
+	return errors.As(a.err, &silent)
+}
+
 func (a *attempt) unknownError() error {
 	return &structs.UnknownOutcomeError{Operation: "request " + string(a.id), Err: a.err}
 }
--- a/request/gate.go
+++ b/request/gate.go
@@ -16,6 +16,19 @@
 	// urgentReserve is the part of the limit, as a divisor, that deferred
 	// requests leave free for urgent ones.
 	urgentReserve = 4
+	// pressureTime is the time for which deferred requests are refused after
+	// an urgent one was.
+	pressureTime = 200 * time.Millisecond
+	// starvedMin and starvedMax bound the time for which no deferred request
+	// may wait after one waited in vain. It doubles each time.
+	starvedMin = 500 * time.Millisecond
+	starvedMax = 4 * time.Second
+	// deferredQueue is the part of the queue, as a divisor, that deferred
+	// requests may fill.
+	deferredQueue = 4
+	// gapSmoothing is the weight of the latest gap between starts of waiting
+	// deferred requests.
+	gapSmoothing = 0.2
 )
 
 // refusal says why a request was not admitted.
@@ -41,6 +54,13 @@
 	queues   [2][]*waiter
 	service  float64 // smoothed seconds that a request holds its place
 	closed   *refusal
+
+	pressure  time.Time     // until when deferred requests are refused
+	gap       time.Duration // smoothed time between starts of waiting deferred requests
+	lastStart time.Time     // last start, or arrival at an empty deferred queue
+
+	starved    time.Time // until when no deferred request may wait
+	starvedFor time.Duration
 }
 
 // Indices of gate.queues.
@@ -66,7 +86,7 @@
 		defer g.mu.Unlock()
 		return g.closed
 	}
-	if g.hasPlace(urgent) && len(g.queues[queueUrgent]) == 0 && (urgent || len(g.queues[queueDeferred]) == 0) {
+	if g.mayBegin(urgent) {
 		g.take(urgent)
 		g.mu.Unlock()
 		return nil
@@ -89,16 +109,22 @@
 func (g *gate) tryAcquire(urgent bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed != nil || !g.hasPlace(urgent) || len(g.queues[queueUrgent]) > 0 {
-		return false
-	}
-	if !urgent && len(g.queues[queueDeferred]) > 0 {
+	if g.closed != nil || !g.mayBegin(urgent) {
 		return false
 	}
 	g.take(urgent)
 	return true
 }
 
+// mayBegin reports whether a request may begin at once. The caller holds the
+// lock.
+func (g *gate) mayBegin(urgent bool) bool {
+	if !g.hasPlace(urgent) || len(g.queues[queueUrgent]) > 0 {
+		return false
+	}
+	return urgent || (len(g.queues[queueDeferred]) == 0 && !time.Now().Before(g.pressure))
+}
+
 // hasPlace reports whether a request may begin. Deferred requests leave a part
 // of the limit to urgent ones. The caller holds the lock.
 func (g *gate) hasPlace(urgent bool) bool {
@@ -116,26 +142,89 @@
 	}
 }
 
-// enqueue adds a waiter. The caller holds the lock.
+// enqueue adds a waiter, or refuses a request that would not end in time. The
+// caller holds the lock.
 func (g *gate) enqueue(urgent bool, deadline time.Time) (*waiter, *refusal) {
+	now := time.Now()
 	limit := g.limit()
-	ahead := len(g.queues[queueUrgent])
+	wait := g.waitFor(len(g.queues[queueUrgent]), limit)
 	if !urgent {
-		ahead += len(g.queues[queueDeferred])
+		wait = max(wait, g.deferredWait(len(g.queues[queueDeferred]), now))
 	}
-	wait := g.waitFor(ahead, limit)
-	if time.Until(deadline) < wait+g.serviceTime() {
-		return nil, &refusal{structs.ReasonDeadline, max(wait, retryAfterMin)}
-	}
-	if g.queued() >= g.queueMax(limit) && !g.pushOut(urgent, wait) {
-		return nil, &refusal{structs.ReasonQueueFull, max(wait, retryAfterMin)}
+	if refused := g.judge(urgent, limit, now, deadline, wait); refused != nil {
+		if urgent {
+			g.press(now)
+		}
+		return nil, refused
 	}
 	w := &waiter{deadline: deadline, decided: make(chan *refusal, 1)}
 	class := classOf(urgent)
+	if !urgent && len(g.queues[class]) == 0 {
+		g.lastStart = now
+	}
 	g.queues[class] = append(g.queues[class], w)
 	return w, nil
 }
 
+// judge refuses a request that cannot wait. The caller holds the lock.
+func (g *gate) judge(urgent bool, limit int, now, deadline time.Time, wait time.Duration) *refusal {
+	if !urgent && (now.Before(g.pressure) || now.Before(g.starved)) {
+		return &refusal{structs.ReasonQueueFull, max(wait, pressureTime)}
+	}
+	if !urgent && len(g.queues[queueDeferred]) >= max(1, g.queueMax(limit)/deferredQueue) {
+		return &refusal{structs.ReasonQueueFull, max(wait, retryAfterMin)}
+	}
+	if deadline.Sub(now) < wait+g.serviceTime() {
+		return &refusal{structs.ReasonDeadline, max(wait, retryAfterMin)}
+	}
+	if g.queued() >= g.queueMax(limit) && !g.pushOut(urgent, wait) {
+		return &refusal{structs.ReasonQueueFull, max(wait, retryAfterMin)}
+	}
+	return nil
+}
+
+// press refuses deferred requests for a while, those that wait included,
+// because an urgent request had to be refused. The caller holds the lock.
+func (g *gate) press(now time.Time) {
+	g.pressure = now.Add(pressureTime)
+	if len(g.queues[queueDeferred]) > 0 {
+		g.starve(now)
+	}
+	for _, w := range g.queues[queueDeferred] {
+		w.decided <- &refusal{structs.ReasonQueueFull, pressureTime}
+	}
+	g.queues[queueDeferred] = nil
+}
+
+// starve keeps deferred requests from waiting for a while, because one waited
+// in vain. The caller holds the lock.
+func (g *gate) starve(now time.Time) {
+	if now.Before(g.starved) {
+		return
+	}
+	g.starvedFor = min(max(2*g.starvedFor, starvedMin), starvedMax)
+	g.starved = now.Add(g.starvedFor)
+}
+
+// deferredWait estimates the wait of a deferred request behind ahead others
+// from the pace at which waiting ones have started. The caller holds the lock.
+func (g *gate) deferredWait(ahead int, now time.Time) time.Duration {
+	gap := g.gap
+	if ahead > 0 {
+		gap = max(gap, now.Sub(g.lastStart))
+	}
+	return time.Duration(ahead+1) * gap
+}
+
+// started learns the pace of waiting deferred requests. The caller holds the
+// lock.
+func (g *gate) started(now time.Time) {
+	gap := now.Sub(g.lastStart)
+	g.gap += time.Duration(gapSmoothing * float64(gap-g.gap))
+	g.lastStart = now
+	g.starvedFor /= 2
+}
+
 // pushOut makes room for an urgent request by refusing the latest deferred
 // one. The caller holds the lock.
 func (g *gate) pushOut(urgent bool, wait time.Duration) bool {
@@ -145,6 +234,7 @@
 	}
 	g.queues[queueDeferred][last].decided <- &refusal{structs.ReasonQueueFull, max(wait, retryAfterMin)}
 	g.queues[queueDeferred] = g.queues[queueDeferred][:last]
+	g.starve(time.Now())
 	return true
 }
 
@@ -196,6 +286,9 @@
 			if time.Until(w.deadline) < g.serviceTime() {
 				g.queues[class] = g.queues[class][1:]
 				w.decided <- &refusal{structs.ReasonDeadline, max(g.serviceTime(), retryAfterMin)}
+				if !urgent {
+					g.starve(time.Now())
+				}
 				continue
 			}
 			if !g.hasPlace(urgent) {
@@ -203,6 +296,9 @@
 			}
 			g.queues[class] = g.queues[class][1:]
 			g.take(urgent)
+			if !urgent {
+				g.started(time.Now())
+			}
 			w.decided <- nil
 		}
 	}
--- a/request/limiter.go
+++ b/request/limiter.go
@@ -13,6 +13,9 @@
 	limiterGrow = 1.25
 	// limiterShrink is the ratio above which the limit shrinks.
 	limiterShrink = 1.6
+	// limiterJitter is the time, in seconds, by which the mean may pass the
+	// baseline without counting: scheduling noise of short requests.
+	limiterJitter = 0.002
 	// limiterBackoff is the factor by which the limit shrinks.
 	limiterBackoff = 0.9
 	// limiterDrift is the share by which the baseline rises in each window, so
@@ -85,7 +88,7 @@
 	if l.baseline == 0 {
 		l.baseline = mean
 	}
-	l.adapt(mean/l.baseline, throughput)
+	l.adapt(mean/(l.baseline+limiterJitter), throughput)
 	l.count, l.sum, l.saturated = 0, 0, false
 }
 
--- a/request/run.go
+++ b/request/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
@@ -15,12 +16,10 @@
 	}
 	var last *attempt
 	for {
-		target := j.service.chooser.pick(j.tried)
+		target := j.pick(last)
 		if target == nil {
 			return Answer{}, j.exhausted(last)
 		}
-		j.tried[target] = true
-		j.attempts++
 		last = r.attempt(ctx, j, target)
 		if last.outcome == daisywallpb.Outcome_OUTCOME_ANSWERED {
 			r.acknowledge(j, last)
@@ -42,12 +41,36 @@
 	}
 }
 
+// pick chooses the target of the next attempt: one that was not tried, or any
+// when the last attempt ended because its connection was silent.
+func (j *job) pick(last *attempt) *targetState {
+	target := j.service.chooser.pick(j.tried)
+	if target == nil && last != nil && last.silent() {
+		clear(j.tried)
+		target = j.service.chooser.pick(j.tried)
+	}
+	if target != nil {
+		j.tried[target] = true
+		j.attempts++
+	}
+	return target
+}
+
+// attemptID names an attempt. Attempts of a non-idempotent request have IDs of
+// their own: one that was fenced leaves the next free to run on that agent.
+func (j *job) attemptID() structs.RequestID {
+	if j.idempotent || j.attempts == 1 {
+		return j.id
+	}
+	return structs.RequestID(fmt.Sprintf("%s.%d", j.id, j.attempts))
+}
+
 // attempt makes one attempt and settles its outcome by the rules.
 func (r *Router) attempt(ctx context.Context, j *job, target *targetState) *attempt {
 	if j.idempotent {
 		return r.sendHedged(ctx, j, target)
 	}
-	a := r.send(ctx, j, target, j.id)
+	a := r.send(ctx, j, target, j.attemptID())
 	if a.outcome == daisywallpb.Outcome_OUTCOME_UNKNOWN && a.err != nil {
 		r.settle(ctx, j, a)
 	}
@@ -64,6 +87,10 @@
 	if ctx.Err() != nil || j.attempts >= maxAttempts || time.Until(j.deadline) <= 0 {
 		return false
 	}
+	if notRun && a.reason == structs.ReasonQueueFull && j.attempts < maxRefusals {
+		// It has waited for its place here and cost the agent next to nothing.
+		return true
+	}
 	return j.service.budget.spend()
 }
 
--- a/request/service.go
+++ b/request/service.go
@@ -13,9 +13,9 @@
 const (
 	// admissionShrink is the factor of the entry's concurrency after an agent
 	// refused for lack of room.
-	admissionShrink = 0.97
+	admissionShrink = 0.95
 	// admissionGrow is added to the factor with every answer.
-	admissionGrow = 0.002
+	admissionGrow = 0.0002
 	// admissionMin and admissionMax bound the factor.
 	admissionMin = 0.1
 	admissionMax = 1.25
