A daemon without the table takes the configuration from its peers

Cause: an entry that was restarted in a table outage knew no team and answered 404 until the outage ended. Change: gRPC service Configuration, served by entries and agents; an entry asks agents that registered with a newer revision, a leading agent asks the entries it knows.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -192,6 +192,7 @@
 	server := &grpcServer{address: a.settings.PeerAddress, register: func(g *grpc.Server) {
 		daisywallpb.RegisterAgentServer(g, &agentServer{requests: a.requests, tasks: a.tasks})
 		daisywallpb.RegisterCellServer(g, a.node)
+		daisywallpb.RegisterConfigurationServer(g, configService{holder: a.holder})
 	}}
 	announce := newRunner(a.announcer.Run)
 	work := newRunner(a.tasks.Run)
@@ -253,7 +254,8 @@
 // watchConfig reads the configuration from the table while this agent leads
 // its cell; the others get it with their heartbeats.
 func (a *agent) watchConfig(ctx context.Context) error {
-	watcher := config.NewWatcher(a.platform.Table(), a.holder, config.NoPeers{}, a.telemetry.Log.Named("config"), config.WatcherOptions{})
+	others := configPeers{addresses: func(int64) []string { return a.announcer.Entries() }, peers: a.peers}
+	watcher := config.NewWatcher(a.platform.Table(), a.holder, others, a.telemetry.Log.Named("config"), config.WatcherOptions{})
 	ticker := time.NewTicker(configPoll)
 	defer ticker.Stop()
 	for {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -87,7 +87,6 @@
 		return err
 	}
 	e.platform = conn
-	e.watcher = config.NewWatcher(conn.Table(), e.holder, config.NoPeers{}, e.telemetry.Log.Named("config"), config.WatcherOptions{})
 	return nil
 }
 
@@ -111,6 +110,8 @@
 		Log:    e.telemetry.Log.Named("registry"),
 		Meter:  e.telemetry.Meters.Meter("registry"),
 	})
+	others := configPeers{addresses: newerAgents(e.registry), peers: e.peers}
+	e.watcher = config.NewWatcher(e.platform.Table(), e.holder, others, e.telemetry.Log.Named("config"), config.WatcherOptions{})
 	return nil
 }
 
@@ -161,6 +162,7 @@
 func (e *entry) register() error {
 	server := &grpcServer{address: e.settings.PeerAddress, register: func(g *grpc.Server) {
 		daisywallpb.RegisterEntryServer(g, e.registry)
+		daisywallpb.RegisterConfigurationServer(g, configService{holder: e.holder})
 	}}
 	routing := newRunner(e.router.Run)
 	http := &httpServer{address: e.settings.HTTPAddress, handler: e.api, before: e.drain}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -252,3 +252,19 @@
 		c.request(i, "jabuka", "slot-check", "", `{"delivery":"HR-3"}`)
 	}
 }
+
+func TestRestartedEntryTakesTheConfigurationFromAgentsInAnOutage(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t)
+	eventually(t, "agents have the configuration", func() (bool, string) {
+		status, err := c.client(0).ConfigStatus(context.Background())
+		return err == nil && len(status.Workers) == len(domains) && len(status.Lagging) == 0, fmt.Sprintf("%+v %v", status, err)
+	})
+	c.faults("table", standin.FaultSettings{Refuse: standin.Every})
+	c.entries[0].kill()
+	c.entrySets[0]["entries"] = []string{fmt.Sprint(c.entrySets[1]["peer_address"])}
+	c.entries[0] = c.startEntry(0)
+	answer := c.request(0, "jabuka", "slot-check", "", `{"delivery":"HR-9"}`)
+	is.Equal(answer.Status, http.StatusOK)
+}
