--- /dev/null
+++ b/worker/bench_test.go
@@ -0,0 +1,84 @@
+package worker
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// steadyRuntime answers at once with the same runs.
+type steadyRuntime struct {
+	platform.WorkerRuntime
+	runs []platform.Run
+	now  platform.RuntimeClock
+}
+
+func (r *steadyRuntime) Snapshot(context.Context) (platform.Snapshot, error) {
+	r.now = r.now.Add(time.Second)
+	return platform.Snapshot{Incarnation: "i1", Now: r.now, Runs: r.runs}, nil
+}
+
+func (r *steadyRuntime) Usage(context.Context) ([]platform.Usage, error) {
+	list := make([]platform.Usage, 0, len(r.runs))
+	for _, run := range r.runs {
+		list = append(list, platform.Usage{Attempt: run.Attempt, Class: run.Class, Resources: run.Resources})
+	}
+	return list, nil
+}
+
+func (r *steadyRuntime) Renew(context.Context, string, map[structs.AttemptID]platform.RuntimeClock) error {
+	return nil
+}
+
+// BenchmarkHeartbeat measures one heartbeat of a worker with steady runs: the
+// agent's processor time, and the bytes of the messages.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, runs := range []int{0, 22, 44} {
+		for _, full := range []bool{false, true} {
+			b.Run(fmt.Sprintf("runs=%d/full=%t", runs, full), func(b *testing.B) { benchmarkHeartbeat(b, runs, full) })
+		}
+	}
+}
+
+func benchmarkHeartbeat(b *testing.B, runs int, full bool) {
+	r := &steadyRuntime{}
+	for i := range runs {
+		id := structs.AttemptID{Task: structs.TaskID{Job: "1kg2n6hei99tr6hckhghii4nvs", Index: int32(i)}, Number: 1}
+		r.runs = append(r.runs, platform.Run{Attempt: id, State: platform.RunRunning, Class: "pricing", Kind: structs.WorkBatch, Resources: oneTask})
+	}
+	leader := &fakeLeader{epoch: 1}
+	var bytes int
+	answer := func(req *daisywallpb.HeartbeatRequest, resp *daisywallpb.HeartbeatResponse) error {
+		resp.WantFull = full
+		bytes = proto.Size(req) + proto.Size(resp)
+		return nil
+	}
+	leader.setAnswer(answer)
+	agent, err := New(Options{
+		Worker:  structs.Worker{ID: "worker-0001", Cell: "cell-01", FailureDomain: "domain-1", Rack: "rack-1", Capacity: hostCapacity, Address: "10.0.0.1:7000"},
+		Runtime: r, Finder: leader, Heartbeat: leader.Heartbeat,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for range 3 {
+		if err := agent.beat(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		leader.requests = leader.requests[:0]
+		if err := agent.beat(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes), "wire-B/op")
+}
