--- a/cell/commit.go
+++ b/cell/commit.go
@@ -16,6 +16,7 @@
 	puts     []platform.Put     // besides the log row
 	deletes  []string
 	renew    bool // write the leadership row
+	release  bool // give the leadership up with it
 	sequence map[structs.WorkerID]int64
 	snapshot *builtSnapshot
 	summary  *Summary
@@ -40,7 +41,8 @@
 	row := l.row
 	if w.renew || w.batch.Empty() {
 		row.Renewals++
-		row.Ride, row.Lease = l.bounds(time.Now())
+		row.Released = w.release
+		row.Ride, row.Lease = l.bounds(time.Now(), w.release)
 		txn.Puts = append(txn.Puts, platform.Put{Key: leaderKey(l.cell), Value: encode(row)})
 	}
 	if !w.batch.Empty() {
@@ -66,13 +68,19 @@
 }
 
 // bounds returns what this leader and those before it may still grant.
-func (l *leader) bounds(now time.Time) (ride, lease KindDurations) {
+func (l *leader) bounds(now time.Time, released bool) (ride, lease KindDurations) {
 	t := l.o.Timing
 	longest := max(l.lapse.ride.Batch+l.lapse.lease.Batch, l.lapse.ride.Service+l.lapse.lease.Service)
-	if now.Sub(l.lapse.tookOver) > t.drifted(longest) {
+	past := now.Sub(l.lapse.tookOver) > t.drifted(longest) // every earlier leader's last lease is over
+	switch {
+	case past && released:
+		return KindDurations{}, t.Lease
+	case past:
 		return t.Ride, t.Lease
+	case released:
+		return l.lapse.ride, l.row.Lease
 	}
-	return t.Ride.max(l.row.Ride), t.Lease.max(l.row.Lease)
+	return t.Ride.max(l.lapse.ride), t.Lease.max(l.row.Lease)
 }
 
 // applied takes a committed transaction into the state and queues its effects
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -189,13 +189,13 @@
 }
 
 // release gives the leadership up, so that a candidate need not wait for the
-// term. It is best effort: nothing depends on it.
+// term, nor the next leader for this one's ride: no lease is renewed from here
+// on. It is best effort: nothing depends on it.
 func (l *leader) release() error {
 	l.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), l.o.Timing.Call)
 	defer cancel()
-	l.row.Released = true
-	if err := l.commit(ctx, &work{renew: true}); err != nil {
+	if err := l.commit(ctx, &work{renew: true, release: true}); err != nil {
 		l.o.Log.Info("leadership not released", zap.String("cell", string(l.cell)), zap.Error(err))
 	}
 	return nil
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -15,7 +15,8 @@
 	Address  string           `json:"address"`
 	Renewals int64            `json:"renewals"`
 	Released bool             `json:"released,omitempty"` // the leader has stopped
-	// Ride and Lease bound what this leader and those before it may grant.
+	// Ride and Lease bound what this leader and those before it may grant. The
+	// ride of a leader that has stopped is over.
 	Ride  KindDurations `json:"ride"`
 	Lease KindDurations `json:"lease"`
 }
@@ -45,10 +46,10 @@
 type tenure struct {
 	row      Leadership
 	revision int64
-	proof    time.Time // when the call that proved it was sent
-	tookOver time.Time // after the takeover was known
-	// bound is what this leader and those before it may grant.
-	ride, lease KindDurations
+	proof    time.Time     // when the call that proved it was sent
+	tookOver time.Time     // after the takeover was known
+	ride     KindDurations // of earlier leaders that may still renew leases
+	lease    KindDurations // longest lease of this and the earlier leaders
 }
 
 // observe reads the row. It returns the error of the table.
@@ -100,6 +101,6 @@
 	}
 	return &tenure{
 		row: row, revision: revision, proof: sent, tookOver: time.Now(),
-		ride: row.Ride, lease: row.Lease,
+		ride: c.seen.row.Ride, lease: row.Lease,
 	}, nil
 }
