--- a/bench/placement/policy_test.go
+++ b/bench/placement/policy_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/daisywall/daisywall/placement"
+	"github.com/daisywall/daisywall/structs"
 )
 
 // contender names a policy and makes a fresh one for each run.
@@ -19,9 +20,25 @@
 	{"first fit", func(uint64) Policy { return FirstFit() }},
 	{"least loaded", func(uint64) Policy { return LeastLoaded() }},
 	{"previous", func(uint64) Policy { return Previous() }},
+	{"declared", func(uint64) Policy { return declaredSizes{placement.New(placement.Options{})} }},
 	{"policy", func(uint64) Policy { return placement.New(placement.Options{}) }},
 }
 
+// declaredSizes is the policy with commitments as declared instead of as
+// estimated.
+type declaredSizes struct{ planner *placement.Planner }
+
+type declaredEstimates struct{ placement.Estimates }
+
+func (declaredEstimates) Reserve(_ string, declared structs.Resources) structs.Resources {
+	return declared
+}
+
+func (d declaredSizes) Plan(s *placement.Snapshot) placement.Plan {
+	s.Estimates = declaredEstimates{s.Estimates}
+	return d.planner.Plan(s)
+}
+
 // Seeds on which options were chosen, and seeds that only reports use.
 var (
 	trainingSeeds = []uint64{1, 2, 3, 4, 5}
