--- a/burn/counts.go
+++ b/burn/counts.go
@@ -1,9 +1,13 @@
 package burn
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
+	"slices"
 	"time"
 
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
@@ -38,30 +42,36 @@
 	_ = l.histogram.RecordValue(ms) // the value is in range
 }
 
-// MarshalJSON writes the compressed form of the histogram.
+// MarshalJSON writes the buckets in use as pairs of a value and its count.
 func (l *latencies) MarshalJSON() ([]byte, error) {
-	text, err := l.histogram.Encode(hdr.V2CompressedEncodingCookieBase)
-	if err != nil {
-		return nil, fmt.Errorf("encode latencies: %w", err)
+	pairs := []int64{}
+	for _, bar := range l.histogram.Distribution() {
+		if bar.Count > 0 {
+			pairs = append(pairs, bar.From, bar.Count)
+		}
 	}
-	data, err := json.Marshal(string(text))
+	data, err := json.Marshal(pairs)
 	if err != nil {
 		return nil, fmt.Errorf("encode latencies: %w", err)
 	}
 	return data, nil
 }
 
-// UnmarshalJSON reads the compressed form of a histogram.
+// UnmarshalJSON reads what MarshalJSON writes.
 func (l *latencies) UnmarshalJSON(data []byte) error {
-	var text string
-	if err := json.Unmarshal(data, &text); err != nil {
+	var pairs []int64
+	if err := json.Unmarshal(data, &pairs); err != nil {
 		return fmt.Errorf("decode latencies: %w", err)
 	}
-	histogram, err := hdr.Decode([]byte(text))
-	if err != nil {
-		return fmt.Errorf("decode latencies: %w", err)
+	*l = *newLatencies()
+	for pair := range slices.Chunk(pairs, 2) {
+		if len(pair) < 2 || pair[1] < 0 {
+			return &CorruptError{Key: "latencies", Detail: "not pairs of a value and its count"}
+		}
+		if err := l.histogram.RecordValues(pair[0], pair[1]); err != nil {
+			return fmt.Errorf("decode latencies: %w", err)
+		}
 	}
-	l.histogram = histogram
 	return nil
 }
 
@@ -172,15 +182,27 @@
 	return total
 }
 
+// encodeCounts writes deflated JSON.
 func encodeCounts(c *counts) ([]byte, error) {
-	data, err := json.Marshal(c)
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.DefaultCompression)
 	if err != nil {
 		return nil, fmt.Errorf("encode counts: %w", err)
 	}
-	return data, nil
+	if err := json.NewEncoder(w).Encode(c); err != nil {
+		return nil, fmt.Errorf("encode counts: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("encode counts: %w", err)
+	}
+	return packed.Bytes(), nil
 }
 
-func decodeCounts(key string, data []byte) (*counts, error) {
+func decodeCounts(key string, packed []byte) (*counts, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxRowBytes+1))
+	if err != nil {
+		return nil, &CorruptError{Key: key, Detail: "not unpackable", Err: err}
+	}
 	if len(data) > maxRowBytes {
 		return nil, &CorruptError{Key: key, Detail: fmt.Sprintf("larger than %d bytes", maxRowBytes)}
 	}
--- a/burn/flusher_test.go
+++ b/burn/flusher_test.go
@@ -232,7 +232,7 @@
 		for range 6 * 24 {
 			round(time.Hour)
 		}
-		// 91 days, 4 days of hours, 2 hours of live rows and their edges.
+		// 91 days, 4 days of hours, 75 minutes of live rows and their edges.
 		is.True(most <= 93+5*24+3*13)
 	})
 }
--- a/burn/fold.go
+++ b/burn/fold.go
@@ -20,7 +20,7 @@
 	foldInterval = 5 * time.Minute
 	// liveKept is how long live rows stay after their window, for the short
 	// burn windows and for late writers.
-	liveKept = 2 * time.Hour
+	liveKept = 75 * time.Minute
 	// hoursKept is how long hour rows stay, for the long burn window.
 	hoursKept = 4 * day
 	// daysKept is how long day rows stay: the longest error budget window.
--- a/burn/report.go
+++ b/burn/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -118,23 +119,26 @@
 type history struct {
 	buckets []bucket
 	now     time.Time
-	sums    map[time.Duration]*counts
 }
 
-// last sums the buckets that reach into the window before now.
-func (h *history) last(window time.Duration) *counts {
-	if c, found := h.sums[window]; found {
-		return c
-	}
+// since calls visit with the counts of each bucket that reaches into the
+// window before now.
+func (h *history) since(window time.Duration, visit func(c *counts)) {
 	from := h.now.Add(-window)
-	c := newCounts()
 	for _, b := range h.buckets {
 		if b.end().After(from) {
-			c.add(b.counts)
+			visit(b.counts)
 		}
 	}
-	h.sums[window] = c
-	return c
+}
+
+// events sums the good and bad events of a window.
+func (h *history) events(window time.Duration, pick tally) (good, bad int64) {
+	h.since(window, func(c *counts) {
+		g, b := pick(c)
+		good, bad = good+g, bad+b
+	})
+	return good, bad
 }
 
 // hours sums the buckets of each hour of the series, oldest first.
@@ -155,7 +159,7 @@
 
 // compute reports on the objectives of the configuration.
 func compute(buckets []bucket, config *structs.Config, now time.Time) *Report {
-	h := &history{buckets: buckets, now: now, sums: map[time.Duration]*counts{}}
+	h := &history{buckets: buckets, now: now}
 	report := &Report{At: now, ConfigRevision: config.Revision, Requests: []RequestReport{}, Batch: []BatchReport{}, Domains: []DomainReport{}}
 	hours := h.hours()
 	for _, team := range config.Teams {
@@ -166,13 +170,24 @@
 			report.Batch = append(report.Batch, h.batch(team.ID, class, hours))
 		}
 	}
-	for domain, c := range h.last(daysKept).Domains {
-		report.Domains = append(report.Domains, DomainReport{Domain: domain, Tasks: c.Tasks, Requests: c.Requests})
-	}
-	slices.SortFunc(report.Domains, func(a, b DomainReport) int { return strings.Compare(string(a.Domain), string(b.Domain)) })
+	report.Domains = h.domains()
 	return report
 }
 
+// domains sums what was completed while each failure domain was out.
+func (h *history) domains() []DomainReport {
+	sums := map[structs.FailureDomainID]DomainReport{}
+	h.since(daysKept, func(c *counts) {
+		for domain, d := range c.Domains {
+			sum := sums[domain]
+			sums[domain] = DomainReport{Domain: domain, Tasks: sum.Tasks + d.Tasks, Requests: sum.Requests + d.Requests}
+		}
+	})
+	list := slices.AppendSeq([]DomainReport{}, maps.Values(sums))
+	slices.SortFunc(list, func(a, b DomainReport) int { return strings.Compare(string(a.Domain), string(b.Domain)) })
+	return list
+}
+
 // tally picks the good and bad events of an objective.
 type tally func(c *counts) (good, bad int64)
 
@@ -188,14 +203,25 @@
 		Team: team, Kind: kind.Name, Urgency: kind.Urgency,
 		Status: h.status(kind.Objective, events), Outcomes: map[string]int64{},
 	}
-	if r := h.last(window(kind.Objective)).Requests[name]; r != nil {
-		report.Outcomes = r.Outcomes
-	}
-	report.P50MS = percentile(h.last(time.Hour), name, percentileMedian)
-	report.P99MS = percentile(h.last(time.Hour), name, percentileTail)
+	h.since(window(kind.Objective), func(c *counts) {
+		if r := c.Requests[name]; r != nil {
+			for outcome, n := range r.Outcomes {
+				report.Outcomes[outcome] += n
+			}
+		}
+	})
+	lastHour := &requestCounts{}
+	h.since(time.Hour, func(c *counts) {
+		if r := c.Requests[name]; r != nil {
+			lastHour.add(r)
+		}
+	})
+	report.P50MS, report.P99MS = lastHour.percentile(percentileMedian), lastHour.percentile(percentileTail)
 	for _, hour := range hours {
 		p := point(hour, kind.Objective, events)
-		p.P99MS = percentile(hour.counts, name, percentileTail)
+		if r := hour.counts.Requests[name]; r != nil {
+			p.P99MS = r.percentile(percentileTail)
+		}
 		report.Series = append(report.Series, p)
 	}
 	return report
@@ -210,9 +236,12 @@
 		return 0, 0
 	}
 	report := BatchReport{Team: team, Class: class.Class, Status: h.status(class.Objective, events)}
-	if b := h.last(window(class.Objective)).Batch[name]; b != nil {
-		report.Tasks, report.Evictions = b.Tasks, b.Evictions
-	}
+	h.since(window(class.Objective), func(c *counts) {
+		if b := c.Batch[name]; b != nil {
+			report.Tasks += b.Tasks
+			report.Evictions += b.Evictions
+		}
+	})
 	for _, hour := range hours {
 		p := point(hour, class.Objective, events)
 		if b := hour.counts.Batch[name]; b != nil {
@@ -232,10 +261,10 @@
 
 func (h *history) status(o structs.Objective, events tally) Status {
 	s := Status{Objective: o}
-	s.Good, s.Bad = events(h.last(window(o)))
+	s.Good, s.Bad = h.events(window(o), events)
 	s.BudgetLeft = 1 - rate(o, s.Good, s.Bad)
 	over := func(d time.Duration) float64 {
-		good, bad := events(h.last(d))
+		good, bad := h.events(d, events)
 		return rate(o, good, bad)
 	}
 	s.Burn = Rates{Minutes5: over(Window), Hour1: over(time.Hour), Hours6: over(6 * time.Hour), Days3: over(3 * day)}
@@ -265,9 +294,9 @@
 	return float64(bad) / float64(good+bad) / allowed
 }
 
-func percentile(c *counts, name string, p float64) int64 {
-	r := c.Requests[name]
-	if r == nil || r.Latencies == nil {
+// percentile of the latencies in milliseconds, 0 without any.
+func (r *requestCounts) percentile(p float64) int64 {
+	if r.Latencies == nil {
 		return 0
 	}
 	return r.Latencies.histogram.ValueAtPercentile(p)
--- a/burn/report_test.go
+++ b/burn/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"encoding/json"
 	"encoding/xml"
 	"errors"
@@ -140,21 +141,36 @@
 	is.True(bytes.Contains(page, []byte("No kinds of requests are configured.")))
 }
 
+func deflated(t *testing.T, data []byte) []byte {
+	t.Helper()
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	is.New(t).NoErr(err)
+	_, err = w.Write(data)
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(w.Close())
+	return packed.Bytes()
+}
+
 func FuzzDecodeCounts(f *testing.F) {
 	r := NewRecorder()
 	r.RecordRequest(good(time.Second))
 	r.RecordJob(Job{Team: "graz", Class: "matching", OnTime: true})
 	r.RecordTask(Task{Team: "graz", Class: "matching", Away: []structs.FailureDomainID{"mur"}})
 	for _, c := range r.take() {
-		data, err := encodeCounts(c)
+		data, err := json.Marshal(c)
 		if err != nil {
 			f.Fatal(err)
 		}
 		f.Add(data)
 	}
-	f.Add([]byte(`{"requests": {"a/b": null}, "batch": {"a/b": {"late": -1}}}`))
+	f.Add([]byte(`{"requests": {"a/b": null, "c/d": {"latencies": [1]}}, "batch": {"a/b": {"late": -1}}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		c, err := decodeCounts("row", data)
+		if _, err := decodeCounts("row", data); err != nil {
+			var corrupt *CorruptError
+			is.New(t).True(errors.As(err, &corrupt))
+		}
+		c, err := decodeCounts("row", deflated(t, data)) // reaches the JSON inside
 		if err != nil {
 			var corrupt *CorruptError
 			is.New(t).True(errors.As(err, &corrupt))
