Burn: latencies of 4 significant bits

Change: latencies are rounded up to 4 significant bits, so a percentile is never too low and at most an eighth too high (rapid test); a histogram of 1 decimal digit.

--- a/burn/counts.go
+++ b/burn/counts.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -19,10 +20,11 @@
 	// Range and precision of latencies, in milliseconds.
 	minLatencyMS  = 1
 	maxLatencyMS  = 3_600_000
-	latencyDigits = 2
+	latencyDigits = 1    // significant decimal digits of the histogram
+	latencyBits   = 4    // significant bits of a recorded latency
 	maxKeys       = 4096 // of each map of one window; further keys are dropped
 	keySeparator  = "/"
-	maxRowBytes   = 4 << 20
+	maxRowBytes   = 16 << 20 // unpacked
 
 	percentileMedian = 50
 	percentileTail   = 99
@@ -37,8 +39,13 @@
 	return &latencies{hdr.New(minLatencyMS, maxLatencyMS, latencyDigits)}
 }
 
+// record counts a latency rounded up to 4 significant bits: a percentile is
+// never too low, and at most an eighth too high.
 func (l *latencies) record(d time.Duration) {
 	ms := min(max(d.Milliseconds(), minLatencyMS), maxLatencyMS)
+	if shift := bits.Len64(uint64(ms)) - latencyBits; shift > 0 {
+		ms = min((ms>>shift+1)<<shift-1, maxLatencyMS)
+	}
 	_ = l.histogram.RecordValue(ms) // the value is in range
 }
 
--- a/burn/report_test.go
+++ b/burn/report_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/daisywall/daisywall/platform/standin"
 	"github.com/daisywall/daisywall/structs"
@@ -72,6 +73,19 @@
 	is.Equal(report.Domains, []DomainReport{{Domain: "osijek", Tasks: 12, Requests: 12*100 - 0}})
 }
 
+func TestPercentilesAreNeverTooLowAndAtMostAnEighthTooHigh(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ms := rapid.Int64Range(minLatencyMS, maxLatencyMS).Draw(rt, "ms")
+		r := &requestCounts{Latencies: newLatencies()}
+		r.Latencies.record(time.Duration(ms) * time.Millisecond)
+		for _, p := range []float64{percentileMedian, percentileTail} {
+			if have := r.percentile(p); have < ms || have > ms+ms/8+1 {
+				rt.Fatalf("percentile of %d ms is %d ms", ms, have)
+			}
+		}
+	})
+}
+
 func TestStateFollowsTheBurnRates(t *testing.T) {
 	for name, test := range map[string]struct {
 		status Status
