--- a/config/holder.go
+++ b/config/holder.go
@@ -68,7 +68,7 @@
 // *BaseError for a delta from a revision not held here and *CorruptError for
 // anything unreadable; both leave the configuration as it was.
 func (h *Holder) OfferUpdate(data []byte) (bool, error) {
-	u, err := decodeHeader(data)
+	u, err := decodeUpdate(data)
 	if err != nil {
 		h.counts.rejected("corrupt")
 		return false, err
@@ -82,7 +82,7 @@
 		h.counts.rejected("base")
 		return false, &BaseError{Base: u.Base, Have: h.Revision()}
 	}
-	next, err := u.unpack(base)
+	next, err := unpackUpdate(u, base)
 	if err != nil {
 		h.counts.rejected("corrupt")
 		return false, err
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -97,12 +96,3 @@
 	}
 	return changed, removed
 }
-
-// joinIDs renders team IDs for messages.
-func joinIDs(ids []structs.TeamID) string {
-	parts := make([]string, len(ids))
-	for i, id := range ids {
-		parts[i] = string(id)
-	}
-	return strings.Join(parts, ",")
-}
