--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/daisywall/daisywall/api/configpb"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/cell"
 	"github.com/daisywall/daisywall/config"
@@ -192,7 +193,7 @@
 	server := &grpcServer{address: a.settings.PeerAddress, register: func(g *grpc.Server) {
 		daisywallpb.RegisterAgentServer(g, &agentServer{requests: a.requests, tasks: a.tasks})
 		daisywallpb.RegisterCellServer(g, a.node)
-		daisywallpb.RegisterConfigurationServer(g, configService{holder: a.holder})
+		configpb.RegisterConfigServer(g, config.NewServer(a.holder))
 	}}
 	announce := newRunner(a.announcer.Run)
 	work := newRunner(a.tasks.Run)
@@ -254,7 +255,7 @@
 // watchConfig reads the configuration from the table while this agent leads
 // its cell; the others get it with their heartbeats.
 func (a *agent) watchConfig(ctx context.Context) error {
-	others := configPeers{addresses: func(int64) []string { return a.announcer.Entries() }, peers: a.peers}
+	others := config.NewRemotePeers(func() []grpc.ClientConnInterface { return a.peers.connect(a.announcer.Entries()) })
 	watcher := config.NewWatcher(a.platform.Table(), a.holder, others, a.telemetry.Log.Named("config"), config.WatcherOptions{})
 	ticker := time.NewTicker(configPoll)
 	defer ticker.Stop()
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -1,12 +1,15 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
 
+	"github.com/daisywall/daisywall/api/configpb"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/burn"
 	"github.com/daisywall/daisywall/cell"
@@ -110,7 +113,7 @@
 		Log:    e.telemetry.Log.Named("registry"),
 		Meter:  e.telemetry.Meters.Meter("registry"),
 	})
-	others := configPeers{addresses: newerAgents(e.registry), peers: e.peers}
+	others := config.NewRemotePeers(e.newestAgents)
 	e.watcher = config.NewWatcher(e.platform.Table(), e.holder, others, e.telemetry.Log.Named("config"), config.WatcherOptions{})
 	return nil
 }
@@ -162,7 +165,7 @@
 func (e *entry) register() error {
 	server := &grpcServer{address: e.settings.PeerAddress, register: func(g *grpc.Server) {
 		daisywallpb.RegisterEntryServer(g, e.registry)
-		daisywallpb.RegisterConfigurationServer(g, configService{holder: e.holder})
+		configpb.RegisterConfigServer(g, config.NewServer(e.holder))
 	}}
 	routing := newRunner(e.router.Run)
 	http := &httpServer{address: e.settings.HTTPAddress, handler: e.api, before: e.drain}
@@ -203,6 +206,18 @@
 	return informed || time.Since(e.started) > entryWarmUp
 }
 
+// newestAgents connects to the agents that have registered with the highest
+// revisions of the configuration, the highest first.
+func (e *entry) newestAgents() []grpc.ClientConnInterface {
+	agents := e.registry.List()
+	slices.SortStableFunc(agents, func(a, b membership.Agent) int { return cmp.Compare(b.ConfigRevision, a.ConfigRevision) })
+	addresses := make([]string, 0, len(agents))
+	for _, a := range agents {
+		addresses = append(addresses, a.Address)
+	}
+	return e.peers.connect(addresses)
+}
+
 // drain fails the balancer's check and goes on accepting until the balancer
 // has seen it.
 func (e *entry) drain(ctx context.Context) {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -47,6 +47,20 @@
 	return conn, nil
 }
 
+// maxConnected bounds the connections that one question needs.
+const maxConnected = 8
+
+// connect returns connections to the first of the addresses.
+func (p *peers) connect(addresses []string) []grpc.ClientConnInterface {
+	var conns []grpc.ClientConnInterface
+	for _, address := range addresses[:min(len(addresses), maxConnected)] {
+		if conn, err := p.conn(address); err == nil {
+			conns = append(conns, conn)
+		}
+	}
+	return conns
+}
+
 func dialPeer(address string) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient(address, peerDialOptions()...)
 	if err != nil {
