Divide team quotas among the cells as shares in the table

Cause: every cell let a team use its whole quota, so four cells allowed four times the quota. Ruled out: fixed shares (a team whose work sits in one cell gets a fraction), a row for each start (2,600 rows/s). Change: cell/quota.go; the planner sees the share, the leader checks it again when it takes the plan.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -19,6 +19,7 @@
 	release  bool // give the leadership up with it
 	sequence map[structs.WorkerID]int64
 	snapshot *builtSnapshot
+	quotas   []quotaWrite
 	summary  *Summary
 }
 
@@ -63,7 +64,7 @@
 	count(l.metrics.commits, 1)
 	count(l.metrics.logBytes, size)
 	count(l.metrics.records, w.batch.Records())
-	l.applied(seq, w, sent)
+	l.applied(seq, w, revision, sent)
 	return nil
 }
 
@@ -85,7 +86,7 @@
 
 // applied takes a committed transaction into the state and queues its effects
 // for the agents.
-func (l *leader) applied(seq int64, w *work, sent time.Time) {
+func (l *leader) applied(seq int64, w *work, revision int64, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if sent.After(l.proof) {
@@ -98,6 +99,7 @@
 		l.summary = summaryRow{written: time.Now(), last: *w.summary}
 	}
 	l.acceptsApplied(w)
+	l.quotasApplied(w, revision)
 	if w.batch.Empty() {
 		return
 	}
--- a/cell/compose.go
+++ b/cell/compose.go
@@ -54,6 +54,7 @@
 		l.evictLeaving(now)
 		l.composeStarts(w, now)
 	}
+	l.composeQuotas(w, now)
 	l.composeSummary(w, now)
 	l.observeDeadlines(now)
 	return w
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -49,7 +49,8 @@
 	pendingAt map[structs.TaskID]time.Time    // when this leader first saw it pending
 	retryAt   map[structs.TaskID]time.Time    // earliest next attempt after a failure
 	reasons   map[structs.TaskID]Unschedulable
-	outcomes  []Outcome              // for the planner, oldest first
+	outcomes  []Outcome // for the planner, oldest first
+	quotas    quotas
 	late      map[structs.JobID]bool // open jobs whose deadline has passed
 	began     time.Time              // of this leadership
 	deadlines time.Time              // when they were last looked at
@@ -99,6 +100,7 @@
 		retryAt:   map[structs.TaskID]time.Time{},
 		reasons:   map[structs.TaskID]Unschedulable{},
 		late:      map[structs.JobID]bool{},
+		quotas:    quotas{teams: map[structs.TeamID]*quotaView{}},
 		began:     time.Now(),
 	}
 }
--- a/cell/options.go
+++ b/cell/options.go
@@ -33,6 +33,8 @@
 	Assign  AssignFunc
 	Planner Planner    // FirstFit if nil
 	Config  ConfigFunc // may be nil
+	// Quotas gives the teams' quotas; nil leaves teams unlimited.
+	Quotas Quotas
 	// Observer is told of ends and deadlines; may be nil.
 	Observer Observer
 
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -56,6 +56,7 @@
 			free[v.Worker.ID] = v.Free
 		}
 	}
+	quota := l.quotaRoom()
 	w.sequence = map[structs.WorkerID]int64{}
 	for _, p := range plan.Placements {
 		if len(w.batch.Starts) == s.MaxStarts {
@@ -63,7 +64,7 @@
 		}
 		t, pending := l.state.pending[p.Task]
 		room, placeable := free[p.Worker]
-		if !pending || t.job.CancelRequested || !placeable || !t.job.Job.Resources.Fits(room) || !l.paced(now) {
+		if !pending || t.job.CancelRequested || !placeable || !t.job.Job.Resources.Fits(room) || !l.paced(now) || !quota.take(&t.job.Job) {
 			continue
 		}
 		free[p.Worker] = room.Sub(t.job.Job.Resources)
@@ -137,7 +138,7 @@
 	for _, e := range w.batch.Ends {
 		ending[e.attempt()] = struct{}{}
 	}
-	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: l.rowLimit(maxStarts), Outcomes: slices.Clone(l.outcomes)}
+	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: l.rowLimit(maxStarts), Outcomes: slices.Clone(l.outcomes), Shares: l.shares()}
 	for _, t := range l.state.Pending() {
 		if t.job.CancelRequested || len(s.Pending) == maxPending {
 			continue
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -19,7 +19,9 @@
 	MaxStarts int       // placements that the leader takes from this plan
 	Pending   []PendingTask
 	Workers   []WorkerView
-	Outcomes  []Outcome // recent ends of attempts that ran, oldest first
+	// Shares is what each team may commit in this cell, nil without quotas.
+	Shares   map[structs.TeamID]structs.Resources
+	Outcomes []Outcome // recent ends of attempts that ran, oldest first
 }
 
 // Outcome is the end of an attempt that ran to its own end.
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -41,7 +41,7 @@
 	Cancel bool          `json:"cancel,omitempty"`
 }
 
-// poll reads the inbox and the failure domain until ctx ends.
+// poll reads the inbox, the failure domain and the quotas until ctx ends.
 func (l *leader) poll(ctx context.Context) {
 	timer := time.NewTicker(l.o.Timing.Poll)
 	defer timer.Stop()
@@ -83,6 +83,9 @@
 	if err := l.pollInbox(ctx); err != nil {
 		return err
 	}
+	if err := l.pollQuotas(ctx); err != nil {
+		return err
+	}
 	l.mu.Lock()
 	l.domain.polled = true
 	l.mu.Unlock()
--- /dev/null
+++ b/cell/quota.go
@@ -0,0 +1,333 @@
+package cell
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// quotaPrefix holds one row for each team with the shares of its quota that
+// cells hold. The sum of the shares never passes the quota, unless the quota
+// itself is reduced.
+const quotaPrefix = "quota/"
+
+func quotaKey(team structs.TeamID) string { return quotaPrefix + string(team) }
+
+// Times and factors of the division of quotas.
+const (
+	// quotaHold is how long a cell keeps a share that it does not need, so that
+	// work that comes in waves does not move shares with every wave.
+	quotaHold = 5 * time.Second
+	// quotaPeriod is the shortest time between two writes of quota rows that
+	// share a transaction with other work.
+	quotaPeriod = time.Second
+	// quotaReserve is the part of the need that a cell takes in addition.
+	quotaReserve = 4 // a quarter
+)
+
+// Quotas returns the quota of every team.
+type Quotas func() map[structs.TeamID]structs.Resources
+
+// quotaRow is the value of a team's quota row.
+type quotaRow struct {
+	Shares map[structs.CellID]structs.Resources `json:"shares"`
+	// Wants names the cells whose need is larger than what they could get.
+	Wants map[structs.CellID]bool `json:"wants,omitempty"`
+}
+
+// quotaView is what a leader knows of a team's quota row.
+type quotaView struct {
+	revision int64
+	row      quotaRow
+	surplus  time.Time // since when the share is larger than the need, zero if not
+}
+
+// quotas is a leader's part in the division of the teams' quotas.
+type quotas struct {
+	polled  bool
+	since   int64 // table revision that was read up to
+	teams   map[structs.TeamID]*quotaView
+	written time.Time
+}
+
+// quotaWrite is a change of a row inside a leader's transaction.
+type quotaWrite struct {
+	team structs.TeamID
+	row  quotaRow
+}
+
+// pollQuotas reads the quota rows that have changed.
+func (l *leader) pollQuotas(ctx context.Context) error {
+	if l.o.Quotas == nil {
+		return nil
+	}
+	l.mu.Lock()
+	since := l.quotas.since
+	l.mu.Unlock()
+	rows, revision, err := l.settler.changes(ctx, quotaPrefix, since)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, row := range rows {
+		view := l.quotaOf(structs.TeamID(strings.TrimPrefix(row.Key, quotaPrefix)))
+		if row.Revision <= view.revision {
+			continue // this leader's own write, or an older reading
+		}
+		var read quotaRow
+		if err := decode(row.Key, row.Value, &read); err != nil {
+			return err
+		}
+		view.revision, view.row = row.Revision, read
+	}
+	l.quotas.since = max(l.quotas.since, revision)
+	l.quotas.polled = true
+	return nil
+}
+
+func (l *leader) quotaOf(team structs.TeamID) *quotaView {
+	view, found := l.quotas.teams[team]
+	if !found {
+		view = &quotaView{}
+		l.quotas.teams[team] = view
+	}
+	return view
+}
+
+// need is what a team holds in this cell, and what it would hold if every
+// pending task ran.
+type need struct {
+	used, wanted structs.Resources
+}
+
+// needs sums up the open tasks by team. The starts of a transaction that is
+// not committed yet count as running.
+func (l *leader) needs(starting []Start) map[structs.TeamID]*need {
+	byTeam := map[structs.TeamID]*need{}
+	of := func(t *Task) *need {
+		team := t.job.Job.Team
+		if byTeam[team] == nil {
+			byTeam[team] = &need{}
+		}
+		return byTeam[team]
+	}
+	for _, t := range l.state.assigned {
+		n := of(t)
+		n.used = n.used.Add(t.job.Job.Resources)
+		n.wanted = n.wanted.Add(t.job.Job.Resources)
+	}
+	for _, s := range starting {
+		if t := l.state.pending[s.attempt().Task]; t != nil {
+			n := of(t)
+			n.used = n.used.Add(t.job.Job.Resources)
+		}
+	}
+	if l.evacuating() {
+		return byTeam
+	}
+	for _, t := range l.state.pending {
+		if !t.job.CancelRequested {
+			n := of(t)
+			n.wanted = n.wanted.Add(t.job.Job.Resources)
+		}
+	}
+	return byTeam
+}
+
+// composeQuotas moves shares of quotas towards the need. Shares are written
+// under the comparison of the leadership row, so that a leader that was
+// replaced cannot give away what its successor uses.
+func (l *leader) composeQuotas(w *work, now time.Time) {
+	if l.o.Quotas == nil || !l.quotas.polled || !l.ready {
+		return
+	}
+	if !w.empty() && now.Sub(l.quotas.written) < quotaPeriod {
+		return
+	}
+	byTeam := l.needs(w.batch.Starts)
+	limits := l.o.Quotas()
+	for _, team := range quotaTeams(limits, l.quotas.teams) {
+		n := byTeam[team]
+		if n == nil {
+			n = &need{}
+		}
+		if next, changed := l.nextShare(l.quotaOf(team), limits[team], n, now); changed {
+			l.writeQuota(w, team, next)
+		}
+	}
+	if len(w.quotas) > 0 {
+		l.quotas.written = now
+	}
+}
+
+// quotaTeams returns the teams with a quota or a row, in order.
+func quotaTeams(limits map[structs.TeamID]structs.Resources, rows map[structs.TeamID]*quotaView) []structs.TeamID {
+	teams := make([]structs.TeamID, 0, len(limits))
+	for team := range limits {
+		teams = append(teams, team)
+	}
+	for team := range rows {
+		if _, found := limits[team]; !found {
+			teams = append(teams, team)
+		}
+	}
+	slices.Sort(teams)
+	return teams
+}
+
+// nextShare decides this cell's share of a quota and reports whether the row
+// has to change.
+func (l *leader) nextShare(view *quotaView, quota structs.Resources, n *need, now time.Time) (quotaRow, bool) {
+	share := view.row.Shares[l.cell]
+	free := quota
+	for _, held := range view.row.Shares {
+		free = free.Sub(held)
+	}
+	room := atLeast(share.Add(atLeast(free, structs.Resources{})), share)
+	wanted := n.wanted
+	if view.row.contested(l.cell) {
+		// Others wait: keep what runs, and no more than an equal part beside it.
+		wanted = atMost(wanted, view.row.part(quota, l.cell))
+	}
+	target := atLeast(atMost(wanted, room), n.used)
+	short := !n.wanted.Fits(target)
+	switch {
+	case !target.Fits(share): // grow
+		target = atLeast(target, share)
+		if !short && !view.row.contested(l.cell) {
+			target = atMost(target.Add(quarter(n.wanted)), room)
+		}
+		view.surplus = time.Time{}
+	case target == share:
+		view.surplus = time.Time{}
+	case view.surplus.IsZero() && !view.row.contested(l.cell) && !l.evacuating():
+		view.surplus = now
+		target = share
+	case !view.row.contested(l.cell) && !l.evacuating() && now.Sub(view.surplus) < quotaHold:
+		target = share
+	}
+	if target == share && short == view.row.Wants[l.cell] {
+		return quotaRow{}, false
+	}
+	return view.row.with(l.cell, target, short), true
+}
+
+// contested reports whether another cell waits for a share.
+func (r quotaRow) contested(own structs.CellID) bool {
+	for other, wants := range r.Wants {
+		if wants && other != own {
+			return true
+		}
+	}
+	return false
+}
+
+// part is an equal part of the quota for every cell that holds or wants some.
+func (r quotaRow) part(quota structs.Resources, own structs.CellID) structs.Resources {
+	cells := map[structs.CellID]bool{own: true}
+	for c := range r.Shares {
+		cells[c] = true
+	}
+	for c := range r.Wants {
+		cells[c] = true
+	}
+	n := int64(len(cells))
+	return structs.Resources{MilliCPU: quota.MilliCPU / n, MemoryMB: quota.MemoryMB / n, Accelerators: quota.Accelerators / n}
+}
+
+// with returns a copy of the row with the share and the want of one cell.
+func (r quotaRow) with(c structs.CellID, share structs.Resources, wants bool) quotaRow {
+	next := quotaRow{Shares: map[structs.CellID]structs.Resources{}, Wants: map[structs.CellID]bool{}}
+	for other, held := range r.Shares {
+		next.Shares[other] = held
+	}
+	for other := range r.Wants {
+		next.Wants[other] = true
+	}
+	delete(next.Shares, c)
+	delete(next.Wants, c)
+	if share != (structs.Resources{}) {
+		next.Shares[c] = share
+	}
+	if wants {
+		next.Wants[c] = true
+	}
+	return next
+}
+
+func (l *leader) writeQuota(w *work, team structs.TeamID, row quotaRow) {
+	key := quotaKey(team)
+	w.compares = append(w.compares, platform.Compare{Key: key, Revision: l.quotaOf(team).revision})
+	w.puts = append(w.puts, platform.Put{Key: key, Value: encode(row)})
+	w.quotas = append(w.quotas, quotaWrite{team: team, row: row})
+}
+
+// quotasApplied takes over the rows of a transaction that was committed.
+func (l *leader) quotasApplied(w *work, revision int64) {
+	for _, q := range w.quotas {
+		view := l.quotaOf(q.team)
+		view.row, view.revision, view.surplus = q.row, revision, time.Time{}
+	}
+}
+
+// shares returns what each team may commit in this cell, nil without quotas.
+func (l *leader) shares() map[structs.TeamID]structs.Resources {
+	if l.o.Quotas == nil {
+		return nil
+	}
+	shares := make(map[structs.TeamID]structs.Resources, len(l.quotas.teams))
+	for team, view := range l.quotas.teams {
+		shares[team] = view.row.Shares[l.cell]
+	}
+	return shares
+}
+
+// quotaRoom tracks what the starts of one plan leave of the teams' shares.
+type quotaRoom struct {
+	limited bool
+	left    map[structs.TeamID]structs.Resources
+}
+
+func (l *leader) quotaRoom() *quotaRoom {
+	r := &quotaRoom{limited: l.o.Quotas != nil, left: l.shares()}
+	if !r.limited {
+		return r
+	}
+	for team, n := range l.needs(nil) {
+		r.left[team] = r.left[team].Sub(n.used)
+	}
+	return r
+}
+
+// take reserves the size of a start and reports whether there was room.
+func (r *quotaRoom) take(job *structs.Job) bool {
+	if !r.limited {
+		return true
+	}
+	if !job.Resources.Fits(r.left[job.Team]) {
+		return false
+	}
+	r.left[job.Team] = r.left[job.Team].Sub(job.Resources)
+	return true
+}
+
+func atLeast(a, b structs.Resources) structs.Resources {
+	return structs.Resources{
+		MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+func atMost(a, b structs.Resources) structs.Resources {
+	return structs.Resources{
+		MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+func quarter(r structs.Resources) structs.Resources {
+	return structs.Resources{MilliCPU: r.MilliCPU / quotaReserve, MemoryMB: r.MemoryMB / quotaReserve, Accelerators: r.Accelerators / quotaReserve}
+}
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -58,6 +58,7 @@
 	history  history
 	jobs     *Jobs
 	domains  *Domains
+	quotas   Quotas // of every candidate, nil for none
 	work     sync.WaitGroup
 	stop     context.CancelFunc
 
@@ -97,7 +98,7 @@
 func (w *world) boot(m *member) {
 	node, err := New(Options{
 		Cell: m.host.cell, Domain: m.host.domain, Worker: m.host.id, Address: string(m.host.id),
-		Table: m.port, Objects: objectPort{m.port}, Timing: w.timing,
+		Table: m.port, Objects: objectPort{m.port}, Timing: w.timing, Quotas: w.quotas,
 		Assign: func(ctx context.Context, address string, req *daisywallpb.AssignRequest) (*daisywallpb.AssignResponse, error) {
 			return w.assign(ctx, m, structs.WorkerID(address), req)
 		},
--- a/cell/writer.go
+++ b/cell/writer.go
@@ -166,3 +166,10 @@
 	var missing *structs.NotFoundError
 	return errors.As(err, &missing)
 }
+
+// changes reads the rows below prefix that changed after the revision.
+func (s *settler) changes(ctx context.Context, prefix string, since int64) ([]platform.Row, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.call)
+	defer cancel()
+	return s.table.Changes(ctx, prefix, since)
+}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -114,6 +114,7 @@
 		Objects:  a.platform.Objects(),
 		Assign:   a.peers.assign,
 		Observer: a.burn,
+		Quotas:   a.quotas,
 		Planner:  planner.New(a.holder.Current, placement.Options{}),
 		Config:   a.holder.UpdateSince,
 		Log:      a.telemetry.Log.Named("cell"),
@@ -123,6 +124,16 @@
 	return err
 }
 
+// quotas returns the teams' quotas of the configuration in force.
+func (a *agent) quotas() map[structs.TeamID]structs.Resources {
+	teams := a.holder.Current().Teams
+	byTeam := make(map[structs.TeamID]structs.Resources, len(teams))
+	for _, t := range teams {
+		byTeam[t.ID] = t.Quota
+	}
+	return byTeam
+}
+
 // takeConfig puts a newer configuration in force.
 func (a *agent) takeConfig(_ int64, update []byte) {
 	if len(update) == 0 {
--- a/planner/snapshot.go
+++ b/planner/snapshot.go
@@ -20,7 +20,7 @@
 	config := p.config()
 	view := &placement.Snapshot{
 		Now:       now,
-		Teams:     teams(config),
+		Teams:     teams(config, s.Shares),
 		Domains:   map[structs.FailureDomainID]structs.DomainState{},
 		Estimates: declared{p.model},
 		Memory:    p.memory,
@@ -43,11 +43,16 @@
 	return view
 }
 
-// teams returns the quotas. Each cell may commit a team's whole quota.
-func teams(config *structs.Config) []placement.Team {
+// teams returns the quotas with this cell's shares of them. Without shares a
+// cell may commit a team's whole quota.
+func teams(config *structs.Config, shares map[structs.TeamID]structs.Resources) []placement.Team {
 	list := make([]placement.Team, 0, len(config.Teams))
 	for _, t := range config.Teams {
-		list = append(list, placement.Team{ID: t.ID, Share: t.Quota, Quota: t.Quota})
+		team := placement.Team{ID: t.ID, Share: t.Quota, Quota: t.Quota}
+		if shares != nil {
+			team.Share = shares[t.ID]
+		}
+		list = append(list, team)
 	}
 	return list
 }
