--- a/bench/request/deployment.go
+++ b/bench/request/deployment.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(request.MaxMessageBytes), grpc.MaxSendMsgSize(request.MaxMessageBytes))
+	server := grpc.NewServer(request.AgentServerOptions()...)
 	daisywallpb.RegisterAgentServer(server, agentServer{Executor: executor})
 	go func() { _ = server.Serve(listener) }()
 	d.stops = append(d.stops, server.Stop, func() { _ = t.server.Close() })
--- a/bench/request/load.go
+++ b/bench/request/load.go
@@ -42,20 +42,22 @@
 
 // outcome counts what callers saw.
 type outcome struct {
-	answered  *recorder // within the deadline, by latency
-	urgent    *recorder // urgent ones among them
-	refused   *recorder // time to the refusal
-	late      atomic.Int64
-	urgentNo  atomic.Int64 // urgent requests refused
-	unjust    atomic.Int64 // refused while deferred requests ran
-	deferred  atomic.Int64 // deferred requests answered
-	unknown   atomic.Int64
-	duration  time.Duration
-	elsewhere atomic.Int64
+	answered *recorder // within the deadline, by latency
+	urgent   *recorder // urgent ones among them
+	refused  *recorder // time to the refusal
+	late     atomic.Int64
+	urgentNo atomic.Int64 // urgent requests refused
+	unjust   atomic.Int64 // refused while deferred requests ran
+	deferred atomic.Int64 // deferred requests answered
+	unknown  atomic.Int64
+	duration time.Duration
+
+	mu      sync.Mutex
+	reasons map[string]int // refusals by kind and reason
 }
 
 func newOutcome() *outcome {
-	return &outcome{answered: newRecorder(), urgent: newRecorder(), refused: newRecorder()}
+	return &outcome{answered: newRecorder(), urgent: newRecorder(), refused: newRecorder(), reasons: map[string]int{}}
 }
 
 func (o *outcome) goodput() float64 {
@@ -132,6 +134,9 @@
 		}
 	case errors.As(err, &notRun):
 		o.refused.add(took)
+		o.mu.Lock()
+		o.reasons[kind+" "+string(notRun.Reason)]++
+		o.mu.Unlock()
 		if kind != "match" {
 			o.urgentNo.Add(1)
 			if d.runsDeferred() {
--- a/bench/request/main.go
+++ b/bench/request/main.go
@@ -16,6 +16,7 @@
 type options struct {
 	Run      string        `help:"What to measure." enum:"all,overload,slow,silence,added" default:"all"`
 	Duration time.Duration `help:"Length of each measurement." default:"5s"`
+	Loads    []float64     `help:"Multiples of the capacity." default:"0.5,1,2,4"`
 	Rounds   int           `help:"Repetitions of the time added." default:"5"`
 	Seed     int64         `help:"Seed of the arrivals." default:"20261203"`
 }
--- a/bench/request/measure.go
+++ b/bench/request/measure.go
@@ -26,7 +26,7 @@
 	capacity := float64(benchTargets*benchSlots) / benchTakes.Seconds()
 	fmt.Printf("overload: capacity %.0f/s, deadline %v, half urgent\n", capacity, benchDeadline)
 	fmt.Println("load policy       goodput/s  p50 ms  p99 ms  urgent p99  refused  refusal p99 ms  late  urgent refused  (deferred ran)  deferred done")
-	for _, load := range []float64{0.5, 1, 2, 4} {
+	for _, load := range o.Loads {
 		for _, policy := range []string{"round robin", "daisywall"} {
 			d, err := deploy(benchTargets, benchEntries, benchSlots, benchTakes, benchDeadline, false)
 			if err != nil {
@@ -50,6 +50,9 @@
 	fmt.Printf("%s %9.0f %7.1f %7.1f %11.1f %8d %15.2f %5d %15d %15d %14d\n", label, out.goodput(),
 		out.answered.ms(50), out.answered.ms(99), out.urgent.ms(99), out.refused.h.TotalCount(), out.refused.ms(99),
 		out.late.Load()+out.unknown.Load(), out.urgentNo.Load(), out.unjust.Load(), out.deferred.Load())
+	if len(out.reasons) > 0 {
+		fmt.Println("     refused by reason:", out.reasons)
+	}
 }
 
 // measureSlowTarget makes one target ten times slower at half of the capacity.
@@ -98,8 +101,11 @@
 	for _, kind := range []string{"lookup", "alert"} {
 		took, failed := newRecorder(), 0
 		for round := range 20 {
-			if err := do(context.Background(), 0, kind); err != nil {
-				failed++
+			// Other traffic earns the retry budget.
+			for range 10 {
+				if err := do(context.Background(), 0, kind); err != nil {
+					failed++
+				}
 			}
 			for _, r := range d.relays {
 				r.silence()
@@ -111,7 +117,7 @@
 			}
 			took.add(time.Since(began))
 		}
-		fmt.Printf("silent connection, %s: answer after p50 %.0f ms, max %.0f ms; %d failed of 40 (work takes 20 ms)\n",
+		fmt.Printf("silent connection, %s: answer after p50 %.0f ms, max %.0f ms; %d failed of 220 (work takes 20 ms)\n",
 			kind, took.ms(50), took.ms(100), failed)
 	}
 	return nil
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -120,7 +120,7 @@
 	case a.outcome == daisywallpb.Outcome_OUTCOME_NOT_RUN && a.reason != structs.ReasonUnreachable:
 		how = resultRefused
 		if a.reason == structs.ReasonQueueFull || a.reason == structs.ReasonDeadline {
-			j.service.overloaded()
+			j.service.overloaded(j.urgent)
 		}
 	default:
 		how = resultFailed
--- a/request/conn.go
+++ b/request/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
@@ -12,9 +13,23 @@
 )
 
 // MaxMessageBytes is the size of the largest message between entries and
-// agents. Servers of the Agent service must accept messages of this size.
+// agents.
 const MaxMessageBytes = 2 * maxAnswerBytes
 
+// windowBytes is the flow control window of streams and connections.
+const windowBytes = 1 << 20
+
+// AgentServerOptions returns the options of servers of the Agent service.
+func AgentServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
+		grpc.NumStreamWorkers(uint32(runtime.GOMAXPROCS(0))),
+	}
+}
+
 // AgentConn is a connection to one agent.
 type AgentConn interface {
 	daisywallpb.AgentClient
@@ -29,6 +44,9 @@
 	return func(address string) (AgentConn, error) {
 		all := append([]grpc.DialOption{
 			grpc.WithDisableServiceConfig(),
+			// A fixed window saves the pings that estimate one.
+			grpc.WithInitialWindowSize(windowBytes),
+			grpc.WithInitialConnWindowSize(windowBytes),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 		}, options...)
 		conn, err := grpc.NewClient("passthrough:///"+address, all...)
--- a/request/gate.go
+++ b/request/gate.go
@@ -196,6 +196,18 @@
 	g.queues[queueDeferred] = nil
 }
 
+// refusedBehind takes note of a request that was admitted here and found no
+// room behind this gate.
+func (g *gate) refusedBehind(urgent bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if urgent {
+		g.press(time.Now())
+		return
+	}
+	g.starve(time.Now())
+}
+
 // starve keeps deferred requests from waiting for a while, because one waited
 // in vain. The caller holds the lock.
 func (g *gate) starve(now time.Time) {
--- a/request/metrics.go
+++ b/request/metrics.go
@@ -86,8 +86,17 @@
 	}
 }
 
+// outcomeAttributes holds the attributes of every outcome, made once.
+var outcomeAttributes = func() map[daisywallpb.Outcome]metric.MeasurementOption {
+	all := map[daisywallpb.Outcome]metric.MeasurementOption{}
+	for number, name := range daisywallpb.Outcome_name {
+		all[daisywallpb.Outcome(number)] = metric.WithAttributeSet(attribute.NewSet(attribute.String("outcome", name)))
+	}
+	return all
+}()
+
 func (m executorMetrics) executed(ctx context.Context, outcome daisywallpb.Outcome) {
-	m.executions.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", outcome.String())))
+	m.executions.Add(ctx, 1, outcomeAttributes[outcome])
 }
 
 func (m executorMetrics) settled(ctx context.Context, outcome daisywallpb.Outcome) {
--- a/request/run.go
+++ b/request/run.go
@@ -87,9 +87,10 @@
 	if ctx.Err() != nil || j.attempts >= maxAttempts || time.Until(j.deadline) <= 0 {
 		return false
 	}
-	if notRun && a.reason == structs.ReasonQueueFull && j.attempts < maxRefusals {
-		// It has waited for its place here and cost the agent next to nothing.
-		return true
+	if notRun && a.reason == structs.ReasonQueueFull {
+		// An urgent one has waited for its place here and cost the agent next
+		// to nothing. A deferred one is refused at once.
+		return j.urgent && j.attempts < maxRefusals
 	}
 	return j.service.budget.spend()
 }
--- a/request/service.go
+++ b/request/service.go
@@ -83,7 +83,11 @@
 }
 
 // overloaded teaches the admission that an agent had no room.
-func (s *service) overloaded() {
+func (s *service) overloaded(urgent bool) {
+	s.gate.refusedBehind(urgent)
+	if !urgent {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.factor = max(admissionMin, s.factor*admissionShrink)
