Request: a caller's first send of a key runs in a table outage

Change: callers may number their sends of a key. The first may run without its claim; a repetition starts nothing that it finds no trace of, it collects or reports the outcome as unknown.

--- a/bench/request/deployment.go
+++ b/bench/request/deployment.go
@@ -113,6 +113,10 @@
 	return request.Claim{}, false, &structs.UnavailableError{Dependency: "table"}
 }
 
+func (noClaims) Find(context.Context, string) (request.Claim, error) {
+	return request.Claim{}, &structs.UnavailableError{Dependency: "table"}
+}
+
 func config(deadline time.Duration) *structs.Config {
 	ms := deadline.Milliseconds()
 	return &structs.Config{Teams: []structs.TeamConfig{{ID: team, Requests: []structs.RequestKind{
--- a/request/claims.go
+++ b/request/claims.go
@@ -40,8 +40,11 @@
 // whether that is want. It returns *structs.UnavailableError or
 // *structs.UnknownOutcomeError when it can't be told who holds the key; the
 // caller must then send nothing.
+//
+// Find returns the claim that holds the key, or *structs.NotFoundError.
 type Claims interface {
 	Acquire(ctx context.Context, key string, want Claim, seen *Claim) (held Claim, granted bool, err error)
+	Find(ctx context.Context, key string) (Claim, error)
 }
 
 // claimKeyOf derives the row name of a caller's key. The key of one team never
@@ -87,22 +90,34 @@
 	return t.readBack(ctx, row, txn.ID)
 }
 
+// Find implements Claims.
+func (t *TableClaims) Find(ctx context.Context, key string) (Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	held, _, err := t.read(ctx, ClaimRowPrefix+key)
+	return held, err
+}
+
 // readBack reads who holds the key after a commit that failed or whose outcome
 // is unknown.
 func (t *TableClaims) readBack(ctx context.Context, row, txnID string) (Claim, bool, error) {
-	stored, err := t.table.Get(ctx, row)
-	var missing *structs.NotFoundError
-	if errors.As(err, &missing) {
-		// The transaction may still arrive: nothing may be sent.
+	held, writer, err := t.read(ctx, row)
+	if err != nil {
+		// The transaction may still arrive.
 		return Claim{}, false, &structs.UnknownOutcomeError{Operation: "claim of an idempotency key", Err: err}
 	}
+	return held, writer == txnID, nil
+}
+
+// read returns the claim in a row and the transaction that wrote it.
+func (t *TableClaims) read(ctx context.Context, row string) (held Claim, txnID string, err error) {
+	stored, err := t.table.Get(ctx, row)
 	if err != nil {
-		return Claim{}, false, err
+		return Claim{}, "", err
 	}
-	var held Claim
 	if err := json.Unmarshal(stored.Value, &held); err != nil {
-		return Claim{}, false, fmt.Errorf("claim row: %w", err)
+		return Claim{}, "", fmt.Errorf("claim row: %w", err)
 	}
 	held.Revision = stored.Revision
-	return held, stored.TxnID == txnID, nil
+	return held, stored.TxnID, nil
 }
--- a/request/combination_test.go
+++ b/request/combination_test.go
@@ -23,6 +23,7 @@
 	at     time.Duration
 	kind   string
 	key    bool
+	marked bool          // the caller numbers its tries
 	repeat time.Duration // when the caller sends it again through the other entry, 0 for never
 }
 
@@ -41,6 +42,7 @@
 		}
 		if r.kind == "alert" && rapid.Bool().Draw(t, "keyed") {
 			r.key = true
+			r.marked = rapid.Bool().Draw(t, "marked")
 			r.repeat = time.Duration(rapid.SampledFrom([]int{0, 1, 5, 20, 600, 3000}).Draw(t, "repeat")) * time.Millisecond
 		}
 		p.requests = append(p.requests, r)
@@ -66,7 +68,7 @@
 	var mu sync.Mutex
 	var verdicts []verdict
 	var callers sync.WaitGroup
-	send := func(at time.Duration, entry int, name string, r plannedRequest) {
+	send := func(at time.Duration, entry, try int, name string, r plannedRequest) {
 		callers.Go(func() {
 			time.Sleep(at)
 			ctx := context.Background()
@@ -77,6 +79,9 @@
 			if r.key {
 				c.Key = name
 			}
+			if r.marked {
+				c.Try = try
+			}
 			answer, err := do(entries[entry], ctx, c)
 			if ctx.Err() != nil {
 				return // the entry is dead and says nothing
@@ -88,9 +93,9 @@
 	}
 	for i, r := range p.requests {
 		name := fmt.Sprintf("r%d", i)
-		send(r.at, i%2, name, r)
+		send(r.at, i%2, 1, name, r)
 		if r.repeat > 0 {
-			send(r.at+r.repeat, (i+1)%2, name, r)
+			send(r.at+r.repeat, (i+1)%2, 2, name, r)
 		}
 	}
 	for _, f := range p.faults {
--- a/request/matrix_test.go
+++ b/request/matrix_test.go
@@ -115,7 +115,7 @@
 // TestEveryFaultAtEveryStep brings each fault about at each step, at every
 // agent at once, so that the request surely meets it.
 func TestEveryFaultAtEveryStep(t *testing.T) {
-	for _, kind := range []string{"alert", "keyed alert", "lookup"} {
+	for _, kind := range []string{"alert", "keyed alert", "first keyed alert", "lookup"} {
 		for _, step := range steps {
 			for _, f := range faults {
 				t.Run(kind+"/"+step.name+"/"+f.name, func(t *testing.T) {
@@ -132,10 +132,13 @@
 func runWithFault(t *testing.T, w *world, kind string, at time.Duration, apply func(*world, *fakeAgent)) {
 	r := w.router()
 	c := call(kind, "r1")
-	if kind == "keyed alert" {
+	if kind == "keyed alert" || kind == "first keyed alert" {
 		c = call("alert", "r1")
 		c.Key = "key"
 	}
+	if kind == "first keyed alert" {
+		c.Try = 1
+	}
 	go func() {
 		time.Sleep(at)
 		for _, a := range w.agents[:2] {
--- a/request/router.go
+++ b/request/router.go
@@ -35,10 +35,15 @@
 
 // Call is one request of a caller.
 type Call struct {
-	ID      structs.RequestID // made by the router when empty
-	Team    structs.TeamID
-	Kind    string
-	Key     string // Idempotency-Key of the caller, may be empty
+	ID   structs.RequestID // made by the router when empty
+	Team structs.TeamID
+	Kind string
+	Key  string // Idempotency-Key of the caller, may be empty
+	// Try numbers the caller's own sends of a key: 1 for the first, which is
+	// sent once and may run without a claim while the table is out; above 1
+	// for a repetition, which never starts a request that it finds no trace
+	// of; 0 when the caller does not say, which needs the table.
+	Try     int
 	Method  string // default POST
 	Path    string // with query
 	Headers []*daisywallpb.Header
