--- a/bench/request/deployment.go
+++ b/bench/request/deployment.go
@@ -113,6 +113,10 @@
 	return request.Claim{}, false, &structs.UnavailableError{Dependency: "table"}
 }
 
+func (noClaims) Find(context.Context, string) (request.Claim, error) {
+	return request.Claim{}, &structs.UnavailableError{Dependency: "table"}
+}
+
 func config(deadline time.Duration) *structs.Config {
 	ms := deadline.Milliseconds()
 	return &structs.Config{Teams: []structs.TeamConfig{{ID: team, Requests: []structs.RequestKind{
@@ -174,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(request.MaxMessageBytes), grpc.MaxSendMsgSize(request.MaxMessageBytes))
+	server := grpc.NewServer(request.AgentServerOptions()...)
 	daisywallpb.RegisterAgentServer(server, agentServer{Executor: executor})
 	go func() { _ = server.Serve(listener) }()
 	d.stops = append(d.stops, server.Stop, func() { _ = t.server.Close() })
