Bound the model by the classes and workers in use

Change: workers that are not observed for a horizon, and classes and pairs without news for four half-lives, are dropped. The exported Forget, which nobody called, is gone.

--- a/placement/estimate/history.go
+++ b/placement/estimate/history.go
@@ -4,7 +4,8 @@
 
 // history holds who was on a worker in the recent past.
 type history struct {
-	entries []entry // ordered by time
+	entries []entry       // ordered by time
+	seen    time.Duration // last time that the worker was observed
 }
 
 type entry struct {
--- a/placement/estimate/model.go
+++ b/placement/estimate/model.go
@@ -19,6 +19,7 @@
 	pairs     map[pairKey]*effect
 	histories map[structs.WorkerID]*history
 	learned   time.Duration // time of the last report, for decay
+	pruned    time.Duration // time when faded entries were last dropped
 }
 
 // New returns a model that has learned nothing.
@@ -50,12 +51,10 @@
 		h = &history{}
 		m.histories[worker] = h
 	}
+	h.seen = now
 	h.add(now, residents, now-m.options.Horizon)
 }
 
-// Forget drops what is known about the residents of a worker that has left.
-func (m *Model) Forget(worker structs.WorkerID) { delete(m.histories, worker) }
-
 // Report is a lagging measurement of one run.
 type Report struct {
 	Attempt   structs.AttemptID
@@ -70,10 +69,41 @@
 func (m *Model) Learn(now time.Duration, worker structs.WorkerID, reports []Report) {
 	for i := range reports {
 		r := &reports[i]
-		m.learnUsage(r)
+		m.learnUsage(now, r)
 		if r.Kind == structs.WorkService && r.LatencyMS > 0 {
 			m.learnLatency(now, worker, r)
 		}
 	}
 	m.learned = max(m.learned, now)
+	if now-m.pruned >= m.options.Horizon {
+		m.pruned = now
+		m.prune(now)
+	}
+}
+
+// fadedHalfLives is the number of half-lives without news after which a class
+// or a pair is forgotten.
+const fadedHalfLives = 4
+
+// prune forgets workers that are gone, and classes and pairs without news, so
+// that the model stays bounded by what is in use.
+func (m *Model) prune(now time.Duration) {
+	for worker, h := range m.histories {
+		if now-h.seen > m.options.Horizon {
+			delete(m.histories, worker)
+		}
+	}
+	faded := fadedHalfLives * m.options.HalfLife
+	for key, e := range m.pairs {
+		if now-e.at > faded {
+			delete(m.pairs, key)
+		}
+	}
+	for class, u := range m.usage {
+		if now-u.seen > faded {
+			delete(m.usage, class)
+			delete(m.runTimes, class)
+			delete(m.baselines, class)
+		}
+	}
 }
--- a/placement/estimate/model_test.go
+++ b/placement/estimate/model_test.go
@@ -275,6 +275,29 @@
 		m.Observe(time.Duration(i)*time.Second, "w1", []Resident{resident(fmt.Sprint(i%7), int32(i))})
 	}
 	is.True(len(m.histories["w1"].entries) <= 62)
-	m.Forget("w1")
-	is.Equal(len(m.histories), 0)
+}
+
+func TestModelForgetsWhatIsNoLongerInUse(t *testing.T) {
+	is := is.New(t)
+	m := New(Options{Horizon: time.Minute, HalfLife: time.Hour})
+	now := time.Duration(0)
+	for i := range 3000 {
+		class, worker := fmt.Sprintf("class-%d", i), structs.WorkerID(fmt.Sprintf("w%d", i))
+		service := Resident{Attempt: attempt("slot-check", 0), Class: "slot-check", Kind: structs.WorkService, Share: 1}
+		m.Observe(now, worker, []Resident{service, resident(class, 0)})
+		now += 5 * time.Minute
+		m.LearnProgress(class, 1, time.Minute)
+		m.Learn(now, worker, []Report{
+			{Attempt: service.Attempt, Class: "slot-check", Kind: structs.WorkService, Usage: structs.Resources{MilliCPU: 2000}, LatencyMS: 20},
+			{Attempt: attempt(class, 0), Class: class, Kind: structs.WorkBatch, Usage: structs.Resources{MilliCPU: 1000}},
+		})
+	}
+	const kept = 4*60/5 + 2 // classes seen within four half-lives
+	is.True(len(m.histories) <= 2)
+	is.True(len(m.pairs) > 0)
+	is.True(len(m.pairs) <= kept)
+	is.True(len(m.usage) <= kept)
+	is.True(len(m.runTimes) <= kept)
+	_, known := m.Baseline("slot-check", structs.Resources{MilliCPU: 2000})
+	is.True(known) // still in use
 }
--- a/placement/estimate/usage.go
+++ b/placement/estimate/usage.go
@@ -40,14 +40,16 @@
 type usageStat struct {
 	cpu, memory moments
 	peakMemory  float64
+	seen        time.Duration // last report
 }
 
-func (m *Model) learnUsage(r *Report) {
+func (m *Model) learnUsage(now time.Duration, r *Report) {
 	u, found := m.usage[r.Class]
 	if !found {
 		u = &usageStat{}
 		m.usage[r.Class] = u
 	}
+	u.seen = now
 	u.cpu.add(float64(r.Usage.MilliCPU))
 	u.memory.add(float64(r.Usage.MemoryMB))
 	const peakDecay = 0.999
