Count every stopping instance against the service's minimum

Cause: planned movement counted only instances that were stopping on workers that leave, so one that was stopping elsewhere let the service fall below its minimum. Change: stopping instances of every worker count. 2000 random cells pass. Four planted violations cover the new rules.

--- a/placement/move.go
+++ b/placement/move.go
@@ -17,17 +17,18 @@
 	var waiting []movement
 	for i := range r.nodes {
 		n := &r.nodes[i]
-		if n.gate != structs.ReasonDomainOut && n.gate != structs.ReasonLeaving {
-			continue
-		}
+		leaves := n.gate == structs.ReasonDomainOut || n.gate == structs.ReasonLeaving
 		for j := range n.worker.Runs {
 			run := &n.worker.Runs[j]
-			if run.Stopping {
-				moving++
+			switch {
+			case run.Stopping:
 				r.takeInstance(run)
-				continue
+				if leaves {
+					moving++
+				}
+			case leaves:
+				waiting = append(waiting, movement{n, run})
 			}
-			waiting = append(waiting, movement{n, run})
 		}
 	}
 	sort.SliceStable(waiting, func(i, j int) bool { return waiting[i].before(waiting[j]) })
@@ -74,7 +75,7 @@
 	if !found {
 		return true
 	}
-	if room.left <= 0 {
+	if room.left <= 0 && !run.Stopping {
 		return false
 	}
 	room.left--
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -61,6 +61,11 @@
 		s.Pending = append(s.Pending, p)
 	}
 	s.Teams = []Team{{ID: "jabuka", Share: size().Scale(5)}}
+	s.Services = []Service{{
+		Job:     "slot-check",
+		Up:      rapid.Int32Range(0, 10).Draw(t, "up"),
+		Minimum: rapid.Int32Range(0, 10).Draw(t, "minimum"),
+	}}
 	return s
 }
 
@@ -102,6 +107,53 @@
 		}
 		started[p.Task] = true
 	}
+	return badEviction(s, plan)
+}
+
+// badEviction returns the first rule that the evictions of the plan break.
+func badEviction(s *Snapshot, plan Plan) string {
+	running := map[structs.AttemptID]*Run{}
+	stopping := map[structs.JobID]int32{}
+	moving := 0
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		leaves := s.Domains[w.FailureDomain] != structs.DomainIn || w.State == WorkerLeaving
+		for j := range w.Runs {
+			r := &w.Runs[j]
+			if !r.Stopping {
+				running[r.Attempt] = r
+				continue
+			}
+			stopping[r.Attempt.Task.Job]++
+			if leaves {
+				moving++
+			}
+		}
+	}
+	for _, e := range plan.Evictions {
+		r := running[e.Attempt]
+		if r == nil {
+			return "eviction of what does not run"
+		}
+		delete(running, e.Attempt)
+		if r.Kind == structs.WorkService {
+			stopping[e.Attempt.Task.Job]++
+			if e.Reason != structs.ReasonDomainOut && e.Reason != structs.ReasonLeaving {
+				return "service evicted for " + string(e.Reason)
+			}
+			for _, x := range s.Services {
+				if x.Job == e.Attempt.Task.Job && x.Up-stopping[x.Job] < x.Minimum {
+					return "service below its minimum"
+				}
+			}
+		}
+		if e.Reason == structs.ReasonDomainOut || e.Reason == structs.ReasonLeaving {
+			moving++
+			if moving > defaultMaxMoves {
+				return "pace of movement"
+			}
+		}
+	}
 	return ""
 }
 
@@ -118,6 +170,9 @@
 	place := func(worker string, size structs.Resources) Plan {
 		return Plan{Placements: []Placement{{Task: task("pricing", 0, size).ID, Worker: structs.WorkerID(worker), Resources: size}}}
 	}
+	evict := func(r Run, reason structs.Reason) Plan {
+		return Plan{Evictions: []Eviction{{Attempt: r.Attempt, Worker: "w00", Reason: reason}}}
+	}
 	cases := map[string]struct {
 		change func(s *Snapshot)
 		plan   Plan
@@ -128,9 +183,25 @@
 		"quarantined": {func(s *Snapshot) {
 			s.Memory.Quarantines = map[structs.WorkerID]Quarantine{"w00": {Since: s.Now, Term: time.Minute, Stage: QuarantineClosed}}
 		}, place("w00", cores(1))},
-		"worker leaving":    {func(s *Snapshot) { s.Workers[0].State = WorkerLeaving }, place("w00", cores(1))},
-		"unknown worker":    {func(*Snapshot) {}, place("w77", cores(1))},
-		"task placed twice": {func(*Snapshot) {}, Plan{Placements: append(place("w00", cores(1)).Placements, place("w00", cores(1)).Placements...)}},
+		"worker leaving":                {func(s *Snapshot) { s.Workers[0].State = WorkerLeaving }, place("w00", cores(1))},
+		"unknown worker":                {func(*Snapshot) {}, place("w77", cores(1))},
+		"task placed twice":             {func(*Snapshot) {}, Plan{Placements: append(place("w00", cores(1)).Placements, place("w00", cores(1)).Placements...)}},
+		"eviction of what does not run": {func(*Snapshot) {}, evict(run("other", 0, cores(1)), structs.ReasonDomainOut)},
+		"service evicted for deadline": {func(s *Snapshot) { s.Workers[0].Runs = []Run{service("slot-check", 0, 0)} },
+			evict(service("slot-check", 0, 0), ReasonDeadline)},
+		"service below its minimum": {func(s *Snapshot) {
+			s.Workers[0].Runs = []Run{service("slot-check", 0, 0)}
+			s.Services = []Service{{Job: "slot-check", Up: 2, Minimum: 2}}
+		}, evict(service("slot-check", 0, 0), structs.ReasonLeaving)},
+		"pace of movement": {func(s *Snapshot) {
+			s.Workers[0].State = WorkerLeaving
+			for i := range int32(defaultMaxMoves) {
+				r := run("other", i, cores(1))
+				r.Stopping = true
+				s.Workers[0].Runs = append(s.Workers[0].Runs, r)
+			}
+			s.Workers[0].Runs = append(s.Workers[0].Runs, run("other", 100, cores(1)))
+		}, evict(run("other", 100, cores(1)), structs.ReasonLeaving)},
 	}
 	for want, c := range cases {
 		t.Run(want, func(t *testing.T) {
--- a/placement/snapshot.go
+++ b/placement/snapshot.go
@@ -110,7 +110,7 @@
 // Service is the state of a long-running service over all cells.
 type Service struct {
 	Job     structs.JobID
-	Up      int32 // instances running anywhere
+	Up      int32 // instances running anywhere, those of this cell that are stopping included
 	Minimum int32 // instances kept up through planned movement
 }
 
