--- a/cell/leader.go
+++ b/cell/leader.go
@@ -49,7 +49,10 @@
 	pendingAt map[structs.TaskID]time.Time    // when this leader first saw it pending
 	retryAt   map[structs.TaskID]time.Time    // earliest next attempt after a failure
 	reasons   map[structs.TaskID]Unschedulable
-	outcomes  []Outcome // for the planner, oldest first
+	outcomes  []Outcome              // for the planner, oldest first
+	late      map[structs.JobID]bool // open jobs whose deadline has passed
+	began     time.Time              // of this leadership
+	deadlines time.Time              // when they were last looked at
 	inbox     []acceptance
 	domain    domainView
 	summary   summaryRow
@@ -95,6 +98,8 @@
 		pendingAt: map[structs.TaskID]time.Time{},
 		retryAt:   map[structs.TaskID]time.Time{},
 		reasons:   map[structs.TaskID]Unschedulable{},
+		late:      map[structs.JobID]bool{},
+		began:     time.Now(),
 	}
 }
 
@@ -189,13 +194,13 @@
 }
 
 // release gives the leadership up, so that a candidate need not wait for the
-// term. It is best effort: nothing depends on it.
+// term, nor the next leader for this one's ride: no lease is renewed from here
+// on. It is best effort: nothing depends on it.
 func (l *leader) release() error {
 	l.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), l.o.Timing.Call)
 	defer cancel()
-	l.row.Released = true
-	if err := l.commit(ctx, &work{renew: true}); err != nil {
+	if err := l.commit(ctx, &work{renew: true, release: true}); err != nil {
 		l.o.Log.Info("leadership not released", zap.String("cell", string(l.cell)), zap.Error(err))
 	}
 	return nil
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/daisywall/daisywall/api/configpb"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/cell"
 	"github.com/daisywall/daisywall/config"
@@ -54,6 +55,7 @@
 	peers     *peers
 	holder    *config.Holder
 	node      *cell.Node
+	burn      *burnCounts
 	tasks     *worker.Agent
 	targets   *membership.LocalTargets
 	requests  *request.Executor
@@ -87,7 +89,7 @@
 		Rack:          a.settings.Rack,
 		Cell:          a.settings.Cell,
 		Capacity:      a.settings.Capacity,
-		Address:       a.settings.PeerAddress,
+		Address:       a.settings.Advertise,
 	}
 }
 
@@ -101,18 +103,21 @@
 }
 
 func (a *agent) buildCell() error {
+	leading := func() bool { _, leads := a.node.Leading(); return leads }
+	a.burn = newBurnCounts(a.platform.Table(), a.settings.Platform.Timeout(), string(a.settings.Worker), a.holder.Current, leading, a.telemetry.Log.Named("burn"))
 	node, err := cell.New(cell.Options{
-		Cell:    a.settings.Cell,
-		Domain:  a.settings.FailureDomain,
-		Worker:  a.settings.Worker,
-		Address: a.settings.PeerAddress,
-		Table:   a.platform.Table(),
-		Objects: a.platform.Objects(),
-		Assign:  a.peers.assign,
-		Planner: planner.New(a.holder.Current, placement.Options{}),
-		Config:  a.holder.UpdateSince,
-		Log:     a.telemetry.Log.Named("cell"),
-		Meters:  a.telemetry.Meters,
+		Cell:     a.settings.Cell,
+		Domain:   a.settings.FailureDomain,
+		Worker:   a.settings.Worker,
+		Address:  a.settings.Advertise,
+		Table:    a.platform.Table(),
+		Objects:  a.platform.Objects(),
+		Assign:   a.peers.assign,
+		Observer: a.burn,
+		Planner:  planner.New(a.holder.Current, placement.Options{}),
+		Config:   a.holder.UpdateSince,
+		Log:      a.telemetry.Log.Named("cell"),
+		Meters:   a.telemetry.Meters,
 	})
 	a.node = node
 	return err
@@ -188,6 +193,7 @@
 	server := &grpcServer{address: a.settings.PeerAddress, register: func(g *grpc.Server) {
 		daisywallpb.RegisterAgentServer(g, &agentServer{requests: a.requests, tasks: a.tasks})
 		daisywallpb.RegisterCellServer(g, a.node)
+		configpb.RegisterConfigServer(g, config.NewServer(a.holder))
 	}}
 	announce := newRunner(a.announcer.Run)
 	work := newRunner(a.tasks.Run)
@@ -199,7 +205,8 @@
 		{"telemetry", hooks{stop: a.telemetry.Close}, nil},
 		{"platform", hooks{stop: func(context.Context) error { return a.platform.Close() }}, []string{"telemetry"}},
 		{"peers", hooks{stop: func(context.Context) error { a.peers.close(); return nil }}, []string{"telemetry"}},
-		{"cell", newRunner(a.node.Run), []string{"platform", "peers"}},
+		{"burn", newRunner(a.burn.run), []string{"platform"}},
+		{"cell", newRunner(a.node.Run), []string{"platform", "peers", "burn"}},
 		{"config", newRunner(a.watchConfig), []string{"platform", "cell"}},
 		{"peer-server", server, []string{"cell"}},
 		{"tasks", hooks{start: work.Start, stop: a.stopTasks(work)}, []string{"peer-server", "platform"}},
@@ -248,7 +255,8 @@
 // watchConfig reads the configuration from the table while this agent leads
 // its cell; the others get it with their heartbeats.
 func (a *agent) watchConfig(ctx context.Context) error {
-	watcher := config.NewWatcher(a.platform.Table(), a.holder, config.NoPeers{}, a.telemetry.Log.Named("config"), config.WatcherOptions{})
+	others := config.NewRemotePeers(func() []grpc.ClientConnInterface { return a.peers.connect(a.announcer.Entries()) })
+	watcher := config.NewWatcher(a.platform.Table(), a.holder, others, a.telemetry.Log.Named("config"), config.WatcherOptions{})
 	ticker := time.NewTicker(configPoll)
 	defer ticker.Stop()
 	for {
