--- a/config/questionnaire/answers.go
+++ b/config/questionnaire/answers.go
@@ -130,7 +130,8 @@
 	if invalid != nil {
 		faults = invalid.Faults
 		answers = &Answers{}
-		if json.Unmarshal(data, answers) != nil {
+		var wrongType *json.UnmarshalTypeError
+		if again := json.Unmarshal(data, answers); again != nil && !errors.As(again, &wrongType) {
 			return nil, err
 		}
 	}
--- a/config/questionnaire/questionnaire_test.go
+++ b/config/questionnaire/questionnaire_test.go
@@ -207,6 +207,20 @@
 	})
 }
 
+func TestWrongTypeDoesNotHideOtherFaults(t *testing.T) {
+	is := is.New(t)
+	answers := sample(t, "graz")
+	answers.Services[0].AlwaysUp = 5
+	data, err := answers.Encode()
+	is.NoErr(err)
+	_, err = Decode([]byte(strings.Replace(string(data), `"budget_days": 30`, `"budget_days": "30"`, 1)))
+	var invalid *structs.InvalidError
+	is.True(errors.As(err, &invalid))
+	is.Equal(len(invalid.Faults), 2)
+	is.Equal(invalid.Faults[0].Path, "/budget_days")
+	is.Equal(invalid.Faults[1].Path, "/services/0/always_up")
+}
+
 func TestAnswerFieldsMatchTheQuestions(t *testing.T) {
 	is := is.New(t)
 	sections := Sections()
