--- a/config/change.go
+++ b/config/change.go
@@ -1,7 +1,10 @@
 package config
 
 import (
+	"errors"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/daisywall/daisywall/structs"
 )
@@ -44,13 +47,32 @@
 		}
 	}
 	next.Teams = append(next.Teams, c.Put...)
+	normalize(next)
 	data, err := Encode(next)
 	if err != nil {
 		return nil, err
 	}
 	checked, err := Decode(data)
+	nameTeams(err, next.Teams)
 	if err := merge("change of the configuration", err, faults); err != nil {
 		return nil, err
 	}
 	return checked, nil
 }
+
+// nameTeams puts the IDs of teams into the paths of faults in place of their
+// places in the list, which the operator does not see.
+func nameTeams(err error, teams []structs.TeamConfig) {
+	var invalid *structs.InvalidError
+	if !errors.As(err, &invalid) {
+		return
+	}
+	for i, fault := range invalid.Faults {
+		rest, found := strings.CutPrefix(fault.Path, "/teams/")
+		place, field, _ := strings.Cut(rest, "/")
+		index, err := strconv.Atoi(place)
+		if found && err == nil && index < len(teams) {
+			invalid.Faults[i].Path = "/teams/" + string(teams[index].ID) + "/" + field
+		}
+	}
+}
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -161,9 +161,15 @@
 	var invalid *structs.InvalidError
 	is.True(errors.As(err, &invalid))
 	is.Equal(len(invalid.Faults), 5)
+	var paths []string
 	for _, fault := range invalid.Faults {
-		is.True(fault.Path != "" && fault.Value != "" && fault.Rule != "")
+		is.True(fault.Value != "" && fault.Rule != "")
+		paths = append(paths, fault.Path)
 	}
+	is.Equal(paths, []string{
+		"/remove", "/teams/graz/id", "/teams/jabuka/batch/0/run_time_ms",
+		"/teams/jabuka/requests/0/urgency", "/teams/jabuka/services/0/minimum",
+	})
 	current, err := store.Current(ctx)
 	is.NoErr(err)
 	is.Equal(current.Revision, int64(0))
