Forget an attempt only when no copy of its start can arrive

The agent now keeps an attempt until its start has returned and its grant has ended, also after its own restart. The leader repeats the request anyway.

--- a/worker/actions.go
+++ b/worker/actions.go
@@ -54,10 +54,11 @@
 	return err
 }
 
-// forget drops an attempt that is over.
+// forget drops an attempt that is over. The leader asks again for one that can
+// not be dropped yet.
 func (a *Agent) forget(ctx context.Context, attempt structs.AttemptID) error {
 	a.mu.Lock()
-	known := a.ledger.isOver(attempt)
+	known := a.ledger.mayForget(attempt)
 	a.mu.Unlock()
 	if !known {
 		return nil
@@ -70,7 +71,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ledger.isOver(attempt) {
+	if a.ledger.mayForget(attempt) {
 		a.ledger.close(attempt, structs.ReasonDuplicate, "has ended here")
 	}
 	return nil
--- a/worker/actions_test.go
+++ b/worker/actions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
@@ -76,3 +77,59 @@
 		h.is.NoErr(<-done)
 	})
 }
+
+func TestAttemptIsNotForgottenWhileItsStartIsRepeated(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		first := true
+		h.port.start = func(spec platform.StartSpec) error {
+			err := h.runtime.Start(context.Background(), spec)
+			if first {
+				first = false
+				time.Sleep(2 * time.Second)
+				return &structs.UnknownOutcomeError{Operation: "start"}
+			}
+			return err
+		}
+		time.Sleep(500 * time.Millisecond) // a heartbeat has just been sent
+		synctest.Wait()
+		req := h.request(id, "")
+		req.Assignments[0].Program = "fail-always"
+		go func() { _, _ = h.agent.Assign(context.Background(), req) }()
+		time.Sleep(1100 * time.Millisecond)
+		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunExited))
+		h.act(daisywallpb.Action_VERB_FORGET, id)
+		time.Sleep(5 * time.Second)
+		h.is.Equal(h.starts(), 1)
+		h.act(daisywallpb.Action_VERB_FORGET, id)
+		h.is.Equal(h.state(id), platform.RunState(""))
+	})
+}
+
+func TestAttemptIsNotForgottenWhileACopyOfItsStartMayArrive(t *testing.T) {
+	onHost(t, func(h *host) {
+		id := attemptOf("j", 1)
+		first := true
+		h.port.start = func(spec platform.StartSpec) error {
+			if first {
+				first = false
+				go func() { // arrives after the second try and the end
+					time.Sleep(2 * time.Second)
+					_ = h.runtime.Start(context.Background(), spec)
+				}()
+				return &structs.UnknownOutcomeError{Operation: "start"}
+			}
+			return h.runtime.Start(context.Background(), spec)
+		}
+		req := h.request(id, "")
+		req.Assignments[0].Program = "fail-always"
+		h.is.Equal(len(h.assign(req)), 0)
+		time.Sleep(1100 * time.Millisecond)
+		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunExited))
+		h.act(daisywallpb.Action_VERB_FORGET, id)
+		time.Sleep(5 * time.Second)
+		h.is.Equal(h.starts(), 1)
+		h.act(daisywallpb.Action_VERB_FORGET, id)
+		h.is.Equal(h.state(id), platform.RunState(""))
+	})
+}
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -209,8 +209,9 @@
 	l.closed[attempt] = closing{reason: reason, detail: detail, at: l.now}
 }
 
-// isOver reports whether an attempt has ended and is not forgotten.
-func (l *ledger) isOver(attempt structs.AttemptID) bool {
+// mayForget reports whether the runtime may drop an attempt: it has ended, and
+// no copy of its start, of this agent or the one before, can run it again.
+func (l *ledger) mayForget(attempt structs.AttemptID) bool {
 	e, found := l.entries[attempt]
-	return found && e.phase == over
+	return found && e.phase == over && !e.inFlight && l.now > e.notAfter && l.isOpen()
 }
