--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/daisywall/daisywall/api/configpb"
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/cell"
 	"github.com/daisywall/daisywall/config"
@@ -113,6 +114,7 @@
 		Objects:  a.platform.Objects(),
 		Assign:   a.peers.assign,
 		Observer: a.burn,
+		Quotas:   a.quotas,
 		Planner:  planner.New(a.holder.Current, placement.Options{}),
 		Config:   a.holder.UpdateSince,
 		Log:      a.telemetry.Log.Named("cell"),
@@ -122,6 +124,16 @@
 	return err
 }
 
+// quotas returns the teams' quotas of the configuration in force.
+func (a *agent) quotas() map[structs.TeamID]structs.Resources {
+	teams := a.holder.Current().Teams
+	byTeam := make(map[structs.TeamID]structs.Resources, len(teams))
+	for _, t := range teams {
+		byTeam[t.ID] = t.Quota
+	}
+	return byTeam
+}
+
 // takeConfig puts a newer configuration in force.
 func (a *agent) takeConfig(_ int64, update []byte) {
 	if len(update) == 0 {
@@ -192,7 +204,7 @@
 	server := &grpcServer{address: a.settings.PeerAddress, register: func(g *grpc.Server) {
 		daisywallpb.RegisterAgentServer(g, &agentServer{requests: a.requests, tasks: a.tasks})
 		daisywallpb.RegisterCellServer(g, a.node)
-		daisywallpb.RegisterConfigurationServer(g, configService{holder: a.holder})
+		configpb.RegisterConfigServer(g, config.NewServer(a.holder))
 	}}
 	announce := newRunner(a.announcer.Run)
 	work := newRunner(a.tasks.Run)
@@ -254,7 +266,7 @@
 // watchConfig reads the configuration from the table while this agent leads
 // its cell; the others get it with their heartbeats.
 func (a *agent) watchConfig(ctx context.Context) error {
-	others := configPeers{addresses: func(int64) []string { return a.announcer.Entries() }, peers: a.peers}
+	others := config.NewRemotePeers(func() []grpc.ClientConnInterface { return a.peers.connect(a.announcer.Entries()) })
 	watcher := config.NewWatcher(a.platform.Table(), a.holder, others, a.telemetry.Log.Named("config"), config.WatcherOptions{})
 	ticker := time.NewTicker(configPoll)
 	defer ticker.Stop()
