--- a/faults/random_test.go
+++ b/faults/random_test.go
@@ -1,7 +1,6 @@
 package faults
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/daisywall/daisywall/cell"
 	"github.com/daisywall/daisywall/platform/standin"
 	"github.com/daisywall/daisywall/structs"
 )
@@ -29,10 +29,17 @@
 	stepNorthIn  = "north in"
 	stepSouthOut = "south out"
 	stepSouthIn  = "south in"
+	stepCancel   = "cancel"
+)
+
+// Tasks of the jobs beside the main one.
+const (
+	failingTasks   = 3
+	cancelledTasks = 4
 )
 
 func stepNames() []string {
-	names := []string{stepHeal, stepHeal, stepNorthIn, stepSouthOut, stepSouthIn}
+	names := []string{stepHeal, stepHeal, stepNorthIn, stepSouthOut, stepSouthIn, stepCancel, stepCancel}
 	for name := range taskFaults {
 		names = append(names, name)
 	}
@@ -58,59 +65,103 @@
 	return history{runTime: rapid.SampledFrom([]string{"3s", "8s", "30s"}).Draw(t, "run time"), tasks: rapid.SampledFrom([]int32{8, 60}).Draw(t, "tasks"), steps: steps}
 }
 
-// operate lets an operator change a failure domain while other faults go on.
-func operate(w *world, operators *sync.WaitGroup, domain structs.FailureDomainID, out bool) {
-	operators.Go(func() { w.setDomain(domain, out) })
+// story is one history in the making.
+type story struct {
+	w         *world
+	operators sync.WaitGroup // at work beside other faults
+	service   structs.JobID
+	job       structs.JobID
+	failing   structs.JobID // every task of it fails
+	cancelled structs.JobID
+}
+
+func begin(w *world, h history) (*story, error) {
+	s := &story{w: w}
+	if err := w.platform.Objects.Put(w.ctx, "input", []byte(h.runTime)); err != nil {
+		return nil, err
+	}
+	if err := standin.PutSamples(w.ctx, w.platform.Objects); err != nil {
+		return nil, err
+	}
+	time.Sleep(10 * time.Second)
+	s.service = w.submit("service", structs.WorkService, "watcher", standin.SampleKey("watcher"), instances)
+	s.cancelled = w.submit("cancelled", structs.WorkBatch, "sleep", "input", cancelledTasks)
+	s.job = w.submit("job", structs.WorkBatch, "sleep", "input", h.tasks)
+	s.failing = w.submit("failing", structs.WorkBatch, "fail-always", "", failingTasks)
+	return s, nil
+}
+
+// setDomain lets an operator change a failure domain while faults go on.
+func (s *story) setDomain(domain structs.FailureDomainID, out bool) {
+	s.operators.Go(func() { s.w.setDomain(domain, out) })
+}
+
+// cancel cancels a job while faults go on.
+func (s *story) cancel() {
+	s.operators.Go(func() {
+		for s.w.jobs.Cancel(s.w.ctx, s.cancelled) != nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
 }
 
-func applyStep(w *world, operators *sync.WaitGroup, s randomStep) {
-	time.Sleep(s.after)
-	switch s.fault {
+func (s *story) apply(step randomStep) {
+	time.Sleep(step.after)
+	switch step.fault {
 	case stepHeal:
-		w.heal()
+		s.w.heal()
 	case stepNorthIn:
-		operate(w, operators, "north", false)
+		s.setDomain("north", false)
 	case stepSouthOut:
-		operate(w, operators, "south", true)
+		s.setDomain("south", true)
 	case stepSouthIn:
-		operate(w, operators, "south", false)
+		s.setDomain("south", false)
+	case stepCancel:
+		s.cancel()
 	case "domain out":
-		operate(w, operators, "north", true)
+		s.setDomain("north", true)
 	default:
-		taskFaults[s.fault].begin(w)
+		taskFaults[step.fault].begin(s.w)
 	}
 }
 
+// end heals everything and returns what has not come to its end.
+func (s *story) end(h history) (broken []string) {
+	s.w.heal()
+	s.operators.Wait()
+	s.w.setDomain("north", false)
+	s.w.setDomain("south", false)
+	s.cancel()
+	s.operators.Wait()
+	expect := func(what string, id structs.JobID, ok func(cell.JobStatus) bool) {
+		if status, done := s.w.settled(id, settledLimit); !done || !ok(status) {
+			broken = append(broken, fmt.Sprintf("%s: %+v", what, status))
+		}
+	}
+	expect("job", s.job, func(j cell.JobStatus) bool { return j.Finished == h.tasks })
+	expect("failing job", s.failing, func(j cell.JobStatus) bool { return j.Failed == failingTasks })
+	expect("cancelled job", s.cancelled, func(j cell.JobStatus) bool { return j.Failed == 0 })
+	runs := func(id structs.JobID) int { return running(s.w.platform.History.Events(), id) }
+	if !eventually(settledLimit, func() bool { return runs(s.service) == instances && runs(s.cancelled) == 0 }) {
+		broken = append(broken, fmt.Sprintf("%d instances of the service, %d cancelled tasks run", runs(s.service), runs(s.cancelled)))
+	}
+	time.Sleep(20 * time.Second)
+	return append(broken, s.w.verdict()...)
+}
+
 // playHistory returns what a history has broken.
 func playHistory(t *testing.T, h history, p planted) (broken []string) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, p)
 		defer w.close()
-		var operators sync.WaitGroup
-		if err := w.platform.Objects.Put(context.Background(), "input", []byte(h.runTime)); err != nil {
-			t.Fatal(err)
-		}
-		if err := standin.PutSamples(context.Background(), w.platform.Objects); err != nil {
+		s, err := begin(w, h)
+		if err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(10 * time.Second)
-		service := w.submit("service", structs.WorkService, "watcher", standin.SampleKey("watcher"), instances)
-		job := w.submit("job", structs.WorkBatch, "sleep", "input", h.tasks)
-		for _, s := range h.steps {
-			applyStep(w, &operators, s)
-		}
-		w.heal()
-		operators.Wait()
-		w.setDomain("north", false)
-		w.setDomain("south", false)
-		if status, done := w.settled(job, settledLimit); !done || status.Finished != h.tasks {
-			broken = append(broken, fmt.Sprintf("%d of %d tasks finished", status.Finished, h.tasks))
-		}
-		if !eventually(settledLimit, func() bool { return running(w.platform.History.Events(), service) == instances }) {
-			broken = append(broken, "the service does not run as declared")
+		for _, step := range h.steps {
+			s.apply(step)
 		}
-		time.Sleep(20 * time.Second)
-		broken = append(broken, w.verdict()...)
+		broken = s.end(h)
 	})
 	return broken
 }
@@ -125,7 +176,7 @@
 
 func TestHistoriesShowPlantedFaults(t *testing.T) {
 	late := history{"3s", 20, []randomStep{{"assignments late", 0}, {"domain out", 1200 * time.Millisecond}, {"nothing", 10 * time.Second}}}
-	isolated := history{"30s", 8, []randomStep{{"agent isolated", 3 * time.Second}, {"nothing", 30 * time.Second}}}
+	isolated := history{"30s", 18, []randomStep{{"cancel", 0}, {"agent isolated", 3 * time.Second}, {"nothing", 30 * time.Second}}}
 	cases := map[string]struct {
 		history history
 		planted planted
