--- /dev/null
+++ b/request/ledger_test.go
@@ -0,0 +1,83 @@
+package request
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/api/daisywallpb"
+)
+
+func endRecord(l *ledger, id string, idempotent bool, body string) *record {
+	rec, _ := l.admit(id, idempotent, 0)
+	if rec == nil || !l.begin(rec) {
+		return nil
+	}
+	l.finish(rec, answered, &daisywallpb.Answer{Status: 200, Body: []byte(body)}, "")
+	return rec
+}
+
+func TestLedgerAtItsBoundRefusesAndForgetsNothing(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(ledgerLimits{records: 3, bytes: 1 << 20, retention: time.Minute})
+	for i := range 3 {
+		is.True(endRecord(l, fmt.Sprint(i), false, "x") != nil)
+	}
+	rec, _ := l.admit("new", false, 0)
+	is.True(rec == nil)               // refused
+	is.True(l.settle("other") == nil) // cannot be fenced, so it is not called fenced
+	for i := range 3 {
+		rec, fresh := l.admit(fmt.Sprint(i), false, 0)
+		is.True(rec != nil && !fresh) // still known
+	}
+}
+
+func TestLedgerForgetsAfterRetentionAndKeepsKeysLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLedger(ledgerLimits{records: 10, bytes: 1 << 20, retention: time.Minute})
+		endRecord(l, "plain", false, "x")
+		rec, _ := l.admit("keyed", false, time.Hour)
+		l.begin(rec)
+		l.finish(rec, answered, &daisywallpb.Answer{}, "")
+		l.settle("fenced")
+		time.Sleep(time.Minute)
+		_, fresh := l.admit("plain", false, 0)
+		is.True(fresh)
+		_, fresh = l.admit("keyed", false, time.Hour)
+		is.True(!fresh)
+	})
+}
+
+func TestLedgerDropsTheOldestAnswersAndKeepsTheirOutcome(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(ledgerLimits{records: 10, bytes: 25, retention: time.Minute})
+	first := endRecord(l, "1", false, "0123456789")
+	endRecord(l, "2", false, "0123456789")
+	third := endRecord(l, "3", false, "0123456789")
+	is.Equal(l.read(first).outcome, unknown) // it ran, its answer is gone
+	is.Equal(l.read(third).outcome, answered)
+	records, bytes := l.size()
+	is.Equal(records, 3)
+	is.Equal(bytes, 20)
+	l.acknowledge([]string{"3"})
+	is.Equal(l.read(third).outcome, unknown)
+	_, fresh := l.admit("3", false, 0)
+	is.True(!fresh) // acknowledged, and still never runs again
+}
+
+func TestLedgerRemembersIdempotentRequestsOnlyWhileTheyRun(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(ledgerLimits{records: 10, bytes: 1 << 20, retention: time.Minute})
+	rec, _ := l.admit("1", true, 0)
+	again, fresh := l.admit("1", true, 0)
+	is.True(again == rec && !fresh)
+	l.begin(rec)
+	l.finish(rec, answered, &daisywallpb.Answer{}, "")
+	is.Equal(l.read(rec).outcome, answered) // for those that joined
+	records, _ := l.size()
+	is.Equal(records, 0)
+}
