Request: limiter judges by throughput; a refused team counts as wanting its share

Cause: TestLimiterFindsTheRealSlots: the baseline drifted up with the latency that the limit itself made, and the limit crept to 44 for 8 real slots (59 for 60 declared); TestOneTeamDoesNotStarveAnother: a team that held every place took each free place back, since a refused team did not count. Change: lower limits are probed and kept when the throughput stays; teams that were refused within a second count for the fair share.

--- a/request/limiter.go
+++ b/request/limiter.go
@@ -5,40 +5,39 @@
 const (
 	// limiterWindowFactor is the number of completions, as a multiple of the
 	// limit, that make up one window of measurement.
-	limiterWindowFactor = 2
+	limiterWindowFactor = 8
 	// limiterMinWindow is the least number of completions in a window.
-	limiterMinWindow = 10
+	limiterMinWindow = 40
 	// limiterGrow is the ratio of service time to baseline below which a
 	// saturated limit grows.
 	limiterGrow = 1.25
-	// limiterShrink is the ratio above which the limit shrinks.
-	limiterShrink = 1.6
+	// limiterSuspect is the ratio above which a lower limit is probed.
+	limiterSuspect = 1.6
 	// limiterJitter is the time, in seconds, by which the mean may pass the
 	// baseline without counting: scheduling noise of short requests.
 	limiterJitter = 0.002
-	// limiterBackoff is the factor by which the limit shrinks.
+	// limiterBackoff is the factor by which the limit shrinks after a failure.
 	limiterBackoff = 0.9
-	// limiterDrift is the share by which the baseline rises in each window, so
-	// that a lasting change of the work is followed.
-	limiterDrift = 0.01
 	// limiterProbe is the number of saturated windows between probes of a lower
 	// limit.
 	limiterProbe = 16
 	// limiterProbeShare is the share of the limit that a probe uses.
 	limiterProbeShare = 0.75
 	// limiterKeep is the share of throughput that a probe must reach for its
-	// lower limit to be kept.
-	limiterKeep = 0.97
+	// lower limit to be kept. A limit that was needed gives limiterProbeShare.
+	limiterKeep = 0.9
 )
 
 // limiter adapts the number of requests that a target works on at once. The
-// declared slots are only its start: it grows while more concurrency does not
-// slow requests down, and shrinks when it does or when less concurrency gives
-// the same throughput. It is not safe for concurrent use.
+// declared slots are only its start. It grows while more concurrency does not
+// slow requests down. From time to time, and when requests have become slow,
+// it probes a lower limit, which it keeps when the throughput stays; when the
+// throughput falls, the work itself takes longer and the baseline is set
+// anew. It is not safe for concurrent use.
 type limiter struct {
 	limit    float64
 	maximum  float64
-	baseline float64 // seconds, lowest mean service time seen, drifting up
+	baseline float64 // seconds, mean service time without queueing
 
 	count     int
 	sum       float64 // seconds
@@ -46,9 +45,14 @@
 	saturated bool
 
 	sinceProbe int
-	probing    bool
-	before     float64 // limit before the probe
-	throughput float64 // completions a second before the probe
+	probe      *limiterBefore // nil unless a lower limit is being probed
+}
+
+// limiterBefore is what was measured before a probe.
+type limiterBefore struct {
+	limit      float64
+	mean       float64 // seconds
+	throughput float64 // completions a second
 }
 
 func newLimiter(slots, connections int) *limiter {
@@ -66,10 +70,9 @@
 	l.count++
 	l.sum += took.Seconds()
 	l.saturated = l.saturated || inUse >= l.value()
-	if l.count < max(limiterMinWindow, limiterWindowFactor*l.value()) {
-		return
+	if l.count >= max(limiterMinWindow, limiterWindowFactor*l.value()) {
+		l.endWindow(now)
 	}
-	l.endWindow(now)
 }
 
 // failed records a request that the target failed to answer.
@@ -79,40 +82,50 @@
 
 func (l *limiter) endWindow(now time.Time) {
 	mean := l.sum / float64(l.count)
-	elapsed := now.Sub(l.started).Seconds()
 	throughput := 0.0
-	if elapsed > 0 {
+	if elapsed := now.Sub(l.started).Seconds(); elapsed > 0 {
 		throughput = float64(l.count-1) / elapsed
 	}
-	l.baseline = min(mean, l.baseline*(1+limiterDrift))
 	if l.baseline == 0 {
 		l.baseline = mean
 	}
-	l.adapt(mean/(l.baseline+limiterJitter), throughput)
+	l.baseline = min(l.baseline, mean)
+	saturated := l.saturated
 	l.count, l.sum, l.saturated = 0, 0, false
+	switch {
+	case l.probe != nil:
+		l.endProbe(throughput)
+	case saturated:
+		l.adapt(mean, throughput)
+	}
 }
 
-// adapt moves the limit after a window.
-func (l *limiter) adapt(ratio, throughput float64) {
-	if l.probing {
-		l.probing = false
-		if throughput < l.throughput*limiterKeep {
-			l.limit = l.before
-		}
+// adapt moves the limit after a window in which it was reached.
+func (l *limiter) adapt(mean, throughput float64) {
+	l.sinceProbe++
+	ratio := mean / (l.baseline + limiterJitter)
+	if l.limit > 1 && (ratio >= limiterSuspect || l.sinceProbe >= limiterProbe) {
+		l.probe = &limiterBefore{l.limit, mean, throughput}
+		l.limit = max(1, l.limit*limiterProbeShare)
 		return
 	}
-	if !l.saturated {
+	if ratio <= limiterGrow {
+		l.limit = min(l.maximum, l.limit+1)
+	}
+}
+
+// endProbe keeps a lower limit that cost no throughput, and probes on from
+// there in the next window.
+func (l *limiter) endProbe(throughput float64) {
+	before := l.probe
+	l.probe = nil
+	if throughput >= before.throughput*limiterKeep {
+		l.sinceProbe = limiterProbe
 		return
 	}
-	l.sinceProbe++
-	switch {
-	case l.sinceProbe >= limiterProbe && l.limit > 1:
-		l.sinceProbe, l.probing = 0, true
-		l.before, l.throughput = l.limit, throughput
-		l.limit = max(1, l.limit*limiterProbeShare)
-	case ratio <= limiterGrow:
-		l.limit = min(l.maximum, l.limit+1)
-	case ratio >= limiterShrink:
-		l.limit = max(1, l.limit*limiterBackoff)
+	l.sinceProbe = 0
+	l.limit = before.limit
+	if before.mean/(l.baseline+limiterJitter) >= limiterSuspect {
+		l.baseline = before.mean
 	}
 }
--- a/request/team.go
+++ b/request/team.go
@@ -16,6 +16,9 @@
 	// burstSeconds is the number of seconds of its rate that a team may use
 	// at once.
 	burstSeconds = 0.25
+	// wantedFor is the time for which a team that was refused for lack of
+	// places counts as one that wants its share.
+	wantedFor = time.Second
 )
 
 // teams enforces the limits of teams at this entry, and shares the entry's
@@ -23,16 +26,16 @@
 type teams struct {
 	places int // requests at this entry at once
 
-	mu     sync.Mutex
-	total  int
-	active int // teams with requests in flight
-	byID   map[structs.TeamID]*teamState
+	mu    sync.Mutex
+	total int
+	byID  map[structs.TeamID]*teamState
 }
 
 type teamState struct {
 	limits   structs.TeamLimits
 	rate     *rate.Limiter
 	inFlight int
+	crowded  time.Time // last refusal for lack of places
 }
 
 func newTeams(places int) *teams {
@@ -49,14 +52,12 @@
 		return &refusal{structs.ReasonConcurrency, retryAfterMin}
 	}
 	if t.crowded(s, urgent) {
+		s.crowded = time.Now()
 		return &refusal{structs.ReasonQueueFull, retryAfterMin}
 	}
 	if wait := s.throttle(); wait > 0 {
 		return &refusal{structs.ReasonRateLimit, max(wait, retryAfterMin)}
 	}
-	if s.inFlight == 0 {
-		t.active++
-	}
 	s.inFlight++
 	t.total++
 	return nil
@@ -68,9 +69,6 @@
 	s := t.byID[id]
 	s.inFlight--
 	t.total--
-	if s.inFlight == 0 {
-		t.active--
-	}
 }
 
 // state returns the team's state with its current limits.
@@ -104,11 +102,19 @@
 	if float64(t.total) < sharedPart*float64(t.places) {
 		return false
 	}
-	active := t.active
-	if s.inFlight == 0 {
-		active++
+	return !urgent || s.inFlight >= t.places/t.wanting(s)
+}
+
+// wanting counts the teams that have or want places, s among them.
+func (t *teams) wanting(s *teamState) int {
+	now := time.Now()
+	count := 0
+	for _, other := range t.byID {
+		if other == s || other.inFlight > 0 || now.Sub(other.crowded) < wantedFor {
+			count++
+		}
 	}
-	return !urgent || s.inFlight >= t.places/max(1, active)
+	return count
 }
 
 // throttle takes one request of the team's rate, or returns the wait until the
