--- a/cell/cell_bench_test.go
+++ b/cell/cell_bench_test.go
@@ -265,14 +265,14 @@
 			puts := []platform.Put{{Key: snapshotKey("a"), Value: encode(snapshotPointer{Object: "snapshot", Seq: 1})}}
 			for i := range snapshotRows {
 				e := End{Job: JobIDFor("jabuka", "bench"), Index: int32(i), Number: 1, Cause: structs.EndFinished}
-				puts = append(puts, platform.Put{Key: logKey("a", int64(i+2)), Value: encode(&Batch{Epoch: 1, Ends: []End{e}})})
+				puts = append(puts, platform.Put{Key: logKey("a", i), Value: encode(&Batch{Seq: int64(i + 2), Epoch: 1, Ends: []End{e}})})
 			}
 			if _, err := l.o.Table.Commit(b.Context(), platform.Txn{ID: "setup", Puts: puts}); err != nil {
 				b.Fatal(err)
 			}
 			for b.Loop() {
-				if _, rows, err := l.readState(b.Context()); err != nil || rows != snapshotRows {
-					b.Fatal(rows, err)
+				if _, log, err := l.readState(b.Context()); err != nil || len(log.tail) != snapshotRows {
+					b.Fatal(len(log.tail), err)
 				}
 			}
 			b.ReportMetric(float64(len(data)), "snapshotB")
@@ -342,7 +342,7 @@
 			if err := l.commit(b.Context(), w); err != nil {
 				b.Fatal(err)
 			}
-			l.logged = 0 // no snapshots
+			l.log.cover(l.state.Seq) // no snapshots
 		}
 		for _, v := range l.views {
 			v.outbox.assignments = nil
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -46,11 +46,12 @@
 		txn.Puts = append(txn.Puts, platform.Put{Key: leaderKey(l.cell), Value: encode(row)})
 	}
 	if !w.batch.Empty() {
-		w.batch.Epoch = l.epoch
-		witness = logKey(l.cell, seq)
+		w.batch.Seq, w.batch.Epoch = seq, l.epoch
+		next := l.log.next()
+		witness = logKey(l.cell, next.slot)
 		value := encode(&w.batch)
 		size = len(value)
-		txn.Compares = append(txn.Compares, platform.Compare{Key: witness})
+		txn.Compares = append(txn.Compares, platform.Compare{Key: witness, Revision: next.revision})
 		txn.Puts = append(txn.Puts, platform.Put{Key: witness, Value: value})
 	}
 	revision, sent, err := l.settler.commit(ctx, txn, witness)
@@ -60,6 +61,12 @@
 	if w.renew || w.batch.Empty() {
 		l.row, l.revision, l.renewed = row, revision, sent
 	}
+	if !w.batch.Empty() {
+		l.log.wrote(revision, seq)
+	}
+	if w.snapshot != nil {
+		l.log.cover(w.snapshot.pointer.Seq)
+	}
 	count(l.metrics.commits, 1)
 	count(l.metrics.logBytes, size)
 	count(l.metrics.records, w.batch.Records())
@@ -91,9 +98,6 @@
 	if sent.After(l.proof) {
 		l.proof = sent
 	}
-	if w.snapshot != nil {
-		l.logged = max(0, l.logged-w.snapshot.rows)
-	}
 	if w.summary != nil {
 		l.summary = summaryRow{written: time.Now(), last: *w.summary}
 	}
@@ -101,7 +105,6 @@
 	if w.batch.Empty() {
 		return
 	}
-	l.logged++
 	now := time.Now()
 	for _, e := range w.batch.Ends {
 		l.ended(e)
--- /dev/null
+++ b/cell/journal.go
@@ -0,0 +1,92 @@
+package cell
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// logRow is a row that holds, or held, a row of the log.
+type logRow struct {
+	slot     int
+	revision int64 // 0 if the row does not exist yet
+	seq      int64 // of its content
+}
+
+// journal knows which rows hold the log behind the snapshot and which ones may
+// be written over. A write compares the revision of its row, so that it cannot
+// apply twice.
+type journal struct {
+	tail []logRow // not in the snapshot, oldest first
+	free []logRow // in the snapshot
+}
+
+// next returns the row for the next write.
+func (j *journal) next() logRow {
+	if len(j.free) > 0 {
+		return j.free[0]
+	}
+	return logRow{slot: len(j.tail)}
+}
+
+// wrote records that the row from next was written.
+func (j *journal) wrote(revision, seq int64) {
+	row := j.next()
+	if len(j.free) > 0 {
+		j.free = j.free[1:]
+	}
+	row.revision, row.seq = revision, seq
+	j.tail = append(j.tail, row)
+}
+
+// cover releases the rows that a snapshot contains.
+func (j *journal) cover(seq int64) {
+	n := 0
+	for n < len(j.tail) && j.tail[n].seq <= seq {
+		n++
+	}
+	j.free = append(j.free, j.tail[:n]...)
+	j.tail = slices.Clone(j.tail[n:])
+}
+
+// GapError reports that a row of the log is missing.
+type GapError struct {
+	Want int64 // sequence number that was expected
+	Have int64
+}
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("log row %d is missing, the next one is %d", e.Want, e.Have)
+}
+
+// replay applies the log rows that are not in the state and returns the
+// journal.
+func replay(cell structs.CellID, state *State, rows []platform.Row) (journal, error) {
+	var j journal
+	batches := make(map[int64]*Batch, len(rows))
+	covered := state.Seq
+	for i, r := range rows {
+		b := &Batch{}
+		if err := decode(r.Key, r.Value, b); err != nil {
+			return j, err
+		}
+		row := logRow{slot: i, revision: r.Revision, seq: b.Seq}
+		if b.Seq <= covered {
+			j.free = append(j.free, row)
+			continue
+		}
+		batches[b.Seq] = b
+		j.tail = append(j.tail, row)
+	}
+	slices.SortFunc(j.tail, func(a, b logRow) int { return cmp.Compare(a.seq, b.seq) })
+	for _, row := range j.tail {
+		if row.seq != state.Seq+1 {
+			return j, &CorruptError{Key: logKey(cell, row.slot), Err: &GapError{Want: state.Seq + 1, Have: row.seq}}
+		}
+		state.Apply(row.seq, batches[row.seq])
+	}
+	return j, nil
+}
--- a/cell/keys.go
+++ b/cell/keys.go
@@ -19,8 +19,9 @@
 func logPrefix(c structs.CellID) string   { return cellPrefix + string(c) + "/log/" }
 func inboxPrefix(c structs.CellID) string { return cellPrefix + string(c) + "/inbox/" }
 
-// logKey sorts by sequence number.
-func logKey(c structs.CellID, seq int64) string { return fmt.Sprintf("%s%016x", logPrefix(c), seq) }
+// logKey is one of the rows that hold the log. A row whose content is part of
+// the snapshot is written over.
+func logKey(c structs.CellID, slot int) string { return fmt.Sprintf("%s%06x", logPrefix(c), slot) }
 
 func inboxKey(c structs.CellID, job structs.JobID) string { return inboxPrefix(c) + string(job) }
 
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -32,7 +32,7 @@
 	revision int64     // of the leadership row
 	renewed  time.Time // when the row was last written
 	lapse    lapseRule
-	logged   int // log rows since the last snapshot
+	log      journal
 	building chan *builtSnapshot
 	busy     bool   // a snapshot is being built
 	object   string // key of the snapshot in force
--- a/cell/record.go
+++ b/cell/record.go
@@ -10,6 +10,7 @@
 // Batch is the content of one log row: every decision that was queued when the
 // leader wrote it. The parts apply in the order of the fields.
 type Batch struct {
+	Seq     int64           `json:"q"` // number of the log row, from 1 on without gaps
 	Epoch   int64           `json:"x"`
 	Workers []WorkerChange  `json:"w,omitempty"`
 	Accepts []Accept        `json:"a,omitempty"`
--- a/cell/recover.go
+++ b/cell/recover.go
@@ -28,8 +28,6 @@
 // committed yet.
 type builtSnapshot struct {
 	pointer snapshotPointer
-	rows    int   // log rows that it replaces
-	from    int64 // first log row that it replaces
 }
 
 // recover reads the snapshot and the tail of the log. Nobody else can write
@@ -40,10 +38,10 @@
 	begin := time.Now()
 	delay := newBackoff()
 	for {
-		state, rows, err := l.readState(ctx)
+		state, log, err := l.readState(ctx)
 		if err == nil {
 			l.mu.Lock()
-			l.state, l.ready, l.logged = state, true, rows
+			l.state, l.ready, l.log = state, true, log
 			l.planned = planned{seq: -1}
 			l.mu.Unlock()
 			pending, assigned := state.Counts()
@@ -68,50 +66,35 @@
 	return l.settle(l.commit(ctx, &work{renew: true}))
 }
 
-// readState reads the state of the cell and the number of log rows behind it.
-func (l *leader) readState(ctx context.Context) (*State, int, error) {
+// readState reads the state of the cell and the rows of its log.
+func (l *leader) readState(ctx context.Context) (*State, journal, error) {
 	row, found, err := l.settler.get(ctx, snapshotKey(l.cell))
 	if err != nil {
-		return nil, 0, err
+		return nil, journal{}, err
 	}
 	state := NewState()
 	if found {
 		if state, err = l.readSnapshot(ctx, row); err != nil {
-			return nil, 0, err
+			return nil, journal{}, err
 		}
 	}
-	rows := 0
-	after := logKey(l.cell, state.Seq)
+	var rows []platform.Row
+	after := ""
 	for {
 		page, err := l.settler.list(ctx, logPrefix(l.cell), after, logPage)
 		if err != nil {
-			return nil, 0, err
+			return nil, journal{}, err
 		}
-		for _, r := range page {
-			var b Batch
-			if err := decode(r.Key, r.Value, &b); err != nil {
-				return nil, 0, err
-			}
-			state.Apply(state.Seq+1, &b)
-			if r.Key != logKey(l.cell, state.Seq) {
-				return nil, 0, &CorruptError{Key: r.Key, Err: &GapError{Want: state.Seq}}
-			}
-			after = r.Key
-		}
-		rows += len(page)
+		rows = append(rows, page...)
 		if len(page) < logPage {
-			return state, rows, nil
+			break
 		}
+		after = page[len(page)-1].Key
 	}
+	log, err := replay(l.cell, state, rows)
+	return state, log, err
 }
 
-// GapError reports that a row of the log is missing.
-type GapError struct {
-	Want int64 // sequence number that was expected
-}
-
-func (e *GapError) Error() string { return fmt.Sprintf("log row %d is missing", e.Want) }
-
 func (l *leader) readSnapshot(ctx context.Context, row platform.Row) (*State, error) {
 	var pointer snapshotPointer
 	if err := decode(row.Key, row.Value, &pointer); err != nil {
@@ -128,8 +111,8 @@
 }
 
 // composeSnapshot starts a snapshot when the log has grown, and commits the
-// pointer to one that is stored. It writes the leadership row too, so that no
-// earlier transaction of this leader can still apply once its log row is gone.
+// pointer to one that is stored. The rows that it contains may be written over
+// from then on. Nothing is deleted, so the log costs one row for each write.
 func (l *leader) composeSnapshot(w *work) {
 	select {
 	case built := <-l.building:
@@ -140,21 +123,17 @@
 		w.snapshot = built
 		w.renew = true
 		w.puts = append(w.puts, platform.Put{Key: snapshotKey(l.cell), Value: encode(built.pointer)})
-		for seq := built.from; seq <= built.pointer.Seq; seq++ {
-			w.deletes = append(w.deletes, logKey(l.cell, seq))
-		}
 		return
 	default:
 	}
-	if l.busy || l.logged < snapshotRows || !l.ready {
+	if l.busy || len(l.log.tail) < snapshotRows || !l.ready {
 		return
 	}
 	l.busy = true
 	data := encode(l.state)
-	built := &builtSnapshot{
-		pointer: snapshotPointer{Object: fmt.Sprintf("cell/%s/snapshot/%x-%x", l.cell, l.epoch, l.state.Seq), Seq: l.state.Seq},
-		rows:    l.logged, from: l.state.Seq - int64(l.logged) + 1,
-	}
+	built := &builtSnapshot{pointer: snapshotPointer{
+		Object: fmt.Sprintf("cell/%s/snapshot/%x-%x", l.cell, l.epoch, l.state.Seq), Seq: l.state.Seq,
+	}}
 	l.sends.Go(func() { l.storeSnapshot(built, data) })
 }
 
