Let a new leader start with what the old one learned

Change: Model.State and Restore carry usage, run times, baselines and pairs with ages in place of clock readings. The ladder's memory is not carried. No caller yet: the planner of the cell has to store the state and restore it.

--- a/bench/placement/invariant_test.go
+++ b/bench/placement/invariant_test.go
@@ -24,6 +24,15 @@
 	is.Equal(r.Rejected, 0)
 }
 
+func TestPolicyKeepsItsAimsThroughChangesOfTheLeader(t *testing.T) {
+	is := is.New(t)
+	trace := NewTrace(1, 0.7)
+	trace.length, trace.term, trace.handover = 70*time.Minute, 10*time.Minute, true
+	r := Run(trace, placement.New(placement.Options{}))
+	is.True(r.TailRatio() <= 1.1)
+	is.Equal(r.Rejected, 0)
+}
+
 func TestEqualSeedsGiveEqualRuns(t *testing.T) {
 	is := is.New(t)
 	run := func() Result {
--- a/bench/placement/policy_test.go
+++ b/bench/placement/policy_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/daisywall/daisywall/placement"
 	"github.com/daisywall/daisywall/structs"
@@ -45,9 +46,32 @@
 	reportSeeds   = []uint64{101, 102, 103, 104, 105}
 )
 
+// TestLeaderReport prints what changes of the leader cost, with and without
+// handing over what was learned, on the training seeds. It runs when
+// PLACEMENT_REPORT is set to "leaders".
+func TestLeaderReport(t *testing.T) {
+	if os.Getenv("PLACEMENT_REPORT") != "leaders" {
+		t.Skip("PLACEMENT_REPORT is not leaders")
+	}
+	for _, load := range []float64{0.7, 1.0} {
+		for _, seed := range trainingSeeds {
+			for _, handover := range []bool{false, true} {
+				trace := NewTrace(seed, load)
+				trace.term, trace.handover = 30*time.Minute, handover
+				r := Run(trace, placement.New(placement.Options{}))
+				fmt.Printf("load %.1f seed %d handover %v p99 ratio %.3f work %.0f evictions %d missed %d/%d\n",
+					load, seed, handover, r.TailRatio(), r.Work, r.Evictions, r.Missed, r.Deadlines)
+			}
+		}
+	}
+}
+
 // TestReport prints one line for each seed and policy. It runs when
 // PLACEMENT_REPORT is set to "training" or "report".
 func TestReport(t *testing.T) {
+	if os.Getenv("PLACEMENT_REPORT") == "" {
+		t.Skip("PLACEMENT_REPORT is not set")
+	}
 	seeds := map[string][]uint64{"training": trainingSeeds, "report": reportSeeds}[os.Getenv("PLACEMENT_REPORT")]
 	for _, load := range []float64{0.7, 1.0} {
 		for _, seed := range seeds {
--- a/bench/placement/trace.go
+++ b/bench/placement/trace.go
@@ -66,6 +66,8 @@
 type Trace struct {
 	seed     uint64
 	length   time.Duration
+	term     time.Duration // time between changes of the leader, 0 for never
+	handover bool          // a new leader gets what the model has learned
 	classes  []*workClass
 	arrivals []arrival
 	homes    []int // workers of the service instances when the trace begins
--- a/bench/placement/world.go
+++ b/bench/placement/world.go
@@ -94,6 +94,7 @@
 		w.arrive()
 		w.deliver()
 		w.enforceAbsence()
+		w.changeLeader()
 		plan := w.policy.Plan(w.snapshot())
 		w.memory = plan.Memory
 		w.apply(plan)
--- a/placement/estimate/baseline.go
+++ b/placement/estimate/baseline.go
@@ -75,7 +75,7 @@
 	}
 	use := float64(usage.MilliCPU)
 	if u, seen := m.usage[service]; use <= 0 && seen {
-		use = u.cpu.mean
+		use = u.cpu.Mean
 	}
 	return b.at(use), true
 }
--- a/placement/estimate/interference.go
+++ b/placement/estimate/interference.go
@@ -20,7 +20,7 @@
 	cpu := float64(usage.MilliCPU)
 	if cpu <= 0 {
 		if u, found := m.usage[service]; found {
-			cpu = u.cpu.mean
+			cpu = u.cpu.Mean
 		}
 	}
 	band := 0
--- a/placement/estimate/model_test.go
+++ b/placement/estimate/model_test.go
@@ -1,6 +1,7 @@
 package estimate
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -277,6 +278,43 @@
 	is.True(len(m.histories["w1"].entries) <= 62)
 }
 
+func TestSuccessorKnowsWhatTheLeaderLearned(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(0, map[string]float64{"pricing": 0.6})
+	for i := range 200 {
+		if i%2 == 0 {
+			h.play()
+		} else {
+			h.play(resident("pricing", int32(i)))
+		}
+	}
+	h.model.Learn(h.now, "w1", []Report{{Class: "pricing", Usage: structs.Resources{MilliCPU: 700, MemoryMB: 900}}})
+	h.model.LearnProgress("pricing", 0.5, time.Minute)
+	data, err := json.Marshal(h.model.State(h.now))
+	is.NoErr(err)
+	var state State
+	is.NoErr(json.Unmarshal(data, &state))
+
+	// The successor's clock has a reading of its own.
+	const clock = time.Hour
+	next := Restore(Options{}, state, clock)
+	usage := structs.Resources{MilliCPU: 2000}
+	band := next.Band("slot-check", usage)
+	wantMean, wantDeviation := h.harm("pricing")
+	mean, deviation := next.Harm("slot-check", "pricing", band)
+	is.True(math.Abs(mean-wantMean) < 1e-6)
+	is.True(math.Abs(deviation-wantDeviation) < 1e-6)
+	want, _ := h.model.Baseline("slot-check", usage)
+	got, known := next.Baseline("slot-check", usage)
+	is.True(known)
+	is.Equal(got, want)
+	is.Equal(next.Reserve("pricing", declared), h.model.Reserve("pricing", declared))
+	is.Equal(next.RunTime("pricing", time.Hour), h.model.RunTime("pricing", time.Hour))
+	again, err := json.Marshal(next.State(clock))
+	is.NoErr(err)
+	is.Equal(string(again), string(data))
+}
+
 func TestModelForgetsWhatIsNoLongerInUse(t *testing.T) {
 	is := is.New(t)
 	m := New(Options{Horizon: time.Minute, HalfLife: time.Hour})
--- /dev/null
+++ b/placement/estimate/state.go
@@ -0,0 +1,118 @@
+package estimate
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is what a model has learned, without the residents of workers, in a
+// form that a leader can keep for its successor. Times are ages, since every
+// leader has a clock of its own.
+type State struct {
+	Classes   []ClassState    `json:"classes"`
+	Baselines []BaselineState `json:"baselines"`
+	Pairs     []PairState     `json:"pairs"`
+}
+
+// ClassState is the usage and run time of one class.
+type ClassState struct {
+	Class        string  `json:"class"`
+	AgeMS        int64   `json:"age_ms"` // since the last report
+	MilliCPU     Moments `json:"milli_cpu"`
+	MemoryMB     Moments `json:"memory_mb"`
+	PeakMemoryMB float64 `json:"peak_memory_mb"`
+	RunTimeS     Moments `json:"run_time_s"`
+}
+
+// Moments is a running mean of values and of their squares over a number of
+// reports.
+type Moments struct {
+	Mean   float64 `json:"mean"`
+	Square float64 `json:"square"`
+	Weight float64 `json:"weight"`
+}
+
+// BaselineState is the quiet tail latency of one service class.
+type BaselineState struct {
+	Service string  `json:"service"`
+	Quiet   int     `json:"quiet"` // reports without neighbours
+	Reports float64 `json:"reports"`
+	LowMS   float64 `json:"low_ms"` // low quantile of all reports
+	// Weighted sums over the quiet reports, of processor use and latency.
+	Weight    float64 `json:"weight"`
+	Use       float64 `json:"use"`
+	UseSquare float64 `json:"use_square"`
+	Latency   float64 `json:"latency"`
+	Product   float64 `json:"product"`
+}
+
+// PairState is the harm of one task of a class to a service at a load band.
+type PairState struct {
+	Service  string  `json:"service"`
+	Class    string  `json:"class"`
+	Band     int     `json:"band"`
+	AgeMS    int64   `json:"age_ms"` // since the last report
+	Mean     float64 `json:"mean"`
+	Variance float64 `json:"variance"`
+}
+
+// State returns what the model has learned at now, in a fixed order.
+func (m *Model) State(now time.Duration) State {
+	var s State
+	for class, u := range m.usage {
+		c := ClassState{
+			Class: class, AgeMS: (now - u.seen).Milliseconds(),
+			MilliCPU: Moments(u.cpu), MemoryMB: Moments(u.memory), PeakMemoryMB: u.peakMemory,
+		}
+		if r, found := m.runTimes[class]; found {
+			c.RunTimeS = Moments(*r)
+		}
+		s.Classes = append(s.Classes, c)
+	}
+	for service, b := range m.baselines {
+		s.Baselines = append(s.Baselines, BaselineState{
+			Service: service, Quiet: b.quiet, Reports: b.reports, LowMS: b.low,
+			Weight: b.weight, Use: b.use, UseSquare: b.useSquare, Latency: b.latency, Product: b.product,
+		})
+	}
+	for key, e := range m.pairs {
+		s.Pairs = append(s.Pairs, PairState{
+			Service: key.service, Class: key.class, Band: key.band,
+			AgeMS: (now - e.at).Milliseconds(), Mean: e.mean, Variance: e.variance,
+		})
+	}
+	slices.SortFunc(s.Classes, func(a, b ClassState) int { return cmp.Compare(a.Class, b.Class) })
+	slices.SortFunc(s.Baselines, func(a, b BaselineState) int { return cmp.Compare(a.Service, b.Service) })
+	slices.SortFunc(s.Pairs, func(a, b PairState) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Band, b.Band))
+	})
+	return s
+}
+
+// Restore returns a model that knows what the state holds, at the reading now
+// of the new leader's clock.
+func Restore(options Options, s State, now time.Duration) *Model {
+	m := New(options)
+	m.learned, m.pruned = now, now
+	ago := func(ms int64) time.Duration { return now - time.Duration(ms)*time.Millisecond }
+	for _, c := range s.Classes {
+		m.usage[c.Class] = &usageStat{
+			cpu: moments(c.MilliCPU), memory: moments(c.MemoryMB), peakMemory: c.PeakMemoryMB, seen: ago(c.AgeMS),
+		}
+		if c.RunTimeS.Weight > 0 {
+			r := moments(c.RunTimeS)
+			m.runTimes[c.Class] = &r
+		}
+	}
+	for _, b := range s.Baselines {
+		m.baselines[b.Service] = &baseline{
+			quiet: b.Quiet, reports: b.Reports, low: b.LowMS,
+			weight: b.Weight, use: b.Use, useSquare: b.UseSquare, latency: b.Latency, product: b.Product,
+		}
+	}
+	for _, p := range s.Pairs {
+		m.pairs[pairKey{p.Service, p.Class, p.Band}] = &effect{mean: p.Mean, variance: p.Variance, at: ago(p.AgeMS)}
+	}
+	return m
+}
--- a/placement/estimate/usage.go
+++ b/placement/estimate/usage.go
@@ -13,13 +13,13 @@
 
 // moments is a running mean and variance with a bounded memory.
 type moments struct {
-	mean, square, weight float64
+	Mean, Square, Weight float64
 }
 
 func (s *moments) add(x float64) {
-	s.weight = min(s.weight+1, maxWeight)
-	s.mean += (x - s.mean) / s.weight
-	s.square += (x*x - s.square) / s.weight
+	s.Weight = min(s.Weight+1, maxWeight)
+	s.Mean += (x - s.Mean) / s.Weight
+	s.Square += (x*x - s.Square) / s.Weight
 }
 
 // priorFade is the number of reports after which the prior has lost half of
@@ -29,10 +29,10 @@
 // blend returns the mean and deviation with the prior counted as weight
 // reports, and as fewer the more reports there are.
 func (s *moments) blend(prior, weight float64) (mean, deviation float64) {
-	weight /= 1 + s.weight/priorFade
-	total := s.weight + weight
-	mean = (s.mean*s.weight + prior*weight) / total
-	square := (s.square*s.weight + prior*prior*weight) / total
+	weight /= 1 + s.Weight/priorFade
+	total := s.Weight + weight
+	mean = (s.Mean*s.Weight + prior*weight) / total
+	square := (s.Square*s.Weight + prior*prior*weight) / total
 	return mean, math.Sqrt(max(0, square-mean*mean))
 }
 
