--- a/request/gate.go
+++ b/request/gate.go
@@ -171,7 +171,7 @@
 	if !urgent && (now.Before(g.pressure) || now.Before(g.starved)) {
 		return &refusal{structs.ReasonQueueFull, max(wait, pressureTime)}
 	}
-	if !urgent && len(g.queues[queueDeferred]) >= max(1, g.queueMax(limit)/deferredQueue) {
+	if !urgent && len(g.queues[queueDeferred]) >= g.deferredMax(limit) {
 		return &refusal{structs.ReasonQueueFull, max(wait, retryAfterMin)}
 	}
 	if deadline.Sub(now) < wait+g.serviceTime() {
@@ -183,6 +183,15 @@
 	return nil
 }
 
+// deferredMax is the number of deferred requests that may wait: one, to try,
+// after others waited in vain. The caller holds the lock.
+func (g *gate) deferredMax(limit int) int {
+	if g.starvedFor >= starvedMin {
+		return 1
+	}
+	return max(1, g.queueMax(limit)/deferredQueue)
+}
+
 // press refuses deferred requests for a while, those that wait included,
 // because an urgent request had to be refused. The caller holds the lock.
 func (g *gate) press(now time.Time) {
