An agent that restarts in a table outage finds its leader through the entries

Ruled out: asking every member of the cell, which nothing lists. Change: agents tell entries which leader they follow; an entry names the one with the highest epoch to agents that follow another or none. The agent judges epochs itself, so a wrong hint costs one heartbeat. Measured: TestAgentRestartedInATableOutageFindsItsLeader: 16 runs of 21 s each outlive their 15 s lease while every agent that does not lead is killed and the table refuses.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -60,6 +61,10 @@
 	targets   *membership.LocalTargets
 	requests  *request.Executor
 	announcer *membership.Announcer
+
+	hintMu sync.Mutex
+	hint   string // address of the leader that an entry named last
+	finds  int
 }
 
 func newAgent(s settings.Agent) (*agent, error) {
@@ -160,11 +165,25 @@
 }
 
 // Find implements worker.LeaderFinder: this host's own part in the cell knows
-// the leader, and answers a heartbeat with its address.
+// the leader from the table and answers a heartbeat with its address. While the
+// table is out, every other try goes to the leader that the entries name.
 func (a *agent) Find(context.Context, structs.CellID) (string, error) {
+	a.hintMu.Lock()
+	defer a.hintMu.Unlock()
+	a.finds++
+	if a.hint != "" && a.finds%2 == 0 {
+		return a.hint, nil
+	}
 	return a.settings.PeerAddress, nil
 }
 
+// takeLeaderHint remembers the leader that an entry names.
+func (a *agent) takeLeaderHint(address string) {
+	a.hintMu.Lock()
+	defer a.hintMu.Unlock()
+	a.hint = address
+}
+
 func (a *agent) buildRequests() error {
 	incarnation := uuid.NewString()
 	a.targets = membership.NewLocalTargets(membership.LocalOptions{
@@ -191,6 +210,8 @@
 		Dial:           membership.GRPCDialer(peerDialOptions()...),
 		Clock:          executor.Clock,
 		ConfigRevision: a.holder.Revision,
+		Leader:         a.tasks.Leader,
+		LeaderHint:     a.takeLeaderHint,
 		Log:            a.telemetry.Log.Named("announcer"),
 		Meter:          a.telemetry.Meters.Meter("announcer"),
 	})
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -268,3 +269,43 @@
 	answer := c.request(0, "jabuka", "slot-check", "", `{"delivery":"HR-9"}`)
 	is.Equal(answer.Status, http.StatusOK)
 }
+
+func TestAgentRestartedInATableOutageFindsItsLeader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newClusterWith(t, clusterOptions{slots: 8, perDomain: 2})
+	// Six contracts of 3.5 s outlast the lease of 15 s.
+	var input standin.PricingInput
+	is.NoErr(json.Unmarshal(sample(t, "pricing"), &input))
+	input.WorkMS = 3500
+	long, err := json.Marshal(input)
+	is.NoErr(err)
+	id := c.submit("jabuka", "pricing", client.JobRequest{Input: long, Tasks: 16})
+	eventually(t, "the job runs", func() (bool, string) {
+		return startsOf(c.events(), id) == 16, fmt.Sprint(startsOf(c.events(), id), " starts")
+	})
+	c.faults("table", standin.FaultSettings{Refuse: standin.Every})
+	entries := []string{fmt.Sprint(c.entrySets[0]["peer_address"]), fmt.Sprint(c.entrySets[1]["peer_address"])}
+	for i, agent := range c.agents {
+		if strings.Contains(agent.out.String(), `"msg":"leading"`) {
+			continue // nobody can follow a leader that restarts now
+		}
+		agent.kill()
+		c.settings[i]["entries"] = entries
+		c.agents[i] = c.startAgent(i)
+	}
+	// Every run outlives its lease by far, so each was renewed.
+	eventually(t, "the runs have finished", func() (bool, string) {
+		ended := map[standin.EventKind]int{}
+		for _, e := range c.events() {
+			if e.Attempt.Task.Job == id {
+				ended[e.Kind]++
+			}
+		}
+		return ended[standin.EventExited] == 16, fmt.Sprint(ended)
+	})
+	c.faults("table", standin.FaultSettings{})
+	is.Equal(c.waitForJob(0, id).State, string(structs.TaskFinished))
+	is.Equal(startsOf(c.events(), id), 16)
+	c.checkPlatform()
+}
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -212,6 +213,7 @@
 	serviceTimeMS int // of each target
 	evacuateMS    int // of each agent
 	relays        bool
+	perDomain     int // agents in each failure domain, 1 by default
 }
 
 // newCluster starts a stand-in, two entries and an agent in each failure
@@ -226,8 +228,12 @@
 	c := &cluster{t: t, platform: freeAddress(t), control: freeAddress(t)}
 	capacity := object{"milli_cpu": 16000, "memory_mb": 60000, "accelerators": 2}
 	var workers, targets []object
-	for i, domain := range domains {
+	hosts := slices.Repeat(domains, max(1, o.perDomain))
+	for i, domain := range hosts {
 		worker := "worker-" + domain
+		if i >= len(domains) {
+			worker = fmt.Sprintf("worker-%s-%d", domain, i/len(domains)+1)
+		}
 		local := freeAddress(t)
 		c.locals = append(c.locals, local)
 		workers = append(workers, object{"worker": worker, "capacity": capacity})
@@ -238,10 +244,13 @@
 			advertised = c.relays[i].address()
 		}
 		c.settings = append(c.settings, object{
-			"worker": worker, "failure_domain": domain, "rack": "rack-1",
+			"worker": worker, "failure_domain": domain, "rack": fmt.Sprintf("rack-%d", i/len(domains)+1),
 			"local_address": local, "peer_address": peer, "advertise_address": advertised,
 			"platform": object{"address": c.platform}, "capacity": capacity, "evacuate_ms": o.evacuateMS,
 		})
+		if i >= len(domains) {
+			continue // one host of each failure domain runs targets
+		}
 		for _, spec := range []targetSpec{
 			{id: "contract-" + domain, team: "jabuka", kinds: []string{"slot-check", "grower-payment"}, worker: i},
 			{id: "alert-" + domain, team: "graz", kinds: []string{"alert", "sighting"}, worker: i},
@@ -257,7 +266,7 @@
 	c.standin = start(t, "daisywall-standin", "standin", object{
 		"address": c.platform, "control_address": c.control, "workers": workers, "targets": targets,
 	})
-	for i := range domains {
+	for i := range hosts {
 		c.agents = append(c.agents, c.startAgent(i))
 	}
 	for i := range 2 {
--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -59,8 +59,13 @@
 	// ConfigRevision and ApplyConfig carry the configuration; both may be nil.
 	ConfigRevision func() int64
 	ApplyConfig    func(revision int64, document []byte)
-	Log            *zap.Logger
-	Meter          metric.Meter
+	// Leader returns the leader that the agent follows, epoch 0 for none, and
+	// LeaderHint takes the address of a leader that others follow; both may be
+	// nil.
+	Leader     func() (epoch int64, address string)
+	LeaderHint func(address string)
+	Log        *zap.Logger
+	Meter      metric.Meter
 }
 
 // Announcer registers an agent and its targets with every entry that it
@@ -111,6 +116,12 @@
 	if options.ApplyConfig == nil {
 		options.ApplyConfig = func(int64, []byte) {}
 	}
+	if options.Leader == nil {
+		options.Leader = func() (int64, string) { return 0, "" }
+	}
+	if options.LeaderHint == nil {
+		options.LeaderHint = func(string) {}
+	}
 	if options.Log == nil {
 		options.Log = zap.NewNop()
 	}
@@ -353,8 +364,12 @@
 }
 
 func (a *Announcer) registerOnce(ctx context.Context, conn EntryConn, full, leaving bool) (*daisywallpb.RegisterResponse, error) {
+	epoch, leader := a.options.Leader()
 	request := &daisywallpb.RegisterRequest{
 		Worker:           string(a.options.Worker.ID),
+		Cell:             string(a.options.Worker.Cell),
+		LeaderEpoch:      epoch,
+		LeaderAddress:    leader,
 		FailureDomain:    string(a.options.Worker.FailureDomain),
 		Address:          a.options.Worker.Address,
 		AgentIncarnation: a.options.Incarnation,
@@ -383,6 +398,9 @@
 	if len(response.Config) > 0 && response.ConfigRevision > a.options.ConfigRevision() {
 		a.options.ApplyConfig(response.ConfigRevision, response.Config)
 	}
+	if response.LeaderAddress != "" {
+		a.options.LeaderHint(response.LeaderAddress)
+	}
 	now := time.Now()
 	a.mu.Lock()
 	link.names = response.Entries
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -72,6 +72,7 @@
 
 	mu      sync.Mutex
 	agents  map[structs.WorkerID]*agentRecord
+	leaders leaders
 	message float64 // smoothed bytes of a registration and its answer
 	index   *candidateIndex
 }
@@ -109,6 +110,7 @@
 		options: options,
 		metrics: newRegistryMetrics(options.Meter),
 		agents:  map[structs.WorkerID]*agentRecord{},
+		leaders: leaders{},
 		message: messageOverhead,
 		index:   newCandidateIndex(),
 	}
@@ -145,6 +147,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	response.WantFull = r.take(request, time.Now())
+	response.LeaderAddress = r.leaders.exchange(request)
 	r.measure(ctx, request, response)
 	interval := r.interval()
 	response.IntervalMs = interval.Milliseconds()
--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -105,6 +105,17 @@
 	})
 }
 
+// Leader returns the epoch and the peer address of the leader that this agent
+// follows, epoch 0 while it follows none.
+func (a *Agent) Leader() (epoch int64, address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leading == "" {
+		return 0, ""
+	}
+	return a.epoch, a.leading
+}
+
 func (a *Agent) setLeader(address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
