Request: an agent that may have forgotten a request does not vouch for it

Change: claims and Settle carry a lower bound of the agent's clock when the request was sent; past that and the retention the answer is unknown.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -29,6 +29,7 @@
 type attempt struct {
 	target     *targetState
 	id         structs.RequestID
+	sentMS     int64 // lower bound of the agent's clock when it was sent
 	outcome    daisywallpb.Outcome
 	answer     *daisywallpb.Answer
 	reason     structs.Reason
@@ -55,12 +56,13 @@
 // send makes one attempt. The caller has picked the target.
 func (r *Router) send(ctx context.Context, j *job, target *targetState, id structs.RequestID) *attempt {
 	began := time.Now()
-	a := &attempt{target: target, id: id}
+	clock := r.agentClock(target)
+	a := &attempt{target: target, id: id, sentMS: clock.Milliseconds()}
 	p := r.peers.get(target.candidate.Address)
 	var response *daisywallpb.ExecuteResponse
 	l, err := p.call(ctx, nil, func(ctx context.Context, conn AgentConn) error {
 		var err error
-		response, err = conn.Execute(ctx, r.message(j, target, p, id))
+		response, err = conn.Execute(ctx, j.message(target, clock, id))
 		return err
 	})
 	a.link = l
@@ -87,11 +89,16 @@
 	}
 }
 
-// message builds the request to an agent.
-func (r *Router) message(j *job, target *targetState, p *peer, id structs.RequestID) *daisywallpb.ExecuteRequest {
+// agentClock returns a lower bound of the clock of the target's agent.
+func (r *Router) agentClock(target *targetState) time.Duration {
+	c := target.candidate
+	return r.peers.get(c.Address).clockOf(agentClock{c.Incarnation, c.AgentClock, c.ClockRead})
+}
+
+// message builds the request to an agent whose clock is at least the reading.
+func (j *job) message(target *targetState, clock time.Duration, id structs.RequestID) *daisywallpb.ExecuteRequest {
 	c := target.candidate
 	left := max(time.Until(j.deadline), time.Millisecond)
-	clock := p.clockOf(agentClock{c.Incarnation, c.AgentClock, c.ClockRead})
 	message := &daisywallpb.ExecuteRequest{
 		RequestId: string(id), Team: string(j.call.Team), Kind: j.call.Kind,
 		Idempotent: j.idempotent, Urgent: j.urgent, TimeoutMs: left.Milliseconds(),
@@ -99,11 +106,17 @@
 		Headers: j.call.Headers, Body: j.call.Body,
 		AgentIncarnation: c.Incarnation,
 		NotAfterMs:       (clock + min(left, maxBeginWindow)).Milliseconds() + 1,
+		RetentionMs:      j.retention().Milliseconds(),
 	}
+	return message
+}
+
+// retention is the time for which agents keep the outcome of the request.
+func (j *job) retention() time.Duration {
 	if j.call.Key != "" {
-		message.RetentionMs = keyRetention.Milliseconds()
+		return keyRetention
 	}
-	return message
+	return ledgerRetention
 }
 
 // learn feeds the end of an attempt to the choice of targets and to the
@@ -149,6 +162,7 @@
 			response, err = conn.Settle(ctx, &daisywallpb.SettleRequest{
 				RequestId: string(a.id), AgentIncarnation: incarnation,
 				WaitMs: max(0, time.Until(j.deadline)).Milliseconds(),
+				SentMs: a.sentMS, RetentionMs: j.retention().Milliseconds(),
 			})
 			return err
 		})
--- a/request/claims.go
+++ b/request/claims.go
@@ -30,6 +30,7 @@
 	Address     string            `json:"address"`     // of the agent
 	Incarnation string            `json:"incarnation"` // of the agent
 	Version     int64             `json:"version"`     // grows with every move
+	SentMS      int64             `json:"sent_ms"`     // lower bound of the agent's clock at the claim
 	Revision    int64             `json:"-"`           // of the row that holds it
 }
 
--- a/request/executor.go
+++ b/request/executor.go
@@ -372,7 +372,9 @@
 	if request.AgentIncarnation != "" && request.AgentIncarnation != e.options.Incarnation {
 		return &daisywallpb.SettleResponse{Outcome: daisywallpb.Outcome_OUTCOME_UNKNOWN, Reason: string(structs.ReasonIncarnation)}, nil
 	}
-	rec := e.ledger.settle(request.RequestId)
+	retention := max(ledgerRetention, time.Duration(request.RetentionMs)*time.Millisecond)
+	remembered := e.Clock() < time.Duration(request.SentMs)*time.Millisecond+retention
+	rec := e.ledger.settle(request.RequestId, remembered)
 	if rec == nil {
 		return &daisywallpb.SettleResponse{Outcome: daisywallpb.Outcome_OUTCOME_UNKNOWN, Reason: string(structs.ReasonQueueFull)}, nil
 	}
--- a/request/ledger.go
+++ b/request/ledger.go
@@ -156,14 +156,15 @@
 }
 
 // settle fences a request that has not begun and returns its record. It
-// returns nil when the ledger is full and could not keep the fence.
-func (l *ledger) settle(id string) *record {
+// returns nil when that cannot be said: the ledger is full and could not keep
+// the fence, or remembered is false and the request may have been forgotten.
+func (l *ledger) settle(id string, remembered bool) *record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(time.Now())
 	rec, found := l.records[id]
 	if !found {
-		if len(l.records) >= l.limits.records {
+		if !remembered || len(l.records) >= l.limits.records {
 			return nil
 		}
 		rec = &record{id: id, retention: l.limits.retention, final: make(chan struct{})}
--- a/request/ledger_test.go
+++ b/request/ledger_test.go
@@ -27,8 +27,8 @@
 		is.True(endRecord(l, fmt.Sprint(i), false, "x") != nil)
 	}
 	rec, _ := l.admit("new", false, 0)
-	is.True(rec == nil)               // refused
-	is.True(l.settle("other") == nil) // cannot be fenced, so it is not called fenced
+	is.True(rec == nil)                     // refused
+	is.True(l.settle("other", true) == nil) // cannot be fenced, so it is not called fenced
 	for i := range 3 {
 		rec, fresh := l.admit(fmt.Sprint(i), false, 0)
 		is.True(rec != nil && !fresh) // still known
@@ -43,7 +43,7 @@
 		rec, _ := l.admit("keyed", false, time.Hour)
 		l.begin(rec)
 		l.finish(rec, answered, &daisywallpb.Answer{}, "")
-		l.settle("fenced")
+		l.settle("fenced", true)
 		time.Sleep(time.Minute)
 		_, fresh := l.admit("plain", false, 0)
 		is.True(fresh)
--- a/request/run_claimed.go
+++ b/request/run_claimed.go
@@ -45,7 +45,7 @@
 		if target == nil {
 			return Answer{}, j.unclaimed(last)
 		}
-		want := newClaim(key, seen, target)
+		want := newClaim(key, seen, target, r.agentClock(target))
 		held, granted, err := r.acquire(ctx, j, key, want, seen)
 		if err != nil && j.call.Try == 1 && seen == nil {
 			return r.runFirst(ctx, j, target, want, err)
@@ -103,7 +103,7 @@
 // settleHeld settles the attempt that another request made with the key.
 func (r *Router) settleHeld(ctx context.Context, j *job, held Claim) *attempt {
 	a := &attempt{
-		target: &targetState{}, id: held.ID,
+		target: &targetState{}, id: held.ID, sentMS: held.SentMS,
 		outcome: daisywallpb.Outcome_OUTCOME_UNKNOWN, err: &HeldKeyError{ID: held.ID},
 	}
 	a.target.candidate.Worker = held.Worker
@@ -160,10 +160,11 @@
 }
 
 // newClaim names the next attempt of a key.
-func newClaim(key string, seen *Claim, target *targetState) Claim {
+func newClaim(key string, seen *Claim, target *targetState, clock time.Duration) Claim {
 	want := Claim{
 		Worker: target.candidate.Worker, Address: target.candidate.Address,
 		Incarnation: target.candidate.Incarnation, Version: 1,
+		SentMS: clock.Milliseconds(),
 	}
 	if seen != nil {
 		want.Version = seen.Version + 1
