--- a/request/claims_test.go
+++ b/request/claims_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -32,3 +35,45 @@
 		})
 	}
 }
+
+// TestClaimsAreSweptAfterADay writes a claim in every hour of two days, with
+// two sweepers and an outage of six hours.
+func TestClaimsAreSweptAfterADay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newFakeTable()
+		claims := NewTableClaims(table)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for range 2 {
+			running.Go(func() { _ = NewClaimSweeper(table, nil).Run(ctx) })
+		}
+		write := func(hour int) {
+			_, granted, err := claims.Acquire(ctx, fmt.Sprintf("%03d", hour), Claim{ID: "r"}, nil)
+			is.NoErr(err)
+			is.True(granted)
+		}
+		kept := func(hour int) bool {
+			_, err := claims.Find(ctx, fmt.Sprintf("%03d", hour))
+			return err == nil
+		}
+		for hour := range 24 {
+			write(hour)
+			time.Sleep(time.Hour)
+		}
+		is.True(kept(0)) // it is a day old at the most
+		table.set(func(f *fakeTable) { f.down = true })
+		time.Sleep(6 * time.Hour)
+		table.set(func(f *fakeTable) { f.down = false })
+		for hour := 24; hour < 54; hour++ {
+			write(hour)
+			time.Sleep(time.Hour)
+		}
+		is.True(!kept(0))
+		is.True(!kept(23))
+		is.True(kept(53 - claimMarks + 1))
+		is.True(len(table.rows) < 2*claimMarks)
+		cancel()
+		running.Wait()
+	})
+}
--- a/request/table_test.go
+++ b/request/table_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -85,8 +87,20 @@
 	return t.revision, nil
 }
 
-func (t *fakeTable) List(ctx context.Context, _, _ string, _ int) ([]platform.Row, error) {
-	return nil, t.enter(ctx)
+func (t *fakeTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.enter(ctx); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows[:min(limit, len(rows))], nil
 }
 
 func (t *fakeTable) Changes(ctx context.Context, _ string, _ int64) ([]platform.Row, int64, error) {
