--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,6 +61,9 @@
 	if err != nil {
 		return s.invalid(structs.Fault{Path: "/", Value: shorten(string(data)), Rule: "must be one JSON document: " + err.Error()})
 	}
+	if list := oversized(nil, document); len(list) > 0 {
+		return s.invalid(list...)
+	}
 	if err := s.compiled.Validate(document); err != nil {
 		return s.invalid(faults(err, document)...)
 	}
@@ -107,10 +110,15 @@
 		}
 	}
 	walk(validation)
-	sort.SliceStable(list, func(i, j int) bool { return list[i].Path < list[j].Path })
+	sortFaults(list)
 	return list
 }
 
+// sortFaults orders faults by path, so that a report is the same every time.
+func sortFaults(list []structs.Fault) {
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Path < list[j].Path })
+}
+
 // valueAt returns the JSON text of the value at the location, shortened.
 func valueAt(document any, location []string) string {
 	value := document
