--- a/cell/machine_test.go
+++ b/cell/machine_test.go
@@ -23,6 +23,7 @@
 	faultKill      fault = "kill"       // the agent process dies and starts again
 	faultFreeze    fault = "freeze"     // the process is paused, its runtime goes on
 	faultCutTable  fault = "cut table"  // the host can't reach the table
+	faultSlowTable fault = "slow table" // every call of the host to the table takes long
 	faultTableOut  fault = "table out"  // no host can
 	faultIsolate   fault = "isolate"    // the host can't reach other hosts
 	faultLose      fault = "lose"       // answers to writes are lost
@@ -73,7 +74,7 @@
 var mixes = map[string][]fault{
 	"leader killed":           {faultKill, faultKill, faultAgent, faultLose},
 	"leader frozen and woken": {faultFreeze, faultFreeze, faultLateMail, faultKill},
-	"cut from the table":      {faultCutTable, faultTableOut, faultLateWrite, faultFreeze},
+	"cut from the table":      {faultCutTable, faultTableOut, faultSlowTable, faultLateWrite, faultFreeze},
 	"cut from members":        {faultIsolate, faultIsolate, faultRuntime, faultCutTable},
 	"two who both believe":    {faultFreeze, faultCutTable, faultIsolate, faultLateWrite, faultLateMail},
 	"lost answers":            {faultLose, faultLateWrite, faultKill, faultCancel},
@@ -195,6 +196,8 @@
 		w.during(s, h.gate.freeze, h.gate.thaw)
 	case faultCutTable:
 		w.during(s, set(func(p *port) { p.cut = true }), set(func(p *port) { p.cut = false }))
+	case faultSlowTable:
+		w.during(s, set(func(p *port) { p.slow = s.lasts / 8 }), set(func(p *port) { p.slow = 0 }))
 	case faultTableOut:
 		w.during(s, func() { w.table.Faults.Refuse(standin.Every) }, func() { w.table.Faults.Refuse(0) })
 	case faultIsolate:
