Cell: a stopped cell without work is left alone by the others

Cause: a cell whose agents had all stopped always had log rows, which counted as work, so its guards took it over again every foreign term. Change: a leader that stops says in its row whether it held tasks; only that or a filled inbox brings a foreign leader. The test failed before.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -43,6 +43,8 @@
 	if w.renew || w.batch.Empty() {
 		row.Renewals++
 		row.Released = w.release
+		pending, assigned := l.state.Counts()
+		row.Empty = w.release && l.ready && pending+assigned == 0
 		row.Ride, row.Lease = l.bounds(time.Now(), w.release)
 		txn.Puts = append(txn.Puts, platform.Put{Key: leaderKey(l.cell), Value: encode(row)})
 	}
--- a/cell/domains_test.go
+++ b/cell/domains_test.go
@@ -200,3 +200,27 @@
 		is.Equal(w.running(service), 2)
 	})
 }
+
+func TestStoppedCellIsLeftAloneUntilItIsGivenWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := twoCells(t)
+		defer w.close()
+		for _, m := range w.members {
+			if m.host.cell == "a" {
+				m.host.mu.Lock()
+				m.host.down = true
+				m.host.mu.Unlock()
+				m.cancel()
+				<-m.ended
+			}
+		}
+		epoch := w.row(t, "a").Epoch
+		is.True(w.row(t, "a").Empty)
+		time.Sleep(5 * time.Minute)
+		is.Equal(w.row(t, "a").Epoch, epoch)
+		service := w.submit("key", structs.WorkService, 6) // half of it goes to the stopped cell
+		is.True(eventually(2*time.Minute, func() bool { return w.hosted(service, "b") == 6 }))
+		is.NoErr(w.verdict())
+	})
+}
--- a/cell/guard.go
+++ b/cell/guard.go
@@ -63,21 +63,16 @@
 	if c.seen.revision == 0 || now.Sub(c.seen.since) < c.timing.drifted(c.term) {
 		return nil
 	}
-	if c.seen.row.Released && !n.hasWork(ctx, c.cell) {
+	if c.seen.row.Released && c.seen.row.Empty && !n.hasInbox(ctx, c.cell) {
 		return nil
 	}
 	return n.contend(ctx, c, domain)
 }
 
-// hasWork reports whether a cell without a leader holds or was given tasks.
-func (n *Node) hasWork(ctx context.Context, cell structs.CellID) bool {
-	for _, prefix := range []string{inboxPrefix(cell), logPrefix(cell)} {
-		if rows, err := n.settler.list(ctx, prefix, "", 1); err != nil || len(rows) > 0 {
-			return err == nil
-		}
-	}
-	_, found, err := n.settler.get(ctx, snapshotKey(cell))
-	return err == nil && found
+// hasInbox reports whether a cell was given tasks that nobody has accepted.
+func (n *Node) hasInbox(ctx context.Context, cell structs.CellID) bool {
+	rows, err := n.settler.list(ctx, inboxPrefix(cell), "", 1)
+	return err == nil && len(rows) > 0
 }
 
 // guards reports whether this node's cell is among those that watch the other:
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -16,6 +16,7 @@
 	Address  string           `json:"address"`
 	Renewals int64            `json:"renewals"`
 	Released bool             `json:"released,omitempty"` // the leader has stopped
+	Empty    bool             `json:"empty,omitempty"`    // and the cell held no tasks then
 	// Ride and Lease bound what this leader and those before it may grant. The
 	// ride of a leader that has stopped is over.
 	Ride  KindDurations `json:"ride"`
