Figures of propagation with compact updates, and under sustained changes

go test ./bench/config -run '^$' -bench Propagation -benchtime 10x, and -bench Sustained -benchtime 1x; loads and limits are in docs/design/configuration.md.

--- a/bench/config/propagation_test.go
+++ b/bench/config/propagation_test.go
@@ -263,3 +263,47 @@
 	}
 	return revision
 }
+
+// BenchmarkSustained makes 50 changes at ten times the rate of 14,000 a day and
+// reports the slowest to be in force everywhere and what a leader sends.
+func BenchmarkSustained(b *testing.B) {
+	for _, size := range []int{500, 4700} {
+		b.Run(fmt.Sprintf("daemons=%d", size), func(b *testing.B) { sustain(b, size) })
+	}
+}
+
+func sustain(b *testing.B, size int) {
+	const changes, factor = 50, 10
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	table := standin.NewTable()
+	store := config.NewStore(table)
+	if _, err := store.Apply(ctx, 0, config.Change{Put: fullConfig(b, 0).Teams}, "bench"); err != nil {
+		b.Fatal(err)
+	}
+	f := startFleet(ctx, &group, table, size)
+	f.waitFor(1)
+	before := f.busiestLeader()
+	b.ResetTimer()
+	var worst atomic.Int64
+	for range b.N {
+		var waits sync.WaitGroup
+		for i := range changes {
+			revision := applyBurst(ctx, b, store, 1+i%2) // one or two at once
+			accepted := time.Now()
+			waits.Go(func() {
+				f.waitFor(revision)
+				took := int64(time.Since(accepted))
+				for old := worst.Load(); took > old && !worst.CompareAndSwap(old, took); old = worst.Load() {
+				}
+			})
+			pause(ctx, time.Duration(1+i%2)*secondsPerDay*time.Second/(changesPerDay*factor))
+		}
+		waits.Wait()
+	}
+	b.StopTimer()
+	b.ReportMetric(time.Duration(worst.Load()).Seconds(), "worst-s")
+	b.ReportMetric(float64(f.busiestLeader()-before)/b.Elapsed().Seconds(), "B/s-leader")
+}
