--- a/cell/keys.go
+++ b/cell/keys.go
@@ -19,8 +19,9 @@
 func logPrefix(c structs.CellID) string   { return cellPrefix + string(c) + "/log/" }
 func inboxPrefix(c structs.CellID) string { return cellPrefix + string(c) + "/inbox/" }
 
-// logKey sorts by sequence number.
-func logKey(c structs.CellID, seq int64) string { return fmt.Sprintf("%s%016x", logPrefix(c), seq) }
+// logKey is one of the rows that hold the log. A row whose content is part of
+// the snapshot is written over.
+func logKey(c structs.CellID, slot int) string { return fmt.Sprintf("%s%06x", logPrefix(c), slot) }
 
 func inboxKey(c structs.CellID, job structs.JobID) string { return inboxPrefix(c) + string(job) }
 
@@ -49,3 +50,13 @@
 func isJobKey(key string) bool {
 	return !strings.Contains(strings.TrimPrefix(key, jobPrefix), "/")
 }
+
+// teamJobPrefix holds an empty row for each job, so that a team's jobs can be
+// listed.
+const teamJobPrefix = "team-job/"
+
+func teamJobsPrefix(team structs.TeamID) string { return teamJobPrefix + string(team) + "/" }
+
+func teamJobKey(team structs.TeamID, job structs.JobID) string {
+	return teamJobsPrefix(team) + string(job)
+}
