--- a/config/change.go
+++ b/config/change.go
@@ -16,8 +16,8 @@
 	Remove []structs.TeamID     `json:"remove"`
 }
 
-// ReplaceAll is the change that turns current into wanted.
-func ReplaceAll(current, wanted *structs.Config) Change {
+// replaceAll is the change that turns current into wanted.
+func replaceAll(current, wanted *structs.Config) Change {
 	change := Change{Put: wanted.Teams}
 	for _, team := range current.Teams {
 		if _, err := wanted.Team(team.ID); err != nil {
--- a/config/questionnaire/generate.go
+++ b/config/questionnaire/generate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"strings"
 	"time"
 
 	"github.com/daisywall/daisywall/config"
@@ -210,12 +209,3 @@
 
 // ratio is the share of good events when misses of total may be bad.
 func ratio(misses, total int64) float64 { return float64(total-misses) / float64(total) }
-
-// Text renders one line a field: path, value and reason.
-func (r *Result) Text() string {
-	var b strings.Builder
-	for _, e := range r.Explanations {
-		fmt.Fprintf(&b, "%s = %s\n    %s\n", e.Path, e.Value, e.Reason)
-	}
-	return b.String()
-}
--- a/config/store.go
+++ b/config/store.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return 0, err
 	}
-	change := ReplaceAll(at.config, wanted.config)
+	change := replaceAll(at.config, wanted.config)
 	return s.apply(ctx, at, change, HistoryEntry{Operator: operator, RollbackTo: to})
 }
 
