Honour each job's trade-off between outages and silent hosts

Ruled out: reading the configuration in the leader: two leaders may have different revisions, and the one that takes over must know what the other could still renew; so the value is fixed in the job. Change: Job.RideOutage, HeartbeatResponse.unrenewed, lapseRule.forJob.

--- a/cell/compose.go
+++ b/cell/compose.go
@@ -116,7 +116,7 @@
 			if v != nil {
 				granted = v.granted
 			}
-			if now.After(l.lapse.lapsesAt(t.job.Job.Kind, granted, l.committed[attempt])) {
+			if now.After(l.lapse.forJob(&t.job.Job).lapsesAt(t.job.Job.Kind, granted, l.committed[attempt])) {
 				l.queueEnd(structs.AttemptEnd{Attempt: attempt, Cause: structs.EndLost, Detail: "worker is silent"})
 			}
 		}
--- a/cell/heartbeat.go
+++ b/cell/heartbeat.go
@@ -84,11 +84,26 @@
 	}
 	if granted {
 		v.granted = now
+		resp.Unrenewed = l.unrenewed(v, now)
 		return
 	}
 	count(l.metrics.unrenewed, 1)
 }
 
+// unrenewed names the attempts on a worker whose jobs allow no more renewals
+// without the table.
+func (l *leader) unrenewed(v *view, now time.Time) []*daisywallpb.AttemptID {
+	var list []*daisywallpb.AttemptID
+	silence := now.Sub(l.proof)
+	for id, t := range l.state.byWorker[v.worker.ID] {
+		bound := l.o.Timing.Ride.Of(t.job.Job.Kind)
+		if silence >= rideOf(&t.job.Job, bound) {
+			list = append(list, api.FromAttempt(structs.AttemptID{Task: id, Number: t.Number}))
+		}
+	}
+	return list
+}
+
 // interval returns the time to the next heartbeat that keeps the traffic
 // inside the budget and grants alive.
 func (l *leader) interval(proved bool) time.Duration {
--- a/cell/host_test.go
+++ b/cell/host_test.go
@@ -153,9 +153,15 @@
 	}
 	later(&h.batchUntil, resp.GetBatchLeaseMs())
 	later(&h.svcUntil, resp.GetServiceLeaseMs())
+	unrenewed := map[structs.AttemptID]bool{}
+	for _, id := range resp.GetUnrenewed() {
+		unrenewed[api.ToAttempt(id)] = true
+	}
 	h.tick(time.Now())
-	for _, r := range h.runs {
-		r.until = h.lease(r.kind)
+	for id, r := range h.runs {
+		if !unrenewed[id] {
+			r.until = h.lease(r.kind)
+		}
 	}
 }
 
--- a/cell/leadership_test.go
+++ b/cell/leadership_test.go
@@ -232,3 +232,41 @@
 		})
 	}
 }
+
+func TestJobIsNotRenewedBeyondItsOwnRide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, testTiming)
+		defer w.close()
+		w.add("a", "north", 3)
+		w.runs = 10 * time.Minute
+		long := w.submit("long", structs.WorkService, 2)
+		w.rideOutage = time.Second
+		short := w.submit("short", structs.WorkService, 2)
+		is.True(eventually(time.Minute, func() bool { return w.running(long) == 2 && w.running(short) == 2 }))
+		for _, m := range w.members {
+			m.port.set(func(p *port) { p.cut = true })
+		}
+		time.Sleep(w.rideOutage + testTiming.Lease.Service + 2*time.Second)
+		is.Equal(w.running(short), 0)
+		is.Equal(w.running(long), 2)
+		w.heal()
+		is.True(eventually(time.Minute, func() bool { return w.running(short) == 2 }))
+		is.NoErr(w.verdict())
+	})
+}
+
+func TestJobWithAShortRideIsRestartedSoonerOnASilentHost(t *testing.T) {
+	is := is.New(t)
+	rule := lapseRule{
+		tookOver: time.Unix(1000, 0),
+		ride:     KindDurations{Batch: time.Hour, Service: time.Minute},
+		lease:    KindDurations{Batch: 10 * time.Second, Service: 10 * time.Second},
+	}
+	lapses := func(job structs.Job) time.Duration {
+		return rule.forJob(&job).lapsesAt(job.Kind, time.Time{}, time.Time{}).Sub(rule.tookOver)
+	}
+	is.Equal(lapses(structs.Job{Kind: structs.WorkBatch}), time.Hour+10*time.Second)
+	is.Equal(lapses(structs.Job{Kind: structs.WorkBatch, RideOutage: 2 * time.Minute}), 2*time.Minute+10*time.Second)
+	is.Equal(lapses(structs.Job{Kind: structs.WorkService, RideOutage: time.Hour}), time.Minute+10*time.Second)
+}
--- a/cell/lease.go
+++ b/cell/lease.go
@@ -36,6 +36,23 @@
 	return last.Add(r.timing.drifted(r.lease.Of(kind)))
 }
 
+// forJob is the rule for attempts of a job: its own ride takes the place of a
+// longer one of the earlier leaders, which honoured it as this one does.
+func (r lapseRule) forJob(job *structs.Job) lapseRule {
+	r.ride.Batch = rideOf(job, r.ride.Batch)
+	r.ride.Service = rideOf(job, r.ride.Service)
+	return r
+}
+
+// rideOf is how long leases of the job are renewed without the table, within
+// the leader's bound.
+func rideOf(job *structs.Job, bound time.Duration) time.Duration {
+	if job.RideOutage > 0 {
+		return min(job.RideOutage, bound)
+	}
+	return bound
+}
+
 // startsUntil returns the time after which no agent can start an attempt that
 // was committed at the time, or by an earlier leader if it is zero.
 func (r lapseRule) startsUntil(committed time.Time) time.Time {
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -59,8 +59,10 @@
 	jobs     *Jobs
 	domains  *Domains
 	quotas   Quotas // of every candidate, nil for none
-	work     sync.WaitGroup
-	stop     context.CancelFunc
+	// rideOutage is that of every submitted job.
+	rideOutage time.Duration
+	work       sync.WaitGroup
+	stop       context.CancelFunc
 
 	mu      sync.Mutex
 	members []*member
@@ -305,7 +307,7 @@
 func (w *world) submit(key string, kind structs.WorkKind, tasks int32) structs.JobID {
 	job := structs.Job{
 		Team: "jabuka", Class: string(kind), Kind: kind, Program: "sleep", Tasks: tasks, MaxAttempts: 3,
-		Resources: structs.Resources{MilliCPU: 1000, MemoryMB: 1000},
+		Resources: structs.Resources{MilliCPU: 1000, MemoryMB: 1000}, RideOutage: w.rideOutage,
 	}
 	for {
 		got, err := w.jobs.Submit(w.ctx, job, key)
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -32,6 +32,9 @@
 const (
 	agentStop  = 20 * time.Second // bound of the stop of each service, beside the evacuation
 	configPoll = time.Second      // between reads of the configuration by a cell's leader
+	// maxRide bounds how long any lease is renewed without the table; the
+	// configuration sets a shorter time for each kind of work.
+	maxRide = 2 * time.Hour
 	// leaveTimeout bounds the wait for entries that do not answer. The agent
 	// refuses what they still send, as surely not run.
 	leaveTimeout   = 3 * time.Second
@@ -119,6 +122,7 @@
 		Objects:  a.platform.Objects(),
 		Assign:   a.peers.assign,
 		Observer: a.burn,
+		Timing:   cell.Timing{Ride: cell.KindDurations{Batch: maxRide, Service: maxRide}},
 		Quotas:   a.quotas,
 		Planner:  planner.New(a.holder.Current, placement.Options{}),
 		Config:   a.holder.UpdateSince,
--- a/daemon/servicejobs.go
+++ b/daemon/servicejobs.go
@@ -103,8 +103,8 @@
 	job structs.Job
 }
 
-// serviceJobsOf returns the jobs of all services. A service whose program, size
-// or number changes is a new job.
+// serviceJobsOf returns the jobs of all services. A service whose program, size,
+// number or lease trade-off changes is a new job.
 func serviceJobsOf(c *structs.Config) []wantedJob {
 	var wanted []wantedJob
 	for _, team := range c.Teams {
@@ -117,6 +117,7 @@
 				Tasks:       service.Instances,
 				Resources:   service.Resources,
 				MaxAttempts: serviceMaxAttempts,
+				RideOutage:  time.Duration(service.RideOutageMS) * time.Millisecond,
 			}
 			wanted = append(wanted, wantedJob{key: serviceKey(service), job: job})
 		}
@@ -130,7 +131,8 @@
 		Program   string
 		Instances int32
 		Resources structs.Resources
-	}{service.Program, service.Instances, service.Resources})
+		Ride      int64
+	}{service.Program, service.Instances, service.Resources, service.RideOutageMS})
 	if err != nil {
 		return service.Name // plain numbers and strings always encode
 	}
--- a/entryapi/jobs.go
+++ b/entryapi/jobs.go
@@ -84,6 +84,7 @@
 		Deadline:    now.Add(time.Duration(class.DeadlineMS) * time.Millisecond),
 		Submitted:   now,
 		MaxAttempts: class.MaxAttempts,
+		RideOutage:  time.Duration(class.RideOutageMS) * time.Millisecond,
 	}
 	if job.Tasks == 0 {
 		job.Tasks = defaultTasks
--- a/structs/work.go
+++ b/structs/work.go
@@ -35,6 +35,11 @@
 	Deadline    time.Time     `json:"deadline"`     // zero for services
 	Submitted   time.Time     `json:"submitted"`    // entry's wall clock, for display and slack only
 	MaxAttempts int32         `json:"max_attempts"` // failures after which the task is unschedulable
+	// RideOutage is how long a leader that cannot reach the table renews the
+	// leases of this job; zero leaves it to the leader's own bound, which it
+	// never passes. It is fixed with the submission, so that every leader
+	// reckons with the same value.
+	RideOutage time.Duration `json:"ride_outage,omitempty"`
 }
 
 // TaskState is the committed state of a task.
--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -151,10 +151,14 @@
 	a.usage.acknowledge(req)
 	a.terms = terms{batch: milliseconds(resp.GetBatchLeaseMs()), service: milliseconds(resp.GetServiceLeaseMs())}
 	a.interval = min(max(milliseconds(resp.GetIntervalMs()), shortestInterval), longestInterval)
+	unrenewed := map[structs.AttemptID]bool{}
+	for _, id := range resp.GetUnrenewed() {
+		unrenewed[api.ToAttempt(id)] = true
+	}
 	leases := map[structs.AttemptID]platform.RuntimeClock{}
 	for attempt, e := range a.ledger.entries {
 		term := a.terms.of(e.run.Kind)
-		if e.phase == live && term > 0 {
+		if e.phase == live && term > 0 && !unrenewed[attempt] {
 			leases[attempt] = s.Now.Add(term)
 		}
 	}
