--- a/membership/local_http.go
+++ b/membership/local_http.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,34 +9,19 @@
 	"strconv"
 	"strings"
 
+	"github.com/daisywall/daisywall/problem"
 	"github.com/daisywall/daisywall/structs"
 )
 
 // TargetsPath is the path below which LocalTargets answers.
 const TargetsPath = "/v1/targets/"
 
-// Problem is an RFC 9457 problem body.
-type Problem struct {
-	Type   string          `json:"type"`
-	Title  string          `json:"title"`
-	Status int             `json:"status"`
-	Detail string          `json:"detail,omitempty"`
-	Faults []structs.Fault `json:"faults,omitempty"`
-}
-
-// WriteProblem answers with an RFC 9457 problem body.
-func WriteProblem(w http.ResponseWriter, problem Problem) {
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(problem.Status)
-	_ = json.NewEncoder(w).Encode(problem)
-}
-
 // ServeHTTP answers PUT (announce or refresh) and DELETE (leave) of
 // /v1/targets/{id}.
 func (l *LocalTargets) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, ok := strings.CutPrefix(r.URL.Path, TargetsPath)
 	if !ok || id == "" || strings.Contains(id, "/") {
-		WriteProblem(w, Problem{Type: "about:blank", Title: "Not Found", Status: http.StatusNotFound})
+		problem.Write(w, &structs.NotFoundError{Subject: "path", Name: r.URL.Path}, "")
 		return
 	}
 	switch r.Method {
@@ -48,26 +32,24 @@
 		w.WriteHeader(http.StatusNoContent)
 	default:
 		w.Header().Set("Allow", "PUT, DELETE")
-		WriteProblem(w, Problem{Type: "about:blank", Title: "Method Not Allowed", Status: http.StatusMethodNotAllowed})
+		problem.Write(w, &problem.Error{
+			Type: problem.TypeInvalid, Title: "Method not allowed", Status: http.StatusMethodNotAllowed,
+		}, "")
 	}
 }
 
 func (l *LocalTargets) put(w http.ResponseWriter, r *http.Request, id structs.TargetID) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
 	if err != nil {
-		WriteProblem(w, Problem{Type: "about:blank", Title: "Unreadable body", Status: http.StatusBadRequest, Detail: err.Error()})
+		problem.Write(w, err, "")
 		return
 	}
 	target, err := DecodeTarget(id, body)
 	if err == nil {
 		err = l.Announce(target)
 	}
-	var invalid *structs.InvalidError
-	if errors.As(err, &invalid) {
-		WriteProblem(w, Problem{
-			Type: "urn:daisywall:problem:invalid-target", Title: "Invalid target",
-			Status: http.StatusUnprocessableEntity, Detail: invalid.Error(), Faults: invalid.Faults,
-		})
+	if err != nil {
+		problem.Write(w, err, "")
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/request/claims_trial_test.go
+++ b/request/claims_trial_test.go
@@ -199,12 +199,16 @@
 		defer second.mu.Unlock()
 		second.list = list
 	}
+	silence := func(w *world, _ *fakeMembers, _ *fakeAgent) {
+		w.table.set(func(f *fakeTable) { f.slow = time.Minute })
+	}
 	situations := []struct {
 		name            string
 		before, between func(*world, *fakeMembers, *fakeAgent)
 	}{
 		{"quiet", nothing, nothing},
 		{"table out", outage, nothing},
+		{"table silent", silence, nothing},
 		{"runner restarted", nothing, restart},
 		{"table out, runner restarted", outage, restart},
 		{"entries know different agents", nothing, split},
--- a/request/run_claimed.go
+++ b/request/run_claimed.go
@@ -184,7 +184,7 @@
 	if last != nil {
 		return last.finalError()
 	}
-	return unclaimedError(&structs.NotRunError{Reason: structs.ReasonNoTarget})
+	return unclaimedError(&structs.UnavailableError{Dependency: "targets"})
 }
 
 // unclaimedError reports that this request was not sent, while an earlier one
