--- a/cell/retention.go
+++ b/cell/retention.go
@@ -42,8 +42,10 @@
 // Run sweeps until ctx ends.
 func (s *Sweeper) Run(ctx context.Context) error {
 	for {
-		if sleep(ctx, sweepInterval+rand.N(sweepInterval)) != nil {
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-time.After(sweepInterval + rand.N(sweepInterval)):
 		}
 		deleted, err := s.Sweep(ctx, time.Now())
 		if ctx.Err() == nil && (deleted > 0 || err != nil) {
@@ -111,7 +113,8 @@
 	}
 	_, _, err = s.jobs.settler.commit(ctx, txn, row.Key)
 	if asConflict(err) != nil {
-		return false, nil // another sweeper was first, or the row was read again
+		// Another sweeper was first, or the row has changed.
+		return false, nil //nolint:nilerr // a conflict is no failure of the sweep
 	}
 	return err == nil, err
 }
--- a/e2e/relay_test.go
+++ b/e2e/relay_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -66,7 +67,7 @@
 		_, writeErr := to.Write(buffer[:n])
 		p.mu.RUnlock()
 		if err != nil || writeErr != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				_ = to.(*net.TCPConn).CloseWrite()
 			} else {
 				to.Close()
--- a/entryapi/server_test.go
+++ b/entryapi/server_test.go
@@ -101,16 +101,16 @@
 		kind                     string
 	}{
 		{"unknown path", "GET", "/v2", "", nil, 404, problem.TypeNotFound},
-		{"timeout that is no number", "POST", "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderTimeoutMS: {"soon"}}, 400, problem.TypeInvalid},
-		{"timeout below zero", "POST", "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderTimeoutMS: {"-5"}}, 400, problem.TypeInvalid},
-		{"idempotency key that is too long", "POST", "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderIdempotencyKey: {long}}, 400, problem.TypeInvalid},
-		{"request body that is too large", "POST", "/v1/teams/jabuka/requests/slot-check", strings.Repeat("x", maxRequestBody+1), nil, 413, problem.TypeTooLarge},
-		{"job of an unknown team", "POST", "/v1/teams/nobody/jobs", `{"class":"pricing"}`, nil, 404, problem.TypeNotFound},
-		{"job of an unknown class", "POST", "/v1/teams/jabuka/jobs", `{"class":"unknown"}`, nil, 404, problem.TypeNotFound},
-		{"job that is no JSON", "POST", "/v1/teams/jabuka/jobs", `{"class":`, nil, 400, problem.TypeInvalid},
-		{"job with an unknown field", "POST", "/v1/teams/jabuka/jobs", `{"class":"pricing","taks":2}`, nil, 400, problem.TypeInvalid},
-		{"two documents as a job", "POST", "/v1/teams/jabuka/jobs", `{"class":"pricing"}{}`, nil, 400, problem.TypeInvalid},
-		{"job with a negative size", "POST", "/v1/teams/jabuka/jobs", `{"class":"pricing","tasks":-1,"deadline_ms":-2,"resources":{"milli_cpu":0,"memory_mb":1,"accelerators":0}}`, nil, 400, problem.TypeInvalid},
+		{"timeout that is no number", http.MethodPost, "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderTimeoutMS: {"soon"}}, 400, problem.TypeInvalid},
+		{"timeout below zero", http.MethodPost, "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderTimeoutMS: {"-5"}}, 400, problem.TypeInvalid},
+		{"idempotency key that is too long", http.MethodPost, "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderIdempotencyKey: {long}}, 400, problem.TypeInvalid},
+		{"request body that is too large", http.MethodPost, "/v1/teams/jabuka/requests/slot-check", strings.Repeat("x", maxRequestBody+1), nil, 413, problem.TypeTooLarge},
+		{"job of an unknown team", http.MethodPost, "/v1/teams/nobody/jobs", `{"class":"pricing"}`, nil, 404, problem.TypeNotFound},
+		{"job of an unknown class", http.MethodPost, "/v1/teams/jabuka/jobs", `{"class":"unknown"}`, nil, 404, problem.TypeNotFound},
+		{"job that is no JSON", http.MethodPost, "/v1/teams/jabuka/jobs", `{"class":`, nil, 400, problem.TypeInvalid},
+		{"job with an unknown field", http.MethodPost, "/v1/teams/jabuka/jobs", `{"class":"pricing","taks":2}`, nil, 400, problem.TypeInvalid},
+		{"two documents as a job", http.MethodPost, "/v1/teams/jabuka/jobs", `{"class":"pricing"}{}`, nil, 400, problem.TypeInvalid},
+		{"job with a negative size", http.MethodPost, "/v1/teams/jabuka/jobs", `{"class":"pricing","tasks":-1,"deadline_ms":-2,"resources":{"milli_cpu":0,"memory_mb":1,"accelerators":0}}`, nil, 400, problem.TypeInvalid},
 		{"result of no number", "GET", "/v1/jobs/j/results/first", "", nil, 400, problem.TypeInvalid},
 		{"unknown state of a failure domain", "POST", "/v1/domains/kordun/away", "", nil, 400, problem.TypeInvalid},
 		{"configuration change without the revision", "POST", "/v1/config", `{}`, nil, 400, problem.TypeInvalid},
@@ -145,7 +145,7 @@
 	server, _ := newTestServer(t, standin.NewObjects())
 	w := httptest.NewRecorder()
 	body := `{"class":"pricing","tasks":-1,"deadline_ms":-2,"resources":{"milli_cpu":0,"memory_mb":0,"accelerators":-1}}`
-	server.ServeHTTP(w, httptest.NewRequest("POST", "/v1/teams/jabuka/jobs", strings.NewReader(body)))
+	server.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/teams/jabuka/jobs", strings.NewReader(body)))
 	is.Equal(len(problem.Read(w.Result()).Faults), 5)
 }
 
@@ -156,7 +156,7 @@
 	f.Fuzz(func(t *testing.T, body string) {
 		server, _ := newTestServer(t, standin.NewObjects())
 		w := httptest.NewRecorder()
-		server.ServeHTTP(w, httptest.NewRequest("POST", "/v1/teams/jabuka/jobs", strings.NewReader(body)))
+		server.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/teams/jabuka/jobs", strings.NewReader(body)))
 		if w.Code >= http.StatusInternalServerError {
 			t.Fatalf("status %d for %q: %s", w.Code, body, w.Body)
 		}
