--- a/e2e/overhead_bench_test.go
+++ b/e2e/overhead_bench_test.go
@@ -45,12 +45,17 @@
 	for _, callers := range []int{1, 64, 512} {
 		b.Run(strconv.Itoa(callers), func(b *testing.B) {
 			straight, routed := newHistogram(), newHistogram()
+			entry, agents := 0.0, 0.0 // processor time while requests were routed
 			for range b.N {
 				for range overheadRounds {
 					load(b, direct, callers, straight)
+					entry, agents = entry-cpuSeconds(b, c.entries[0]), agents-c.agentSeconds(b)
 					load(b, through, callers, routed)
+					entry, agents = entry+cpuSeconds(b, c.entries[0]), agents+c.agentSeconds(b)
 				}
 			}
+			b.ReportMetric(1000*entry/float64(routed.TotalCount()), "entry-cpu-ms/request")
+			b.ReportMetric(1000*agents/float64(routed.TotalCount()), "agent-cpu-ms/request")
 			b.ReportMetric(ms(straight, 50), "direct-p50-ms")
 			b.ReportMetric(ms(straight, 99), "direct-p99-ms")
 			b.ReportMetric(ms(routed, 50), "routed-p50-ms")
@@ -64,6 +69,15 @@
 	b.Logf("idle resident memory: entry %d MB", residentMB(b, c.entries[1]))
 }
 
+// agentSeconds sums up the processor time of all agents.
+func (c *cluster) agentSeconds(b *testing.B) float64 {
+	total := 0.0
+	for _, a := range c.agents {
+		total += cpuSeconds(b, a)
+	}
+	return total
+}
+
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, latencyMaxUS, 3) }
 
 func ms(h *hdrhistogram.Histogram, quantile float64) float64 {
