--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,6 +32,9 @@
 const (
 	agentStop  = 20 * time.Second // bound of the stop of each service, beside the evacuation
 	configPoll = time.Second      // between reads of the configuration by a cell's leader
+	// maxRide bounds how long any lease is renewed without the table; the
+	// configuration sets a shorter time for each kind of work.
+	maxRide = 2 * time.Hour
 	// leaveTimeout bounds the wait for entries that do not answer. The agent
 	// refuses what they still send, as surely not run.
 	leaveTimeout   = 3 * time.Second
@@ -60,6 +64,10 @@
 	targets   *membership.LocalTargets
 	requests  *request.Executor
 	announcer *membership.Announcer
+
+	hintMu sync.Mutex
+	hint   string // address of the leader that an entry named last
+	finds  int
 }
 
 func newAgent(s settings.Agent) (*agent, error) {
@@ -114,6 +122,7 @@
 		Objects:  a.platform.Objects(),
 		Assign:   a.peers.assign,
 		Observer: a.burn,
+		Timing:   cell.Timing{Ride: cell.KindDurations{Batch: maxRide, Service: maxRide}},
 		Quotas:   a.quotas,
 		Planner:  planner.New(a.holder.Current, placement.Options{}),
 		Config:   a.holder.UpdateSince,
@@ -160,11 +169,25 @@
 }
 
 // Find implements worker.LeaderFinder: this host's own part in the cell knows
-// the leader, and answers a heartbeat with its address.
+// the leader from the table and answers a heartbeat with its address. While the
+// table is out, every other try goes to the leader that the entries name.
 func (a *agent) Find(context.Context, structs.CellID) (string, error) {
+	a.hintMu.Lock()
+	defer a.hintMu.Unlock()
+	a.finds++
+	if a.hint != "" && a.finds%2 == 0 {
+		return a.hint, nil
+	}
 	return a.settings.PeerAddress, nil
 }
 
+// takeLeaderHint remembers the leader that an entry names.
+func (a *agent) takeLeaderHint(address string) {
+	a.hintMu.Lock()
+	defer a.hintMu.Unlock()
+	a.hint = address
+}
+
 func (a *agent) buildRequests() error {
 	incarnation := uuid.NewString()
 	a.targets = membership.NewLocalTargets(membership.LocalOptions{
@@ -191,6 +214,8 @@
 		Dial:           membership.GRPCDialer(peerDialOptions()...),
 		Clock:          executor.Clock,
 		ConfigRevision: a.holder.Revision,
+		Leader:         a.tasks.Leader,
+		LeaderHint:     a.takeLeaderHint,
 		Log:            a.telemetry.Log.Named("announcer"),
 		Meter:          a.telemetry.Meters.Meter("announcer"),
 	})
