Quota shares: own transactions, tickets, and steps of whole tasks

Ruled out: a share of at least one task for everybody: the sum passes the quota. Change: shares are multiples of the smallest pending task; free quota goes to the lowest ticket; quota rows are written in transactions of their own, less often after conflicts.

--- a/cell/compose.go
+++ b/cell/compose.go
@@ -43,6 +43,11 @@
 	if w.snapshot != nil {
 		return w
 	}
+	if !now.Before(l.quotas.next) {
+		if l.composeQuotas(w, now); len(w.quotas) > 0 {
+			return w
+		}
+	}
 	l.composeWorkers(w, now)
 	l.composeAccepts(w)
 	l.composeEnds(w, now)
@@ -54,7 +59,6 @@
 		l.evictLeaving(now)
 		l.composeStarts(w, now)
 	}
-	l.composeQuotas(w, now)
 	l.composeSummary(w, now)
 	l.observeDeadlines(now)
 	return w
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -175,7 +176,13 @@
 	}
 	l.limiter.Allow()
 	err := l.commit(ctx, work)
-	if conflict := asConflict(err); conflict != nil && conflict.Key != leaderKey(l.cell) {
+	conflict := asConflict(err)
+	if conflict != nil && strings.HasPrefix(conflict.Key, quotaPrefix) {
+		count(l.metrics.conflicts, 1)
+		l.forgetQuotas(time.Now())
+		return nil
+	}
+	if conflict != nil && conflict.Key != leaderKey(l.cell) {
 		count(l.metrics.conflicts, 1)
 		l.o.Log.Debug("commit refused", zap.String("cell", string(l.cell)), zap.Error(conflict))
 		l.forgetReads()
--- a/cell/quota.go
+++ b/cell/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -22,9 +23,12 @@
 	// quotaHold is how long a cell keeps a share that it does not need, so that
 	// work that comes in waves does not move shares with every wave.
 	quotaHold = 5 * time.Second
-	// quotaPeriod is the shortest time between two writes of quota rows that
-	// share a transaction with other work.
-	quotaPeriod = time.Second
+	// quotaPeriod is the shortest time between two transactions of quota rows
+	// while there is other work. It grows with conflicts.
+	quotaPeriod    = time.Second
+	maxQuotaPeriod = 16 * time.Second
+	// quotaLook is the time between two comparisons of shares with the need.
+	quotaLook = 100 * time.Millisecond
 	// quotaReserve is the part of the need that a cell takes in addition.
 	quotaReserve = 4 // a quarter
 )
@@ -35,8 +39,9 @@
 // quotaRow is the value of a team's quota row.
 type quotaRow struct {
 	Shares map[structs.CellID]structs.Resources `json:"shares"`
-	// Wants names the cells whose need is larger than what they could get.
-	Wants map[structs.CellID]bool `json:"wants,omitempty"`
+	// Wants holds the tickets of the cells whose need is larger than what they
+	// could get. Free quota goes to the lowest ticket first.
+	Wants map[structs.CellID]int64 `json:"wants,omitempty"`
 }
 
 // quotaView is what a leader knows of a team's quota row.
@@ -48,10 +53,11 @@
 
 // quotas is a leader's part in the division of the teams' quotas.
 type quotas struct {
-	polled  bool
-	since   int64 // table revision that was read up to
-	teams   map[structs.TeamID]*quotaView
-	written time.Time
+	polled bool
+	since  int64 // table revision that was read up to
+	teams  map[structs.TeamID]*quotaView
+	next   time.Time // when the next write is due beside other work
+	period time.Duration
 }
 
 // quotaWrite is a change of a row inside a leader's transaction.
@@ -103,6 +109,9 @@
 // pending task ran.
 type need struct {
 	used, wanted structs.Resources
+	// step is the size of the smallest pending task, zero without one. A share
+	// that is no multiple of it is of no use.
+	step structs.Resources
 }
 
 // needs sums up the open tasks by team. The starts of a transaction that is
@@ -134,22 +143,29 @@
 		if !t.job.CancelRequested {
 			n := of(t)
 			n.wanted = n.wanted.Add(t.job.Job.Resources)
+			n.smallest(t.job.Job.Resources)
 		}
 	}
 	return byTeam
 }
 
-// composeQuotas moves shares of quotas towards the need. Shares are written
-// under the comparison of the leadership row, so that a leader that was
-// replaced cannot give away what its successor uses.
-func (l *leader) composeQuotas(w *work, now time.Time) {
-	if l.o.Quotas == nil || !l.quotas.polled || !l.ready {
+func (n *need) smallest(size structs.Resources) {
+	if n.step == (structs.Resources{}) {
+		n.step = size
 		return
 	}
-	if !w.empty() && now.Sub(l.quotas.written) < quotaPeriod {
+	n.step = atMost(n.step, size)
+}
+
+// composeQuotas moves shares of quotas towards the need, in a transaction of
+// their own: many cells write a team's row, and a conflict must not discard
+// other work. The comparison of the leadership row keeps a leader that was
+// replaced from giving away what its successor uses.
+func (l *leader) composeQuotas(w *work, now time.Time) {
+	if l.o.Quotas == nil || !l.quotas.polled || !l.ready {
 		return
 	}
-	byTeam := l.needs(w.batch.Starts)
+	byTeam := l.needs(nil)
 	limits := l.o.Quotas()
 	for _, team := range quotaTeams(limits, l.quotas.teams) {
 		n := byTeam[team]
@@ -160,11 +176,23 @@
 			l.writeQuota(w, team, next)
 		}
 	}
+	l.quotas.next = now.Add(quotaLook)
 	if len(w.quotas) > 0 {
-		l.quotas.written = now
+		l.quotas.next = now.Add(max(l.quotas.period, quotaPeriod))
 	}
 }
 
+// forgetQuotas drops what was read of the quota rows, after another cell has
+// written one of them first, and lets the next write wait longer.
+func (l *leader) forgetQuotas(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quotas.polled = false
+	l.quotas.period = min(max(2*l.quotas.period, quotaPeriod), maxQuotaPeriod)
+	l.quotas.next = now.Add(rand.N(l.quotas.period))
+	l.readAgain()
+}
+
 // quotaTeams returns the teams with a quota or a row, in order.
 func quotaTeams(limits map[structs.TeamID]structs.Resources, rows map[structs.TeamID]*quotaView) []structs.TeamID {
 	teams := make([]structs.TeamID, 0, len(limits))
@@ -184,43 +212,72 @@
 // has to change.
 func (l *leader) nextShare(view *quotaView, quota structs.Resources, n *need, now time.Time) (quotaRow, bool) {
 	share := view.row.Shares[l.cell]
-	free := quota
-	for _, held := range view.row.Shares {
-		free = free.Sub(held)
-	}
-	room := atLeast(share.Add(atLeast(free, structs.Resources{})), share)
-	wanted := n.wanted
-	if view.row.contested(l.cell) {
-		// Others wait: keep what runs, and no more than an equal part beside it.
-		wanted = atMost(wanted, view.row.part(quota, l.cell))
-	}
-	target := atLeast(atMost(wanted, room), n.used)
-	short := !n.wanted.Fits(target)
+	contested := view.row.contested(l.cell)
+	target := share
 	switch {
-	case !target.Fits(share): // grow
-		target = atLeast(target, share)
-		if !short && !view.row.contested(l.cell) {
-			target = atMost(target.Add(quarter(n.wanted)), room)
-		}
+	case !n.wanted.Fits(share):
+		target = view.row.grown(l.cell, quota, n)
 		view.surplus = time.Time{}
-	case target == share:
+	case n.wanted == share:
 		view.surplus = time.Time{}
-	case view.surplus.IsZero() && !view.row.contested(l.cell) && !l.evacuating():
+	case contested || l.evacuating() || (!view.surplus.IsZero() && now.Sub(view.surplus) >= quotaHold):
+		target = n.wanted
+	case view.surplus.IsZero():
 		view.surplus = now
-		target = share
-	case !view.row.contested(l.cell) && !l.evacuating() && now.Sub(view.surplus) < quotaHold:
-		target = share
 	}
-	if target == share && short == view.row.Wants[l.cell] {
+	if contested {
+		// Others wait: keep what runs, and no more than an equal part.
+		kept := atLeast(n.used, multiple(view.row.part(quota, l.cell), n.step))
+		if target == share {
+			target = atMost(share, kept)
+		}
+	}
+	short := !n.wanted.Fits(target)
+	_, waiting := view.row.Wants[l.cell]
+	if target == share && short == waiting {
 		return quotaRow{}, false
 	}
 	return view.row.with(l.cell, target, short), true
 }
 
+// grown is the share of a cell that needs more: what is free, in steps of the
+// smallest pending task, once every cell with a lower ticket has been served.
+func (r quotaRow) grown(own structs.CellID, quota structs.Resources, n *need) structs.Resources {
+	share := r.Shares[own]
+	ticket, waiting := r.Wants[own]
+	for other, t := range r.Wants {
+		if other != own && (!waiting || t < ticket) {
+			return share
+		}
+	}
+	free := quota
+	for _, held := range r.Shares {
+		free = free.Sub(held)
+	}
+	room := share.Add(atLeast(free, structs.Resources{}))
+	reserve := quarter(n.wanted)
+	if len(r.Wants) > 0 {
+		reserve = structs.Resources{}
+	}
+	steps := multiple(room.Sub(n.used), n.step)
+	return atLeast(share, atMost(n.wanted.Add(reserve), n.used.Add(steps)))
+}
+
+// multiple is the largest multiple of step that fits into r, zero if none does.
+func multiple(r, step structs.Resources) structs.Resources {
+	times := int64(-1)
+	for _, d := range [][2]int64{{r.MilliCPU, step.MilliCPU}, {r.MemoryMB, step.MemoryMB}, {r.Accelerators, step.Accelerators}} {
+		if d[1] > 0 && (times < 0 || d[0]/d[1] < times) {
+			times = max(0, d[0]/d[1])
+		}
+	}
+	return step.Scale(max(0, times))
+}
+
 // contested reports whether another cell waits for a share.
 func (r quotaRow) contested(own structs.CellID) bool {
-	for other, wants := range r.Wants {
-		if wants && other != own {
+	for other := range r.Wants {
+		if other != own {
 			return true
 		}
 	}
@@ -240,22 +297,29 @@
 	return structs.Resources{MilliCPU: quota.MilliCPU / n, MemoryMB: quota.MemoryMB / n, Accelerators: quota.Accelerators / n}
 }
 
-// with returns a copy of the row with the share and the want of one cell.
+// with returns a copy of the row with the share of one cell. A cell that wants
+// more keeps its ticket until it has got some, and then takes a new one.
 func (r quotaRow) with(c structs.CellID, share structs.Resources, wants bool) quotaRow {
-	next := quotaRow{Shares: map[structs.CellID]structs.Resources{}, Wants: map[structs.CellID]bool{}}
+	next := quotaRow{Shares: map[structs.CellID]structs.Resources{}, Wants: map[structs.CellID]int64{}}
 	for other, held := range r.Shares {
 		next.Shares[other] = held
 	}
-	for other := range r.Wants {
-		next.Wants[other] = true
+	last := int64(0)
+	for other, ticket := range r.Wants {
+		next.Wants[other] = ticket
+		last = max(last, ticket)
 	}
+	grew := !share.Fits(r.Shares[c])
 	delete(next.Shares, c)
-	delete(next.Wants, c)
 	if share != (structs.Resources{}) {
 		next.Shares[c] = share
 	}
-	if wants {
-		next.Wants[c] = true
+	_, waiting := r.Wants[c]
+	switch {
+	case !wants:
+		delete(next.Wants, c)
+	case !waiting || grew:
+		next.Wants[c] = last + 1
 	}
 	return next
 }
@@ -269,6 +333,9 @@
 
 // quotasApplied takes over the rows of a transaction that was committed.
 func (l *leader) quotasApplied(w *work, revision int64) {
+	if len(w.quotas) > 0 {
+		l.quotas.period = quotaPeriod
+	}
 	for _, q := range w.quotas {
 		view := l.quotaOf(q.team)
 		view.row, view.revision, view.surplus = q.row, revision, time.Time{}
