Request: a dead agent is known at once

Cause: Ready waited for a second failure, but a connection that failed keeps that state until it is up, so that every request to a dead agent took the whole connect timeout of 1 s (TestConnectionIsReadyOrSurelyUnused timed out). Change: the first failure ends the wait and the next request dials anew.

--- a/request/conn.go
+++ b/request/conn.go
@@ -34,7 +34,8 @@
 type AgentConn interface {
 	daisywallpb.AgentClient
 	// Ready waits until the connection is up. It returns
-	// *structs.UnavailableError when it cannot be established.
+	// *structs.UnavailableError when it cannot be established; the connection
+	// is then of no more use.
 	Ready(ctx context.Context) error
 	Close() error
 }
@@ -65,19 +66,12 @@
 }
 
 func (c *grpcAgentConn) Ready(ctx context.Context) error {
-	failed := false
 	for {
 		state := c.conn.GetState()
 		switch state {
 		case connectivity.Ready:
 			return nil
-		case connectivity.TransientFailure:
-			if failed {
-				return &structs.UnavailableError{Dependency: "agent " + c.address}
-			}
-			failed = true
-			c.conn.ResetConnectBackoff()
-		case connectivity.Shutdown:
+		case connectivity.TransientFailure, connectivity.Shutdown:
 			return &structs.UnavailableError{Dependency: "agent " + c.address}
 		case connectivity.Idle:
 			c.conn.Connect()
--- a/request/peer.go
+++ b/request/peer.go
@@ -90,6 +90,7 @@
 	err = l.conn.Ready(ready)
 	stop()
 	if err != nil {
+		p.drop(l)
 		return l, &notSentError{err}
 	}
 	err = work(ctx, l.conn)
@@ -128,6 +129,16 @@
 	return p.link, nil
 }
 
+// drop lets the next request dial anew after a connection failed.
+func (p *peer) drop(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retire(l)
+	if p.link == l {
+		p.link = nil
+	}
+}
+
 // retire closes a connection once it is unused. The caller holds the lock.
 func (p *peer) retire(l *link) {
 	if l == nil || l.retired {
