--- a/request/choose.go
+++ b/request/choose.go
@@ -27,8 +27,6 @@
 	ejectShare = 3
 	// latencySmoothing is the weight of the latest latency.
 	latencySmoothing = 0.2
-	// domainTolerance is the load by which the own failure domain may be worse.
-	domainTolerance = 0.0
 )
 
 // targetKey names one incarnation of a target.
@@ -152,7 +150,7 @@
 	switch {
 	case own == nil:
 		return other
-	case other == nil, own.load() <= other.load()+domainTolerance:
+	case other == nil, own.load() <= other.load():
 		return own
 	default:
 		return other
