--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,6 +32,9 @@
 const (
 	agentStop  = 20 * time.Second // bound of the stop of each service, beside the evacuation
 	configPoll = time.Second      // between reads of the configuration by a cell's leader
+	// maxRide bounds how long any lease is renewed without the table; the
+	// configuration sets a shorter time for each kind of work.
+	maxRide = 2 * time.Hour
 	// leaveTimeout bounds the wait for entries that do not answer. The agent
 	// refuses what they still send, as surely not run.
 	leaveTimeout   = 3 * time.Second
@@ -55,11 +59,16 @@
 	peers     *peers
 	holder    *config.Holder
 	node      *cell.Node
+	planner   *planner.Planner
 	burn      *burnCounts
 	tasks     *worker.Agent
 	targets   *membership.LocalTargets
 	requests  *request.Executor
 	announcer *membership.Announcer
+
+	hintMu sync.Mutex
+	hint   string // address of the leader that an entry named last
+	finds  int
 }
 
 func newAgent(s settings.Agent) (*agent, error) {
@@ -104,7 +113,8 @@
 
 func (a *agent) buildCell() error {
 	leading := func() bool { _, leads := a.node.Leading(); return leads }
-	a.burn = newBurnCounts(a.platform.Table(), a.settings.Platform.Timeout(), string(a.settings.Worker), a.holder.Current, leading, a.telemetry.Log.Named("burn"))
+	a.burn = newBurnCounts(a.platform.Table(), a.settings.Platform.Timeout(), string(a.settings.Worker), a.holder.Current, leading)
+	a.planner = planner.New(a.holder.Current, placement.Options{})
 	node, err := cell.New(cell.Options{
 		Cell:     a.settings.Cell,
 		Domain:   a.settings.FailureDomain,
@@ -114,8 +124,9 @@
 		Objects:  a.platform.Objects(),
 		Assign:   a.peers.assign,
 		Observer: a.burn,
+		Timing:   cell.Timing{Ride: cell.KindDurations{Batch: maxRide, Service: maxRide}},
 		Quotas:   a.quotas,
-		Planner:  planner.New(a.holder.Current, placement.Options{}),
+		Planner:  a.planner,
 		Config:   a.holder.UpdateSince,
 		Log:      a.telemetry.Log.Named("cell"),
 		Meters:   a.telemetry.Meters,
@@ -160,11 +171,25 @@
 }
 
 // Find implements worker.LeaderFinder: this host's own part in the cell knows
-// the leader, and answers a heartbeat with its address.
+// the leader from the table and answers a heartbeat with its address. While the
+// table is out, every other try goes to the leader that the entries name.
 func (a *agent) Find(context.Context, structs.CellID) (string, error) {
+	a.hintMu.Lock()
+	defer a.hintMu.Unlock()
+	a.finds++
+	if a.hint != "" && a.finds%2 == 0 {
+		return a.hint, nil
+	}
 	return a.settings.PeerAddress, nil
 }
 
+// takeLeaderHint remembers the leader that an entry names.
+func (a *agent) takeLeaderHint(address string) {
+	a.hintMu.Lock()
+	defer a.hintMu.Unlock()
+	a.hint = address
+}
+
 func (a *agent) buildRequests() error {
 	incarnation := uuid.NewString()
 	a.targets = membership.NewLocalTargets(membership.LocalOptions{
@@ -191,6 +216,8 @@
 		Dial:           membership.GRPCDialer(peerDialOptions()...),
 		Clock:          executor.Clock,
 		ConfigRevision: a.holder.Revision,
+		Leader:         a.tasks.Leader,
+		LeaderHint:     a.takeLeaderHint,
 		Log:            a.telemetry.Log.Named("announcer"),
 		Meter:          a.telemetry.Meters.Meter("announcer"),
 	})
@@ -206,6 +233,7 @@
 		daisywallpb.RegisterCellServer(g, a.node)
 		configpb.RegisterConfigServer(g, config.NewServer(a.holder))
 	}}
+	handover := planner.NewHandover(a.planner, a.platform.Objects(), a.settings.Cell, a.node.Leading, a.telemetry.Log.Named("planner"))
 	announce := newRunner(a.announcer.Run)
 	work := newRunner(a.tasks.Run)
 	services := []struct {
@@ -216,8 +244,10 @@
 		{"telemetry", hooks{stop: a.telemetry.Close}, nil},
 		{"platform", hooks{stop: func(context.Context) error { return a.platform.Close() }}, []string{"telemetry"}},
 		{"peers", hooks{stop: func(context.Context) error { a.peers.close(); return nil }}, []string{"telemetry"}},
-		{"burn", newRunner(a.burn.run), []string{"platform"}},
+		{"burn", newRunner(a.burn.flusher.Run), []string{"platform"}},
+		{"away", newRunner(a.burn.watchAway), []string{"platform"}},
 		{"cell", newRunner(a.node.Run), []string{"platform", "peers", "burn"}},
+		{"handover", newRunner(handover.Run), []string{"platform", "cell"}},
 		{"config", newRunner(a.watchConfig), []string{"platform", "cell"}},
 		{"peer-server", server, []string{"cell"}},
 		{"tasks", hooks{start: work.Start, stop: a.stopTasks(work)}, []string{"peer-server", "platform"}},
