--- a/worker/bench_test.go
+++ b/worker/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -47,20 +48,43 @@
 	}
 }
 
-func benchmarkHeartbeat(b *testing.B, runs int, full bool) {
+// BenchmarkMemory reports the heap that an agent takes for its runs, after
+// three heartbeats.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for _, runs := range []int{0, 22, 1000} {
+		b.Run(fmt.Sprintf("runs=%d", runs), func(b *testing.B) {
+			r := steadyRuns(runs)
+			for b.Loop() {
+				before := heap()
+				leader := &fakeLeader{epoch: 1}
+				agent := benchAgent(b, r, leader)
+				leader.requests = nil
+				b.ReportMetric(heap()-before, "heap-B")
+				runtime.KeepAlive(agent)
+			}
+		})
+	}
+}
+
+// steadyRuns returns a runtime with running tasks.
+func steadyRuns(runs int) *steadyRuntime {
 	r := &steadyRuntime{}
 	for i := range runs {
 		id := structs.AttemptID{Task: structs.TaskID{Job: "1kg2n6hei99tr6hckhghii4nvs", Index: int32(i)}, Number: 1}
 		r.runs = append(r.runs, platform.Run{Attempt: id, State: platform.RunRunning, Class: "pricing", Kind: structs.WorkBatch, Resources: oneTask})
 	}
-	leader := &fakeLeader{epoch: 1}
-	var bytes int
-	answer := func(req *daisywallpb.HeartbeatRequest, resp *daisywallpb.HeartbeatResponse) error {
-		resp.WantFull = full
-		bytes = proto.Size(req) + proto.Size(resp)
-		return nil
-	}
-	leader.setAnswer(answer)
+	return r
+}
+
+// benchAgent returns an agent after its first heartbeats.
+func benchAgent(b *testing.B, r *steadyRuntime, leader *fakeLeader) *Agent {
+	b.Helper()
 	agent, err := New(Options{
 		Worker:  structs.Worker{ID: "worker-0001", Cell: "cell-01", FailureDomain: "domain-1", Rack: "rack-1", Capacity: hostCapacity, Address: "10.0.0.1:7000"},
 		Runtime: r, Finder: leader, Heartbeat: leader.Heartbeat,
@@ -73,6 +97,19 @@
 			b.Fatal(err)
 		}
 	}
+	return agent
+}
+
+func benchmarkHeartbeat(b *testing.B, runs int, full bool) {
+	leader := &fakeLeader{epoch: 1}
+	var bytes int
+	answer := func(req *daisywallpb.HeartbeatRequest, resp *daisywallpb.HeartbeatResponse) error {
+		resp.WantFull = full
+		bytes = proto.Size(req) + proto.Size(resp)
+		return nil
+	}
+	leader.setAnswer(answer)
+	agent := benchAgent(b, steadyRuns(runs), leader)
 	b.ReportAllocs()
 	for b.Loop() {
 		leader.requests = leader.requests[:0]
