--- a/cell/candidates_test.go
+++ b/cell/candidates_test.go
@@ -43,3 +43,23 @@
 		is.Equal(w.row(t, "a").Epoch, int64(2))
 	})
 }
+
+// TestManyCandidatesReplaceALeaderAtTheDefaultTerm measures the same with the
+// durations that agents use.
+func TestManyCandidatesReplaceALeaderAtTheDefaultTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, Timing{})
+		defer w.close()
+		const hosts = 64
+		w.add("a", "north", hosts)
+		time.Sleep(2 * time.Minute)
+		before := w.looks()
+		time.Sleep(2 * time.Minute)
+		t.Logf("%.1f reads of the leadership row a second", float64(w.looks()-before)/120)
+		w.kill(w.leading("a")[0])
+		began := time.Now()
+		is.True(eventually(DefaultTerm+3*time.Second, func() bool { return len(w.leading("a")) == 1 }))
+		t.Logf("led again after %s", time.Since(began))
+	})
+}
