Callers may number their sends of a key; claims are swept

Cause: a keyed alert was refused in a table outage although its first send needs no proof; rows of claims stayed for ever. Change: header Idempotency-Try, request.ClaimSweeper on entries, the agents' gRPC server with the router's window sizes. Measured: TestRequestsAndRunsOutliveATableOutage sends an alert with try 1 while the table refuses: answered, one execution.

--- a/client/client.go
+++ b/client/client.go
@@ -42,10 +42,19 @@
 // Request sends one request of the kind. An empty key lets the entry choose
 // the request's ID.
 func (c *Client) Request(ctx context.Context, team structs.TeamID, kind, key string, body []byte) (Answer, error) {
+	return c.RequestTry(ctx, team, kind, key, 0, body)
+}
+
+// RequestTry is Request for a caller that numbers its sends of a key from 1,
+// and makes each at most once.
+func (c *Client) RequestTry(ctx context.Context, team structs.TeamID, kind, key string, try int, body []byte) (Answer, error) {
 	header := http.Header{"Content-Type": {"application/json"}}
 	if key != "" {
 		header.Set(HeaderIdempotencyKey, key)
 	}
+	if try > 0 {
+		header.Set(HeaderTry, strconv.Itoa(try))
+	}
 	return c.do(ctx, http.MethodPost, path("v1", "teams", string(team), "requests", kind), header, body)
 }
 
--- a/client/types.go
+++ b/client/types.go
@@ -14,7 +14,11 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderRequestID      = "Request-Id"
 	HeaderTimeoutMS      = "Request-Timeout-Ms" // time that the caller waits, in milliseconds
-	HeaderOperator       = "Operator"           // name of the operator, for the history
+	// HeaderTry numbers the caller's own sends of an idempotency key, from 1. A
+	// first send needs no proof that nothing ran before, so it is carried also
+	// while the table is out.
+	HeaderTry      = "Idempotency-Try"
+	HeaderOperator = "Operator" // name of the operator, for the history
 )
 
 // JobRequest is the body of a job submission. Zero values are taken from the
--- a/command/operate.go
+++ b/command/operate.go
@@ -94,6 +94,7 @@
 	Kind string `arg:"" help:"Request kind of the team's configuration."`
 	Body string `arg:"" optional:"" help:"JSON body." default:"{}"`
 	Key  string `help:"Idempotency key: requests with the same key run at most once."`
+	Try  int    `help:"Number of this send of the key, from 1. A first send is carried also while the table is out."`
 }
 
 // Run sends the request.
@@ -103,7 +104,7 @@
 	}
 	api, ctx, cancel := root.api(env)
 	defer cancel()
-	answer, err := api.Request(ctx, structs.TeamID(c.Team), c.Kind, c.Key, []byte(c.Body))
+	answer, err := api.RequestTry(ctx, structs.TeamID(c.Team), c.Kind, c.Key, c.Try, []byte(c.Body))
 	if err != nil {
 		return err
 	}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -228,7 +228,7 @@
 // the entries learn that the agent leaves, its requests finish, its tasks move
 // off, its leadership is released.
 func (a *agent) register() error {
-	server := &grpcServer{address: a.settings.PeerAddress, register: func(g *grpc.Server) {
+	server := &grpcServer{address: a.settings.PeerAddress, options: request.AgentServerOptions(), register: func(g *grpc.Server) {
 		daisywallpb.RegisterAgentServer(g, &agentServer{requests: a.requests, tasks: a.tasks})
 		daisywallpb.RegisterCellServer(g, a.node)
 		configpb.RegisterConfigServer(g, config.NewServer(a.holder))
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -182,6 +182,7 @@
 		{"registry", newRunner(e.registry.Run), []string{"peer-server"}},
 		{"entries", newRunner(e.rows.Run), []string{"peer-server", "platform"}},
 		{"services", newRunner(e.services.run), []string{"config"}},
+		{"claim-sweeper", newRunner(request.NewClaimSweeper(e.platform.Table(), e.telemetry.Log.Named("claims")).Run), []string{"platform"}},
 		{"job-sweeper", newRunner(cell.NewSweeper(e.jobs, e.platform.Objects(), e.telemetry.Log.Named("jobs")).Run), []string{"platform"}},
 		{"burn", newRunner(e.burn.flusher.Run), []string{"platform"}},
 		{"away", newRunner(e.burn.watchAway), []string{"platform"}},
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -127,6 +127,7 @@
 // grpcServer is a kernel service that serves gRPC and shuts down gracefully.
 type grpcServer struct {
 	address  string
+	options  []grpc.ServerOption // beside the bound on messages
 	register func(*grpc.Server)
 	before   func(ctx context.Context) // runs before the listener closes, may be nil
 	server   *grpc.Server
@@ -138,7 +139,8 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", s.address, err)
 	}
-	s.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))
+	options := append([]grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes)}, s.options...)
+	s.server = grpc.NewServer(options...)
 	s.register(s.server)
 	host.Go(func(context.Context) error {
 		if err := s.server.Serve(listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -143,8 +143,15 @@
 	for i := range 20 {
 		c.request(i%2, "jabuka", "slot-check", "", `{"delivery":"HR-1"}`)
 	}
+	// A caller that numbers its sends gets a new alert through, exactly once.
+	before := len(c.executions())
+	alert, err := c.client(0).RequestTry(context.Background(), "graz", "alert", "in-outage", 1, []byte(`{"pet":"cat"}`))
+	is.NoErr(err)
+	is.Equal(alert.Status, http.StatusOK)
+	is.Equal(len(c.executions()), before+1)
+	c.checkAtMostOnce()
 	// A job cannot be accepted now, and says so at once with a time to return.
-	_, err := c.client(0).SubmitJob(context.Background(), "jabuka", "in-outage", client.JobRequest{Class: "pricing"})
+	_, err = c.client(0).SubmitJob(context.Background(), "jabuka", "in-outage", client.JobRequest{Class: "pricing"})
 	var details *problem.Error
 	is.True(errors.As(err, &details))
 	is.Equal(details.Type, problem.TypeUnavailable)
--- a/entryapi/request.go
+++ b/entryapi/request.go
@@ -77,7 +77,11 @@
 
 // callFrom checks the head and the body of a request.
 func callFrom(w http.ResponseWriter, r *http.Request, team structs.TeamID, kind string) (request.Call, error) {
-	timeout, err := timeoutOf(r)
+	timeout, err := positiveHeader(r, client.HeaderTimeoutMS)
+	if err != nil {
+		return request.Call{}, err
+	}
+	try, err := positiveHeader(r, client.HeaderTry)
 	if err != nil {
 		return request.Call{}, err
 	}
@@ -96,7 +100,8 @@
 		Method:  http.MethodPost,
 		Path:    "/v1/" + kind,
 		Body:    body,
-		Timeout: timeout,
+		Timeout: time.Duration(timeout) * time.Millisecond,
+		Try:     int(try),
 	}
 	if r.URL.RawQuery != "" {
 		call.Path += "?" + r.URL.RawQuery
@@ -109,17 +114,18 @@
 	return call, nil
 }
 
-// timeoutOf reads how long the caller waits, 0 when it does not say.
-func timeoutOf(r *http.Request) (time.Duration, error) {
-	text := r.Header.Get(client.HeaderTimeoutMS)
+// positiveHeader reads a header that holds a number above 0, and returns 0
+// when it is absent.
+func positiveHeader(r *http.Request, name string) (int64, error) {
+	text := r.Header.Get(name)
 	if text == "" {
 		return 0, nil
 	}
-	ms, err := strconv.ParseInt(text, 10, 32)
-	if err != nil || ms <= 0 {
-		return 0, headerFault(client.HeaderTimeoutMS, text, "must be a number of milliseconds above 0")
+	number, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || number <= 0 {
+		return 0, headerFault(name, text, "must be a number above 0")
 	}
-	return time.Duration(ms) * time.Millisecond, nil
+	return number, nil
 }
 
 func headerFault(name, value, rule string) error {
--- a/entryapi/server_test.go
+++ b/entryapi/server_test.go
@@ -103,6 +103,7 @@
 		{"unknown path", "GET", "/v2", "", nil, 404, problem.TypeNotFound},
 		{"timeout that is no number", http.MethodPost, "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderTimeoutMS: {"soon"}}, 400, problem.TypeInvalid},
 		{"timeout below zero", http.MethodPost, "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderTimeoutMS: {"-5"}}, 400, problem.TypeInvalid},
+		{"try that is no number", "POST", "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderTry: {"first"}}, 400, problem.TypeInvalid},
 		{"idempotency key that is too long", http.MethodPost, "/v1/teams/jabuka/requests/slot-check", "{}", http.Header{client.HeaderIdempotencyKey: {long}}, 400, problem.TypeInvalid},
 		{"request body that is too large", http.MethodPost, "/v1/teams/jabuka/requests/slot-check", strings.Repeat("x", maxRequestBody+1), nil, 413, problem.TypeTooLarge},
 		{"job of an unknown team", http.MethodPost, "/v1/teams/nobody/jobs", `{"class":"pricing"}`, nil, 404, problem.TypeNotFound},
