Explain as text, also for tasks that are over

Cause: explain printed raw JSON, and a finished task was not found although the decisions about it were recorded (seen when the commands were tried on daisywall dev). Change: command/explain.go renders the leader's answer; decisions count as a find. Measured: e2e.TestWholePathOfBothDeployments asks for a finished task.

--- a/cell/explain.go
+++ b/cell/explain.go
@@ -33,8 +33,8 @@
 // Explainer is a Planner that remembers its decisions.
 type Explainer interface {
 	// Explain returns a JSON value with the decisions about a task, a job or
-	// a worker.
-	Explain(subject, id string) (any, error)
+	// a worker, and whether there are any.
+	Explain(subject, id string) (decisions any, found bool, err error)
 }
 
 // Subjects of Explain.
@@ -55,9 +55,12 @@
 		return nil, err
 	}
 	if explainer, keeps := n.o.Planner.(Explainer); keeps {
-		if report.Decisions, err = explainer.Explain(req.GetSubject(), req.GetId()); err != nil {
+		decisions, found, err := explainer.Explain(req.GetSubject(), req.GetId())
+		if err != nil {
 			return nil, err
 		}
+		// Decisions outlive a task that is final and no longer held here.
+		report.Decisions, report.Found = decisions, report.Found || found
 	}
 	data, err := json.Marshal(report)
 	if err != nil {
--- /dev/null
+++ b/command/explain.go
@@ -0,0 +1,65 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/daisywall/daisywall/cell"
+	"github.com/daisywall/daisywall/explain"
+)
+
+// ExplainCommand prints where a task, a job or a worker stands and why.
+type ExplainCommand struct {
+	Subject string `arg:"" enum:"task,job,worker" help:"One of task, job, worker."`
+	ID      string `arg:"" help:"Its name; a task is job/index."`
+}
+
+// explanation is the answer of a leader, with the planner's decisions.
+type explanation struct {
+	cell.Report
+	Decisions explain.Report `json:"decisions"`
+}
+
+// Run prints the explanation.
+func (c *ExplainCommand) Run(root *Root, env Env) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	document, err := api.Raw(ctx, nil, "v1", "explain", c.Subject, c.ID)
+	if err != nil {
+		return err
+	}
+	var e explanation
+	if err := json.Unmarshal(document, &e); err != nil {
+		return fmt.Errorf("decode explanation: %w", err)
+	}
+	var textErr error
+	err = root.print(env, e, func(w io.Writer) { textErr = e.write(w) })
+	if err != nil {
+		return err
+	}
+	return textErr
+}
+
+// write prints the explanation as text; what is empty is left out.
+func (e *explanation) write(w io.Writer) error {
+	fmt.Fprintf(w, "%s %s in cell %s, led in epoch %d\n", e.Subject, e.ID, e.Cell, e.Epoch)
+	line := func(name string, value any, shown bool) {
+		if shown {
+			fmt.Fprintf(w, "  %-9s %v\n", name, value)
+		}
+	}
+	line("state", e.State, e.State != "")
+	line("worker", e.Worker, e.Worker != "" && e.Subject != "worker")
+	line("attempt", e.Attempt, e.Attempt > 0)
+	line("waiting", fmt.Sprintf("%.1f s", e.Waiting), e.Waiting > 0)
+	line("reason", fmt.Sprintf("%s: %s", e.Reason, e.Detail), e.Reason != "")
+	line("failed on", e.FailedOn, len(e.FailedOn) > 0)
+	if e.Status != nil {
+		line("tasks", fmt.Sprintf("%d accepted, %d finished, %d failed, %d cancelled",
+			e.Status.Accepted, e.Status.Finished, e.Status.Failed, e.Status.Cancelled), true)
+	}
+	line("free", fmt.Sprintf("%d milli-CPU, %d MB, %d accelerators", e.Free.MilliCPU, e.Free.MemoryMB, e.Free.Accelerators), e.Subject == "worker")
+	line("runs", e.Runs, len(e.Runs) > 0)
+	return e.Decisions.WriteText(w)
+}
--- a/command/operate.go
+++ b/command/operate.go
@@ -112,25 +112,6 @@
 	return nil
 }
 
-// ExplainCommand prints decision records.
-type ExplainCommand struct {
-	Subject string `arg:"" enum:"task,job,worker" help:"One of task, job, worker."`
-	ID      string `arg:"" help:"Its name; a task is job/index."`
-}
-
-// Run prints the records.
-func (c *ExplainCommand) Run(root *Root, env Env) error {
-	api, ctx, cancel := root.api(env)
-	defer cancel()
-	query := url.Values{"format": {root.Output}}
-	report, err := api.Raw(ctx, query, "v1", "explain", c.Subject, c.ID)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintln(env.Out, string(report))
-	return nil
-}
-
 // BurnCommand prints the service-level burn report.
 type BurnCommand struct {
 	HTML string `help:"Write the report as one HTML page to this file."`
--- a/command/questionnaire.go
+++ b/command/questionnaire.go
@@ -42,7 +42,7 @@
 		return err
 	}
 	if c.Explain {
-		explain(env.Err, result.Explanations)
+		printExplanations(env.Err, result.Explanations)
 	}
 	if c.Out == "" {
 		_, err := env.Out.Write(document)
@@ -76,7 +76,7 @@
 	return nil
 }
 
-func explain(w io.Writer, explanations []questionnaire.Explanation) {
+func printExplanations(w io.Writer, explanations []questionnaire.Explanation) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "FIELD\tVALUE\tWHY")
 	for _, e := range explanations {
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -132,6 +133,11 @@
 	is.NoErr(err)
 	is.True(json.Valid(prices))
 
+	// The leader says why the task ran where it did, also when it is over.
+	out, code := c.run("explain", "task", string(pricing)+"/0")
+	is.Equal(code, command.ExitOK)
+	is.True(strings.Contains(out, "place task "+string(pricing)+"/0"))
+
 	// An alert runs once, also when its key comes again through another entry.
 	first := c.request(0, "graz", "alert", "beagle-7", `{"pet":"beagle Luna"}`)
 	second := c.request(1, "graz", "alert", "beagle-7", `{"pet":"beagle Luna"}`)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -79,12 +79,14 @@
 	return p.translate(s, &plan)
 }
 
-// Explain returns the recorded decisions about a task, a job or a worker.
-func (p *Planner) Explain(subject, id string) (any, error) {
+// Explain returns the recorded decisions about a task, a job or a worker, and
+// whether there are any.
+func (p *Planner) Explain(subject, id string) (any, bool, error) {
 	p.mu.Lock()
 	now := time.Since(p.started)
 	p.mu.Unlock()
-	return p.log.Report(explain.Subject(subject), id, now)
+	report, err := p.log.Report(explain.Subject(subject), id, now)
+	return report, len(report.Decisions) > 0, err
 }
 
 // learn feeds the estimator with what is new since the last round.
