A dead cell's ticket, or a task beyond the quota, holds up nobody

Cause: read-through of the tickets: the lowest ticket of a cell that died, or of a cell whose smallest task is larger than the quota, kept free quota from everybody for good. Change: after 30 s without a change of the row tickets no longer count; a task larger than the whole quota takes no ticket and is refused at submission (422). Measured: TestTicketOfADeadCellHoldsNobodyUpForLong and TestFreeQuotaGoesToTheLowestTicketInWholeTasks; go test -run 'Quota|Ticket' ./cell 0.7 s.

--- a/cell/quota.go
+++ b/cell/quota.go
@@ -27,6 +27,10 @@
 	// while there is other work. It grows with conflicts.
 	quotaPeriod    = time.Second
 	maxQuotaPeriod = 16 * time.Second
+	// ticketHold is how long free quota waits for the cell with the lowest
+	// ticket. A cell that has died, or whose task is too large for what is free,
+	// must not hold up the others for longer.
+	ticketHold = 30 * time.Second
 	// maxQuotaRows bounds the quota rows of one transaction. Each of them may be
 	// the one that another cell has written first.
 	maxQuotaRows = 4
@@ -52,6 +56,7 @@
 	revision int64
 	row      quotaRow
 	surplus  time.Time // since when the share is larger than the need, zero if not
+	changed  time.Time // when this revision was first seen, by this leader's clock
 }
 
 // quotas is a leader's part in the division of the teams' quotas.
@@ -93,7 +98,7 @@
 		if err := decode(row.Key, row.Value, &read); err != nil {
 			return err
 		}
-		view.revision, view.row = row.Revision, read
+		view.revision, view.row, view.changed = row.Revision, read, time.Now()
 	}
 	l.quotas.since = max(l.quotas.since, revision)
 	l.quotas.polled = true
@@ -227,7 +232,8 @@
 	target := share
 	switch {
 	case !n.wanted.Fits(share):
-		target = view.row.grown(l.cell, quota, n)
+		inOrder := now.Sub(view.changed) < ticketHold
+		target = view.row.grown(l.cell, quota, n, inOrder)
 		view.surplus = time.Time{}
 	case n.wanted == share:
 		view.surplus = time.Time{}
@@ -243,7 +249,8 @@
 			target = atMost(share, kept)
 		}
 	}
-	short := !n.wanted.Fits(target)
+	// A task that is larger than the whole quota waits for another quota.
+	short := !n.wanted.Fits(target) && n.step.Fits(quota)
 	_, waiting := view.row.Wants[l.cell]
 	if target == share && short == waiting {
 		return quotaRow{}, false
@@ -252,12 +259,12 @@
 }
 
 // grown is the share of a cell that needs more: what is free, in steps of the
-// smallest pending task, once every cell with a lower ticket has been served.
-func (r quotaRow) grown(own structs.CellID, quota structs.Resources, n *need) structs.Resources {
+// smallest pending task. With inOrder, cells with a lower ticket come first.
+func (r quotaRow) grown(own structs.CellID, quota structs.Resources, n *need, inOrder bool) structs.Resources {
 	share := r.Shares[own]
 	ticket, waiting := r.Wants[own]
 	for other, t := range r.Wants {
-		if other != own && (!waiting || t < ticket) {
+		if inOrder && other != own && (!waiting || t < ticket) {
 			return share
 		}
 	}
@@ -349,7 +356,7 @@
 	}
 	for _, q := range w.quotas {
 		view := l.quotaOf(q.team)
-		view.row, view.revision, view.surplus = q.row, revision, time.Time{}
+		view.row, view.revision, view.surplus, view.changed = q.row, revision, time.Time{}, time.Now()
 	}
 }
 
--- a/cell/quota_test.go
+++ b/cell/quota_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
 )
 
@@ -44,6 +45,50 @@
 	is.True(checkQuota([]event{start(0), start(1)}, size) != nil)
 }
 
+func TestFreeQuotaGoesToTheLowestTicketInWholeTasks(t *testing.T) {
+	unit := structs.Resources{MilliCPU: 1000, MemoryMB: 1000}
+	row := quotaRow{
+		Shares: map[structs.CellID]structs.Resources{"a": unit.Scale(3), "b": unit},
+		Wants:  map[structs.CellID]int64{"b": 1, "c": 2},
+	}
+	quota := unit.Scale(6)
+	quota.MemoryMB += 500 // no task fits into the rest
+	cases := []struct {
+		name    string
+		cell    structs.CellID
+		need    need
+		inOrder bool
+		want    structs.Resources
+	}{
+		{"the lowest ticket takes what it needs", "b", need{used: unit, wanted: unit.Scale(2), step: unit}, true, unit.Scale(2)},
+		{"and no part of a task", "b", need{used: unit, wanted: unit.Scale(9), step: unit}, true, unit.Scale(3)},
+		{"the next ticket waits", "c", need{wanted: unit, step: unit}, true, structs.Resources{}},
+		{"a cell without a ticket waits", "a", need{used: unit.Scale(3), wanted: unit.Scale(4), step: unit}, true, unit.Scale(3)},
+		{"not for a cell that takes nothing for too long", "c", need{wanted: unit, step: unit}, false, unit},
+		{"a task that is larger than what is free gets nothing", "b", need{used: unit, wanted: unit.Scale(6), step: unit.Scale(5)}, true, unit},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(row.grown(c.cell, quota, &c.need, c.inOrder), c.want)
+		})
+	}
+}
+
+func TestTicketOfADeadCellHoldsNobodyUpForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newQuotaWorld(t)
+		defer w.close()
+		dead := quotaRow{Wants: map[structs.CellID]int64{"gone": 1}}
+		_, err := w.table.Commit(w.ctx, platform.Txn{ID: "dead", Puts: []platform.Put{{Key: quotaKey("jabuka"), Value: encode(dead)}}})
+		is.NoErr(err)
+		id := w.submit("beside", structs.WorkBatch, 6)
+		_, done := w.settled(id, 3*ticketHold)
+		is.True(done)
+	})
+}
+
 // quotaOfSix lets six of the test's tasks run at a time.
 var quotaOfSix = structs.Resources{MilliCPU: 6000, MemoryMB: 6000}
 
--- a/entryapi/jobs.go
+++ b/entryapi/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -95,6 +96,12 @@
 	if submitted.Resources != nil {
 		job.Resources = *submitted.Resources
 	}
+	if !job.Resources.Fits(teamConfig.Quota) {
+		return structs.Job{}, &structs.RefusedError{
+			Subject: "job", Reason: structs.ReasonQuota,
+			Detail: fmt.Sprintf("one task needs %+v, the team's whole quota is %+v", job.Resources, teamConfig.Quota),
+		}
+	}
 	if submitted.DeadlineMS > 0 {
 		job.Deadline = now.Add(time.Duration(submitted.DeadlineMS) * time.Millisecond)
 	}
--- a/entryapi/server_test.go
+++ b/entryapi/server_test.go
@@ -51,6 +51,7 @@
 func (c configCalls) Current() *structs.Config {
 	return &structs.Config{Revision: 1, Teams: []structs.TeamConfig{{
 		ID:       "jabuka",
+		Quota:    structs.Resources{MilliCPU: 1000, MemoryMB: 1000},
 		Requests: []structs.RequestKind{{Name: "slot-check", DeadlineMS: 800}},
 		Batch:    []structs.BatchConfig{{Class: "pricing", Program: "pricing"}},
 	}}}
@@ -112,6 +113,7 @@
 		{"job with an unknown field", http.MethodPost, "/v1/teams/jabuka/jobs", `{"class":"pricing","taks":2}`, nil, 400, problem.TypeInvalid},
 		{"two documents as a job", http.MethodPost, "/v1/teams/jabuka/jobs", `{"class":"pricing"}{}`, nil, 400, problem.TypeInvalid},
 		{"job with a negative size", http.MethodPost, "/v1/teams/jabuka/jobs", `{"class":"pricing","tasks":-1,"deadline_ms":-2,"resources":{"milli_cpu":0,"memory_mb":1,"accelerators":0}}`, nil, 400, problem.TypeInvalid},
+		{"job that is larger than the team's quota", "POST", "/v1/teams/jabuka/jobs", `{"class":"pricing","resources":{"milli_cpu":1001,"memory_mb":1,"accelerators":0}}`, nil, 422, problem.TypeRefused},
 		{"result of no number", "GET", "/v1/jobs/j/results/first", "", nil, 400, problem.TypeInvalid},
 		{"unknown state of a failure domain", "POST", "/v1/domains/kordun/away", "", nil, 400, problem.TypeInvalid},
 		{"configuration change without the revision", "POST", "/v1/config", `{}`, nil, 400, problem.TypeInvalid},
