--- a/cell/backlog.go
+++ b/cell/backlog.go
@@ -10,10 +10,10 @@
 
 // Bounds of the pending tasks that one snapshot shows to the planner.
 const (
-	maxPending = 1024
+	maxPending = 256
 	// minPerTeam is the least number of tasks of a team that are looked at
 	// before the rest of another team's backlog.
-	minPerTeam = 16
+	minPerTeam = 4
 )
 
 // backlog chooses the pending tasks that the planner sees: of every team that
