--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -44,7 +44,9 @@
 // deliver sends the outbox of a worker, one request at a time.
 func (l *leader) deliver(v *view) {
 	b := &v.outbox
-	if b.sending || l.over || len(b.assignments)+len(b.actions) == 0 {
+	// A worker that has not described itself yet has no address; its first
+	// heartbeat delivers what waits.
+	if b.sending || l.over || v.worker.Address == "" || len(b.assignments)+len(b.actions) == 0 {
 		return
 	}
 	req := &daisywallpb.AssignRequest{
--- a/cell/heartbeat.go
+++ b/cell/heartbeat.go
@@ -62,6 +62,7 @@
 			l.takeAbsences(v)
 		}
 		l.askActions(v, now)
+		l.deliver(v)
 	}
 	l.grant(v, resp, now)
 	resp.WantFull = !proved || l.wantsFull(v, now)
