--- a/cell/capacity_bench_test.go
+++ b/cell/capacity_bench_test.go
@@ -216,23 +216,32 @@
 // BenchmarkQuotaMoves counts the rows and conflicts of 63 teams that compete
 // for their quotas over a growing number of cells, a second and cell. Part is
 // the number of tasks that an equal part of a quota holds in each cell; the
-// quotas add up to four fifths of the workers. Run it with -benchtime 1x.
+// quotas add up to four fifths of the workers. For comparison it runs without
+// quotas as well. Run it with -benchtime 1x.
 func BenchmarkQuotaMoves(b *testing.B) {
 	for _, part := range []float64{16, 0.5} {
 		for _, cells := range []int{8, 24, 73} {
-			b.Run(fmt.Sprintf("part=%g/cells=%d", part, cells), func(b *testing.B) { quotaMoves(b, part, cells) })
+			for _, limited := range []bool{false, true} {
+				b.Run(fmt.Sprintf("part=%g/cells=%d/quotas=%t", part, cells, limited), func(b *testing.B) {
+					quotaMoves(b, part, cells, limited)
+				})
+			}
 		}
 	}
 }
 
-func quotaMoves(b *testing.B, part float64, cells int) {
+func quotaMoves(b *testing.B, part float64, cells int, limited bool) {
 	const teams, workers, tasks = 63, 4, 60
 	size := int64(part * float64(cells) * 1000)
 	limits := map[structs.TeamID]structs.Resources{}
 	for i := range teams {
 		limits[structs.TeamID(fmt.Sprintf("team-%02d", i))] = structs.Resources{MilliCPU: size, MemoryMB: size}
 	}
-	f := newFleetBench(b, cells, 1, func() map[structs.TeamID]structs.Resources { return limits })
+	var quotas Quotas
+	if limited {
+		quotas = func() map[structs.TeamID]structs.Resources { return limits }
+	}
+	f := newFleetBench(b, cells, 1, quotas)
 	slots := int64(part*teams/workers*5/4) + 1
 	f.run(b, workers, slots, func() {
 		jobs := NewJobs(f.table.Table, time.Second, nil)
