--- a/bench/burn/burn_test.go
+++ b/bench/burn/burn_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/daisywall/daisywall/burn"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/bench/config/propagation_test.go
+++ b/bench/config/propagation_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/config"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/burn/flusher.go
+++ b/burn/flusher.go
@@ -10,8 +10,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -26,9 +26,9 @@
 // the window goes on, which makes a repeated write harmless.
 type segment struct {
 	key      string
-	durable  *counts       // content of the row, nil before the first write
-	revision int64         // of the row, 0 before the first write
-	pending  *platform.Txn // write of unknown outcome, repeated until it is known
+	durable  *counts        // content of the row, nil before the first write
+	revision int64          // of the row, 0 before the first write
+	pending  *substrate.Txn // write of unknown outcome, repeated until it is known
 }
 
 // Flusher writes the counts of a Recorder to the table. Each life of a daemon
@@ -36,7 +36,7 @@
 // row away.
 type Flusher struct {
 	recorder *Recorder
-	table    platform.Table
+	table    substrate.Table
 	daemon   string // unique for each start
 
 	mu       sync.Mutex // held by Flush, guards what follows
@@ -48,7 +48,7 @@
 
 // NewFlusher returns a flusher for the daemon, such as an entry's or a cell's
 // ID. Run writes the counts.
-func NewFlusher(recorder *Recorder, table platform.Table, daemon string) *Flusher {
+func NewFlusher(recorder *Recorder, table substrate.Table, daemon string) *Flusher {
 	return &Flusher{
 		recorder: recorder, table: table, daemon: daemon + "." + uuid.NewString(),
 		fresh: map[int64]*counts{}, open: map[int64]*segment{},
@@ -110,10 +110,10 @@
 	if err != nil {
 		return // kept as fresh
 	}
-	txn := platform.Txn{
+	txn := substrate.Txn{
 		ID:       uuid.NewString(),
-		Compares: []platform.Compare{{Key: s.key, Revision: s.revision}},
-		Puts:     []platform.Put{{Key: s.key, Value: data}},
+		Compares: []substrate.Compare{{Key: s.key, Revision: s.revision}},
+		Puts:     []substrate.Put{{Key: s.key, Value: data}},
 	}
 	revision, err := f.commit(ctx, txn)
 	var unknown *structs.UnknownOutcomeError
@@ -138,7 +138,7 @@
 	}
 }
 
-func (f *Flusher) commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (f *Flusher) commit(ctx context.Context, txn substrate.Txn) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	revision, err := f.table.Commit(ctx, txn)
--- a/burn/flusher_test.go
+++ b/burn/flusher_test.go
@@ -11,12 +11,12 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // stored sums every row of the table.
-func stored(ctx context.Context, table platform.Table) (*counts, error) {
+func stored(ctx context.Context, table substrate.Table) (*counts, error) {
 	rows, _, err := table.Changes(ctx, prefix, 0)
 	if err != nil {
 		return nil, err
@@ -30,7 +30,7 @@
 }
 
 // rowsHeld is the number of rows in the table.
-func rowsHeld(ctx context.Context, table platform.Table) (held int, err error) {
+func rowsHeld(ctx context.Context, table substrate.Table) (held int, err error) {
 	rows, _, err := table.Changes(ctx, prefix, 0)
 	for _, row := range rows {
 		if row.Value != nil {
--- a/burn/fold.go
+++ b/burn/fold.go
@@ -11,8 +11,8 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -35,13 +35,13 @@
 // days that no error budget needs. Several may run at once; each transaction
 // compares every row that it takes, so no count is lost or taken twice.
 type Folder struct {
-	table   platform.Table
+	table   substrate.Table
 	metrics *metrics
 	log     *zap.Logger
 }
 
 // NewFolder returns a folder. Entries run one each.
-func NewFolder(table platform.Table, log *zap.Logger) *Folder {
+func NewFolder(table substrate.Table, log *zap.Logger) *Folder {
 	return &Folder{table: table, metrics: newMetrics(), log: log}
 }
 
@@ -106,7 +106,7 @@
 	}
 }
 
-func (f *Folder) list(ctx context.Context, prefix, after string) ([]platform.Row, error) {
+func (f *Folder) list(ctx context.Context, prefix, after string) ([]substrate.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, foldTimeout)
 	defer cancel()
 	rows, err := f.table.List(ctx, prefix, after, foldBatch)
@@ -118,16 +118,16 @@
 
 // foldedBatch is one transaction in the making.
 type foldedBatch struct {
-	txn   platform.Txn
+	txn   substrate.Txn
 	parts map[string][]bucket // by key of the row that they go into
 }
 
 func newFoldBatch() *foldedBatch {
-	return &foldedBatch{txn: platform.Txn{ID: uuid.NewString()}, parts: map[string][]bucket{}}
+	return &foldedBatch{txn: substrate.Txn{ID: uuid.NewString()}, parts: map[string][]bucket{}}
 }
 
-func (b *foldedBatch) take(row platform.Row, part bucket, into string) {
-	b.txn.Compares = append(b.txn.Compares, platform.Compare{Key: row.Key, Revision: row.Revision})
+func (b *foldedBatch) take(row substrate.Row, part bucket, into string) {
+	b.txn.Compares = append(b.txn.Compares, substrate.Compare{Key: row.Key, Revision: row.Revision})
 	b.txn.Deletes = append(b.txn.Deletes, row.Key)
 	b.parts[into] = append(b.parts[into], part)
 }
@@ -167,8 +167,8 @@
 		if err != nil {
 			return err
 		}
-		b.txn.Compares = append(b.txn.Compares, platform.Compare{Key: key, Revision: revision})
-		b.txn.Puts = append(b.txn.Puts, platform.Put{Key: key, Value: data})
+		b.txn.Compares = append(b.txn.Compares, substrate.Compare{Key: key, Revision: revision})
+		b.txn.Puts = append(b.txn.Puts, substrate.Put{Key: key, Value: data})
 	}
 	_, err := f.table.Commit(ctx, b.txn)
 	var conflict *structs.ConflictError
@@ -202,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	txn := platform.Txn{ID: uuid.NewString()}
+	txn := substrate.Txn{ID: uuid.NewString()}
 	for _, row := range rows {
 		b, err := decodeRow(row)
 		if err == nil && b.end().Before(before) {
--- a/burn/report.go
+++ b/burn/report.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // State says how fast an error budget is used up.
@@ -103,7 +103,7 @@
 // Load reads the counters at one point in time and reports on the objectives
 // of the configuration. Errors are those of the table's reads and
 // *CorruptError.
-func Load(ctx context.Context, table platform.Table, config *structs.Config) (*Report, error) {
+func Load(ctx context.Context, table substrate.Table, config *structs.Config) (*Report, error) {
 	rows, _, err := table.Changes(ctx, prefix, 0)
 	if err != nil {
 		return nil, fmt.Errorf("read burn counters: %w", err)
--- a/burn/report_test.go
+++ b/burn/report_test.go
@@ -16,7 +16,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/burn/rows.go
+++ b/burn/rows.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Rows of the counts. Live rows belong to one daemon and one window; hour and
@@ -61,7 +61,7 @@
 }
 
 // decodeRow reads a row of any of the prefixes.
-func decodeRow(row platform.Row) (bucket, error) {
+func decodeRow(row substrate.Row) (bucket, error) {
 	start, length, err := period(row.Key)
 	if err != nil {
 		return bucket{}, err
@@ -75,7 +75,7 @@
 
 // decodeRows reads the rows that were not deleted, without live rows that an
 // hour row has taken in.
-func decodeRows(rows []platform.Row) ([]bucket, error) {
+func decodeRows(rows []substrate.Row) ([]bucket, error) {
 	var buckets []bucket
 	folded := map[uint64]bool{}
 	for _, row := range rows {
--- a/cell/capacity_bench_test.go
+++ b/cell/capacity_bench_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // purposeTable counts calls and rows by purpose.
@@ -54,25 +54,25 @@
 	return counts
 }
 
-func (t *purposeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *purposeTable) Get(ctx context.Context, key string) (substrate.Row, error) {
 	t.add("read-"+purpose(key), 1)
 	time.Sleep(t.read)
 	return t.Table.Get(ctx, key)
 }
 
-func (t *purposeTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *purposeTable) List(ctx context.Context, prefix, after string, limit int) ([]substrate.Row, error) {
 	t.add("read-"+purpose(prefix), 1)
 	time.Sleep(t.read)
 	return t.Table.List(ctx, prefix, after, limit)
 }
 
-func (t *purposeTable) Changes(ctx context.Context, prefix string, since int64) ([]platform.Row, int64, error) {
+func (t *purposeTable) Changes(ctx context.Context, prefix string, since int64) ([]substrate.Row, int64, error) {
 	t.add("read-"+purpose(prefix), 1)
 	time.Sleep(t.read)
 	return t.Table.Changes(ctx, prefix, since)
 }
 
-func (t *purposeTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (t *purposeTable) Commit(ctx context.Context, txn substrate.Txn) (int64, error) {
 	time.Sleep(t.write)
 	revision, err := t.Table.Commit(ctx, txn)
 	if err != nil {
@@ -150,9 +150,9 @@
 		req.Runs = nil
 		f.mu.Lock()
 		for i, a := range f.runs[id] {
-			state := platform.RunRunning
+			state := substrate.RunRunning
 			if i < endsPerBeat {
-				state = platform.RunExited
+				state = substrate.RunExited
 			}
 			req.Runs = append(req.Runs, &daisywallpb.RunReport{Attempt: a.GetAttempt(), State: string(state), Resources: a.GetResources()})
 		}
--- a/cell/cell_bench_test.go
+++ b/cell/cell_bench_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // writeLatency is the time that the table takes for a write.
@@ -32,7 +32,7 @@
 	assigned int
 }
 
-func (t *slowTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (t *slowTable) Commit(ctx context.Context, txn substrate.Txn) (int64, error) {
 	if t.latency > 0 {
 		time.Sleep(t.latency)
 	}
@@ -120,7 +120,7 @@
 		req.Runs = nil
 		x.mu.Lock()
 		for _, a := range x.running[id] {
-			req.Runs = append(req.Runs, &daisywallpb.RunReport{Attempt: a.GetAttempt(), State: string(platform.RunExited), Resources: a.GetResources()})
+			req.Runs = append(req.Runs, &daisywallpb.RunReport{Attempt: a.GetAttempt(), State: string(substrate.RunExited), Resources: a.GetResources()})
 		}
 		x.running[id] = nil
 		x.freed[id] = time.Now()
@@ -262,12 +262,12 @@
 			if err := l.o.Objects.Put(b.Context(), "snapshot", data); err != nil {
 				b.Fatal(err)
 			}
-			puts := []platform.Put{{Key: snapshotKey("a"), Value: encode(snapshotPointer{Object: "snapshot", Seq: 1})}}
+			puts := []substrate.Put{{Key: snapshotKey("a"), Value: encode(snapshotPointer{Object: "snapshot", Seq: 1})}}
 			for i := range snapshotRows {
 				e := End{Job: JobIDFor("jabuka", "bench"), Index: int32(i), Number: 1, Cause: structs.EndFinished}
-				puts = append(puts, platform.Put{Key: logKey("a", i), Value: encode(&Batch{Seq: int64(i + 2), Epoch: 1, Ends: []End{e}})})
+				puts = append(puts, substrate.Put{Key: logKey("a", i), Value: encode(&Batch{Seq: int64(i + 2), Epoch: 1, Ends: []End{e}})})
 			}
-			if _, err := l.o.Table.Commit(b.Context(), platform.Txn{ID: "setup", Puts: puts}); err != nil {
+			if _, err := l.o.Table.Commit(b.Context(), substrate.Txn{ID: "setup", Puts: puts}); err != nil {
 				b.Fatal(err)
 			}
 			for b.Loop() {
@@ -292,7 +292,7 @@
 			Capacity: api.FromResources(structs.Resources{MilliCPU: 16_000, MemoryMB: 60_000}),
 		}
 		for _, t := range l.state.AssignedTo(benchWorker(i)) {
-			reqs[i].Runs = append(reqs[i].Runs, &daisywallpb.RunReport{Attempt: api.FromAttempt(t.Attempt()), State: string(platform.RunRunning)})
+			reqs[i].Runs = append(reqs[i].Runs, &daisywallpb.RunReport{Attempt: api.FromAttempt(t.Attempt()), State: string(substrate.RunRunning)})
 		}
 	}
 	beat := func(req *daisywallpb.HeartbeatRequest) {
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -5,15 +5,15 @@
 	"slices"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // work is the content of one transaction of a leader.
 type work struct {
 	batch    Batch
-	compares []platform.Compare // besides the leadership row
-	puts     []platform.Put     // besides the log row
+	compares []substrate.Compare // besides the leadership row
+	puts     []substrate.Put     // besides the log row
 	deletes  []string
 	renew    bool // write the leadership row
 	release  bool // give the leadership up with it
@@ -30,9 +30,9 @@
 // commit writes the work in one transaction that compares the leadership row,
 // and applies it. It returns *structs.ConflictError when a comparison failed.
 func (l *leader) commit(ctx context.Context, w *work) error {
-	txn := platform.Txn{
+	txn := substrate.Txn{
 		ID:       newTxnID(),
-		Compares: append([]platform.Compare{{Key: leaderKey(l.cell), Revision: l.revision}}, w.compares...),
+		Compares: append([]substrate.Compare{{Key: leaderKey(l.cell), Revision: l.revision}}, w.compares...),
 		Puts:     w.puts,
 		Deletes:  w.deletes,
 	}
@@ -46,7 +46,7 @@
 		pending, assigned := l.state.Counts()
 		row.Empty = w.release && l.ready && pending+assigned == 0
 		row.Ride, row.Lease = l.bounds(time.Now(), w.release)
-		txn.Puts = append(txn.Puts, platform.Put{Key: leaderKey(l.cell), Value: encode(row)})
+		txn.Puts = append(txn.Puts, substrate.Put{Key: leaderKey(l.cell), Value: encode(row)})
 	}
 	if !w.batch.Empty() {
 		w.batch.Seq, w.batch.Epoch = seq, l.epoch
@@ -54,8 +54,8 @@
 		witness = logKey(l.cell, next.slot)
 		value := encode(&w.batch)
 		size = len(value)
-		txn.Compares = append(txn.Compares, platform.Compare{Key: witness, Revision: next.revision})
-		txn.Puts = append(txn.Puts, platform.Put{Key: witness, Value: value})
+		txn.Compares = append(txn.Compares, substrate.Compare{Key: witness, Revision: next.revision})
+		txn.Puts = append(txn.Puts, substrate.Put{Key: witness, Value: value})
 	}
 	revision, sent, err := l.settler.commit(ctx, txn, witness)
 	if err != nil {
--- a/cell/compose.go
+++ b/cell/compose.go
@@ -6,8 +6,8 @@
 	"sort"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Bounds of one log row. They keep a row small whatever arrives at once.
@@ -168,7 +168,7 @@
 			continue
 		}
 		w.batch.Closes = append(w.batch.Closes, id)
-		w.puts = append(w.puts, platform.Put{Key: statusKey(id, l.cell), Value: encode(job.Status)})
+		w.puts = append(w.puts, substrate.Put{Key: statusKey(id, l.cell), Value: encode(job.Status)})
 	}
 }
 
--- a/cell/directory.go
+++ b/cell/directory.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Directory finds the cells and their leaders through the table.
@@ -14,7 +14,7 @@
 }
 
 // NewDirectory returns the directory in the table. Call limits one call to it.
-func NewDirectory(table platform.Table, call time.Duration) *Directory {
+func NewDirectory(table substrate.Table, call time.Duration) *Directory {
 	return &Directory{settler: newSettler(table, call)}
 }
 
--- a/cell/domains.go
+++ b/cell/domains.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // DomainRow is a failure domain with the revision of its row, for
@@ -21,7 +21,7 @@
 }
 
 // NewDomains returns the domains in the table. Call limits one call to it.
-func NewDomains(table platform.Table, call time.Duration) *Domains {
+func NewDomains(table substrate.Table, call time.Duration) *Domains {
 	return &Domains{settler: newSettler(table, call)}
 }
 
@@ -53,10 +53,10 @@
 
 func (d *Domains) set(ctx context.Context, domain structs.FailureDomain, revision int64) (DomainRow, error) {
 	key := domainKey(domain.ID)
-	txn := platform.Txn{
+	txn := substrate.Txn{
 		ID:       newTxnID(),
-		Compares: []platform.Compare{{Key: key, Revision: revision}},
-		Puts:     []platform.Put{{Key: key, Value: encode(domain)}},
+		Compares: []substrate.Compare{{Key: key, Revision: revision}},
+		Puts:     []substrate.Put{{Key: key, Value: encode(domain)}},
 	}
 	committed, _, err := d.settler.commit(ctx, txn, key)
 	return DomainRow{FailureDomain: domain, Revision: committed}, err
--- a/cell/evacuate.go
+++ b/cell/evacuate.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // serviceMovePeriod is the time between the evictions of two services, so that
@@ -87,7 +87,7 @@
 			First: t.Index, Count: 1, Number: t.Number, Checkpoint: t.Checkpoint, FailedOn: t.FailedOn,
 		})
 	}
-	w.puts = append(w.puts, platform.Put{Key: handoffKey(to, id, l.cell, l.state.Seq), Value: encode(item)})
+	w.puts = append(w.puts, substrate.Put{Key: handoffKey(to, id, l.cell, l.state.Seq), Value: encode(item)})
 }
 
 // evictAll asks for evictions, batch work first, with a bounded number under
--- a/cell/heartbeat.go
+++ b/cell/heartbeat.go
@@ -5,8 +5,8 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Traffic of heartbeats.
@@ -27,7 +27,7 @@
 const askAgain = 3 * time.Second
 
 // over reports whether a reported run has ended.
-func over(r *daisywallpb.RunReport) bool { return platform.RunState(r.GetState()).Over() }
+func over(r *daisywallpb.RunReport) bool { return substrate.RunState(r.GetState()).Over() }
 
 // heartbeat takes a worker's report and answers it. Ok is false when the
 // tenure is over.
@@ -153,13 +153,13 @@
 // endCause translates the state of a run that is over. A service that ends by
 // itself has failed: it is meant to stay up.
 func endCause(r *daisywallpb.RunReport, t *Task) structs.EndCause {
-	switch platform.RunState(r.GetState()) {
-	case platform.RunExited:
+	switch substrate.RunState(r.GetState()) {
+	case substrate.RunExited:
 		if r.GetFailed() || (t != nil && t.job.Job.Kind == structs.WorkService) {
 			return structs.EndFailed
 		}
 		return structs.EndFinished
-	case platform.RunLapsed:
+	case substrate.RunLapsed:
 		return structs.EndLost
 	default:
 		if t != nil && t.job.CancelRequested {
--- a/cell/host_test.go
+++ b/cell/host_test.go
@@ -8,13 +8,13 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // fakeRun is one attempt in a host's runtime.
 type fakeRun struct {
-	state      platform.RunState
+	state      substrate.RunState
 	size       structs.Resources
 	kind       structs.WorkKind
 	until      time.Time // end of the lease
@@ -70,14 +70,14 @@
 		switch {
 		case r.state.Over():
 		case lapses && !r.until.After(now):
-			h.over(id, r, platform.RunLapsed, r.until)
+			h.over(id, r, substrate.RunLapsed, r.until)
 		case !lapses && !r.done.After(now):
-			h.over(id, r, platform.RunExited, r.done)
+			h.over(id, r, substrate.RunExited, r.done)
 		}
 	}
 }
 
-func (h *host) over(id structs.AttemptID, r *fakeRun, state platform.RunState, at time.Time) {
+func (h *host) over(id structs.AttemptID, r *fakeRun, state substrate.RunState, at time.Time) {
 	r.state = state
 	h.world.history.addAt(event{kind: eventStop, attempt: id, host: h.id, size: r.size}, at)
 }
@@ -221,7 +221,7 @@
 		return structs.ReasonCapacity
 	}
 	r := &fakeRun{
-		state: platform.RunRunning, size: size, kind: kind, until: h.lease(kind), failed: h.fail,
+		state: substrate.RunRunning, size: size, kind: kind, until: h.lease(kind), failed: h.fail,
 		done: now.Add(h.world.runTime(kind)), checkpoint: a.GetCheckpoint(),
 	}
 	h.runs[id] = r
@@ -242,11 +242,11 @@
 	case daisywallpb.Action_VERB_EVICT:
 		if !r.state.Over() {
 			r.checkpoint = "checkpoint/" + id.String()
-			h.over(id, r, platform.RunStopped, time.Now())
+			h.over(id, r, substrate.RunStopped, time.Now())
 		}
 	case daisywallpb.Action_VERB_CANCEL:
 		if !r.state.Over() {
-			h.over(id, r, platform.RunStopped, time.Now())
+			h.over(id, r, substrate.RunStopped, time.Now())
 		}
 	case daisywallpb.Action_VERB_FORGET:
 		delete(h.runs, id)
@@ -260,7 +260,7 @@
 	h.tick(time.Now())
 	for id, r := range h.runs {
 		if !r.state.Over() {
-			h.over(id, r, platform.RunLapsed, time.Now())
+			h.over(id, r, substrate.RunLapsed, time.Now())
 		}
 	}
 	h.incarnation++
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -9,8 +9,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Bounds of jobs.
@@ -33,7 +33,7 @@
 // NewJobs returns the jobs in the table. Call limits one call to it. Notify
 // tells the leader of a cell that its inbox has new rows; it may be nil, and
 // may do nothing.
-func NewJobs(table platform.Table, call time.Duration, notify func(cell structs.CellID)) *Jobs {
+func NewJobs(table substrate.Table, call time.Duration, notify func(cell structs.CellID)) *Jobs {
 	if notify == nil {
 		notify = func(structs.CellID) {}
 	}
@@ -153,11 +153,11 @@
 }
 
 // submission writes the job and gives each cell an equal range of its tasks.
-func submission(job *structs.Job, cells []structs.CellID) platform.Txn {
-	txn := platform.Txn{
+func submission(job *structs.Job, cells []structs.CellID) substrate.Txn {
+	txn := substrate.Txn{
 		ID:       newTxnID(),
-		Compares: []platform.Compare{{Key: jobKey(job.ID)}},
-		Puts: []platform.Put{
+		Compares: []substrate.Compare{{Key: jobKey(job.ID)}},
+		Puts: []substrate.Put{
 			{Key: jobKey(job.ID), Value: encode(jobRow{Job: *job, Cells: cells})},
 			{Key: teamJobKey(job.Team, job.ID), Value: []byte{}},
 		},
@@ -166,7 +166,7 @@
 	for i, c := range cells {
 		first, end := job.Tasks*int32(i)/n, job.Tasks*(int32(i)+1)/n
 		item := Inbox{Job: job.ID, Tasks: []Handoff{{First: first, Count: end - first}}}
-		txn.Puts = append(txn.Puts, platform.Put{Key: inboxKey(c, job.ID), Value: encode(item)})
+		txn.Puts = append(txn.Puts, substrate.Put{Key: inboxKey(c, job.ID), Value: encode(item)})
 	}
 	return txn
 }
@@ -250,10 +250,10 @@
 			return err
 		}
 		job.Cancelled = true
-		_, _, err = j.settler.commit(ctx, platform.Txn{
+		_, _, err = j.settler.commit(ctx, substrate.Txn{
 			ID:       newTxnID(),
-			Compares: []platform.Compare{{Key: row.Key, Revision: row.Revision}},
-			Puts:     []platform.Put{{Key: row.Key, Value: encode(job)}},
+			Compares: []substrate.Compare{{Key: row.Key, Revision: row.Revision}},
+			Puts:     []substrate.Put{{Key: row.Key, Value: encode(job)}},
 		}, row.Key)
 		if asConflict(err) == nil {
 			return err
@@ -265,10 +265,10 @@
 // there already.
 func (j *Jobs) sendCancel(ctx context.Context, id structs.JobID, cell structs.CellID) error {
 	key := cancelKey(cell, id)
-	_, _, err := j.settler.commit(ctx, platform.Txn{
+	_, _, err := j.settler.commit(ctx, substrate.Txn{
 		ID:       newTxnID(),
-		Compares: []platform.Compare{{Key: key}},
-		Puts:     []platform.Put{{Key: key, Value: encode(Inbox{Job: id, Cancel: true})}},
+		Compares: []substrate.Compare{{Key: key}},
+		Puts:     []substrate.Put{{Key: key, Value: encode(Inbox{Job: id, Cancel: true})}},
 	}, key)
 	if asConflict(err) == nil {
 		return err
--- a/cell/journal.go
+++ b/cell/journal.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"slices"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // logRow is a row that holds, or held, a row of the log.
@@ -64,7 +64,7 @@
 
 // replay applies the log rows that are not in the state and returns the
 // journal.
-func replay(cell structs.CellID, state *State, rows []platform.Row) (journal, error) {
+func replay(cell structs.CellID, state *State, rows []substrate.Row) (journal, error) {
 	var j journal
 	batches := make(map[int64]*Batch, len(rows))
 	covered := state.Seq
--- a/cell/journal_test.go
+++ b/cell/journal_test.go
@@ -7,8 +7,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // TestLogIsReadBackWhole writes a log with snapshots in between and reads it
@@ -17,7 +17,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		state, saved := NewState(), encode(NewState())
 		var j journal
-		rows := map[int]platform.Row{}
+		rows := map[int]substrate.Row{}
 		revision := int64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 {
@@ -31,14 +31,14 @@
 				t.Fatalf("row %d has revision %d, the journal has %d", next.slot, rows[next.slot].Revision, next.revision)
 			}
 			revision++
-			rows[next.slot] = platform.Row{Key: logKey("a", next.slot), Value: encode(b), Revision: revision}
+			rows[next.slot] = substrate.Row{Key: logKey("a", next.slot), Value: encode(b), Revision: revision}
 			j.wrote(revision, b.Seq)
 			state.Apply(b.Seq, b)
 			restored, err := decodeState("snapshot", saved)
 			if err != nil {
 				t.Fatal(err)
 			}
-			list := make([]platform.Row, len(rows))
+			list := make([]substrate.Row, len(rows))
 			for slot, row := range rows {
 				list[slot] = row
 			}
@@ -55,7 +55,7 @@
 
 func TestMissingLogRowIsReported(t *testing.T) {
 	is := is.New(t)
-	rows := []platform.Row{
+	rows := []substrate.Row{
 		{Key: logKey("a", 0), Value: encode(&Batch{Seq: 1}), Revision: 1},
 		{Key: logKey("a", 1), Value: encode(&Batch{Seq: 3, Closes: []structs.JobID{"j"}}), Revision: 2},
 	}
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Leadership is the leadership row of a cell.
@@ -116,10 +116,10 @@
 		Lease: c.timing.Lease.max(c.seen.row.Lease),
 	}
 	key := leaderKey(c.cell)
-	txn := platform.Txn{
+	txn := substrate.Txn{
 		ID:       newTxnID(),
-		Compares: []platform.Compare{{Key: key, Revision: c.seen.revision}},
-		Puts:     []platform.Put{{Key: key, Value: encode(row)}},
+		Compares: []substrate.Compare{{Key: key, Revision: c.seen.revision}},
+		Puts:     []substrate.Put{{Key: key, Value: encode(row)}},
 	}
 	revision, sent, err := c.settler.commit(ctx, txn, key)
 	if err != nil {
--- a/cell/leadership_test.go
+++ b/cell/leadership_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // leading returns the members that believe that they lead the cell.
@@ -157,11 +157,11 @@
 
 // scripted is a table whose commits follow a script.
 type scripted struct {
-	platform.Table
-	script []func(txn platform.Txn) (int64, error)
+	substrate.Table
+	script []func(txn substrate.Txn) (int64, error)
 }
 
-func (s *scripted) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (s *scripted) Commit(ctx context.Context, txn substrate.Txn) (int64, error) {
 	if len(s.script) == 0 {
 		return s.Table.Commit(ctx, txn)
 	}
@@ -172,17 +172,17 @@
 
 func TestLostAnswersAreSettledByReadingBack(t *testing.T) {
 	unknown := &structs.UnknownOutcomeError{Operation: "commit"}
-	for name, first := range map[string]func(table platform.Table, txn platform.Txn) (int64, error){
-		"the write took effect": func(table platform.Table, txn platform.Txn) (int64, error) {
+	for name, first := range map[string]func(table substrate.Table, txn substrate.Txn) (int64, error){
+		"the write took effect": func(table substrate.Table, txn substrate.Txn) (int64, error) {
 			_, _ = table.Commit(t.Context(), txn)
 			return 0, unknown
 		},
-		"the write had no effect": func(platform.Table, platform.Txn) (int64, error) { return 0, unknown },
-		"the write takes effect after the read back": func(table platform.Table, txn platform.Txn) (int64, error) {
+		"the write had no effect": func(substrate.Table, substrate.Txn) (int64, error) { return 0, unknown },
+		"the write takes effect after the read back": func(table substrate.Table, txn substrate.Txn) (int64, error) {
 			time.AfterFunc(time.Millisecond, func() { _, _ = table.Commit(context.Background(), txn) })
 			return 0, unknown
 		},
-		"the table was unavailable": func(platform.Table, platform.Txn) (int64, error) { return 0, errCut },
+		"the table was unavailable": func(substrate.Table, substrate.Txn) (int64, error) { return 0, errCut },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -190,10 +190,10 @@
 				w := newWorld(t, testTiming)
 				defer w.close()
 				table := &scripted{Table: w.table}
-				table.script = append(table.script, func(txn platform.Txn) (int64, error) { return first(w.table, txn) })
+				table.script = append(table.script, func(txn substrate.Txn) (int64, error) { return first(w.table, txn) })
 				s := newSettler(table, time.Second)
-				revision, _, err := s.commit(t.Context(), platform.Txn{
-					ID: "txn", Compares: []platform.Compare{{Key: "k"}}, Puts: []platform.Put{{Key: "k", Value: []byte("v")}},
+				revision, _, err := s.commit(t.Context(), substrate.Txn{
+					ID: "txn", Compares: []substrate.Compare{{Key: "k"}}, Puts: []substrate.Put{{Key: "k", Value: []byte("v")}},
 				}, "k")
 				is.NoErr(err)
 				time.Sleep(time.Second)
@@ -222,11 +222,11 @@
 				w.table.Faults.Refuse(-1)
 				table := &scripted{Table: w.table}
 				for range 1000 {
-					table.script = append(table.script, func(platform.Txn) (int64, error) { return 0, c.err })
+					table.script = append(table.script, func(substrate.Txn) (int64, error) { return 0, c.err })
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 				defer cancel()
-				_, _, err := newSettler(table, time.Second).commit(ctx, platform.Txn{ID: "txn"}, "k")
+				_, _, err := newSettler(table, time.Second).commit(ctx, substrate.Txn{ID: "txn"}, "k")
 				is.True(errors.As(err, c.want))
 			})
 		})
--- a/cell/options.go
+++ b/cell/options.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // AssignFunc delivers a request to the agent at the address.
@@ -28,8 +28,8 @@
 	Address string           // peer address of this candidate
 	Peers   []structs.CellID // cells that take over work when the domain is out
 
-	Table   platform.Table
-	Objects platform.Objects
+	Table   substrate.Table
+	Objects substrate.Objects
 	Assign  AssignFunc
 	Planner Planner    // FirstFit if nil
 	Config  ConfigFunc // may be nil
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -9,8 +9,8 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // planned remembers the last call of the planner.
@@ -72,7 +72,7 @@
 	}
 	if len(w.batch.Starts) > 0 {
 		// The transaction proves that the failure domain is still in.
-		w.compares = append(w.compares, platform.Compare{Key: domainKey(l.o.Domain), Revision: l.domain.revision})
+		w.compares = append(w.compares, substrate.Compare{Key: domainKey(l.o.Domain), Revision: l.domain.revision})
 	}
 	l.takeReasons(w, plan)
 	l.takeActions(plan, now)
@@ -188,7 +188,7 @@
 	r := Resident{Attempt: id, Job: t.Job()}
 	if run, reported := v.runs[id]; reported {
 		r.Running = !over(run)
-		r.Throttle = platform.RunState(run.GetState()) == platform.RunThrottled
+		r.Throttle = substrate.RunState(run.GetState()) == substrate.RunThrottled
 		r.Progress = run.GetProgress()
 	}
 	if u, measured := v.usage[id]; measured {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -7,8 +7,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // inboxPage is the number of inbox rows that are read at a time.
@@ -30,7 +30,7 @@
 	item     Inbox
 	job      jobRow
 	prior    Status
-	compares []platform.Compare
+	compares []substrate.Compare
 	gone     bool // the job does not exist
 }
 
@@ -145,9 +145,9 @@
 	return nil
 }
 
-func (l *leader) readAcceptance(ctx context.Context, row platform.Row) (acceptance, error) {
+func (l *leader) readAcceptance(ctx context.Context, row substrate.Row) (acceptance, error) {
 	a := acceptance{key: row.Key}
-	a.compares = append(a.compares, platform.Compare{Key: row.Key, Revision: row.Revision})
+	a.compares = append(a.compares, substrate.Compare{Key: row.Key, Revision: row.Revision})
 	if err := decode(row.Key, row.Value, &a.item); err != nil {
 		return a, err
 	}
@@ -155,7 +155,7 @@
 	if err != nil {
 		return a, err
 	}
-	a.compares = append(a.compares, platform.Compare{Key: job.Key, Revision: job.Revision})
+	a.compares = append(a.compares, substrate.Compare{Key: job.Key, Revision: job.Revision})
 	a.gone = !found
 	if found {
 		if err := decode(job.Key, job.Value, &a.job); err != nil {
@@ -166,7 +166,7 @@
 	if err != nil {
 		return a, err
 	}
-	a.compares = append(a.compares, platform.Compare{Key: status.Key, Revision: status.Revision})
+	a.compares = append(a.compares, substrate.Compare{Key: status.Key, Revision: status.Revision})
 	if found {
 		return a, decode(status.Key, status.Value, &a.prior)
 	}
@@ -192,7 +192,7 @@
 		}
 		if len(a.item.Tasks) > 0 {
 			w.batch.Accepts = append(w.batch.Accepts, Accept{Job: a.job.Job, Tasks: a.item.Tasks, Prior: a.prior})
-			w.puts = append(w.puts, platform.Put{Key: statusKey(a.item.Job, l.cell), Value: encode(l.statusAfter(a))})
+			w.puts = append(w.puts, substrate.Put{Key: statusKey(a.item.Job, l.cell), Value: encode(l.statusAfter(a))})
 		}
 		if a.item.Cancel || a.job.Cancelled {
 			w.batch.Cancels = append(w.batch.Cancels, a.item.Job)
--- a/cell/port_test.go
+++ b/cell/port_test.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // gate freezes one host: whoever passes it waits until the host is thawed.
@@ -49,8 +49,8 @@
 // Calls pass the host's gate before and after, so that a host freezes between
 // any two steps.
 type port struct {
-	platform.Table
-	objects platform.Objects
+	substrate.Table
+	objects substrate.Objects
 	history *history
 	gate    *gate
 	late    *sync.WaitGroup // writes that are still under way
@@ -88,10 +88,10 @@
 
 var errCut = &structs.UnavailableError{Dependency: "table"}
 
-func (p *port) Get(ctx context.Context, key string) (platform.Row, error) {
+func (p *port) Get(ctx context.Context, key string) (substrate.Row, error) {
 	defer p.gate.pass()
 	if cut, _, _ := p.enter(false); cut {
-		return platform.Row{}, errCut
+		return substrate.Row{}, errCut
 	}
 	if strings.HasSuffix(key, "/leader") {
 		p.set(func(p *port) { p.looks++ })
@@ -99,7 +99,7 @@
 	return p.Table.Get(ctx, key)
 }
 
-func (p *port) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (p *port) List(ctx context.Context, prefix, after string, limit int) ([]substrate.Row, error) {
 	defer p.gate.pass()
 	if cut, _, _ := p.enter(false); cut {
 		return nil, errCut
@@ -107,7 +107,7 @@
 	return p.Table.List(ctx, prefix, after, limit)
 }
 
-func (p *port) Commit(_ context.Context, txn platform.Txn) (int64, error) {
+func (p *port) Commit(_ context.Context, txn substrate.Txn) (int64, error) {
 	defer p.gate.pass()
 	cut, lose, delay := p.enter(true)
 	unknown := &structs.UnknownOutcomeError{Operation: "commit"}
@@ -129,7 +129,7 @@
 }
 
 // commit reaches the table and records the ends that took effect there.
-func (p *port) commit(txn platform.Txn) (int64, error) {
+func (p *port) commit(txn substrate.Txn) (int64, error) {
 	revision, err := p.Table.Commit(context.Background(), txn)
 	if err != nil {
 		return 0, err
@@ -176,7 +176,7 @@
 	return p.objects.List(ctx, prefix)
 }
 
-func (p *port) recordLeader(put platform.Put) {
+func (p *port) recordLeader(put substrate.Put) {
 	var l Leadership
 	if decode(put.Key, put.Value, &l) == nil {
 		cell := structs.CellID(strings.Split(put.Key, "/")[1])
--- a/cell/quota.go
+++ b/cell/quota.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // quotaPrefix holds one row for each team with the shares of its quota that
@@ -344,8 +344,8 @@
 
 func (l *leader) writeQuota(w *work, team structs.TeamID, row quotaRow) {
 	key := quotaKey(team)
-	w.compares = append(w.compares, platform.Compare{Key: key, Revision: l.quotaOf(team).revision})
-	w.puts = append(w.puts, platform.Put{Key: key, Value: encode(row)})
+	w.compares = append(w.compares, substrate.Compare{Key: key, Revision: l.quotaOf(team).revision})
+	w.puts = append(w.puts, substrate.Put{Key: key, Value: encode(row)})
 	w.quotas = append(w.quotas, quotaWrite{team: team, row: row})
 }
 
--- a/cell/quota_test.go
+++ b/cell/quota_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // checkQuota finds the first time at which the running attempts, all of one
@@ -81,7 +81,7 @@
 		w := newQuotaWorld(t)
 		defer w.close()
 		dead := quotaRow{Wants: map[structs.CellID]int64{"gone": 1}}
-		_, err := w.table.Commit(w.ctx, platform.Txn{ID: "dead", Puts: []platform.Put{{Key: quotaKey("jabuka"), Value: encode(dead)}}})
+		_, err := w.table.Commit(w.ctx, substrate.Txn{ID: "dead", Puts: []substrate.Put{{Key: quotaKey("jabuka"), Value: encode(dead)}}})
 		is.NoErr(err)
 		id := w.submit("beside", structs.WorkBatch, 6)
 		_, done := w.settled(id, 3*ticketHold)
--- a/cell/recover.go
+++ b/cell/recover.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Bounds of the log and of its snapshots.
@@ -78,7 +78,7 @@
 			return nil, journal{}, err
 		}
 	}
-	var rows []platform.Row
+	var rows []substrate.Row
 	after := ""
 	for {
 		page, err := l.settler.list(ctx, logPrefix(l.cell), after, logPage)
@@ -95,7 +95,7 @@
 	return state, log, err
 }
 
-func (l *leader) readSnapshot(ctx context.Context, row platform.Row) (*State, error) {
+func (l *leader) readSnapshot(ctx context.Context, row substrate.Row) (*State, error) {
 	var pointer snapshotPointer
 	if err := decode(row.Key, row.Value, &pointer); err != nil {
 		return nil, err
@@ -122,7 +122,7 @@
 		}
 		w.snapshot = built
 		w.renew = true
-		w.puts = append(w.puts, platform.Put{Key: snapshotKey(l.cell), Value: encode(built.pointer)})
+		w.puts = append(w.puts, substrate.Put{Key: snapshotKey(l.cell), Value: encode(built.pointer)})
 		return
 	default:
 	}
--- a/cell/retention.go
+++ b/cell/retention.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Times of the retention of jobs.
@@ -30,12 +30,12 @@
 // at once; each deletion compares the job's row.
 type Sweeper struct {
 	jobs    *Jobs
-	objects platform.Objects
+	objects substrate.Objects
 	log     *zap.Logger
 }
 
 // NewSweeper returns a sweeper of the jobs. Entries run one each.
-func NewSweeper(jobs *Jobs, objects platform.Objects, log *zap.Logger) *Sweeper {
+func NewSweeper(jobs *Jobs, objects substrate.Objects, log *zap.Logger) *Sweeper {
 	return &Sweeper{jobs: jobs, objects: objects, log: log}
 }
 
@@ -88,7 +88,7 @@
 
 // sweepJob deletes one job if it is final and past its retention. Objects go
 // first: what fails in between is found again by the next sweep.
-func (s *Sweeper) sweepJob(ctx context.Context, row platform.Row, now time.Time) (bool, error) {
+func (s *Sweeper) sweepJob(ctx context.Context, row substrate.Row, now time.Time) (bool, error) {
 	var job jobRow
 	if err := decode(row.Key, row.Value, &job); err != nil {
 		return false, err
@@ -103,9 +103,9 @@
 	if err := s.deleteObjects(ctx, &job.Job); err != nil {
 		return false, err
 	}
-	txn := platform.Txn{
+	txn := substrate.Txn{
 		ID:       newTxnID(),
-		Compares: []platform.Compare{{Key: row.Key, Revision: row.Revision}},
+		Compares: []substrate.Compare{{Key: row.Key, Revision: row.Revision}},
 		Deletes:  []string{row.Key, teamJobKey(job.Job.Team, job.Job.ID)},
 	}
 	for _, c := range status.Cells {
--- a/cell/summary.go
+++ b/cell/summary.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // summaryPrefix holds one row for each cell, so that they can be listed.
@@ -75,7 +75,7 @@
 		return
 	}
 	w.summary = &s
-	w.puts = append(w.puts, platform.Put{Key: summaryKey(l.cell), Value: encode(s)})
+	w.puts = append(w.puts, substrate.Put{Key: summaryKey(l.cell), Value: encode(s)})
 }
 
 func equalSummary(a, b Summary) bool {
--- a/cell/writer.go
+++ b/cell/writer.go
@@ -9,8 +9,8 @@
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/metric/noop"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Bounds of the delay between tries of a table call.
@@ -42,13 +42,13 @@
 
 // settler commits transactions and settles those whose answer is lost.
 type settler struct {
-	table   platform.Table
+	table   substrate.Table
 	call    time.Duration // limit of one call
 	metrics *metrics
 }
 
 // newSettler returns a settler for the entry side, which counts nothing.
-func newSettler(table platform.Table, call time.Duration) *settler {
+func newSettler(table substrate.Table, call time.Duration) *settler {
 	m, err := newMetrics(noop.NewMeterProvider())
 	if err != nil {
 		panic(err) // the no-op provider refuses nothing
@@ -63,7 +63,7 @@
 // was sent, or *structs.ConflictError. It tries until then or until ctx ends,
 // which gives *structs.UnavailableError if no try can have taken effect and
 // *structs.UnknownOutcomeError otherwise.
-func (s *settler) commit(ctx context.Context, txn platform.Txn, witness string) (int64, time.Time, error) {
+func (s *settler) commit(ctx context.Context, txn substrate.Txn, witness string) (int64, time.Time, error) {
 	delay := newBackoff()
 	maybe := false // an earlier try may have taken effect or may still do so
 	first := time.Now()
@@ -111,14 +111,14 @@
 	return cause
 }
 
-func (s *settler) try(ctx context.Context, txn platform.Txn) (int64, error) {
+func (s *settler) try(ctx context.Context, txn substrate.Txn) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.call)
 	defer cancel()
 	return s.table.Commit(ctx, txn)
 }
 
 // readBack reads a row until the table answers.
-func (s *settler) readBack(ctx context.Context, key string) (platform.Row, bool, error) {
+func (s *settler) readBack(ctx context.Context, key string) (substrate.Row, bool, error) {
 	delay := newBackoff()
 	for {
 		row, found, err := s.get(ctx, key)
@@ -126,24 +126,24 @@
 			return row, found, nil
 		}
 		if err := sleep(ctx, delay.NextBackOff()); err != nil {
-			return platform.Row{}, false, err
+			return substrate.Row{}, false, err
 		}
 	}
 }
 
 // get reads a row once. A row that does not exist is no error.
-func (s *settler) get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (s *settler) get(ctx context.Context, key string) (substrate.Row, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.call)
 	defer cancel()
 	row, err := s.table.Get(ctx, key)
 	if isNotFound(err) {
-		return platform.Row{Key: key}, false, nil
+		return substrate.Row{Key: key}, false, nil
 	}
 	return row, err == nil, err
 }
 
 // list reads one page of rows below prefix.
-func (s *settler) list(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (s *settler) list(ctx context.Context, prefix, after string, limit int) ([]substrate.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.call)
 	defer cancel()
 	return s.table.List(ctx, prefix, after, limit)
@@ -168,7 +168,7 @@
 }
 
 // changes reads the rows below prefix that changed after the revision.
-func (s *settler) changes(ctx context.Context, prefix string, since int64) ([]platform.Row, int64, error) {
+func (s *settler) changes(ctx context.Context, prefix string, since int64) ([]substrate.Row, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.call)
 	defer cancel()
 	return s.table.Changes(ctx, prefix, since)
--- a/command/tour.go
+++ b/command/tour.go
@@ -10,7 +10,7 @@
 	"github.com/daisywall/daisywall/client"
 	"github.com/daisywall/daisywall/config"
 	"github.com/daisywall/daisywall/examples"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -9,9 +9,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // gate stops a daemon like SIGSTOP: whatever passes through it waits.
@@ -49,18 +49,18 @@
 // gatedTable is the table as a daemon sees it that may freeze before a call
 // and between the effect and the answer.
 type gatedTable struct {
-	platform.Table
+	substrate.Table
 	gate *gate
 }
 
-func (t gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t gatedTable) Get(ctx context.Context, key string) (substrate.Row, error) {
 	t.gate.pass()
 	row, err := t.Table.Get(ctx, key)
 	t.gate.pass()
 	return row, err
 }
 
-func (t gatedTable) Changes(ctx context.Context, prefix string, since int64) ([]platform.Row, int64, error) {
+func (t gatedTable) Changes(ctx context.Context, prefix string, since int64) ([]substrate.Row, int64, error) {
 	t.gate.pass()
 	rows, revision, err := t.Table.Changes(ctx, prefix, since)
 	t.gate.pass()
--- a/config/peers_test.go
+++ b/config/peers_test.go
@@ -12,7 +12,7 @@
 	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/daisywall/daisywall/api/configpb"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 )
 
 // serve starts a daemon that holds the revision, and connects to it.
--- a/config/propagation_test.go
+++ b/config/propagation_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 )
 
 // inForceWithin is the promise: the longest time from acceptance until every
--- a/config/rows.go
+++ b/config/rows.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Rows of the configuration in the table. The head names the revision in
@@ -46,7 +46,7 @@
 // historyKey sorts like the revision.
 func historyKey(revision int64) string { return fmt.Sprintf("%s%016d", historyPrefix, revision) }
 
-func decodeHistory(row platform.Row) (HistoryEntry, error) {
+func decodeHistory(row substrate.Row) (HistoryEntry, error) {
 	var entry HistoryEntry
 	if err := json.Unmarshal(row.Value, &entry); err != nil {
 		return entry, &CorruptError{Source: row.Key, Detail: "not readable", Err: err}
@@ -56,7 +56,7 @@
 
 // applyRows returns the snapshot after the rows of Table.Changes below
 // currentPrefix. Base may be nil.
-func applyRows(base *snapshot, rows []platform.Row) (*snapshot, error) {
+func applyRows(base *snapshot, rows []substrate.Row) (*snapshot, error) {
 	teams := map[structs.TeamID]document{}
 	var revision int64
 	if base != nil {
--- a/config/store.go
+++ b/config/store.go
@@ -10,8 +10,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -29,11 +29,11 @@
 
 // Store keeps the configuration in the platform's table.
 type Store struct {
-	table platform.Table
+	table substrate.Table
 }
 
 // NewStore returns a store on the table.
-func NewStore(table platform.Table) *Store { return &Store{table: table} }
+func NewStore(table substrate.Table) *Store { return &Store{table: table} }
 
 // position is the configuration together with the table revision of its head
 // row, 0 before the first change.
@@ -148,14 +148,14 @@
 
 // transaction writes the head, the changed teams and the history row, and
 // drops the oldest history row.
-func transaction(at position, next *snapshot, entry HistoryEntry) (platform.Txn, error) {
-	txn := platform.Txn{
+func transaction(at position, next *snapshot, entry HistoryEntry) (substrate.Txn, error) {
+	txn := substrate.Txn{
 		ID:       uuid.NewString(),
-		Compares: []platform.Compare{{Key: headKey, Revision: at.headRevision}},
+		Compares: []substrate.Compare{{Key: headKey, Revision: at.headRevision}},
 	}
 	changed, removed := next.changedFrom(at.snapshot)
 	for _, id := range changed {
-		txn.Puts = append(txn.Puts, platform.Put{Key: teamKey(id), Value: next.teams[id]})
+		txn.Puts = append(txn.Puts, substrate.Put{Key: teamKey(id), Value: next.teams[id]})
 		entry.Changes = append(entry.Changes, TeamChange{Team: id, Before: json.RawMessage(at.teams[id]), After: json.RawMessage(next.teams[id])})
 	}
 	for _, id := range removed {
@@ -171,8 +171,8 @@
 		return txn, fmt.Errorf("encode history: %w", err)
 	}
 	txn.Puts = append(txn.Puts,
-		platform.Put{Key: headKey, Value: head},
-		platform.Put{Key: historyKey(entry.Revision), Value: history})
+		substrate.Put{Key: headKey, Value: head},
+		substrate.Put{Key: historyKey(entry.Revision), Value: history})
 	if oldest := entry.Revision - historyKept; oldest > 0 {
 		txn.Deletes = append(txn.Deletes, historyKey(oldest))
 	}
@@ -182,7 +182,7 @@
 // commit repeats the transaction while its outcome is unknown. The comparison
 // of the head lets it take effect at most once; a conflict is settled by the
 // transaction ID in the history row.
-func (s *Store) commit(ctx context.Context, txn platform.Txn, revision int64) error {
+func (s *Store) commit(ctx context.Context, txn substrate.Txn, revision int64) error {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = settleInterval
 	unknown := false
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -10,8 +10,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Default times of a Watcher.
@@ -43,7 +43,7 @@
 // Watcher keeps a Holder at the revision of the table. Entries and cell
 // leaders run one.
 type Watcher struct {
-	table   platform.Table
+	table   substrate.Table
 	holder  *Holder
 	peers   Peers
 	log     *zap.Logger
@@ -54,7 +54,7 @@
 }
 
 // NewWatcher returns a watcher that offers what it reads to the holder.
-func NewWatcher(table platform.Table, holder *Holder, peers Peers, log *zap.Logger, options WatcherOptions) *Watcher {
+func NewWatcher(table substrate.Table, holder *Holder, peers Peers, log *zap.Logger, options WatcherOptions) *Watcher {
 	if options.PollInterval == 0 {
 		options.PollInterval = DefaultPollInterval
 	}
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -7,19 +7,19 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // heldTable holds back the answer to Changes, like a daemon that freezes after
 // the read.
 type heldTable struct {
-	platform.Table
+	substrate.Table
 	read    chan struct{}
 	release chan struct{}
 }
 
-func (t heldTable) Changes(ctx context.Context, prefix string, since int64) ([]platform.Row, int64, error) {
+func (t heldTable) Changes(ctx context.Context, prefix string, since int64) ([]substrate.Row, int64, error) {
 	rows, revision, err := t.Table.Changes(ctx, prefix, since)
 	close(t.read)
 	<-t.release
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -18,10 +18,10 @@
 	"github.com/daisywall/daisywall/membership"
 	"github.com/daisywall/daisywall/placement"
 	"github.com/daisywall/daisywall/planner"
-	platformclient "github.com/daisywall/daisywall/platform/client"
 	"github.com/daisywall/daisywall/request"
 	"github.com/daisywall/daisywall/settings"
 	"github.com/daisywall/daisywall/structs"
+	platformclient "github.com/daisywall/daisywall/substrate/rpc/client"
 	"github.com/daisywall/daisywall/telemetry"
 	"github.com/daisywall/daisywall/worker"
 )
--- a/daemon/burn.go
+++ b/daemon/burn.go
@@ -8,8 +8,8 @@
 	"github.com/daisywall/daisywall/burn"
 	"github.com/daisywall/daisywall/cell"
 	"github.com/daisywall/daisywall/entryapi"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Times of the looks at the failure domains.
@@ -21,7 +21,7 @@
 // burnCounts counts what a daemon did for the service-level burn report.
 type burnCounts struct {
 	recorder *burn.Recorder
-	table    platform.Table
+	table    substrate.Table
 	domains  *cell.Domains
 	config   func() *structs.Config
 	active   func() bool // whether this daemon counts now
@@ -31,7 +31,7 @@
 	away []structs.FailureDomainID
 }
 
-func newBurnCounts(table platform.Table, timeout time.Duration, daemon string, config func() *structs.Config, active func() bool) *burnCounts {
+func newBurnCounts(table substrate.Table, timeout time.Duration, daemon string, config func() *structs.Config, active func() bool) *burnCounts {
 	recorder := burn.NewRecorder()
 	return &burnCounts{
 		recorder: recorder,
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -18,9 +18,9 @@
 	"github.com/daisywall/daisywall/entryapi"
 	"github.com/daisywall/daisywall/kernel"
 	"github.com/daisywall/daisywall/membership"
-	platformclient "github.com/daisywall/daisywall/platform/client"
 	"github.com/daisywall/daisywall/request"
 	"github.com/daisywall/daisywall/settings"
+	platformclient "github.com/daisywall/daisywall/substrate/rpc/client"
 	"github.com/daisywall/daisywall/telemetry"
 )
 
--- a/daemon/standin.go
+++ b/daemon/standin.go
@@ -9,8 +9,8 @@
 	"google.golang.org/grpc"
 
 	"github.com/daisywall/daisywall/kernel"
-	"github.com/daisywall/daisywall/platform/standin"
 	"github.com/daisywall/daisywall/settings"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/daisywall/daisywall/client"
 	"github.com/daisywall/daisywall/command"
-	"github.com/daisywall/daisywall/platform/standin"
 	"github.com/daisywall/daisywall/problem"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -17,7 +17,7 @@
 	"github.com/daisywall/daisywall/burn"
 	"github.com/daisywall/daisywall/client"
 	"github.com/daisywall/daisywall/command"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/entryapi/server.go
+++ b/entryapi/server.go
@@ -14,9 +14,9 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/daisywall/daisywall/client"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/problem"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Bounds of request bodies in bytes.
@@ -37,7 +37,7 @@
 	Observer  Observer
 	Explain   Explainer
 	Burn      BurnReports
-	Objects   platform.Objects
+	Objects   substrate.Objects
 	Metrics   http.Handler
 	Meter     metric.Meter
 	Accepting func() bool // false once the balancer should send no more calls
--- a/entryapi/server_test.go
+++ b/entryapi/server_test.go
@@ -12,11 +12,11 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/daisywall/daisywall/client"
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
 	"github.com/daisywall/daisywall/problem"
 	"github.com/daisywall/daisywall/request"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // calls counts every call that changes something.
@@ -79,7 +79,7 @@
 	return nil, "", &structs.InvalidError{Subject: "query"}
 }
 
-func newTestServer(t testing.TB, objects platform.Objects) (*Server, *calls) {
+func newTestServer(t testing.TB, objects substrate.Objects) (*Server, *calls) {
 	t.Helper()
 	c := &calls{}
 	server, err := New(Options{
--- a/faults/check_test.go
+++ b/faults/check_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/faults/process_test.go
+++ b/faults/process_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/cell"
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 	"github.com/daisywall/daisywall/worker"
 )
 
@@ -109,21 +109,21 @@
 	table *standin.Table
 }
 
-func (t tableOf) Get(ctx context.Context, key string) (platform.Row, error) {
-	return through(ctx, t.p, true, func() (platform.Row, error) { return t.table.Get(ctx, key) })
+func (t tableOf) Get(ctx context.Context, key string) (substrate.Row, error) {
+	return through(ctx, t.p, true, func() (substrate.Row, error) { return t.table.Get(ctx, key) })
 }
 
-func (t tableOf) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	return through(ctx, t.p, true, func() ([]platform.Row, error) { return t.table.List(ctx, prefix, after, limit) })
+func (t tableOf) List(ctx context.Context, prefix, after string, limit int) ([]substrate.Row, error) {
+	return through(ctx, t.p, true, func() ([]substrate.Row, error) { return t.table.List(ctx, prefix, after, limit) })
 }
 
-func (t tableOf) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (t tableOf) Commit(ctx context.Context, txn substrate.Txn) (int64, error) {
 	return through(ctx, t.p, true, func() (int64, error) { return t.table.Commit(ctx, txn) })
 }
 
-func (t tableOf) Changes(ctx context.Context, prefix string, since int64) ([]platform.Row, int64, error) {
+func (t tableOf) Changes(ctx context.Context, prefix string, since int64) ([]substrate.Row, int64, error) {
 	var revision int64
-	rows, err := through(ctx, t.p, true, func() (rows []platform.Row, err error) {
+	rows, err := through(ctx, t.p, true, func() (rows []substrate.Row, err error) {
 		rows, revision, err = t.table.Changes(ctx, prefix, since)
 		return rows, err
 	})
@@ -156,20 +156,20 @@
 
 // runtimeOf is the way of a process to its worker's runtime.
 type runtimeOf struct {
-	platform.WorkerRuntime
+	substrate.WorkerRuntime
 	p *process
 }
 
-func (r runtimeOf) Snapshot(ctx context.Context) (platform.Snapshot, error) {
-	return through(ctx, r.p, false, func() (platform.Snapshot, error) { return r.WorkerRuntime.Snapshot(ctx) })
+func (r runtimeOf) Snapshot(ctx context.Context) (substrate.Snapshot, error) {
+	return through(ctx, r.p, false, func() (substrate.Snapshot, error) { return r.WorkerRuntime.Snapshot(ctx) })
 }
 
-func (r runtimeOf) Start(ctx context.Context, spec platform.StartSpec) error {
+func (r runtimeOf) Start(ctx context.Context, spec substrate.StartSpec) error {
 	_, err := through(ctx, r.p, false, func() (struct{}, error) { return struct{}{}, r.WorkerRuntime.Start(ctx, spec) })
 	return err
 }
 
-func (r runtimeOf) Renew(ctx context.Context, incarnation string, leases map[structs.AttemptID]platform.RuntimeClock) error {
+func (r runtimeOf) Renew(ctx context.Context, incarnation string, leases map[structs.AttemptID]substrate.RuntimeClock) error {
 	_, err := through(ctx, r.p, false, func() (struct{}, error) {
 		return struct{}{}, r.WorkerRuntime.Renew(ctx, incarnation, leases)
 	})
@@ -180,8 +180,8 @@
 	return through(ctx, r.p, false, func() (string, error) { return r.WorkerRuntime.Checkpoint(ctx, id) })
 }
 
-func (r runtimeOf) Stop(ctx context.Context, id structs.AttemptID) (platform.Run, error) {
-	return through(ctx, r.p, false, func() (platform.Run, error) { return r.WorkerRuntime.Stop(ctx, id) })
+func (r runtimeOf) Stop(ctx context.Context, id structs.AttemptID) (substrate.Run, error) {
+	return through(ctx, r.p, false, func() (substrate.Run, error) { return r.WorkerRuntime.Stop(ctx, id) })
 }
 
 // message carries a call from one process to another and back. It may take
--- a/faults/random_test.go
+++ b/faults/random_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/daisywall/daisywall/cell"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -50,7 +50,7 @@
 	Incarnation string // of the agent process
 	Targets     func() []structs.Target
 	Changed     func() <-chan struct{} // closed at the next change of Targets
-	Table       platform.Table         // may be nil: then only Seeds and answers name entries
+	Table       substrate.Table        // may be nil: then only Seeds and answers name entries
 	Seeds       []string               // peer addresses of entries from the settings
 	Dial        func(address string) (EntryConn, error)
 	// Clock reads the agent's monotonic clock; see request.Executor.Clock.
@@ -210,7 +210,7 @@
 	}
 }
 
-func (a *Announcer) takeRows(rows []platform.Row) {
+func (a *Announcer) takeRows(rows []substrate.Row) {
 	named := map[string]bool{}
 	for _, row := range rows {
 		if entry, err := decodeEntryRow(row.Value); err == nil {
--- a/membership/entry_rows.go
+++ b/membership/entry_rows.go
@@ -13,8 +13,8 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -51,7 +51,7 @@
 type EntryRowsOptions struct {
 	Entry   structs.EntryID
 	Address string // peer address of this entry
-	Table   platform.Table
+	Table   substrate.Table
 	// Seeds are peer addresses of other entries from the settings. The entry
 	// announces itself to them, so that it is found in a table outage.
 	Seeds []string
@@ -153,8 +153,8 @@
 	ctx, cancel := context.WithTimeout(ctx, entryTableTimeout)
 	defer cancel()
 	// An unknown outcome is settled by the next write.
-	_, _ = e.options.Table.Commit(ctx, platform.Txn{
-		ID: uuid.NewString(), Puts: []platform.Put{{Key: e.key(), Value: value}},
+	_, _ = e.options.Table.Commit(ctx, substrate.Txn{
+		ID: uuid.NewString(), Puts: []substrate.Put{{Key: e.key(), Value: value}},
 	})
 }
 
@@ -184,7 +184,7 @@
 }
 
 // update takes a reading and returns the keys of rows that are dead.
-func (e *EntryRows) update(rows []platform.Row, now time.Time) (dead []string) {
+func (e *EntryRows) update(rows []substrate.Row, now time.Time) (dead []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	next := make(map[string]seenRow, len(rows))
@@ -211,8 +211,8 @@
 	e.mu.Lock()
 	revision := e.seen[key].revision
 	e.mu.Unlock()
-	_, err := e.options.Table.Commit(ctx, platform.Txn{
-		ID: uuid.NewString(), Compares: []platform.Compare{{Key: key, Revision: revision}}, Deletes: []string{key},
+	_, err := e.options.Table.Commit(ctx, substrate.Txn{
+		ID: uuid.NewString(), Compares: []substrate.Compare{{Key: key, Revision: revision}}, Deletes: []string{key},
 	})
 	if err != nil && !isConflict(err) {
 		return
@@ -257,5 +257,5 @@
 func (e *EntryRows) remove(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, entryTableTimeout)
 	defer cancel()
-	_, _ = e.options.Table.Commit(ctx, platform.Txn{ID: uuid.NewString(), Deletes: []string{e.key()}})
+	_, _ = e.options.Table.Commit(ctx, substrate.Txn{ID: uuid.NewString(), Deletes: []string{e.key()}})
 }
--- a/membership/world_test.go
+++ b/membership/world_test.go
@@ -9,19 +9,19 @@
 	"google.golang.org/grpc"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // memoryTable holds the rows of entries, with an outage switch.
 type memoryTable struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]substrate.Row
 	revision int64
 	down     bool
 }
 
-func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]platform.Row{}} }
+func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]substrate.Row{}} }
 
 func (t *memoryTable) setDown(down bool) {
 	t.mu.Lock()
@@ -29,20 +29,20 @@
 	t.down = down
 }
 
-func (t *memoryTable) List(_ context.Context, prefix, _ string, _ int) ([]platform.Row, error) {
+func (t *memoryTable) List(_ context.Context, prefix, _ string, _ int) ([]substrate.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
 		return nil, &structs.UnavailableError{Dependency: "table"}
 	}
-	var rows []platform.Row
+	var rows []substrate.Row
 	for _, r := range t.rows {
 		rows = append(rows, r)
 	}
 	return rows, nil
 }
 
-func (t *memoryTable) Commit(_ context.Context, txn platform.Txn) (int64, error) {
+func (t *memoryTable) Commit(_ context.Context, txn substrate.Txn) (int64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
@@ -55,7 +55,7 @@
 	}
 	t.revision++
 	for _, p := range txn.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: t.revision, TxnID: txn.ID}
+		t.rows[p.Key] = substrate.Row{Key: p.Key, Value: p.Value, Revision: t.revision, TxnID: txn.ID}
 	}
 	for _, d := range txn.Deletes {
 		delete(t.rows, d)
@@ -63,11 +63,11 @@
 	return t.revision, nil
 }
 
-func (t *memoryTable) Get(context.Context, string) (platform.Row, error) {
-	return platform.Row{}, &structs.NotFoundError{Subject: "row"}
+func (t *memoryTable) Get(context.Context, string) (substrate.Row, error) {
+	return substrate.Row{}, &structs.NotFoundError{Subject: "row"}
 }
 
-func (t *memoryTable) Changes(context.Context, string, int64) ([]platform.Row, int64, error) {
+func (t *memoryTable) Changes(context.Context, string, int64) ([]substrate.Row, int64, error) {
 	return nil, 0, nil
 }
 
--- a/planner/handover.go
+++ b/planner/handover.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/placement/estimate"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Times of the handover.
@@ -26,7 +26,7 @@
 // it: a lost or outdated copy costs learning time.
 type Handover struct {
 	planner *Planner
-	objects platform.Objects
+	objects substrate.Objects
 	cell    structs.CellID
 	leading func() (epoch int64, leading bool)
 	log     *zap.Logger
@@ -37,7 +37,7 @@
 
 // NewHandover returns the handover of a cell's planner. Leading tells whether
 // this process leads the cell.
-func NewHandover(p *Planner, objects platform.Objects, cell structs.CellID, leading func() (int64, bool), log *zap.Logger) *Handover {
+func NewHandover(p *Planner, objects substrate.Objects, cell structs.CellID, leading func() (int64, bool), log *zap.Logger) *Handover {
 	return &Handover{planner: p, objects: objects, cell: cell, leading: leading, log: log}
 }
 
--- a/planner/handover_test.go
+++ b/planner/handover_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/daisywall/daisywall/cell"
 	"github.com/daisywall/daisywall/placement"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/request/claim_sweeper.go
+++ b/request/claim_sweeper.go
@@ -11,8 +11,8 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -40,7 +40,7 @@
 // intervals old. No wall clocks are compared: an entry adds a mark after it
 // has seen the last one stand for an interval by its own monotonic clock.
 type ClaimSweeper struct {
-	table platform.Table
+	table substrate.Table
 	log   *zap.Logger
 
 	seen  int64 // revision of the marks at the last look
@@ -49,7 +49,7 @@
 
 // NewClaimSweeper returns a sweeper of the claims in the table. The log may be
 // nil.
-func NewClaimSweeper(table platform.Table, log *zap.Logger) *ClaimSweeper {
+func NewClaimSweeper(table substrate.Table, log *zap.Logger) *ClaimSweeper {
 	if log == nil {
 		log = zap.NewNop()
 	}
@@ -102,10 +102,10 @@
 	if err != nil {
 		return 0, fmt.Errorf("claim marks: %w", err)
 	}
-	_, err = s.table.Commit(ctx, platform.Txn{
+	_, err = s.table.Commit(ctx, substrate.Txn{
 		ID:       uuid.NewString(),
-		Compares: []platform.Compare{{Key: claimMarkKey, Revision: row.Revision}},
-		Puts:     []platform.Put{{Key: claimMarkKey, Value: value}},
+		Compares: []substrate.Compare{{Key: claimMarkKey, Revision: row.Revision}},
+		Puts:     []substrate.Put{{Key: claimMarkKey, Value: value}},
 	})
 	if err != nil || len(marks.Revisions) < claimMarks {
 		return 0, err
@@ -113,18 +113,18 @@
 	return marks.Revisions[0], nil
 }
 
-func (s *ClaimSweeper) read(ctx context.Context) (platform.Row, claimMarkRow, error) {
+func (s *ClaimSweeper) read(ctx context.Context) (substrate.Row, claimMarkRow, error) {
 	var marks claimMarkRow
 	row, err := s.table.Get(ctx, claimMarkKey)
 	var missing *structs.NotFoundError
 	if errors.As(err, &missing) {
-		return platform.Row{}, marks, nil
+		return substrate.Row{}, marks, nil
 	}
 	if err != nil {
-		return platform.Row{}, marks, err
+		return substrate.Row{}, marks, err
 	}
 	if err := json.Unmarshal(row.Value, &marks); err != nil {
-		return platform.Row{}, marks, fmt.Errorf("claim marks: %w", err)
+		return substrate.Row{}, marks, fmt.Errorf("claim marks: %w", err)
 	}
 	return row, marks, nil
 }
@@ -149,11 +149,11 @@
 	}
 }
 
-func (s *ClaimSweeper) remove(ctx context.Context, rows []platform.Row, bound int64) error {
-	txn := platform.Txn{ID: uuid.NewString()}
+func (s *ClaimSweeper) remove(ctx context.Context, rows []substrate.Row, bound int64) error {
+	txn := substrate.Txn{ID: uuid.NewString()}
 	for _, row := range rows {
 		if row.Revision < bound && strings.HasPrefix(row.Key, ClaimRowPrefix) {
-			txn.Compares = append(txn.Compares, platform.Compare{Key: row.Key, Revision: row.Revision})
+			txn.Compares = append(txn.Compares, substrate.Compare{Key: row.Key, Revision: row.Revision})
 			txn.Deletes = append(txn.Deletes, row.Key)
 		}
 	}
--- a/request/claims.go
+++ b/request/claims.go
@@ -11,8 +11,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -57,18 +57,18 @@
 
 // TableClaims keeps claims in rows of the table.
 type TableClaims struct {
-	table platform.Table
+	table substrate.Table
 }
 
 // NewTableClaims returns claims that are kept in the table.
-func NewTableClaims(table platform.Table) *TableClaims { return &TableClaims{table: table} }
+func NewTableClaims(table substrate.Table) *TableClaims { return &TableClaims{table: table} }
 
 // Acquire implements Claims with a comparison of the row's revision.
 func (t *TableClaims) Acquire(ctx context.Context, key string, want Claim, seen *Claim) (Claim, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	row := ClaimRowPrefix + key
-	compare := platform.Compare{Key: row}
+	compare := substrate.Compare{Key: row}
 	if seen != nil {
 		compare.Revision = seen.Revision
 		want.Version = seen.Version + 1
@@ -77,7 +77,7 @@
 	if err != nil {
 		return Claim{}, false, fmt.Errorf("claim: %w", err)
 	}
-	txn := platform.Txn{ID: uuid.NewString(), Compares: []platform.Compare{compare}, Puts: []platform.Put{{Key: row, Value: value}}}
+	txn := substrate.Txn{ID: uuid.NewString(), Compares: []substrate.Compare{compare}, Puts: []substrate.Put{{Key: row, Value: value}}}
 	revision, err := t.table.Commit(ctx, txn)
 	if err == nil {
 		want.Revision = revision
--- a/request/table_test.go
+++ b/request/table_test.go
@@ -7,14 +7,14 @@
 	"sync"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // fakeTable is the table service with fault switches.
 type fakeTable struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]substrate.Row
 	revision int64
 	writes   int
 	down     bool
@@ -22,7 +22,7 @@
 	loseNext int // answers to lose after the effect
 }
 
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]substrate.Row{}} }
 
 func (t *fakeTable) set(change func(t *fakeTable)) {
 	t.mu.Lock()
@@ -48,20 +48,20 @@
 	return nil
 }
 
-func (t *fakeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *fakeTable) Get(ctx context.Context, key string) (substrate.Row, error) {
 	if err := t.enter(ctx); err != nil {
-		return platform.Row{}, err
+		return substrate.Row{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, found := t.rows[key]
 	if !found {
-		return platform.Row{}, &structs.NotFoundError{Subject: "row", Name: key}
+		return substrate.Row{}, &structs.NotFoundError{Subject: "row", Name: key}
 	}
 	return row, nil
 }
 
-func (t *fakeTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (t *fakeTable) Commit(ctx context.Context, txn substrate.Txn) (int64, error) {
 	if err := t.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -74,7 +74,7 @@
 	}
 	t.revision++
 	for _, p := range txn.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: t.revision, TxnID: txn.ID}
+		t.rows[p.Key] = substrate.Row{Key: p.Key, Value: p.Value, Revision: t.revision, TxnID: txn.ID}
 		t.writes++
 	}
 	for _, d := range txn.Deletes {
@@ -87,13 +87,13 @@
 	return t.revision, nil
 }
 
-func (t *fakeTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *fakeTable) List(ctx context.Context, prefix, after string, limit int) ([]substrate.Row, error) {
 	if err := t.enter(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []substrate.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
@@ -103,6 +103,6 @@
 	return rows[:min(limit, len(rows))], nil
 }
 
-func (t *fakeTable) Changes(ctx context.Context, _ string, _ int64) ([]platform.Row, int64, error) {
+func (t *fakeTable) Changes(ctx context.Context, _ string, _ int64) ([]substrate.Row, int64, error) {
 	return nil, 0, t.enter(ctx)
 }
--- a/platform/standin/history.go
+++ b/standin/history.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // EventKind is what happened to an attempt inside a runtime.
@@ -26,7 +26,7 @@
 type Event struct {
 	Sequence    int64 // position in the history, from 1
 	At          time.Time
-	Clock       platform.RuntimeClock // of the runtime
+	Clock       substrate.RuntimeClock // of the runtime
 	Kind        EventKind
 	Worker      structs.WorkerID
 	Incarnation string
@@ -34,8 +34,8 @@
 	Class       string
 	Program     string
 	Resources   structs.Resources
-	NotAfter    platform.RuntimeClock // of a start
-	Checkpoint  string                // that a start resumed from, or an end left
+	NotAfter    substrate.RuntimeClock // of a start
+	Checkpoint  string                 // that a start resumed from, or an end left
 }
 
 // Violation is a broken rule that a history shows.
--- a/platform/standin/objects.go
+++ b/standin/objects.go
@@ -7,11 +7,11 @@
 	"strings"
 	"sync"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
-// Objects is an in-memory platform.Objects.
+// Objects is an in-memory substrate.Objects.
 type Objects struct {
 	Faults Faults
 
@@ -20,7 +20,7 @@
 	load    Load
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ substrate.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object store.
 func NewObjects() *Objects {
@@ -34,7 +34,7 @@
 	return o.load
 }
 
-// Put implements platform.Objects.
+// Put implements substrate.Objects.
 func (o *Objects) Put(ctx context.Context, key string, value []byte) error {
 	value = append([]byte{}, value...)
 	_, err := withFaults(ctx, &o.Faults, call{"objects", "put", true}, func() (struct{}, error) {
@@ -49,7 +49,7 @@
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements substrate.Objects.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	return withFaults(ctx, &o.Faults, call{"objects", "get", false}, func() ([]byte, error) {
 		o.mu.Lock()
@@ -64,7 +64,7 @@
 	})
 }
 
-// Delete implements platform.Objects. Deleting a missing object succeeds.
+// Delete implements substrate.Objects. Deleting a missing object succeeds.
 func (o *Objects) Delete(ctx context.Context, key string) error {
 	_, err := withFaults(ctx, &o.Faults, call{"objects", "delete", true}, func() (struct{}, error) {
 		o.mu.Lock()
@@ -77,7 +77,7 @@
 	return err
 }
 
-// List implements platform.Objects.
+// List implements substrate.Objects.
 func (o *Objects) List(ctx context.Context, prefix string) ([]string, error) {
 	return withFaults(ctx, &o.Faults, call{"objects", "list", false}, func() ([]string, error) {
 		o.mu.Lock()
--- a/platform/standin/run.go
+++ b/standin/run.go
@@ -8,8 +8,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Calls of a runtime to the object store.
@@ -25,10 +25,10 @@
 
 // run is one attempt inside a Runtime, guarded by the runtime's lock.
 type run struct {
-	spec        platform.StartSpec
-	record      platform.Run
-	started     platform.RuntimeClock
-	ended       platform.RuntimeClock
+	spec        substrate.StartSpec
+	record      substrate.Run
+	started     substrate.RuntimeClock
+	ended       substrate.RuntimeClock
 	lease       *time.Timer
 	cancel      context.CancelFunc
 	done        chan struct{} // closed when the goroutine has ended
@@ -37,12 +37,12 @@
 	checkpoints int // written so far
 }
 
-func newRun(spec platform.StartSpec, now platform.RuntimeClock) *run {
+func newRun(spec substrate.StartSpec, now substrate.RuntimeClock) *run {
 	return &run{
 		spec: spec,
-		record: platform.Run{
+		record: substrate.Run{
 			Attempt:    spec.Attempt,
-			State:      platform.RunRunning,
+			State:      substrate.RunRunning,
 			Checkpoint: spec.Checkpoint,
 			Resources:  spec.Resources,
 			Class:      spec.Class,
@@ -55,7 +55,7 @@
 	}
 }
 
-func (r *run) snapshot() platform.Run {
+func (r *run) snapshot() substrate.Run {
 	record := r.record
 	if r.input != nil {
 		_, record.Progress = r.input.saved()
@@ -65,9 +65,9 @@
 
 func (r *run) setShare(share float64) {
 	r.share = share
-	r.record.State = platform.RunThrottled
+	r.record.State = substrate.RunThrottled
 	if share == 1 {
-		r.record.State = platform.RunRunning
+		r.record.State = substrate.RunRunning
 	}
 	if r.input != nil {
 		r.input.throttle(share)
@@ -96,7 +96,7 @@
 	} else {
 		run.record.Result = key
 	}
-	r.end(run, platform.RunExited, EventExited)
+	r.end(run, substrate.RunExited, EventExited)
 }
 
 func (r *Runtime) runProgram(ctx context.Context, run *run, program Program) ([]byte, error) {
@@ -143,7 +143,7 @@
 	return backoff.Retry(ctx, attempt, backoff.WithBackOff(retry), backoff.WithMaxElapsedTime(0))
 }
 
-// Checkpoint implements platform.WorkerRuntime. Every checkpoint has a key of
+// Checkpoint implements substrate.WorkerRuntime. Every checkpoint has a key of
 // its own.
 func (r *Runtime) Checkpoint(ctx context.Context, attempt structs.AttemptID) (string, error) {
 	type save struct {
--- a/platform/standin/runtime.go
+++ b/standin/runtime.go
@@ -10,24 +10,24 @@
 
 	"github.com/google/uuid"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // RuntimeOptions configures a Runtime.
 type RuntimeOptions struct {
 	Worker   structs.WorkerID
 	Capacity structs.Resources
-	Objects  platform.Objects
+	Objects  substrate.Objects
 	Programs map[string]Program
 	History  *History // shared with other runtimes; nil for one of its own
 }
 
 // Measure returns what a running run uses and its tail latency in
 // milliseconds.
-type Measure func(platform.Run) (structs.Resources, float64)
+type Measure func(substrate.Run) (structs.Resources, float64)
 
-// Runtime is an in-memory platform.WorkerRuntime of one worker. It enforces
+// Runtime is an in-memory substrate.WorkerRuntime of one worker. It enforces
 // leases on its own monotonic clock. It starts runs beyond its capacity, and
 // records a violation in its history.
 type Runtime struct {
@@ -44,7 +44,7 @@
 	measure     Measure
 }
 
-var _ platform.WorkerRuntime = (*Runtime)(nil)
+var _ substrate.WorkerRuntime = (*Runtime)(nil)
 
 // NewRuntime returns a running runtime without runs.
 func NewRuntime(options RuntimeOptions) *Runtime {
@@ -87,7 +87,7 @@
 	var done []chan struct{}
 	for _, run := range r.sorted() {
 		if !run.record.State.Over() {
-			r.end(run, platform.RunStopped, EventStopped)
+			r.end(run, substrate.RunStopped, EventStopped)
 		}
 		done = append(done, run.done)
 	}
@@ -97,8 +97,8 @@
 	}
 }
 
-func (r *Runtime) now() platform.RuntimeClock {
-	return platform.RuntimeClock(time.Since(r.booted))
+func (r *Runtime) now() substrate.RuntimeClock {
+	return substrate.RuntimeClock(time.Since(r.booted))
 }
 
 // sorted returns the runs in the order of their attempts.
@@ -130,10 +130,10 @@
 	})
 }
 
-// Snapshot implements platform.WorkerRuntime.
-func (r *Runtime) Snapshot(ctx context.Context) (platform.Snapshot, error) {
-	return locked(ctx, r, "snapshot", false, func() (platform.Snapshot, error) {
-		s := platform.Snapshot{Incarnation: r.incarnation, Now: r.now()}
+// Snapshot implements substrate.WorkerRuntime.
+func (r *Runtime) Snapshot(ctx context.Context) (substrate.Snapshot, error) {
+	return locked(ctx, r, "snapshot", false, func() (substrate.Snapshot, error) {
+		s := substrate.Snapshot{Incarnation: r.incarnation, Now: r.now()}
 		for _, run := range r.sorted() {
 			s.Runs = append(s.Runs, run.snapshot())
 		}
@@ -141,15 +141,15 @@
 	})
 }
 
-// Start implements platform.WorkerRuntime.
-func (r *Runtime) Start(ctx context.Context, spec platform.StartSpec) error {
+// Start implements substrate.WorkerRuntime.
+func (r *Runtime) Start(ctx context.Context, spec substrate.StartSpec) error {
 	_, err := locked(ctx, r, "start", true, func() (struct{}, error) {
 		return struct{}{}, r.start(spec)
 	})
 	return err
 }
 
-func (r *Runtime) start(spec platform.StartSpec) error {
+func (r *Runtime) start(spec substrate.StartSpec) error {
 	now := r.now()
 	if spec.Incarnation != r.incarnation {
 		return refused(structs.ReasonIncarnation, "incarnation is %s", r.incarnation)
@@ -205,11 +205,11 @@
 		run.lease.Reset(time.Duration(left))
 		return
 	}
-	r.end(run, platform.RunLapsed, EventLapsed)
+	r.end(run, substrate.RunLapsed, EventLapsed)
 }
 
 // end closes a run for good.
-func (r *Runtime) end(run *run, state platform.RunState, kind EventKind) {
+func (r *Runtime) end(run *run, state substrate.RunState, kind EventKind) {
 	run.record.State = state
 	run.ended = r.now()
 	run.lease.Stop()
@@ -231,8 +231,8 @@
 	}
 }
 
-// Renew implements platform.WorkerRuntime.
-func (r *Runtime) Renew(ctx context.Context, incarnation string, leases map[structs.AttemptID]platform.RuntimeClock) error {
+// Renew implements substrate.WorkerRuntime.
+func (r *Runtime) Renew(ctx context.Context, incarnation string, leases map[structs.AttemptID]substrate.RuntimeClock) error {
 	_, err := locked(ctx, r, "renew", true, func() (struct{}, error) {
 		if incarnation != r.incarnation {
 			return struct{}{}, refused(structs.ReasonIncarnation, "incarnation is %s", r.incarnation)
@@ -249,21 +249,21 @@
 	return err
 }
 
-// Stop implements platform.WorkerRuntime.
-func (r *Runtime) Stop(ctx context.Context, attempt structs.AttemptID) (platform.Run, error) {
-	return locked(ctx, r, "stop", true, func() (platform.Run, error) {
+// Stop implements substrate.WorkerRuntime.
+func (r *Runtime) Stop(ctx context.Context, attempt structs.AttemptID) (substrate.Run, error) {
+	return locked(ctx, r, "stop", true, func() (substrate.Run, error) {
 		run, found := r.runs[attempt]
 		if !found {
-			return platform.Run{}, refused(structs.ReasonUnknownAttempt, "%s", attempt)
+			return substrate.Run{}, refused(structs.ReasonUnknownAttempt, "%s", attempt)
 		}
 		if !run.record.State.Over() {
-			r.end(run, platform.RunStopped, EventStopped)
+			r.end(run, substrate.RunStopped, EventStopped)
 		}
 		return run.snapshot(), nil
 	})
 }
 
-// Throttle implements platform.WorkerRuntime.
+// Throttle implements substrate.WorkerRuntime.
 func (r *Runtime) Throttle(ctx context.Context, attempt structs.AttemptID, share float64) error {
 	_, err := locked(ctx, r, "throttle", true, func() (struct{}, error) {
 		run, found := r.runs[attempt]
@@ -279,7 +279,7 @@
 	return err
 }
 
-// Forget implements platform.WorkerRuntime. Runs that are not over stay.
+// Forget implements substrate.WorkerRuntime. Runs that are not over stay.
 func (r *Runtime) Forget(ctx context.Context, attempts []structs.AttemptID) error {
 	_, err := locked(ctx, r, "forget", true, func() (struct{}, error) {
 		for _, attempt := range attempts {
@@ -301,13 +301,13 @@
 	r.measure = measure
 }
 
-// Usage implements platform.WorkerRuntime. It reports the runs that have run
+// Usage implements substrate.WorkerRuntime. It reports the runs that have run
 // for longer than the lag.
-func (r *Runtime) Usage(ctx context.Context) ([]platform.Usage, error) {
-	return locked(ctx, r, "usage", false, func() ([]platform.Usage, error) {
-		var list []platform.Usage
+func (r *Runtime) Usage(ctx context.Context) ([]substrate.Usage, error) {
+	return locked(ctx, r, "usage", false, func() ([]substrate.Usage, error) {
+		var list []substrate.Usage
 		for _, run := range r.sorted() {
-			if run.record.State.Over() || r.now()-run.started < platform.RuntimeClock(r.usageLag) {
+			if run.record.State.Over() || r.now()-run.started < substrate.RuntimeClock(r.usageLag) {
 				continue
 			}
 			list = append(list, r.usage(run))
@@ -316,9 +316,9 @@
 	})
 }
 
-func (r *Runtime) usage(run *run) platform.Usage {
+func (r *Runtime) usage(run *run) substrate.Usage {
 	record := run.snapshot()
-	usage := platform.Usage{Attempt: record.Attempt, Class: record.Class, Resources: record.Resources, Age: r.usageLag}
+	usage := substrate.Usage{Attempt: record.Attempt, Class: record.Class, Resources: record.Resources, Age: r.usageLag}
 	if r.measure != nil {
 		usage.Resources, usage.LatencyMS = r.measure(record)
 	}
--- a/platform/standin/samples.go
+++ b/standin/samples.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 //go:embed samples/*.json
@@ -28,7 +28,7 @@
 
 // PutSamples stores the sample inputs of the programs "pricing", "matching" and
 // "watcher" under their sample keys.
-func PutSamples(ctx context.Context, objects platform.Objects) error {
+func PutSamples(ctx context.Context, objects substrate.Objects) error {
 	for _, program := range []string{"pricing", "matching", "watcher"} {
 		data, err := Sample(program)
 		if err != nil {
--- a/platform/standin/samples_test.go
+++ b/standin/samples_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // runToEnd runs a sample program, with an eviction in the middle, and returns
@@ -33,7 +33,7 @@
 	snapshot, err := r.Snapshot(t.Context())
 	is.NoErr(err)
 	run := snapshot.Runs[1]
-	is.Equal(run.State, platform.RunExited)
+	is.Equal(run.State, substrate.RunExited)
 	is.Equal(run.Detail, "")
 	result, err := objects.Get(t.Context(), run.Result)
 	is.NoErr(err)
--- a/platform/standin/server.go
+++ b/standin/server.go
@@ -9,9 +9,9 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/daisywall/daisywall/api/platformpb"
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/wire"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+	"github.com/daisywall/daisywall/substrate/rpc/wire"
 )
 
 // Platform is a whole stand-in: a table, an object store and the runtimes of
@@ -81,7 +81,7 @@
 
 type tableServer struct {
 	platformpb.UnimplementedTableServer
-	table platform.Table
+	table substrate.Table
 }
 
 func (s *tableServer) Get(ctx context.Context, in *platformpb.GetRequest) (*platformpb.GetResponse, error) {
@@ -126,7 +126,7 @@
 
 type objectsServer struct {
 	platformpb.UnimplementedObjectsServer
-	objects platform.Objects
+	objects substrate.Objects
 }
 
 func (s *objectsServer) PutObject(ctx context.Context, in *platformpb.PutObjectRequest) (*platformpb.PutObjectResponse, error) {
--- a/platform/standin/server_runtime.go
+++ b/standin/server_runtime.go
@@ -7,8 +7,8 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/daisywall/daisywall/api/platformpb"
-	"github.com/daisywall/daisywall/platform/wire"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate/rpc/wire"
 )
 
 type runtimeServer struct {
--- a/platform/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -10,9 +10,9 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 func TestMain(m *testing.M) {
@@ -31,13 +31,13 @@
 	})
 }
 
-func spec(t *testing.T, r platform.WorkerRuntime, a structs.AttemptID, program, input string) platform.StartSpec {
+func spec(t *testing.T, r substrate.WorkerRuntime, a structs.AttemptID, program, input string) substrate.StartSpec {
 	t.Helper()
 	s, err := r.Snapshot(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.StartSpec{
+	return substrate.StartSpec{
 		Incarnation: s.Incarnation, Attempt: a, Class: "c", Program: program, Input: input, Resources: one,
 		NotAfter: s.Now.Add(3 * time.Second), LeaseUntil: s.Now.Add(time.Minute),
 	}
@@ -53,17 +53,17 @@
 		a := attempt("j", 1)
 		s := spec(t, r, a, "sleep", "in")
 		is.NoErr(r.Start(t.Context(), s))
-		is.NoErr(r.Renew(t.Context(), s.Incarnation, map[structs.AttemptID]platform.RuntimeClock{a: s.LeaseUntil.Add(time.Minute)}))
+		is.NoErr(r.Renew(t.Context(), s.Incarnation, map[structs.AttemptID]substrate.RuntimeClock{a: s.LeaseUntil.Add(time.Minute)}))
 		time.Sleep(119 * time.Second)
 		synctest.Wait()
 		snapshot, err := r.Snapshot(t.Context())
 		is.NoErr(err)
-		is.Equal(snapshot.Runs[0].State, platform.RunRunning)
+		is.Equal(snapshot.Runs[0].State, substrate.RunRunning)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		snapshot, err = r.Snapshot(t.Context())
 		is.NoErr(err)
-		is.Equal(snapshot.Runs[0].State, platform.RunLapsed)
+		is.Equal(snapshot.Runs[0].State, substrate.RunLapsed)
 	})
 }
 
@@ -85,7 +85,7 @@
 	is := is.New(t)
 	table := standin.NewTable()
 	table.Faults.LoseAnswer(1)
-	_, err := table.Commit(context.Background(), platform.Txn{ID: "t1", Puts: []platform.Put{{Key: "k", Value: []byte("v")}}})
+	_, err := table.Commit(context.Background(), substrate.Txn{ID: "t1", Puts: []substrate.Put{{Key: "k", Value: []byte("v")}}})
 	var unknown *structs.UnknownOutcomeError
 	is.True(errors.As(err, &unknown))
 	row, err := table.Get(context.Background(), "k")
--- a/platform/standin/table.go
+++ b/standin/table.go
@@ -7,8 +7,8 @@
 	"strings"
 	"sync"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Load counts what a store was asked to do.
@@ -20,22 +20,22 @@
 	BytesWrite  int64 // values only
 }
 
-// Table is an in-memory platform.Table.
+// Table is an in-memory substrate.Table.
 type Table struct {
 	Faults Faults
 
 	mu       sync.Mutex
 	revision int64
-	rows     map[string]platform.Row // a deleted row stays with a nil Value
-	keys     []string                // sorted keys of rows
+	rows     map[string]substrate.Row // a deleted row stays with a nil Value
+	keys     []string                 // sorted keys of rows
 	load     Load
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ substrate.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: map[string]platform.Row{}}
+	return &Table{rows: map[string]substrate.Row{}}
 }
 
 // Load returns the counters.
@@ -45,28 +45,28 @@
 	return t.load
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
-	return withFaults(ctx, &t.Faults, call{"table", "get", false}, func() (platform.Row, error) {
+// Get implements substrate.Table.
+func (t *Table) Get(ctx context.Context, key string) (substrate.Row, error) {
+	return withFaults(ctx, &t.Faults, call{"table", "get", false}, func() (substrate.Row, error) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.load.Reads++
 		row, found := t.rows[key]
 		if !found || row.Value == nil {
-			return platform.Row{}, &structs.NotFoundError{Subject: "row", Name: key}
+			return substrate.Row{}, &structs.NotFoundError{Subject: "row", Name: key}
 		}
 		t.load.BytesRead += int64(len(row.Value))
 		return copyRow(row), nil
 	})
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	return withFaults(ctx, &t.Faults, call{"table", "list", false}, func() ([]platform.Row, error) {
+// List implements substrate.Table.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]substrate.Row, error) {
+	return withFaults(ctx, &t.Faults, call{"table", "list", false}, func() ([]substrate.Row, error) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.load.Reads++
-		var rows []platform.Row
+		var rows []substrate.Row
 		for _, key := range t.keysBelow(prefix) {
 			if len(rows) == limit {
 				break
@@ -82,17 +82,17 @@
 	})
 }
 
-// Changes implements platform.Table.
-func (t *Table) Changes(ctx context.Context, prefix string, since int64) ([]platform.Row, int64, error) {
+// Changes implements substrate.Table.
+func (t *Table) Changes(ctx context.Context, prefix string, since int64) ([]substrate.Row, int64, error) {
 	type changes struct {
-		rows     []platform.Row
+		rows     []substrate.Row
 		revision int64
 	}
 	c, err := withFaults(ctx, &t.Faults, call{"table", "changes", false}, func() (changes, error) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.load.Reads++
-		var rows []platform.Row
+		var rows []substrate.Row
 		for _, key := range t.keysBelow(prefix) {
 			row := t.rows[key]
 			if row.Revision <= since {
@@ -106,8 +106,8 @@
 	return c.rows, c.revision, err
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+// Commit implements substrate.Table.
+func (t *Table) Commit(ctx context.Context, txn substrate.Txn) (int64, error) {
 	txn = copyTxn(txn)
 	return withFaults(ctx, &t.Faults, call{"table", "commit", true}, func() (int64, error) {
 		t.mu.Lock()
@@ -116,7 +116,7 @@
 	})
 }
 
-func (t *Table) commit(txn platform.Txn) (int64, error) {
+func (t *Table) commit(txn substrate.Txn) (int64, error) {
 	t.load.Writes++
 	for _, c := range txn.Compares {
 		var have int64
@@ -147,7 +147,7 @@
 		at, _ := slices.BinarySearch(t.keys, key)
 		t.keys = slices.Insert(t.keys, at, key)
 	}
-	t.rows[key] = platform.Row{Key: key, Value: value, Revision: t.revision, TxnID: txnID}
+	t.rows[key] = substrate.Row{Key: key, Value: value, Revision: t.revision, TxnID: txnID}
 	t.load.RowsWritten++
 	t.load.BytesWrite += int64(len(value))
 }
@@ -162,20 +162,20 @@
 	return t.keys[from:to]
 }
 
-func copyRow(r platform.Row) platform.Row {
+func copyRow(r substrate.Row) substrate.Row {
 	r.Value = bytes.Clone(r.Value)
 	return r
 }
 
 // copyTxn detaches a transaction from its caller's memory. The values of its
 // puts are never nil, which would read as deleted.
-func copyTxn(txn platform.Txn) platform.Txn {
-	puts := make([]platform.Put, 0, len(txn.Puts))
+func copyTxn(txn substrate.Txn) substrate.Txn {
+	puts := make([]substrate.Put, 0, len(txn.Puts))
 	for _, p := range txn.Puts {
 		value := append([]byte{}, p.Value...)
-		puts = append(puts, platform.Put{Key: p.Key, Value: value})
+		puts = append(puts, substrate.Put{Key: p.Key, Value: value})
 	}
-	return platform.Txn{
+	return substrate.Txn{
 		ID:       txn.ID,
 		Compares: slices.Clone(txn.Compares),
 		Puts:     puts,
--- a/platform/standin/target_test.go
+++ b/standin/target_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
--- a/platform/client/client_test.go
+++ b/substrate/rpc/client/client_test.go
@@ -11,10 +11,10 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/test/bufconn"
 
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/client"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+	"github.com/daisywall/daisywall/substrate/rpc/client"
 )
 
 // network dials a listener in memory. Its connections can go silent.
@@ -74,7 +74,7 @@
 	n.down = down
 }
 
-func onNetwork(t *testing.T, check func(is *is.I, n *network, p *standin.Platform, table platform.Table)) {
+func onNetwork(t *testing.T, check func(is *is.I, n *network, p *standin.Platform, table substrate.Table)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &network{listener: bufconn.Listen(1 << 20)}
 		p := standin.NewPlatform()
@@ -93,20 +93,20 @@
 	})
 }
 
-func commit(table platform.Table, id string) error {
-	_, err := table.Commit(context.Background(), platform.Txn{ID: id, Puts: []platform.Put{put("k", id)}})
+func commit(table substrate.Table, id string) error {
+	_, err := table.Commit(context.Background(), substrate.Txn{ID: id, Puts: []substrate.Put{put("k", id)}})
 	return err
 }
 
 func TestCommitBeforeAConnectionHadNoEffect(t *testing.T) {
-	onNetwork(t, func(is *is.I, n *network, _ *standin.Platform, table platform.Table) {
+	onNetwork(t, func(is *is.I, n *network, _ *standin.Platform, table substrate.Table) {
 		n.setDown(true)
 		is.True(isError[*structs.UnavailableError](commit(table, "t")))
 	})
 }
 
 func TestCommitOnASilentConnectionIsUnknownAndTheNextUsesAFreshOne(t *testing.T) {
-	onNetwork(t, func(is *is.I, n *network, _ *standin.Platform, table platform.Table) {
+	onNetwork(t, func(is *is.I, n *network, _ *standin.Platform, table substrate.Table) {
 		is.NoErr(commit(table, "t1"))
 		n.silence()
 		is.True(isError[*structs.UnknownOutcomeError](commit(table, "t2")))
@@ -115,7 +115,7 @@
 }
 
 func TestCommitOnACutConnectionIsUnknown(t *testing.T) {
-	onNetwork(t, func(is *is.I, n *network, p *standin.Platform, table platform.Table) {
+	onNetwork(t, func(is *is.I, n *network, p *standin.Platform, table substrate.Table) {
 		is.NoErr(commit(table, "t1"))
 		p.Table.Faults.Pause()
 		defer p.Table.Faults.Clear()
--- a/platform/client/contract_test.go
+++ b/substrate/rpc/client/contract_test.go
@@ -13,10 +13,10 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/test/bufconn"
 
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/client"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+	"github.com/daisywall/daisywall/substrate/rpc/client"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -26,9 +26,9 @@
 // ports is a platform as the code under test sees it.
 type ports struct {
 	platform *standin.Platform
-	table    platform.Table
-	objects  platform.Objects
-	runtime  platform.WorkerRuntime
+	table    substrate.Table
+	objects  substrate.Objects
+	runtime  substrate.WorkerRuntime
 }
 
 var oneTask = structs.Resources{MilliCPU: 1000, MemoryMB: 1024}
@@ -107,7 +107,7 @@
 	return errors.As(err, &refused) && refused.Reason == reason
 }
 
-func put(key, value string) platform.Put { return platform.Put{Key: key, Value: []byte(value)} }
+func put(key, value string) substrate.Put { return substrate.Put{Key: key, Value: []byte(value)} }
 
 func missingRow(t *testing.T, is *is.I, p ports) {
 	_, err := p.table.Get(t.Context(), "k")
@@ -115,19 +115,19 @@
 }
 
 func wholeTransaction(t *testing.T, is *is.I, p ports) {
-	first, err := p.table.Commit(t.Context(), platform.Txn{ID: "t1", Compares: []platform.Compare{{Key: "a"}}, Puts: []platform.Put{put("a", "1"), put("b", "")}})
+	first, err := p.table.Commit(t.Context(), substrate.Txn{ID: "t1", Compares: []substrate.Compare{{Key: "a"}}, Puts: []substrate.Put{put("a", "1"), put("b", "")}})
 	is.NoErr(err)
-	_, err = p.table.Commit(t.Context(), platform.Txn{ID: "t2", Compares: []platform.Compare{{Key: "a"}}, Puts: []platform.Put{put("b", "2")}})
+	_, err = p.table.Commit(t.Context(), substrate.Txn{ID: "t2", Compares: []substrate.Compare{{Key: "a"}}, Puts: []substrate.Put{put("b", "2")}})
 	var conflict *structs.ConflictError
 	is.True(errors.As(err, &conflict))
 	is.Equal(*conflict, structs.ConflictError{Key: "a", Want: 0, Have: first})
 	row, err := p.table.Get(t.Context(), "b")
 	is.NoErr(err)
-	is.Equal(row, platform.Row{Key: "b", Value: []byte{}, Revision: first, TxnID: "t1"})
+	is.Equal(row, substrate.Row{Key: "b", Value: []byte{}, Revision: first, TxnID: "t1"})
 }
 
 func listPages(t *testing.T, is *is.I, p ports) {
-	_, err := p.table.Commit(t.Context(), platform.Txn{ID: "t", Puts: []platform.Put{put("x/2", ""), put("x/1", ""), put("y", ""), put("x/3", "")}})
+	_, err := p.table.Commit(t.Context(), substrate.Txn{ID: "t", Puts: []substrate.Put{put("x/2", ""), put("x/1", ""), put("y", ""), put("x/3", "")}})
 	is.NoErr(err)
 	rows, err := p.table.List(t.Context(), "x/", "", 2)
 	is.NoErr(err)
@@ -138,14 +138,14 @@
 }
 
 func changesIncludeDeletes(t *testing.T, is *is.I, p ports) {
-	since, err := p.table.Commit(t.Context(), platform.Txn{ID: "t1", Puts: []platform.Put{put("x/1", "1"), put("x/2", "")}})
+	since, err := p.table.Commit(t.Context(), substrate.Txn{ID: "t1", Puts: []substrate.Put{put("x/1", "1"), put("x/2", "")}})
 	is.NoErr(err)
-	_, err = p.table.Commit(t.Context(), platform.Txn{ID: "t2", Deletes: []string{"x/1"}})
+	_, err = p.table.Commit(t.Context(), substrate.Txn{ID: "t2", Deletes: []string{"x/1"}})
 	is.NoErr(err)
 	rows, revision, err := p.table.Changes(t.Context(), "x/", since)
 	is.NoErr(err)
 	is.Equal(revision, since+1)
-	is.Equal(rows, []platform.Row{{Key: "x/1", Revision: since + 1, TxnID: "t2"}})
+	is.Equal(rows, []substrate.Row{{Key: "x/1", Revision: since + 1, TxnID: "t2"}})
 	rows, _, err = p.table.Changes(t.Context(), "x/", 0)
 	is.NoErr(err)
 	is.Equal(len(rows), 2)
@@ -154,7 +154,7 @@
 
 func refusedCall(t *testing.T, is *is.I, p ports) {
 	p.platform.Table.Faults.Refuse(2)
-	_, err := p.table.Commit(t.Context(), platform.Txn{ID: "t", Puts: []platform.Put{put("k", "")}})
+	_, err := p.table.Commit(t.Context(), substrate.Txn{ID: "t", Puts: []substrate.Put{put("k", "")}})
 	is.True(isError[*structs.UnavailableError](err))
 	_, err = p.table.Get(t.Context(), "k")
 	is.True(isError[*structs.UnavailableError](err))
@@ -164,7 +164,7 @@
 
 func lostAnswer(t *testing.T, is *is.I, p ports) {
 	p.platform.Table.Faults.LoseAnswer(1)
-	_, err := p.table.Commit(t.Context(), platform.Txn{ID: "t", Puts: []platform.Put{put("k", "")}})
+	_, err := p.table.Commit(t.Context(), substrate.Txn{ID: "t", Puts: []substrate.Put{put("k", "")}})
 	is.True(isError[*structs.UnknownOutcomeError](err))
 	row, err := p.table.Get(t.Context(), "k")
 	is.NoErr(err)
@@ -175,7 +175,7 @@
 	p.platform.Table.Faults.Silence(standin.Every)
 	ctx, cancel := context.WithTimeout(t.Context(), callTimeout/2)
 	defer cancel()
-	_, err := p.table.Commit(ctx, platform.Txn{ID: "t", Puts: []platform.Put{put("k", "")}})
+	_, err := p.table.Commit(ctx, substrate.Txn{ID: "t", Puts: []substrate.Put{put("k", "")}})
 	is.True(isError[*structs.UnknownOutcomeError](err))
 	_, err = p.table.Get(ctx, "k")
 	is.True(isError[*structs.UnavailableError](err))
@@ -185,7 +185,7 @@
 	p.platform.Table.Faults.Delay(callTimeout*3/4, 1)
 	ctx, cancel := context.WithTimeout(t.Context(), callTimeout/2)
 	defer cancel()
-	_, err := p.table.Commit(ctx, platform.Txn{ID: "t", Puts: []platform.Put{put("k", "")}})
+	_, err := p.table.Commit(ctx, substrate.Txn{ID: "t", Puts: []substrate.Put{put("k", "")}})
 	is.True(isError[*structs.UnknownOutcomeError](err))
 	_, err = p.table.Get(t.Context(), "k")
 	is.True(isError[*structs.NotFoundError](err))
@@ -208,10 +208,10 @@
 	is.True(isError[*structs.NotFoundError](err))
 }
 
-func startSpec(t *testing.T, is *is.I, p ports, number int32, program, input string) platform.StartSpec {
+func startSpec(t *testing.T, is *is.I, p ports, number int32, program, input string) substrate.StartSpec {
 	snapshot, err := p.runtime.Snapshot(t.Context())
 	is.NoErr(err)
-	return platform.StartSpec{
+	return substrate.StartSpec{
 		Incarnation: snapshot.Incarnation,
 		Attempt:     structs.AttemptID{Task: structs.TaskID{Job: "j", Index: 3}, Number: number},
 		Class:       "class",
@@ -224,7 +224,7 @@
 	}
 }
 
-func onlyRun(t *testing.T, is *is.I, p ports) platform.Run {
+func onlyRun(t *testing.T, is *is.I, p ports) substrate.Run {
 	snapshot, err := p.runtime.Snapshot(t.Context())
 	is.NoErr(err)
 	is.Equal(len(snapshot.Runs), 1)
@@ -242,10 +242,10 @@
 	is.Equal(run.Kind, structs.WorkService)
 	time.Sleep(2 * time.Second)
 	run = onlyRun(t, is, p)
-	is.Equal(run.State, platform.RunExited)
+	is.Equal(run.State, substrate.RunExited)
 	is.Equal(run.Result, "result/j/3")
 	is.NoErr(p.runtime.Start(t.Context(), spec))
-	is.Equal(onlyRun(t, is, p).State, platform.RunExited)
+	is.Equal(onlyRun(t, is, p).State, substrate.RunExited)
 	is.NoErr(p.runtime.Forget(t.Context(), []structs.AttemptID{spec.Attempt}))
 	snapshot, err := p.runtime.Snapshot(t.Context())
 	is.NoErr(err)
@@ -268,7 +268,7 @@
 	snapshot, err := p.runtime.Snapshot(t.Context())
 	is.NoErr(err)
 	is.Equal(len(snapshot.Runs), 0)
-	is.Equal(snapshot.Now, platform.RuntimeClock(0))
+	is.Equal(snapshot.Now, substrate.RuntimeClock(0))
 }
 
 func lapsedLease(t *testing.T, is *is.I, p ports) {
@@ -276,14 +276,14 @@
 	spec := startSpec(t, is, p, 1, "sleep", "in")
 	is.NoErr(p.runtime.Start(t.Context(), spec))
 	renewed := spec.LeaseUntil.Add(time.Minute)
-	is.NoErr(p.runtime.Renew(t.Context(), spec.Incarnation, map[structs.AttemptID]platform.RuntimeClock{spec.Attempt: renewed}))
-	is.NoErr(p.runtime.Renew(t.Context(), spec.Incarnation, map[structs.AttemptID]platform.RuntimeClock{spec.Attempt: spec.LeaseUntil}))
+	is.NoErr(p.runtime.Renew(t.Context(), spec.Incarnation, map[structs.AttemptID]substrate.RuntimeClock{spec.Attempt: renewed}))
+	is.NoErr(p.runtime.Renew(t.Context(), spec.Incarnation, map[structs.AttemptID]substrate.RuntimeClock{spec.Attempt: spec.LeaseUntil}))
 	time.Sleep(119 * time.Second)
-	is.Equal(onlyRun(t, is, p).State, platform.RunRunning)
+	is.Equal(onlyRun(t, is, p).State, substrate.RunRunning)
 	time.Sleep(2 * time.Second)
-	is.Equal(onlyRun(t, is, p).State, platform.RunLapsed)
-	is.NoErr(p.runtime.Renew(t.Context(), spec.Incarnation, map[structs.AttemptID]platform.RuntimeClock{spec.Attempt: renewed.Add(time.Hour)}))
-	is.Equal(onlyRun(t, is, p).State, platform.RunLapsed)
+	is.Equal(onlyRun(t, is, p).State, substrate.RunLapsed)
+	is.NoErr(p.runtime.Renew(t.Context(), spec.Incarnation, map[structs.AttemptID]substrate.RuntimeClock{spec.Attempt: renewed.Add(time.Hour)}))
+	is.Equal(onlyRun(t, is, p).State, substrate.RunLapsed)
 }
 
 func checkpointResumes(t *testing.T, is *is.I, p ports) {
@@ -295,7 +295,7 @@
 	is.NoErr(err)
 	run, err := p.runtime.Stop(t.Context(), spec.Attempt)
 	is.NoErr(err)
-	is.Equal(run.State, platform.RunStopped)
+	is.Equal(run.State, substrate.RunStopped)
 	is.Equal(run.Checkpoint, key)
 	is.Equal(run.Progress, 0.6)
 
@@ -313,16 +313,16 @@
 	is.NoErr(p.runtime.Start(t.Context(), spec))
 	is.NoErr(p.runtime.Throttle(t.Context(), spec.Attempt, 0.25))
 	time.Sleep(3 * time.Second)
-	is.Equal(onlyRun(t, is, p).State, platform.RunThrottled)
+	is.Equal(onlyRun(t, is, p).State, substrate.RunThrottled)
 	time.Sleep(2 * time.Second)
-	is.Equal(onlyRun(t, is, p).State, platform.RunExited)
+	is.Equal(onlyRun(t, is, p).State, substrate.RunExited)
 }
 
 func failedProgram(t *testing.T, is *is.I, p ports) {
 	is.NoErr(p.runtime.Start(t.Context(), startSpec(t, is, p, 1, "fail-always", "")))
 	time.Sleep(time.Millisecond)
 	run := onlyRun(t, is, p)
-	is.Equal(run.State, platform.RunExited)
+	is.Equal(run.State, substrate.RunExited)
 	is.True(run.Failed)
 	is.Equal(run.Detail, "fail-always: always fails")
 	is.True(hasReason(p.runtime.Start(t.Context(), startSpec(t, is, p, 2, "no such program", "")), structs.ReasonNotInstalled))
@@ -339,5 +339,5 @@
 	time.Sleep(11 * time.Second)
 	usage, err = p.runtime.Usage(t.Context())
 	is.NoErr(err)
-	is.Equal(usage, []platform.Usage{{Attempt: spec.Attempt, Class: "class", Resources: oneTask, Age: 10 * time.Second}})
+	is.Equal(usage, []substrate.Usage{{Attempt: spec.Attempt, Class: "class", Resources: oneTask, Age: 10 * time.Second}})
 }
--- a/platform/client/stores.go
+++ b/substrate/rpc/client/stores.go
@@ -6,40 +6,40 @@
 	"google.golang.org/grpc"
 
 	"github.com/daisywall/daisywall/api/platformpb"
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/wire"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+	"github.com/daisywall/daisywall/substrate/rpc/wire"
 )
 
 type table struct{ conn *Conn }
 
 // Table returns the table service.
-func (c *Conn) Table() platform.Table { return &table{conn: c} }
+func (c *Conn) Table() substrate.Table { return &table{conn: c} }
 
-// Get implements platform.Table.
-func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements substrate.Table.
+func (t *table) Get(ctx context.Context, key string) (substrate.Row, error) {
 	m, err := invoke(ctx, t.conn, operation{"table", "get", false}, func(ctx context.Context, conn grpc.ClientConnInterface) (*platformpb.GetResponse, error) {
 		return platformpb.NewTableClient(conn).Get(ctx, &platformpb.GetRequest{Key: key})
 	})
 	if err != nil {
-		return platform.Row{}, err
+		return substrate.Row{}, err
 	}
 	if !m.GetFound() {
-		return platform.Row{}, &structs.NotFoundError{Subject: "row", Name: key}
+		return substrate.Row{}, &structs.NotFoundError{Subject: "row", Name: key}
 	}
 	return wire.ToRow(m.GetRow()), nil
 }
 
-// List implements platform.Table.
-func (t *table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements substrate.Table.
+func (t *table) List(ctx context.Context, prefix, after string, limit int) ([]substrate.Row, error) {
 	m, err := invoke(ctx, t.conn, operation{"table", "list", false}, func(ctx context.Context, conn grpc.ClientConnInterface) (*platformpb.ListResponse, error) {
 		return platformpb.NewTableClient(conn).List(ctx, &platformpb.ListRequest{Prefix: prefix, After: after, Limit: int32(limit)})
 	})
 	return wire.ToRows(m.GetRows()), err
 }
 
-// Commit implements platform.Table.
-func (t *table) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+// Commit implements substrate.Table.
+func (t *table) Commit(ctx context.Context, txn substrate.Txn) (int64, error) {
 	m, err := invoke(ctx, t.conn, operation{"table", "commit", true}, func(ctx context.Context, conn grpc.ClientConnInterface) (*platformpb.CommitResponse, error) {
 		return platformpb.NewTableClient(conn).Commit(ctx, wire.FromTxn(txn))
 	})
@@ -52,8 +52,8 @@
 	return m.GetRevision(), nil
 }
 
-// Changes implements platform.Table.
-func (t *table) Changes(ctx context.Context, prefix string, since int64) ([]platform.Row, int64, error) {
+// Changes implements substrate.Table.
+func (t *table) Changes(ctx context.Context, prefix string, since int64) ([]substrate.Row, int64, error) {
 	m, err := invoke(ctx, t.conn, operation{"table", "changes", false}, func(ctx context.Context, conn grpc.ClientConnInterface) (*platformpb.ChangesResponse, error) {
 		return platformpb.NewTableClient(conn).Changes(ctx, &platformpb.ChangesRequest{Prefix: prefix, Since: since})
 	})
@@ -63,9 +63,9 @@
 type objects struct{ conn *Conn }
 
 // Objects returns the object store.
-func (c *Conn) Objects() platform.Objects { return &objects{conn: c} }
+func (c *Conn) Objects() substrate.Objects { return &objects{conn: c} }
 
-// Put implements platform.Objects.
+// Put implements substrate.Objects.
 func (o *objects) Put(ctx context.Context, key string, value []byte) error {
 	_, err := invoke(ctx, o.conn, operation{"objects", "put", true}, func(ctx context.Context, conn grpc.ClientConnInterface) (*platformpb.PutObjectResponse, error) {
 		return platformpb.NewObjectsClient(conn).PutObject(ctx, &platformpb.PutObjectRequest{Key: key, Value: value})
@@ -73,7 +73,7 @@
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements substrate.Objects.
 func (o *objects) Get(ctx context.Context, key string) ([]byte, error) {
 	m, err := invoke(ctx, o.conn, operation{"objects", "get", false}, func(ctx context.Context, conn grpc.ClientConnInterface) (*platformpb.GetObjectResponse, error) {
 		return platformpb.NewObjectsClient(conn).GetObject(ctx, &platformpb.GetObjectRequest{Key: key})
@@ -87,7 +87,7 @@
 	return m.GetValue(), nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements substrate.Objects.
 func (o *objects) Delete(ctx context.Context, key string) error {
 	_, err := invoke(ctx, o.conn, operation{"objects", "delete", true}, func(ctx context.Context, conn grpc.ClientConnInterface) (*platformpb.DeleteObjectResponse, error) {
 		return platformpb.NewObjectsClient(conn).DeleteObject(ctx, &platformpb.DeleteObjectRequest{Key: key})
@@ -95,7 +95,7 @@
 	return err
 }
 
-// List implements platform.Objects.
+// List implements substrate.Objects.
 func (o *objects) List(ctx context.Context, prefix string) ([]string, error) {
 	m, err := invoke(ctx, o.conn, operation{"objects", "list", false}, func(ctx context.Context, conn grpc.ClientConnInterface) (*platformpb.ListObjectsResponse, error) {
 		return platformpb.NewObjectsClient(conn).ListObjects(ctx, &platformpb.ListObjectsRequest{Prefix: prefix})
--- a/platform/wire/runtime.go
+++ b/substrate/rpc/wire/runtime.go
@@ -4,12 +4,12 @@
 	"time"
 
 	"github.com/daisywall/daisywall/api/platformpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // FromRun returns the message of a run.
-func FromRun(r platform.Run) *platformpb.Run {
+func FromRun(r substrate.Run) *platformpb.Run {
 	return &platformpb.Run{
 		Attempt:      FromAttempt(r.Attempt),
 		State:        string(r.State),
@@ -26,10 +26,10 @@
 }
 
 // ToRun returns the run of a message.
-func ToRun(m *platformpb.Run) platform.Run {
-	return platform.Run{
+func ToRun(m *platformpb.Run) substrate.Run {
+	return substrate.Run{
 		Attempt:    ToAttempt(m.GetAttempt()),
-		State:      platform.RunState(m.GetState()),
+		State:      substrate.RunState(m.GetState()),
 		Failed:     m.GetFailed(),
 		Detail:     m.GetDetail(),
 		Checkpoint: m.GetCheckpoint(),
@@ -37,27 +37,27 @@
 		Resources:  ToResources(m.GetResources()),
 		Class:      m.GetClass(),
 		Kind:       structs.WorkKind(m.GetKind()),
-		LeaseUntil: platform.RuntimeClock(m.GetLeaseUntilNs()),
+		LeaseUntil: substrate.RuntimeClock(m.GetLeaseUntilNs()),
 		Progress:   m.GetProgress(),
 	}
 }
 
 // FromSnapshot returns the message of a snapshot.
-func FromSnapshot(s platform.Snapshot) *platformpb.SnapshotResponse {
+func FromSnapshot(s substrate.Snapshot) *platformpb.SnapshotResponse {
 	return &platformpb.SnapshotResponse{Incarnation: s.Incarnation, NowNs: int64(s.Now), Runs: convert(s.Runs, FromRun)}
 }
 
 // ToSnapshot returns the snapshot of a message.
-func ToSnapshot(m *platformpb.SnapshotResponse) platform.Snapshot {
-	return platform.Snapshot{
+func ToSnapshot(m *platformpb.SnapshotResponse) substrate.Snapshot {
+	return substrate.Snapshot{
 		Incarnation: m.GetIncarnation(),
-		Now:         platform.RuntimeClock(m.GetNowNs()),
+		Now:         substrate.RuntimeClock(m.GetNowNs()),
 		Runs:        convert(m.GetRuns(), ToRun),
 	}
 }
 
 // FromStart returns the message of a start on a worker.
-func FromStart(worker structs.WorkerID, s platform.StartSpec) *platformpb.StartRequest {
+func FromStart(worker structs.WorkerID, s substrate.StartSpec) *platformpb.StartRequest {
 	return &platformpb.StartRequest{
 		Worker:       string(worker),
 		Incarnation:  s.Incarnation,
@@ -74,8 +74,8 @@
 }
 
 // ToStart returns the start of a message.
-func ToStart(m *platformpb.StartRequest) platform.StartSpec {
-	return platform.StartSpec{
+func ToStart(m *platformpb.StartRequest) substrate.StartSpec {
+	return substrate.StartSpec{
 		Incarnation: m.GetIncarnation(),
 		Attempt:     ToAttempt(m.GetAttempt()),
 		Class:       m.GetClass(),
@@ -84,13 +84,13 @@
 		Input:       m.GetInput(),
 		Checkpoint:  m.GetCheckpoint(),
 		Resources:   ToResources(m.GetResources()),
-		NotAfter:    platform.RuntimeClock(m.GetNotAfterNs()),
-		LeaseUntil:  platform.RuntimeClock(m.GetLeaseUntilNs()),
+		NotAfter:    substrate.RuntimeClock(m.GetNotAfterNs()),
+		LeaseUntil:  substrate.RuntimeClock(m.GetLeaseUntilNs()),
 	}
 }
 
 // FromLeases returns the messages of leases.
-func FromLeases(leases map[structs.AttemptID]platform.RuntimeClock) []*platformpb.Lease {
+func FromLeases(leases map[structs.AttemptID]substrate.RuntimeClock) []*platformpb.Lease {
 	list := make([]*platformpb.Lease, 0, len(leases))
 	for attempt, until := range leases {
 		list = append(list, &platformpb.Lease{Attempt: FromAttempt(attempt), UntilNs: int64(until)})
@@ -99,17 +99,17 @@
 }
 
 // ToLeases returns the leases of messages.
-func ToLeases(list []*platformpb.Lease) map[structs.AttemptID]platform.RuntimeClock {
-	leases := make(map[structs.AttemptID]platform.RuntimeClock, len(list))
+func ToLeases(list []*platformpb.Lease) map[structs.AttemptID]substrate.RuntimeClock {
+	leases := make(map[structs.AttemptID]substrate.RuntimeClock, len(list))
 	for _, l := range list {
-		leases[ToAttempt(l.GetAttempt())] = platform.RuntimeClock(l.GetUntilNs())
+		leases[ToAttempt(l.GetAttempt())] = substrate.RuntimeClock(l.GetUntilNs())
 	}
 	return leases
 }
 
 // FromUsage returns the messages of measurements.
-func FromUsage(list []platform.Usage) []*platformpb.Usage {
-	return convert(list, func(u platform.Usage) *platformpb.Usage {
+func FromUsage(list []substrate.Usage) []*platformpb.Usage {
+	return convert(list, func(u substrate.Usage) *platformpb.Usage {
 		return &platformpb.Usage{
 			Attempt:   FromAttempt(u.Attempt),
 			Class:     u.Class,
@@ -121,9 +121,9 @@
 }
 
 // ToUsage returns the measurements of messages.
-func ToUsage(list []*platformpb.Usage) []platform.Usage {
-	return convert(list, func(m *platformpb.Usage) platform.Usage {
-		return platform.Usage{
+func ToUsage(list []*platformpb.Usage) []substrate.Usage {
+	return convert(list, func(m *platformpb.Usage) substrate.Usage {
+		return substrate.Usage{
 			Attempt:   ToAttempt(m.GetAttempt()),
 			Class:     m.GetClass(),
 			Resources: ToResources(m.GetResources()),
--- a/platform/wire/wire.go
+++ b/substrate/rpc/wire/wire.go
@@ -4,18 +4,18 @@
 
 import (
 	"github.com/daisywall/daisywall/api/platformpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // FromRow returns the message of a row.
-func FromRow(r platform.Row) *platformpb.Row {
+func FromRow(r substrate.Row) *platformpb.Row {
 	return &platformpb.Row{Key: r.Key, Value: r.Value, Revision: r.Revision, TxnId: r.TxnID, Deleted: r.Value == nil}
 }
 
 // ToRow returns the row of a message. Only a deleted row has a nil Value.
-func ToRow(m *platformpb.Row) platform.Row {
-	r := platform.Row{Key: m.GetKey(), Revision: m.GetRevision(), TxnID: m.GetTxnId()}
+func ToRow(m *platformpb.Row) substrate.Row {
+	r := substrate.Row{Key: m.GetKey(), Revision: m.GetRevision(), TxnID: m.GetTxnId()}
 	if !m.GetDeleted() {
 		r.Value = append([]byte{}, m.GetValue()...)
 	}
@@ -23,19 +23,19 @@
 }
 
 // FromRows returns the messages of rows.
-func FromRows(rows []platform.Row) []*platformpb.Row { return convert(rows, FromRow) }
+func FromRows(rows []substrate.Row) []*platformpb.Row { return convert(rows, FromRow) }
 
 // ToRows returns the rows of messages.
-func ToRows(rows []*platformpb.Row) []platform.Row { return convert(rows, ToRow) }
+func ToRows(rows []*platformpb.Row) []substrate.Row { return convert(rows, ToRow) }
 
 // FromTxn returns the message of a transaction.
-func FromTxn(t platform.Txn) *platformpb.CommitRequest {
+func FromTxn(t substrate.Txn) *platformpb.CommitRequest {
 	return &platformpb.CommitRequest{
 		Id: t.ID,
-		Compares: convert(t.Compares, func(c platform.Compare) *platformpb.Compare {
+		Compares: convert(t.Compares, func(c substrate.Compare) *platformpb.Compare {
 			return &platformpb.Compare{Key: c.Key, Revision: c.Revision}
 		}),
-		Puts: convert(t.Puts, func(p platform.Put) *platformpb.Put {
+		Puts: convert(t.Puts, func(p substrate.Put) *platformpb.Put {
 			return &platformpb.Put{Key: p.Key, Value: p.Value}
 		}),
 		Deletes: t.Deletes,
@@ -43,14 +43,14 @@
 }
 
 // ToTxn returns the transaction of a message.
-func ToTxn(m *platformpb.CommitRequest) platform.Txn {
-	return platform.Txn{
+func ToTxn(m *platformpb.CommitRequest) substrate.Txn {
+	return substrate.Txn{
 		ID: m.GetId(),
-		Compares: convert(m.GetCompares(), func(c *platformpb.Compare) platform.Compare {
-			return platform.Compare{Key: c.GetKey(), Revision: c.GetRevision()}
+		Compares: convert(m.GetCompares(), func(c *platformpb.Compare) substrate.Compare {
+			return substrate.Compare{Key: c.GetKey(), Revision: c.GetRevision()}
 		}),
-		Puts: convert(m.GetPuts(), func(p *platformpb.Put) platform.Put {
-			return platform.Put{Key: p.GetKey(), Value: p.GetValue()}
+		Puts: convert(m.GetPuts(), func(p *platformpb.Put) substrate.Put {
+			return substrate.Put{Key: p.GetKey(), Value: p.GetValue()}
 		}),
 		Deletes: m.GetDeletes(),
 	}
--- a/platform/platform.go
+++ b/substrate/substrate.go
@@ -1,7 +1,7 @@
-// Package platform declares the ports to the platform: its transactional table
+// Package substrate declares the ports to the platform: its transactional table
 // service, its object store and the worker runtime of a host. Adapters live in
 // sub-packages. What an adapter must promise is written in docs/PLATFORM.md.
-package platform
+package substrate
 
 import (
 	"context"
--- a/worker/actions.go
+++ b/worker/actions.go
@@ -10,8 +10,8 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // endTimeout bounds one evict or cancel. The leader asks again for a run that
@@ -108,7 +108,7 @@
 			return
 		}
 	}
-	run, err := again(ctx, a, func(ctx context.Context) (platform.Run, error) {
+	run, err := again(ctx, a, func(ctx context.Context) (substrate.Run, error) {
 		return a.o.Runtime.Stop(ctx, attempt)
 	})
 	if err != nil {
--- a/worker/actions_test.go
+++ b/worker/actions_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 func TestEvictionCheckpointsBeforeItStops(t *testing.T) {
@@ -22,7 +22,7 @@
 		h.act(daisywallpb.Action_VERB_EVICT, id)
 		time.Sleep(5 * time.Second)
 		report := h.leader.reported(id)
-		h.is.Equal(report.GetState(), string(platform.RunStopped))
+		h.is.Equal(report.GetState(), string(substrate.RunStopped))
 		state, err := h.objects.Get(context.Background(), report.GetCheckpoint())
 		h.is.NoErr(err)
 		left, err := time.ParseDuration(string(state))
@@ -39,10 +39,10 @@
 		h.objects.Faults.Refuse(-1)
 		h.act(daisywallpb.Action_VERB_EVICT, id)
 		time.Sleep(time.Minute)
-		h.is.Equal(h.state(id), platform.RunRunning)
+		h.is.Equal(h.state(id), substrate.RunRunning)
 		h.act(daisywallpb.Action_VERB_CANCEL, id)
 		time.Sleep(time.Second)
-		h.is.Equal(h.state(id), platform.RunStopped)
+		h.is.Equal(h.state(id), substrate.RunStopped)
 	})
 }
 
@@ -52,7 +52,7 @@
 		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
 		h.act(daisywallpb.Action_VERB_THROTTLE, id)
 		time.Sleep(2 * time.Second)
-		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunThrottled))
+		h.is.Equal(h.leader.reported(id).GetState(), string(substrate.RunThrottled))
 	})
 }
 
@@ -82,7 +82,7 @@
 	onHost(t, func(h *host) {
 		id := attemptOf("j", 1)
 		first := true
-		h.port.start = func(spec platform.StartSpec) error {
+		h.port.start = func(spec substrate.StartSpec) error {
 			err := h.runtime.Start(context.Background(), spec)
 			if first {
 				first = false
@@ -97,12 +97,12 @@
 		req.Assignments[0].Program = "fail-always"
 		go func() { _, _ = h.agent.Assign(context.Background(), req) }()
 		time.Sleep(1100 * time.Millisecond)
-		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunExited))
+		h.is.Equal(h.leader.reported(id).GetState(), string(substrate.RunExited))
 		h.act(daisywallpb.Action_VERB_FORGET, id)
 		time.Sleep(5 * time.Second)
 		h.is.Equal(h.starts(), 1)
 		h.act(daisywallpb.Action_VERB_FORGET, id)
-		h.is.Equal(h.state(id), platform.RunState(""))
+		h.is.Equal(h.state(id), substrate.RunState(""))
 	})
 }
 
@@ -110,7 +110,7 @@
 	onHost(t, func(h *host) {
 		id := attemptOf("j", 1)
 		first := true
-		h.port.start = func(spec platform.StartSpec) error {
+		h.port.start = func(spec substrate.StartSpec) error {
 			if first {
 				first = false
 				go func() { // arrives after the second try and the end
@@ -125,11 +125,11 @@
 		req.Assignments[0].Program = "fail-always"
 		h.is.Equal(len(h.assign(req)), 0)
 		time.Sleep(1100 * time.Millisecond)
-		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunExited))
+		h.is.Equal(h.leader.reported(id).GetState(), string(substrate.RunExited))
 		h.act(daisywallpb.Action_VERB_FORGET, id)
 		time.Sleep(5 * time.Second)
 		h.is.Equal(h.starts(), 1)
 		h.act(daisywallpb.Action_VERB_FORGET, id)
-		h.is.Equal(h.state(id), platform.RunState(""))
+		h.is.Equal(h.state(id), substrate.RunState(""))
 	})
 }
--- a/worker/agent.go
+++ b/worker/agent.go
@@ -9,8 +9,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -166,7 +166,7 @@
 }
 
 // snapshot reads the runtime and brings the ledger up to it.
-func (a *Agent) snapshot(ctx context.Context) (platform.Snapshot, error) {
+func (a *Agent) snapshot(ctx context.Context) (substrate.Snapshot, error) {
 	a.mu.Lock()
 	number := a.ledger.beginSnapshot()
 	a.mu.Unlock()
--- a/worker/agent_test.go
+++ b/worker/agent_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 func TestAssignmentRunsAndItsEndIsReportedUntilForgotten(t *testing.T) {
@@ -20,13 +20,13 @@
 		time.Sleep(3 * time.Second)
 		for range 3 {
 			time.Sleep(time.Second)
-			h.is.Equal(h.leader.last().GetRuns()[0].GetState(), string(platform.RunExited))
+			h.is.Equal(h.leader.last().GetRuns()[0].GetState(), string(substrate.RunExited))
 		}
 		h.is.Equal(h.leader.reported(id).GetResult(), "result/j/0")
 		h.act(daisywallpb.Action_VERB_FORGET, id)
 		time.Sleep(2 * time.Second)
 		h.is.Equal(len(h.leader.last().GetRuns()), 0)
-		h.is.Equal(h.state(id), platform.RunState(""))
+		h.is.Equal(h.state(id), substrate.RunState(""))
 	})
 }
 
@@ -116,15 +116,15 @@
 		id := attemptOf("j", 1)
 		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
 		time.Sleep(time.Minute)
-		h.is.Equal(h.state(id), platform.RunRunning)
+		h.is.Equal(h.state(id), substrate.RunRunning)
 		h.leader.setAnswer(unreachable)
 		time.Sleep(batchLease - 2*time.Second)
-		h.is.Equal(h.state(id), platform.RunRunning)
+		h.is.Equal(h.state(id), substrate.RunRunning)
 		time.Sleep(3 * time.Second)
-		h.is.Equal(h.state(id), platform.RunLapsed)
+		h.is.Equal(h.state(id), substrate.RunLapsed)
 		h.leader.setAnswer(nil)
 		time.Sleep(10 * time.Second)
-		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunLapsed))
+		h.is.Equal(h.leader.reported(id).GetState(), string(substrate.RunLapsed))
 	})
 }
 
@@ -138,9 +138,9 @@
 			return nil
 		})
 		time.Sleep(time.Minute)
-		h.is.Equal(h.state(id), platform.RunLapsed)
+		h.is.Equal(h.state(id), substrate.RunLapsed)
 		time.Sleep(time.Hour)
-		h.is.Equal(h.state(id), platform.RunLapsed)
+		h.is.Equal(h.state(id), substrate.RunLapsed)
 		h.leader.setAnswer(nil)
 		time.Sleep(2 * time.Hour)
 	})
@@ -162,9 +162,9 @@
 			return nil
 		})
 		time.Sleep(time.Minute)
-		h.is.Equal(h.state(batch), platform.RunRunning)
-		h.is.Equal(h.state(service), platform.RunLapsed)
-		h.is.Equal(h.state(unknown), platform.RunLapsed)
+		h.is.Equal(h.state(batch), substrate.RunRunning)
+		h.is.Equal(h.state(service), substrate.RunLapsed)
+		h.is.Equal(h.state(unknown), substrate.RunLapsed)
 	})
 }
 
@@ -177,7 +177,7 @@
 		time.Sleep(DefaultStartGrant + 2*time.Second)
 		h.is.Equal(h.assign(h.request(attemptOf("other", 1), "long")), []structs.Reason{structs.ReasonCapacity})
 		time.Sleep(time.Minute)
-		h.is.Equal(h.state(attemptOf("j0", 1)), platform.RunRunning)
+		h.is.Equal(h.state(attemptOf("j0", 1)), substrate.RunRunning)
 		h.is.Equal(h.starts(), 4)
 	})
 }
@@ -217,7 +217,7 @@
 				}
 				go func() { _, _ = h.agent.Assign(context.Background(), h.request(id, "long")) }()
 				time.Sleep(time.Minute)
-				h.is.Equal(h.state(id) == platform.RunRunning, effect)
+				h.is.Equal(h.state(id) == substrate.RunRunning, effect)
 				h.is.Equal(h.leader.reported(id) != nil, effect)
 				want := hostCapacity
 				if effect {
@@ -248,7 +248,7 @@
 		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
 		h.assign(&daisywallpb.AssignRequest{Cell: "c1", Epoch: 2})
 		time.Sleep(batchLease + time.Second)
-		h.is.Equal(h.state(id), platform.RunLapsed)
+		h.is.Equal(h.state(id), substrate.RunLapsed)
 	})
 }
 
@@ -300,7 +300,7 @@
 	onHost(t, func(h *host) {
 		id := attemptOf("j", 1)
 		calls := 0
-		h.port.start = func(spec platform.StartSpec) error {
+		h.port.start = func(spec substrate.StartSpec) error {
 			calls++
 			if calls > 1 {
 				return &structs.UnavailableError{Dependency: "runtime"}
@@ -310,7 +310,7 @@
 		}
 		h.is.Equal(len(h.assign(h.request(id, "long"))), 0)
 		time.Sleep(2 * time.Second)
-		h.is.Equal(h.leader.reported(id).GetState(), string(platform.RunRunning))
+		h.is.Equal(h.leader.reported(id).GetState(), string(substrate.RunRunning))
 	})
 }
 
@@ -324,7 +324,7 @@
 		h.is.Equal(h.assign(refused), []structs.Reason{structs.ReasonCapacity})
 		h.act(daisywallpb.Action_VERB_CANCEL, large)
 		synctest.Wait()
-		h.is.Equal(h.state(large), platform.RunStopped)
+		h.is.Equal(h.state(large), substrate.RunStopped)
 		h.is.Equal(h.assign(refused), []structs.Reason{structs.ReasonCapacity})
 	})
 }
@@ -349,7 +349,7 @@
 		time.Sleep(2 * time.Second)
 		h.is.True(!h.leader.last().GetFull())
 		synctest.Wait()
-		h.port.setSnapshot(func(s platform.Snapshot) platform.Snapshot {
+		h.port.setSnapshot(func(s substrate.Snapshot) substrate.Snapshot {
 			s.Runs = nil
 			return s
 		})
--- a/worker/assign.go
+++ b/worker/assign.go
@@ -9,8 +9,8 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -64,10 +64,10 @@
 }
 
 // admit reserves capacity for what may start.
-func (a *Agent) admit(req *daisywallpb.AssignRequest) ([]platform.StartSpec, []*daisywallpb.Rejection) {
+func (a *Agent) admit(req *daisywallpb.AssignRequest) ([]substrate.StartSpec, []*daisywallpb.Rejection) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var specs []platform.StartSpec
+	var specs []substrate.StartSpec
 	var rejections []*daisywallpb.Rejection
 	current := a.isCurrent(req)
 	refused := a.checkRequest(req)
@@ -108,8 +108,8 @@
 
 // admitOne reserves capacity for one assignment, unless the whole request is
 // refused.
-func (a *Agent) admitOne(m *daisywallpb.Assignment, sequence int64, refused *structs.RefusedError) (platform.StartSpec, *structs.RefusedError) {
-	var spec platform.StartSpec
+func (a *Agent) admitOne(m *daisywallpb.Assignment, sequence int64, refused *structs.RefusedError) (substrate.StartSpec, *structs.RefusedError) {
+	var spec substrate.StartSpec
 	if refused != nil {
 		return spec, refused
 	}
@@ -121,7 +121,7 @@
 	if !found || a.terms.of(kind) <= 0 {
 		return spec, refuse(structs.ReasonStaleGrant, "heartbeat %d grants nothing", sequence)
 	}
-	spec = platform.StartSpec{
+	spec = substrate.StartSpec{
 		Incarnation: read.incarnation,
 		Attempt:     api.ToAttempt(m.GetAttempt()),
 		Class:       m.GetClass(),
@@ -138,7 +138,7 @@
 
 // start sends a start to the runtime and settles it in the ledger. It goes on
 // when the leader's call ends.
-func (a *Agent) start(ctx context.Context, spec platform.StartSpec) *structs.RefusedError {
+func (a *Agent) start(ctx context.Context, spec substrate.StartSpec) *structs.RefusedError {
 	ctx = context.WithoutCancel(ctx)
 	err := a.sendStart(ctx, spec)
 	a.mu.Lock()
@@ -154,7 +154,7 @@
 	case errors.As(err, &unavailable):
 		refused = refuse(structs.ReasonUnreachable, "%v", err)
 	default:
-		a.ledger.started(spec.Attempt, platform.Run{}, false)
+		a.ledger.started(spec.Attempt, substrate.Run{}, false)
 		return nil
 	}
 	a.ledger.close(spec.Attempt, refused.Reason, refused.Detail)
@@ -164,7 +164,7 @@
 // sendStart repeats a start of unknown outcome. It returns the error of the
 // last try, but an unknown outcome stays unknown when the runtime can no longer
 // be reached.
-func (a *Agent) sendStart(ctx context.Context, spec platform.StartSpec) error {
+func (a *Agent) sendStart(ctx context.Context, spec substrate.StartSpec) error {
 	var outcome error
 	for range startTries {
 		_, err := call(ctx, a, func(ctx context.Context) (struct{}, error) {
@@ -186,10 +186,10 @@
 }
 
 // newRun is the record of a run until the next snapshot.
-func newRun(spec platform.StartSpec) platform.Run {
-	return platform.Run{
+func newRun(spec substrate.StartSpec) substrate.Run {
+	return substrate.Run{
 		Attempt:    spec.Attempt,
-		State:      platform.RunRunning,
+		State:      substrate.RunRunning,
 		Checkpoint: spec.Checkpoint,
 		Resources:  spec.Resources,
 		Class:      spec.Class,
--- a/worker/bench_test.go
+++ b/worker/bench_test.go
@@ -10,31 +10,31 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // steadyRuntime answers at once with the same runs.
 type steadyRuntime struct {
-	platform.WorkerRuntime
-	runs []platform.Run
-	now  platform.RuntimeClock
+	substrate.WorkerRuntime
+	runs []substrate.Run
+	now  substrate.RuntimeClock
 }
 
-func (r *steadyRuntime) Snapshot(context.Context) (platform.Snapshot, error) {
+func (r *steadyRuntime) Snapshot(context.Context) (substrate.Snapshot, error) {
 	r.now = r.now.Add(time.Second)
-	return platform.Snapshot{Incarnation: "i1", Now: r.now, Runs: r.runs}, nil
+	return substrate.Snapshot{Incarnation: "i1", Now: r.now, Runs: r.runs}, nil
 }
 
-func (r *steadyRuntime) Usage(context.Context) ([]platform.Usage, error) {
-	list := make([]platform.Usage, 0, len(r.runs))
+func (r *steadyRuntime) Usage(context.Context) ([]substrate.Usage, error) {
+	list := make([]substrate.Usage, 0, len(r.runs))
 	for _, run := range r.runs {
-		list = append(list, platform.Usage{Attempt: run.Attempt, Class: run.Class, Resources: run.Resources})
+		list = append(list, substrate.Usage{Attempt: run.Attempt, Class: run.Class, Resources: run.Resources})
 	}
 	return list, nil
 }
 
-func (r *steadyRuntime) Renew(context.Context, string, map[structs.AttemptID]platform.RuntimeClock) error {
+func (r *steadyRuntime) Renew(context.Context, string, map[structs.AttemptID]substrate.RuntimeClock) error {
 	return nil
 }
 
@@ -77,7 +77,7 @@
 	r := &steadyRuntime{}
 	for i := range runs {
 		id := structs.AttemptID{Task: structs.TaskID{Job: "1kg2n6hei99tr6hckhghii4nvs", Index: int32(i)}, Number: 1}
-		r.runs = append(r.runs, platform.Run{Attempt: id, State: platform.RunRunning, Class: "pricing", Kind: structs.WorkBatch, Resources: oneTask})
+		r.runs = append(r.runs, substrate.Run{Attempt: id, State: substrate.RunRunning, Class: "pricing", Kind: structs.WorkBatch, Resources: oneTask})
 	}
 	return r
 }
--- a/worker/fake_test.go
+++ b/worker/fake_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
-	"github.com/daisywall/daisywall/platform/standin"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 const (
@@ -91,20 +91,20 @@
 
 // port is the runtime as the agent sees it.
 type port struct {
-	platform.WorkerRuntime
+	substrate.WorkerRuntime
 	mu       sync.Mutex
-	start    func(spec platform.StartSpec) error         // in the place of Start, if set
-	snapshot func(s platform.Snapshot) platform.Snapshot // changes snapshots, if set
+	start    func(spec substrate.StartSpec) error          // in the place of Start, if set
+	snapshot func(s substrate.Snapshot) substrate.Snapshot // changes snapshots, if set
 }
 
-func (p *port) Start(ctx context.Context, spec platform.StartSpec) error {
+func (p *port) Start(ctx context.Context, spec substrate.StartSpec) error {
 	if p.start != nil {
 		return p.start(spec)
 	}
 	return p.WorkerRuntime.Start(ctx, spec)
 }
 
-func (p *port) Snapshot(ctx context.Context) (platform.Snapshot, error) {
+func (p *port) Snapshot(ctx context.Context) (substrate.Snapshot, error) {
 	s, err := p.WorkerRuntime.Snapshot(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -114,7 +114,7 @@
 	return s, err
 }
 
-func (p *port) setSnapshot(change func(platform.Snapshot) platform.Snapshot) {
+func (p *port) setSnapshot(change func(substrate.Snapshot) substrate.Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.snapshot = change
@@ -233,7 +233,7 @@
 
 // state returns the state of an attempt in the runtime, empty when it is not
 // there.
-func (h *host) state(id structs.AttemptID) platform.RunState {
+func (h *host) state(id structs.AttemptID) substrate.RunState {
 	s, err := h.runtime.Snapshot(context.Background())
 	h.is.NoErr(err)
 	for _, run := range s.Runs {
--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -8,8 +8,8 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // maxRedirects is how often one heartbeat follows the address of a leader.
@@ -43,7 +43,7 @@
 }
 
 // compose numbers a heartbeat and remembers the reading that it rests on.
-func (a *Agent) compose(s platform.Snapshot, last answered, usage []*daisywallpb.UsageReport) *daisywallpb.HeartbeatRequest {
+func (a *Agent) compose(s substrate.Snapshot, last answered, usage []*daisywallpb.UsageReport) *daisywallpb.HeartbeatRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sequence++
@@ -137,7 +137,7 @@
 }
 
 // take reads the leader's response and returns the leases that it renews.
-func (a *Agent) take(req *daisywallpb.HeartbeatRequest, resp *daisywallpb.HeartbeatResponse, s platform.Snapshot) (map[structs.AttemptID]platform.RuntimeClock, error) {
+func (a *Agent) take(req *daisywallpb.HeartbeatRequest, resp *daisywallpb.HeartbeatResponse, s substrate.Snapshot) (map[structs.AttemptID]substrate.RuntimeClock, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.raiseEpoch(resp.GetEpoch()) {
@@ -155,7 +155,7 @@
 	for _, id := range resp.GetUnrenewed() {
 		unrenewed[api.ToAttempt(id)] = true
 	}
-	leases := map[structs.AttemptID]platform.RuntimeClock{}
+	leases := map[structs.AttemptID]substrate.RuntimeClock{}
 	for attempt, e := range a.ledger.entries {
 		term := a.terms.of(e.run.Kind)
 		if e.phase == live && term > 0 && !unrenewed[attempt] {
@@ -167,7 +167,7 @@
 
 // renew moves the leases of runs. A failure is made up for by the next
 // heartbeat.
-func (a *Agent) renew(ctx context.Context, incarnation string, leases map[structs.AttemptID]platform.RuntimeClock) error {
+func (a *Agent) renew(ctx context.Context, incarnation string, leases map[structs.AttemptID]substrate.RuntimeClock) error {
 	if len(leases) == 0 {
 		return nil
 	}
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // phase is how far an attempt has come on this worker.
@@ -21,18 +21,18 @@
 type entry struct {
 	resources structs.Resources
 	phase     phase
-	inFlight  bool                  // the start has not returned
-	notAfter  platform.RuntimeClock // the runtime refuses the start later than this
-	asOf      int64                 // snapshots up to this number may lack the attempt
-	ending    bool                  // an evict or a cancel is in progress
-	run       platform.Run          // the last record, unless starting
+	inFlight  bool                   // the start has not returned
+	notAfter  substrate.RuntimeClock // the runtime refuses the start later than this
+	asOf      int64                  // snapshots up to this number may lack the attempt
+	ending    bool                   // an evict or a cancel is in progress
+	run       substrate.Run          // the last record, unless starting
 }
 
 // closing says why an attempt never starts (again).
 type closing struct {
 	reason structs.Reason
 	detail string
-	at     platform.RuntimeClock
+	at     substrate.RuntimeClock
 }
 
 // ledger holds what is committed of one worker's capacity. The sum of the
@@ -42,9 +42,9 @@
 	capacity    structs.Resources
 	grant       time.Duration
 	incarnation string // of the runtime, empty before the first snapshot
-	now         platform.RuntimeClock
-	openAfter   platform.RuntimeClock // assignments are taken after this
-	snapshots   int64                 // snapshots begun
+	now         substrate.RuntimeClock
+	openAfter   substrate.RuntimeClock // assignments are taken after this
+	snapshots   int64                  // snapshots begun
 	entries     map[structs.AttemptID]*entry
 	closed      map[structs.AttemptID]closing
 }
@@ -75,7 +75,7 @@
 }
 
 // takeSnapshot brings the ledger up to a snapshot.
-func (l *ledger) takeSnapshot(number int64, s platform.Snapshot) lost {
+func (l *ledger) takeSnapshot(number int64, s substrate.Snapshot) lost {
 	var lost lost
 	if l.incarnation == "" {
 		// A start that an earlier agent sent may still take effect until its
@@ -109,7 +109,7 @@
 	return lost
 }
 
-func (l *ledger) takeRun(run platform.Run) {
+func (l *ledger) takeRun(run substrate.Run) {
 	e, found := l.entries[run.Attempt]
 	if !found {
 		if _, closed := l.closed[run.Attempt]; closed && run.State.Over() {
@@ -123,7 +123,7 @@
 	}
 }
 
-func (e *entry) update(run platform.Run) {
+func (e *entry) update(run substrate.Run) {
 	e.run = run
 	e.phase = live
 	if run.State.Over() {
@@ -166,7 +166,7 @@
 }
 
 // reserve commits capacity to an attempt before its start is sent.
-func (l *ledger) reserve(attempt structs.AttemptID, r structs.Resources, notAfter platform.RuntimeClock) *structs.RefusedError {
+func (l *ledger) reserve(attempt structs.AttemptID, r structs.Resources, notAfter substrate.RuntimeClock) *structs.RefusedError {
 	if c, found := l.closed[attempt]; found {
 		return refuse(c.reason, "%s", c.detail)
 	}
@@ -184,7 +184,7 @@
 
 // started settles the start of an attempt. Certain is false when its outcome is
 // unknown; a later snapshot then tells.
-func (l *ledger) started(attempt structs.AttemptID, run platform.Run, certain bool) {
+func (l *ledger) started(attempt structs.AttemptID, run substrate.Run, certain bool) {
 	e, found := l.entries[attempt]
 	if !found {
 		return
@@ -197,7 +197,7 @@
 }
 
 // ended records the final record of a run.
-func (l *ledger) ended(run platform.Run) {
+func (l *ledger) ended(run substrate.Run) {
 	if e, found := l.entries[run.Attempt]; found && e.phase != over {
 		e.update(run)
 	}
--- a/worker/model_test.go
+++ b/worker/model_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // model is a correct leader with its outside record. It commits an attempt of
@@ -73,7 +73,7 @@
 	}
 	for _, r := range req.GetRuns() {
 		if api.ToAttempt(r.GetAttempt()) == id {
-			return platform.RunState(r.GetState()).Over()
+			return substrate.RunState(r.GetState()).Over()
 		}
 	}
 	sent, known := m.answers[req.GetReply()]
--- a/worker/options.go
+++ b/worker/options.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Defaults of the options.
@@ -35,7 +35,7 @@
 // Options describe an Agent.
 type Options struct {
 	Worker    structs.Worker
-	Runtime   platform.WorkerRuntime
+	Runtime   substrate.WorkerRuntime
 	Finder    LeaderFinder
 	Heartbeat HeartbeatFunc
 	// ConfigRevision returns the revision of the configuration that this
--- a/worker/readings.go
+++ b/worker/readings.go
@@ -4,14 +4,14 @@
 	"slices"
 	"time"
 
-	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // reading is the runtime's clock before a heartbeat was sent.
 type reading struct {
 	sequence    int64
 	incarnation string
-	clock       platform.RuntimeClock
+	clock       substrate.RuntimeClock
 }
 
 // readings remembers the readings of the heartbeats whose grant lasts.
--- a/worker/report.go
+++ b/worker/report.go
@@ -7,8 +7,8 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // progressStep is the change of progress that is worth a report.
@@ -47,7 +47,7 @@
 	}
 	for _, report := range req.GetRuns() {
 		attempt := api.ToAttempt(report.GetAttempt())
-		if platform.RunState(report.GetState()).Over() {
+		if substrate.RunState(report.GetState()).Over() {
 			delete(r, attempt)
 			continue
 		}
@@ -55,7 +55,7 @@
 	}
 }
 
-func newReport(run platform.Run) *daisywallpb.RunReport {
+func newReport(run substrate.Run) *daisywallpb.RunReport {
 	return &daisywallpb.RunReport{
 		Attempt:    api.FromAttempt(run.Attempt),
 		State:      string(run.State),
--- a/worker/usage.go
+++ b/worker/usage.go
@@ -6,8 +6,8 @@
 
 	"github.com/daisywall/daisywall/api"
 	"github.com/daisywall/daisywall/api/daisywallpb"
-	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // usageStep is the relative change of a measurement that is worth a report.
@@ -44,13 +44,13 @@
 		r[api.ToAttempt(report.GetAttempt())] = report
 	}
 	for _, run := range req.GetRuns() {
-		if platform.RunState(run.GetState()).Over() {
+		if substrate.RunState(run.GetState()).Over() {
 			delete(r, api.ToAttempt(run.GetAttempt()))
 		}
 	}
 }
 
-func newUsageReport(u platform.Usage) *daisywallpb.UsageReport {
+func newUsageReport(u substrate.Usage) *daisywallpb.UsageReport {
 	return &daisywallpb.UsageReport{
 		Attempt:   api.FromAttempt(u.Attempt),
 		Class:     u.Class,
