Run jobs of steps on the users' platform: thin path from client to task

Cause: the product's job was one set of equal tasks, scheduled by cells inside a failure domain that poll; the platform's clients hand in jobs of steps whose objectives start at 250 ms.

--- a/cmd/daisywall-agent/main.go
+++ b/cmd/daisywall-agent/main.go
@@ -9,5 +9,8 @@
 )
 
 func main() {
+	if daemon.OnPlatform() {
+		os.Exit(daemon.PlatformMain("daisywall-agent", daemon.RunPlatformAgent))
+	}
 	os.Exit(daemon.Main("daisywall-agent", "Runs beside the targets and tasks of one host.", settings.DecodeAgent, daemon.RunAgent))
 }
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,213 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/daisywall/daisywall/api/fleetpb"
+	"github.com/daisywall/daisywall/fleet"
+	"github.com/daisywall/daisywall/kernel"
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+	"github.com/daisywall/daisywall/telemetry"
+)
+
+// Ports of the daemons on the users' platform, counted from the first that is
+// free for the system.
+const (
+	fleetPortOffset   = 0
+	metricsPortOffset = 1
+)
+
+// Times of a stop on the users' platform.
+const (
+	// balancerDelay covers two missed checks of the balancer, one a second,
+	// after which no new connection comes.
+	balancerDelay = 2300 * time.Millisecond
+	handoverDelay = 150 * time.Millisecond // for another node to take the leadership over
+)
+
+// PlatformMain runs a daemon with the settings of the users' platform until
+// SIGTERM. SIGHUP reads the settings again, which apply from the next start on.
+// It returns the exit code.
+func PlatformMain(name string, run func(context.Context, platform.Boot) error) int {
+	path := os.Getenv(platform.BootVariable)
+	boot, err := platform.ReadBoot(path)
+	if err != nil {
+		return complain(os.Stderr, name, err, exitInvalid)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, boot); err != nil {
+		return complain(os.Stderr, name, err, exitFailure)
+	}
+	return exitOK
+}
+
+// OnPlatform reports whether the process was started by the users' platform.
+func OnPlatform() bool { return os.Getenv(platform.BootVariable) != "" }
+
+// platformBase is what both daemons have in common.
+type platformBase struct {
+	boot      platform.Boot
+	telemetry *telemetry.Telemetry
+	store     *platform.Store
+	kernel    *kernel.Kernel
+}
+
+func newPlatformBase(name string, boot platform.Boot) (*platformBase, error) {
+	t, err := telemetry.New(name, "info")
+	if err != nil {
+		return nil, err
+	}
+	t.Log = t.Log.With(zap.String("host", boot.Host))
+	return &platformBase{boot: boot, telemetry: t, store: platform.NewStore(boot.StoreAddress), kernel: kernel.New(boot.Grace)}, nil
+}
+
+func (b *platformBase) port(offset int) string {
+	return net.JoinHostPort(b.boot.IP, strconv.Itoa(b.boot.PeerPorts.First+offset))
+}
+
+func (b *platformBase) register(services []namedService) error {
+	metrics := http.NewServeMux()
+	metrics.Handle("/metrics", b.telemetry.Metrics)
+	services = append(services,
+		namedService{"metrics", &httpServer{address: b.port(metricsPortOffset), handler: metrics}, nil},
+		namedService{"reload", newRunner(b.watchReload), nil})
+	for _, s := range services {
+		if err := b.kernel.Register(s.name, s.service, s.needs...); err != nil {
+			return fmt.Errorf("register %s: %w", s.name, err)
+		}
+	}
+	return nil
+}
+
+// namedService is a service with the names of those it needs.
+type namedService struct {
+	name    string
+	service kernel.Service
+	needs   []string
+}
+
+// watchReload checks the settings again at each SIGHUP.
+func (b *platformBase) watchReload(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+			boot, err := platform.ReadBoot(os.Getenv(platform.BootVariable))
+			if err != nil {
+				b.telemetry.Log.Error("reload refused: settings kept", zap.Error(err))
+				continue
+			}
+			b.telemetry.Log.Info("reload", zap.Bool("changed", boot != b.boot))
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (b *platformBase) run(ctx context.Context) error {
+	log := b.telemetry.Log
+	log.Info("start", zap.String("class", b.boot.Class), zap.String("domain", string(b.boot.FailureDomain)), zap.Int("pid", os.Getpid()))
+	err := b.kernel.Run(ctx)
+	log.Info("stop", zap.Error(err))
+	return errors.Join(err, b.telemetry.Close(context.WithoutCancel(ctx)))
+}
+
+// RunPlatformAgent runs the agent beside a runner.
+func RunPlatformAgent(ctx context.Context, boot platform.Boot) error {
+	b, err := newPlatformBase("agent", boot)
+	if err != nil {
+		return err
+	}
+	log := b.telemetry.Log
+	node, err := fleet.NewNode(fleet.Options{
+		Worker: structs.WorkerID(boot.Host), FailureDomain: boot.FailureDomain, Address: b.port(fleetPortOffset), Store: b.store,
+		Runner: func(info substrate.RunnerInfo) substrate.Runner { return platform.NewRunner(info) },
+		Config: func() (fleet.ConfigSource, func()) {
+			following, stop := context.WithCancel(context.Background())
+			operator := platform.NewOperator(b.store, log)
+			go func() { _ = operator.Run(following) }()
+			return operator, stop
+		},
+		Timing: fleet.Timing{HoldMax: boot.LeaseMax}, Log: log, Meters: b.telemetry.Meters,
+	})
+	if err != nil {
+		return err
+	}
+	stopNode := hooks{stop: func(ctx context.Context) error {
+		node.Stop()
+		select {
+		case <-time.After(handoverDelay):
+		case <-ctx.Done():
+		}
+		return nil
+	}}
+	peers := &grpcServer{address: b.port(fleetPortOffset), register: func(s *grpc.Server) { fleetpb.RegisterFleetServer(s, node) }}
+	err = b.register([]namedService{
+		{"peers", abrupt{peers}, nil},
+		{"reports", &httpServer{address: boot.ReportAddress, handler: platform.Reports(node, log)}, nil},
+		{"node", newRunner(node.Run), []string{"peers", "reports"}},
+		{"handover", stopNode, []string{"node"}},
+	})
+	if err != nil {
+		return err
+	}
+	return b.run(ctx)
+}
+
+// abrupt is a gRPC server that cuts its streams at a stop; they have no end of
+// their own.
+type abrupt struct{ *grpcServer }
+
+// Stop implements kernel.Service.
+func (a abrupt) Stop(context.Context) error {
+	a.server.Stop()
+	return nil
+}
+
+// RunPlatformEntry runs the entry for callers.
+func RunPlatformEntry(ctx context.Context, boot platform.Boot) error {
+	b, err := newPlatformBase("entry", boot)
+	if err != nil {
+		return err
+	}
+	log := b.telemetry.Log
+	operator := platform.NewOperator(b.store, log)
+	jobs := fleet.NewEntry(b.store, log)
+	front := platform.NewFront(jobs, operator, log)
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET /v1/ready", front.Ready)
+	drain := func(ctx context.Context) {
+		front.Drain()
+		select {
+		case <-time.After(balancerDelay):
+		case <-ctx.Done():
+		}
+	}
+	err = b.register([]namedService{
+		{"jobs", hooks{stop: func(context.Context) error { return jobs.Close() }}, nil},
+		{"operator", newRunner(operator.Run), nil},
+		{"ready", &httpServer{address: boot.ReadyAddress, handler: ready}, []string{"operator"}},
+		{"front", &httpServer{address: boot.CallerAddress, handler: front, before: drain}, []string{"operator", "jobs", "ready"}},
+	})
+	if err != nil {
+		return err
+	}
+	return b.run(ctx)
+}
--- /dev/null
+++ b/fleet/entry.go
@@ -0,0 +1,292 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"github.com/daisywall/daisywall/api/fleetpb"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+)
+
+// Bounds of calls to the leader.
+const (
+	leaderCall   = 900 * time.Millisecond // one call; a commit in a slow store takes up to 800 ms
+	leaderPause  = 50 * time.Millisecond  // between attempts
+	leaderRead   = 600 * time.Millisecond // one read of the leadership row
+	retryLeader  = time.Second            // when clients may come back while there is no leader
+	readInterval = 100 * time.Millisecond // least time between two reads of the leadership row
+)
+
+// Entry passes jobs of callers on to the leader. It keeps nothing that can't
+// be lost.
+type Entry struct {
+	store substrate.PartStore
+	log   *zap.Logger
+
+	mu      sync.Mutex
+	address string // of the leader, empty if unknown
+	conn    *grpc.ClientConn
+	readAt  time.Time
+}
+
+// NewEntry returns an entry that finds the leader through the store.
+func NewEntry(store substrate.PartStore, log *zap.Logger) *Entry {
+	return &Entry{store: store, log: log}
+}
+
+// Close ends the connection to the leader.
+func (e *Entry) Close() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conn == nil {
+		return nil
+	}
+	err := e.conn.Close()
+	e.conn, e.address = nil, ""
+	return err
+}
+
+// Submit hands a job in within ctx. It returns nil when the job is stored,
+// *structs.NotRunError when it surely is not and never will be by this call,
+// *structs.UnknownOutcomeError otherwise, and *structs.InvalidError for a job
+// that can't be accepted.
+func (e *Entry) Submit(ctx context.Context, job *structs.StepJob, queue structs.Queue) error {
+	spec, err := json.Marshal(job)
+	if err != nil {
+		return fmt.Errorf("encode job: %w", err)
+	}
+	policy, err := json.Marshal(queue)
+	if err != nil {
+		return fmt.Errorf("encode queue: %w", err)
+	}
+	outcome, err := e.decided(ctx, func(ctx context.Context, c fleetpb.FleetClient) (fleetpb.Outcome, string, error) {
+		resp, err := c.Submit(ctx, &fleetpb.SubmitRequest{Job: spec, Queue: policy})
+		return resp.GetOutcome(), resp.GetLeader(), err
+	})
+	if err != nil {
+		return err
+	}
+	if outcome != fleetpb.Outcome_DONE {
+		return &structs.UnknownOutcomeError{Operation: "submit", Err: &structs.RefusedError{Subject: "job", Detail: outcome.String()}}
+	}
+	return nil
+}
+
+// Cancel cancels a job. It returns nil when that is stored,
+// *structs.NotFoundError when there is no such job, and errors like Submit.
+func (e *Entry) Cancel(ctx context.Context, id structs.JobID, queue structs.QueueID) error {
+	outcome, err := e.decided(ctx, func(ctx context.Context, c fleetpb.FleetClient) (fleetpb.Outcome, string, error) {
+		resp, err := c.Cancel(ctx, &fleetpb.CancelRequest{Job: string(id), Queue: string(queue)})
+		return resp.GetOutcome(), resp.GetLeader(), err
+	})
+	switch {
+	case err != nil:
+		return err
+	case outcome == fleetpb.Outcome_NOT_FOUND:
+		return e.confirmMissing(ctx, id, queue)
+	default:
+		return nil
+	}
+}
+
+// confirmMissing asks the store whether a job that a leader does not know is
+// missing: the leader may have been replaced without knowing it yet.
+func (e *Entry) confirmMissing(ctx context.Context, id structs.JobID, queue structs.QueueID) error {
+	_, err := e.storedPhase(ctx, id, queue)
+	if err != nil {
+		return err
+	}
+	e.forget("job is in the store, but unknown to the leader")
+	return &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader}
+}
+
+func (e *Entry) storedPhase(ctx context.Context, id structs.JobID, queue structs.QueueID) (structs.JobPhase, error) {
+	phase, of, err := StoredPhase(ctx, e.store, id)
+	if err != nil {
+		return "", err
+	}
+	if of != queue {
+		return "", &structs.NotFoundError{Subject: "job", Name: string(id)}
+	}
+	return phase, nil
+}
+
+// Phase returns the phase of a job, or *structs.NotFoundError.
+func (e *Entry) Phase(ctx context.Context, id structs.JobID, queue structs.QueueID) (structs.JobPhase, error) {
+	var phase string
+	outcome, err := e.decided(ctx, func(ctx context.Context, c fleetpb.FleetClient) (fleetpb.Outcome, string, error) {
+		resp, err := c.Phase(ctx, &fleetpb.PhaseRequest{Job: string(id), Queue: string(queue)})
+		phase = resp.GetPhase()
+		return resp.GetOutcome(), resp.GetLeader(), err
+	})
+	if err == nil && outcome == fleetpb.Outcome_DONE {
+		return structs.JobPhase(phase), nil
+	}
+	return e.storedPhase(context.WithoutCancel(ctx), id, queue)
+}
+
+// Waiting returns the number of jobs of the queue that have not begun.
+func (e *Entry) Waiting(ctx context.Context, queue structs.QueueID) (int64, error) {
+	var waiting int64
+	outcome, err := e.decided(ctx, func(ctx context.Context, c fleetpb.FleetClient) (fleetpb.Outcome, string, error) {
+		resp, err := c.Waiting(ctx, &fleetpb.WaitingRequest{Queue: string(queue)})
+		waiting = resp.GetWaiting()
+		return resp.GetOutcome(), resp.GetLeader(), err
+	})
+	if err != nil {
+		return 0, err
+	}
+	if outcome != fleetpb.Outcome_DONE {
+		return 0, &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader}
+	}
+	return waiting, nil
+}
+
+// call is one call to a leader: its outcome, and the leader's address if the
+// one that was called is not.
+type call func(context.Context, fleetpb.FleetClient) (fleetpb.Outcome, string, error)
+
+// decided repeats a call until a leader has decided or ctx ends.
+func (e *Entry) decided(ctx context.Context, f call) (fleetpb.Outcome, error) {
+	doubtful := false
+	var last error
+	for {
+		outcome, err := e.attempt(ctx, f)
+		var invalid *structs.InvalidError
+		switch {
+		case err == nil && (outcome == fleetpb.Outcome_DONE || outcome == fleetpb.Outcome_NOT_FOUND):
+			return outcome, nil
+		case errors.As(err, &invalid):
+			return outcome, err
+		case err == nil && outcome == fleetpb.Outcome_UNKNOWN:
+			doubtful = true
+			last = &structs.UnavailableError{Dependency: "leader"}
+		case err != nil:
+			var unknown *structs.UnknownOutcomeError
+			doubtful = doubtful || errors.As(err, &unknown)
+			last = err
+		}
+		if sleep(ctx, leaderPause) != nil {
+			break
+		}
+	}
+	if doubtful {
+		return 0, &structs.UnknownOutcomeError{Operation: "call to the leader", Err: last}
+	}
+	return 0, &structs.NotRunError{Reason: structs.ReasonNotLeader, RetryAfter: retryLeader, Err: last}
+}
+
+// attempt makes one call.
+func (e *Entry) attempt(ctx context.Context, f call) (fleetpb.Outcome, error) {
+	conn, address, err := e.connect(ctx)
+	if err != nil {
+		return 0, err
+	}
+	limited, cancel := context.WithTimeout(ctx, leaderCall)
+	defer cancel()
+	outcome, leader, err := f(limited, fleetpb.NewFleetClient(conn))
+	switch {
+	case status.Code(err) == codes.InvalidArgument:
+		return 0, &structs.InvalidError{Subject: "job", Faults: []structs.Fault{{Path: "/", Rule: status.Convert(err).Message()}}}
+	case err != nil:
+		e.forgetAddress(address, err.Error())
+		return 0, &structs.UnknownOutcomeError{Operation: "call to the leader", Err: err}
+	case outcome == fleetpb.Outcome_NOT_LEADER:
+		e.forgetAddress(address, "not the leader")
+		if leader != "" && leader != address {
+			if _, _, err := e.use(leader); err != nil {
+				return 0, err
+			}
+		}
+	}
+	return outcome, nil
+}
+
+// connect returns a connection to the leader that is known, or to the one that
+// the store names.
+func (e *Entry) connect(ctx context.Context) (*grpc.ClientConn, string, error) {
+	e.mu.Lock()
+	conn, address := e.conn, e.address
+	since := time.Since(e.readAt)
+	if conn == nil && since >= readInterval {
+		e.readAt = time.Now()
+	}
+	e.mu.Unlock()
+	if conn != nil {
+		return conn, address, nil
+	}
+	if since < readInterval {
+		return nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader}
+	}
+	limited, cancel := context.WithTimeout(ctx, leaderRead)
+	defer cancel()
+	row, err := readLeader(limited, e.store)
+	if err != nil {
+		return nil, "", &structs.UnavailableError{Dependency: "store", RetryAfter: retryLeader, Err: err}
+	}
+	if row.Address == "" {
+		return nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader}
+	}
+	e.log.Info("leader found", zap.String("leader", row.Address), zap.Int64("epoch", row.Epoch), zap.Int64("version", row.Version))
+	return e.use(row.Address)
+}
+
+// use makes the address the leader's.
+func (e *Entry) use(address string) (*grpc.ClientConn, string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conn != nil && e.address == address {
+		return e.conn, address, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer((&dialer{}).dial),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: answerTimeout}))
+	if err != nil {
+		return nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader, Err: err}
+	}
+	e.drop()
+	e.conn, e.address = conn, address
+	return conn, address, nil
+}
+
+// drop closes the connection once calls on it have had time to finish.
+func (e *Entry) drop() {
+	if old := e.conn; old != nil {
+		time.AfterFunc(2*leaderCall, func() {
+			if err := old.Close(); err != nil {
+				e.log.Debug("close connection to leader", zap.Error(err))
+			}
+		})
+	}
+	e.conn, e.address = nil, ""
+}
+
+func (e *Entry) forgetAddress(address, reason string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.address != address {
+		return
+	}
+	e.log.Warn("leader lost", zap.String("leader", address), zap.String("reason", reason))
+	e.drop()
+}
+
+func (e *Entry) forget(reason string) {
+	e.mu.Lock()
+	address := e.address
+	e.mu.Unlock()
+	e.forgetAddress(address, reason)
+}
--- /dev/null
+++ b/fleet/metrics.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// metrics are the instruments of a node.
+type metrics struct {
+	accepted, starts, ends, released, takeovers, refused metric.Int64Counter
+	commits                                              metric.Float64Histogram
+	commitJobs                                           metric.Int64Counter
+	startDelay                                           metric.Float64Histogram
+}
+
+func newMetrics(meters metric.MeterProvider) (*metrics, error) {
+	meter := meters.Meter("daisywall/fleet")
+	m := &metrics{}
+	var err error
+	counter := func(into *metric.Int64Counter, name, description string) {
+		if err == nil {
+			*into, err = meter.Int64Counter(name, metric.WithDescription(description))
+		}
+	}
+	counter(&m.accepted, "daisywall.fleet.accepted", "Jobs accepted by queue")
+	counter(&m.starts, "daisywall.fleet.starts", "Starts ordered by queue")
+	counter(&m.ends, "daisywall.fleet.ends", "Ends of runs by kind")
+	counter(&m.released, "daisywall.fleet.released", "Runs released without an end of their own by reason")
+	counter(&m.takeovers, "daisywall.fleet.takeovers", "Leaderships taken over")
+	counter(&m.refused, "daisywall.fleet.refused", "Starts refused by the runner by reason")
+	counter(&m.commitJobs, "daisywall.fleet.commit.jobs", "Jobs written by commits")
+	if err == nil {
+		m.commits, err = meter.Float64Histogram("daisywall.fleet.commit.seconds", metric.WithUnit("s"), metric.WithDescription("Time of a commit"))
+	}
+	if err == nil {
+		m.startDelay, err = meter.Float64Histogram("daisywall.fleet.start.seconds", metric.WithUnit("s"), metric.WithDescription("Time of a start at the runner"))
+	}
+	if err != nil {
+		return nil, fmt.Errorf("fleet metrics: %w", err)
+	}
+	return m, nil
+}
+
+func (m *metrics) count(c metric.Int64Counter, by string) {
+	c.Add(context.Background(), 1, metric.WithAttributes(attribute.String("by", by)))
+}
+
+func (m *metrics) commit(took time.Duration, jobs int) {
+	m.commits.Record(context.Background(), took.Seconds())
+	m.commitJobs.Add(context.Background(), int64(jobs))
+}
--- /dev/null
+++ b/placement/steps/steps.go
@@ -0,0 +1,200 @@
+// Package steps decides which pending tasks of jobs of steps start, in which
+// order and on which worker. It is pure: a view of the fleet goes in, a list of
+// placements comes out.
+package steps
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// serviceUse is the share of their declared processors that long-running tasks
+// are taken to use; the rest is left to tasks that fill. From the declared
+// load of the deployments' services (0.42 with swings of a half).
+const serviceUse = 0.6
+
+// fillFloor is the share of a filling task's declared processors that has to be
+// idle for it to start. Below it, the task would mostly slow others down.
+const fillFloor = 0.5
+
+// fillMemory is the share of a worker's memory that filling tasks leave to
+// tasks that are waited for.
+const fillMemory = 0.9
+
+// Worker is the view of one worker.
+type Worker struct {
+	ID            structs.WorkerID
+	FailureDomain structs.FailureDomainID
+	Rack          string
+	Pool          structs.PoolID
+	Labels        []string
+	Capacity      structs.Resources
+	Reserved      structs.Resources // of tasks that don't fill, and the memory of those that do
+	Services      int64             // thousandths of a processor declared by long-running tasks, part of Reserved
+	Fills         int64             // thousandths of a processor declared by filling tasks
+	Strain        float64           // worst tail latency of its services, as a share of the target
+	Distrust      float64           // 0 for a worker in good health, 1 and more for one to avoid
+}
+
+// idle returns the processors that are expected to be left unused.
+func (w *Worker) idle() float64 {
+	return float64(w.Capacity.MilliCPU-w.Reserved.MilliCPU-w.Fills) + (1-serviceUse)*float64(w.Services)
+}
+
+// Demand is a step with pending tasks.
+type Demand struct {
+	Job      structs.JobID
+	Round    int32
+	Step     int32
+	Spec     *structs.Step
+	Pool     structs.PoolID
+	Priority int   // 0 goes first
+	Order    int64 // goes first among equal priorities when lower
+	Tasks    []int32
+	// Placed counts the tasks of the step on each worker.
+	Placed map[structs.WorkerID]int32
+	// Avoid holds the workers on which a task failed before.
+	Avoid map[int32][]structs.WorkerID
+}
+
+// Placement puts a task on a worker.
+type Placement struct {
+	Task   structs.StepTaskID
+	Worker structs.WorkerID
+}
+
+// Plan places as many pending tasks as fit. More urgent demands go first, and
+// within a priority the older ones; a demand that does not fit does not hold up
+// later ones. It changes the workers' reservations.
+func Plan(workers []*Worker, demands []Demand) []Placement {
+	slices.SortStableFunc(demands, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Order, b.Order))
+	})
+	var placements []Placement
+	for i := range demands {
+		placements = demands[i].place(workers, placements)
+	}
+	return placements
+}
+
+// place adds the placements of the demand. A gang is placed whole or not at all.
+func (d *Demand) place(workers []*Worker, placements []Placement) []Placement {
+	first := len(placements)
+	var taken []*Worker
+	for _, index := range d.Tasks {
+		w := d.best(workers, index)
+		if w == nil {
+			if d.Spec.Gang {
+				d.undo(taken)
+				return placements[:first]
+			}
+			if len(d.Avoid[index]) == 0 {
+				break // the others need the same
+			}
+			continue
+		}
+		d.take(w)
+		taken = append(taken, w)
+		id := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
+		placements = append(placements, Placement{Task: id, Worker: w.ID})
+	}
+	return placements
+}
+
+func (d *Demand) take(w *Worker) {
+	need := d.Spec.Resources
+	if d.Spec.Fills {
+		w.Fills += need.MilliCPU
+		need.MilliCPU = 0
+	} else if d.Spec.LongRunning {
+		w.Services += need.MilliCPU
+	}
+	w.Reserved = w.Reserved.Add(need)
+	if d.Placed == nil {
+		d.Placed = map[structs.WorkerID]int32{}
+	}
+	d.Placed[w.ID]++
+}
+
+func (d *Demand) undo(taken []*Worker) {
+	for _, w := range taken {
+		need := d.Spec.Resources
+		if d.Spec.Fills {
+			w.Fills -= need.MilliCPU
+			need.MilliCPU = 0
+		} else if d.Spec.LongRunning {
+			w.Services -= need.MilliCPU
+		}
+		w.Reserved = w.Reserved.Sub(need)
+		d.Placed[w.ID]--
+	}
+}
+
+// best returns the feasible worker with the highest score, nil if there is none.
+func (d *Demand) best(workers []*Worker, index int32) *Worker {
+	var best *Worker
+	var bestScore float64
+	for _, w := range workers {
+		if !d.feasible(w) {
+			continue
+		}
+		score := d.score(w, index)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (d *Demand) feasible(w *Worker) bool {
+	if w.Pool != d.Pool || w.Distrust >= 1 {
+		return false
+	}
+	if d.Spec.Label != "" && !slices.Contains(w.Labels, d.Spec.Label) {
+		return false
+	}
+	if d.Spec.MaxPerWorker > 0 && d.Placed[w.ID] >= d.Spec.MaxPerWorker {
+		return false
+	}
+	need := d.Spec.Resources
+	if !d.Spec.Fills {
+		return w.Reserved.Add(need).Fits(w.Capacity)
+	}
+	if w.idle() < fillFloor*float64(need.MilliCPU) {
+		return false
+	}
+	need.MilliCPU = 0
+	room := w.Capacity
+	room.MemoryMB = int64(fillMemory * float64(room.MemoryMB))
+	room.MilliCPU = max(room.MilliCPU, w.Reserved.MilliCPU)
+	return w.Reserved.Add(need).Fits(room)
+}
+
+// Weights of a score, in shares of a worker's processors.
+const (
+	strainWeight   = 0.5 // services near their target get no further load
+	distrustWeight = 1.0
+	avoidWeight    = 4.0 // another worker than the one that failed the task, if there is one
+	rackWeight     = 0.3 // near the input
+)
+
+// score prefers workers with idle processors, calm services and no bad record.
+func (d *Demand) score(w *Worker, index int32) float64 {
+	capacity := float64(max(1, w.Capacity.MilliCPU))
+	score := w.idle() / capacity
+	if !d.Spec.Fills {
+		score = float64(w.Capacity.MilliCPU-w.Reserved.MilliCPU) / capacity
+	} else {
+		score -= strainWeight * w.Strain
+	}
+	score -= distrustWeight * w.Distrust
+	if slices.Contains(d.Avoid[index], w.ID) {
+		score -= avoidWeight
+	}
+	if d.Spec.Rack != "" && d.Spec.Rack == w.Rack {
+		score += rackWeight
+	}
+	return score
+}
--- /dev/null
+++ b/workflow/job.go
@@ -0,0 +1,230 @@
+// Package workflow holds the committed state of jobs of steps and the rules by
+// which it changes. It reads no clock and does no I/O: everything here follows
+// from its arguments, so that every leader comes to the same state.
+package workflow
+
+import (
+	"time"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// TaskState is the committed state of a task.
+type TaskState uint8
+
+// Task states. Done is final.
+const (
+	Pending TaskState = iota
+	Assigned
+	Done
+)
+
+// Task is one task of a step.
+type Task struct {
+	State       TaskState        `json:"s,omitempty"`
+	Run         int32            `json:"r,omitempty"` // number of the last run, 0 before the first
+	Worker      structs.WorkerID `json:"w,omitempty"` // of the assigned run
+	Incarnation string           `json:"i,omitempty"` // of that worker's runner
+	Checkpoint  string           `json:"c,omitempty"` // the next run resumes from it
+	Failures    int32            `json:"f,omitempty"` // runs that failed
+}
+
+// Job is a job of steps with the state of its tasks.
+type Job struct {
+	Spec      structs.StepJob
+	Queue     structs.Queue // as it was when the job was accepted
+	Cancelled bool
+	Failed    bool
+	rounds    [][]stepState // by round and step
+	open      int           // tasks that are not done
+}
+
+type stepState struct {
+	tasks []Task
+	open  int // tasks that are not done
+}
+
+// New returns the state of a job that has not begun.
+func New(spec structs.StepJob, queue structs.Queue) *Job {
+	j := &Job{Spec: spec, Queue: queue}
+	j.rounds = make([][]stepState, spec.RoundCount())
+	for r := range j.rounds {
+		j.rounds[r] = make([]stepState, len(spec.Steps))
+		for s := range j.rounds[r] {
+			n := int(spec.Steps[s].Tasks)
+			j.rounds[r][s] = stepState{tasks: make([]Task, n), open: n}
+			j.open += n
+		}
+	}
+	return j
+}
+
+// Task returns the task, or nil when the job has no such task.
+func (j *Job) Task(id structs.StepTaskID) *Task {
+	if id.Round < 0 || int(id.Round) >= len(j.rounds) {
+		return nil
+	}
+	steps := j.rounds[id.Round]
+	if id.Step < 0 || int(id.Step) >= len(steps) {
+		return nil
+	}
+	tasks := steps[id.Step].tasks
+	if id.Index < 0 || int(id.Index) >= len(tasks) {
+		return nil
+	}
+	return &tasks[id.Index]
+}
+
+// Step returns the specification of the task's step.
+func (j *Job) Step(id structs.StepTaskID) *structs.Step { return &j.Spec.Steps[id.Step] }
+
+// Over reports whether no task of the job may start any more.
+func (j *Job) Over() bool { return j.Cancelled || j.Failed || j.open == 0 }
+
+// Phase returns the phase of the job.
+func (j *Job) Phase() structs.JobPhase {
+	switch {
+	case j.open == 0:
+		return structs.JobCompleted
+	case j.Failed:
+		return structs.JobFailed
+	case j.Cancelled:
+		return structs.JobCancelled
+	case j.begun():
+		return structs.JobRunning
+	default:
+		return structs.JobQueued
+	}
+}
+
+// begun reports whether a task of the job has ever been assigned.
+func (j *Job) begun() bool {
+	for _, steps := range j.rounds {
+		for s := range steps {
+			for i := range steps[s].tasks {
+				if steps[s].tasks[i].Run > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// Tasks calls visit with every task.
+func (j *Job) Tasks(visit func(structs.StepTaskID, *Task)) {
+	for r, steps := range j.rounds {
+		for s := range steps {
+			for i := range steps[s].tasks {
+				id := structs.StepTaskID{Job: j.Spec.ID, Round: int32(r), Step: int32(s), Index: int32(i)}
+				visit(id, &steps[s].tasks[i])
+			}
+		}
+	}
+}
+
+// ReadySteps calls visit with every step of every round that may run now and
+// has pending tasks.
+func (j *Job) ReadySteps(now time.Time, visit func(round, step int32, tasks []Task)) {
+	if j.Over() {
+		return
+	}
+	for r, steps := range j.rounds {
+		if due := j.Spec.Due(int32(r)); !due.IsZero() && now.Before(due) {
+			return
+		}
+		for s := range steps {
+			if steps[s].open > 0 && j.unblocked(steps, s) {
+				visit(int32(r), int32(s), steps[s].tasks)
+			}
+		}
+	}
+}
+
+// NextDue returns the earliest time after now at which a round becomes due.
+func (j *Job) NextDue(now time.Time) (time.Time, bool) {
+	for r := range j.rounds {
+		if due := j.Spec.Due(int32(r)); now.Before(due) {
+			return due, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func (j *Job) unblocked(steps []stepState, s int) bool {
+	for _, before := range j.Spec.Steps[s].After {
+		if steps[before].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Assign commits the next run of a pending task to a worker and returns it.
+func (j *Job) Assign(id structs.StepTaskID, worker structs.WorkerID, incarnation string) (structs.TaskRun, bool) {
+	t := j.Task(id)
+	if t == nil || t.State != Pending || j.Over() {
+		return structs.TaskRun{}, false
+	}
+	t.State = Assigned
+	t.Run++
+	t.Worker, t.Incarnation = worker, incarnation
+	return structs.TaskRun{Task: id, Number: t.Run}, true
+}
+
+// Finish records that the assigned run is done. It reports whether that
+// changed anything.
+func (j *Job) Finish(run structs.TaskRun) bool {
+	t := j.assigned(run)
+	if t == nil {
+		return false
+	}
+	t.State = Done
+	t.Worker, t.Incarnation, t.Checkpoint = "", "", ""
+	j.rounds[run.Task.Round][run.Task.Step].open--
+	j.open--
+	return true
+}
+
+// Fail records that the assigned run failed. The job fails with it when the
+// task has no attempts left; a long-running task is tried for ever.
+func (j *Job) Fail(run structs.TaskRun, checkpoint string) bool {
+	t := j.assigned(run)
+	if t == nil {
+		return false
+	}
+	t.Failures++
+	j.release(t, checkpoint)
+	if t.Failures >= max(1, j.Queue.MaxAttempts) && !j.Step(run.Task).LongRunning {
+		j.Failed = true
+	}
+	return true
+}
+
+// Release records that the assigned run is over without an end of its own: it
+// was stopped, lost or never started. A checkpoint replaces the one before.
+func (j *Job) Release(run structs.TaskRun, checkpoint string) bool {
+	t := j.assigned(run)
+	if t == nil {
+		return false
+	}
+	j.release(t, checkpoint)
+	return true
+}
+
+func (j *Job) release(t *Task, checkpoint string) {
+	t.State = Pending
+	t.Worker, t.Incarnation = "", ""
+	if checkpoint != "" {
+		t.Checkpoint = checkpoint
+	}
+}
+
+// assigned returns the task if the run is its current one.
+func (j *Job) assigned(run structs.TaskRun) *Task {
+	t := j.Task(run.Task)
+	if t == nil || t.State != Assigned || t.Run != run.Number {
+		return nil
+	}
+	return t
+}
--- /dev/null
+++ b/workflow/record.go
@@ -0,0 +1,166 @@
+package workflow
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// DecodeError reports a stored record that cannot be read.
+type DecodeError struct {
+	Job structs.JobID
+	Err error
+}
+
+func (e *DecodeError) Error() string { return fmt.Sprintf("record of job %s: %v", e.Job, e.Err) }
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// accepted is the record of a job that never changes.
+type accepted struct {
+	Job   structs.StepJob `json:"job"`
+	Queue structs.Queue   `json:"queue"`
+}
+
+// progress is the record of a job's state. A final phase replaces the tasks.
+type progress struct {
+	Queue     structs.QueueID  `json:"q"`
+	Phase     structs.JobPhase `json:"p"`
+	Cancelled bool             `json:"x,omitempty"`
+	Failed    bool             `json:"e,omitempty"`
+	// Steps holds the tasks by round and step; an empty list stands for a step
+	// whose tasks are all pending for the first time or, with Done, finished.
+	Steps [][]stepRecord `json:"t,omitempty"`
+}
+
+type stepRecord struct {
+	Done  bool   `json:"d,omitempty"`
+	Tasks []Task `json:"t,omitempty"`
+}
+
+// EncodeAccepted returns the record that is written once, when the job is
+// accepted.
+func (j *Job) EncodeAccepted() ([]byte, error) {
+	data, err := json.Marshal(accepted{Job: j.Spec, Queue: j.Queue})
+	if err != nil {
+		return nil, fmt.Errorf("encode job %s: %w", j.Spec.ID, err)
+	}
+	return data, nil
+}
+
+// EncodeProgress returns the record of the job's state.
+func (j *Job) EncodeProgress() ([]byte, error) {
+	p := progress{Queue: j.Spec.Queue, Phase: j.Phase(), Cancelled: j.Cancelled, Failed: j.Failed}
+	if j.open > 0 {
+		p.Steps = make([][]stepRecord, len(j.rounds))
+		for r, steps := range j.rounds {
+			p.Steps[r] = make([]stepRecord, len(steps))
+			for s := range steps {
+				p.Steps[r][s] = steps[s].record()
+			}
+		}
+	}
+	data, err := json.Marshal(p)
+	if err != nil {
+		return nil, fmt.Errorf("encode state of job %s: %w", j.Spec.ID, err)
+	}
+	return data, nil
+}
+
+func (s *stepState) record() stepRecord {
+	if s.open == 0 {
+		return stepRecord{Done: true}
+	}
+	for i := range s.tasks {
+		if s.tasks[i] != (Task{}) {
+			return stepRecord{Tasks: s.tasks}
+		}
+	}
+	return stepRecord{}
+}
+
+// DecodeState returns the phase and the queue of a state record.
+func DecodeState(id structs.JobID, data []byte) (structs.JobPhase, structs.QueueID, error) {
+	var p progress
+	if err := json.Unmarshal(data, &p); err != nil {
+		return "", "", &DecodeError{Job: id, Err: err}
+	}
+	return p.Phase, p.Queue, nil
+}
+
+// Decode returns the job of both records.
+func Decode(id structs.JobID, acceptedRecord, progressRecord []byte) (*Job, error) {
+	var a accepted
+	if err := json.Unmarshal(acceptedRecord, &a); err != nil {
+		return nil, &DecodeError{Job: id, Err: err}
+	}
+	var p progress
+	if err := json.Unmarshal(progressRecord, &p); err != nil {
+		return nil, &DecodeError{Job: id, Err: err}
+	}
+	j := New(a.Job, a.Queue)
+	j.Cancelled, j.Failed = p.Cancelled, p.Failed
+	if p.Phase == structs.JobCompleted {
+		j.finishAll()
+		return j, nil
+	}
+	if len(p.Steps) != len(j.rounds) {
+		return nil, &DecodeError{Job: id, Err: &shapeError{}}
+	}
+	for r := range j.rounds {
+		if len(p.Steps[r]) != len(j.rounds[r]) {
+			return nil, &DecodeError{Job: id, Err: &shapeError{}}
+		}
+		for s := range j.rounds[r] {
+			if err := j.restore(&j.rounds[r][s], p.Steps[r][s]); err != nil {
+				return nil, &DecodeError{Job: id, Err: err}
+			}
+		}
+	}
+	return j, nil
+}
+
+type shapeError struct{}
+
+func (*shapeError) Error() string { return "state does not fit the steps" }
+
+func (j *Job) finishAll() {
+	for r := range j.rounds {
+		for s := range j.rounds[r] {
+			j.finishStep(&j.rounds[r][s])
+		}
+	}
+}
+
+func (j *Job) finishStep(step *stepState) {
+	for i := range step.tasks {
+		if step.tasks[i].State != Done {
+			step.tasks[i].State = Done
+			step.open--
+			j.open--
+		}
+	}
+}
+
+func (j *Job) restore(step *stepState, record stepRecord) error {
+	if record.Done {
+		j.finishStep(step)
+		return nil
+	}
+	if len(record.Tasks) == 0 {
+		return nil
+	}
+	if len(record.Tasks) != len(step.tasks) {
+		return &shapeError{}
+	}
+	copy(step.tasks, record.Tasks)
+	for i := range step.tasks {
+		if step.tasks[i].State == Done {
+			step.open--
+			j.open--
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/workflow/validate.go
@@ -0,0 +1,57 @@
+package workflow
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Bounds of a job. The state of a job has to fit into one row of the store.
+const (
+	MaxSteps        = 64
+	MaxTasks        = 500  // over all steps and rounds; about 100 bytes each in the row
+	MaxPayloadBytes = 4000 // from the platform's page on jobs
+)
+
+// Validate checks a job and returns *structs.InvalidError with every fault.
+func Validate(job *structs.StepJob) error {
+	v := validator{}
+	v.check(len(job.Payload) <= MaxPayloadBytes, "/spec", len(job.Payload), "must have at most 4000 bytes")
+	v.check(len(job.Steps) > 0 && len(job.Steps) <= MaxSteps, "/steps", len(job.Steps), "must have 1 to 64 steps")
+	v.check(job.Schedule.Rounds >= 0 && job.Schedule.Interval >= 0, "/schedule", job.Schedule.Rounds, "must not be negative")
+	total := int64(0)
+	for i := range job.Steps {
+		v.step(job, i)
+		total += int64(job.Steps[i].Tasks)
+	}
+	if job.Schedule.Rounds > 0 {
+		total *= int64(job.Schedule.Rounds)
+	}
+	v.check(total <= MaxTasks, "/steps", total, "must have at most 500 tasks in all")
+	if len(v.faults) > 0 {
+		return &structs.InvalidError{Subject: "job", Faults: v.faults}
+	}
+	return nil
+}
+
+type validator struct{ faults []structs.Fault }
+
+func (v *validator) check(ok bool, path string, value any, rule string) {
+	if !ok {
+		v.faults = append(v.faults, structs.Fault{Path: path, Value: fmt.Sprint(value), Rule: rule})
+	}
+}
+
+func (v *validator) step(job *structs.StepJob, i int) {
+	s := &job.Steps[i]
+	path := "/steps/" + strconv.Itoa(i)
+	v.check(s.Tasks > 0, path+"/count", s.Tasks, "must be above 0")
+	v.check(s.Resources.MilliCPU >= 0 && s.Resources.MemoryMB >= 0 && s.Resources.Accelerators >= 0,
+		path, s.Resources, "must not ask for negative resources")
+	v.check(s.Estimate >= 0 && s.LatencyTarget >= 0 && s.MaxPerWorker >= 0 && s.MayMiss >= 0,
+		path, i, "must not have negative figures")
+	for _, before := range s.After {
+		v.check(before >= 0 && int(before) < i, path+"/after", before, "must name an earlier step")
+	}
+}
