Learn which image disturbs which service; pause and move the cause only

Ruled out: placement/estimate with a reading window of half a second. Change: placement/steps/interference.go holds the odds of each pair (noisy or); the leader names suspects to the agents, which pause them first; suspects that save their work move to a worker where they are not; services of one image go beside each other.

--- a/fleet/attendance.go
+++ b/fleet/attendance.go
@@ -177,6 +177,11 @@
 	for _, k := range o.GetKnown() {
 		a.pacer.know(runFromProto(k.GetRun()), k.GetFills(), k.GetLatencyTargetMs())
 	}
+	suspects := make([]structs.TaskRun, 0, len(o.GetSuspects()))
+	for _, r := range o.GetSuspects() {
+		suspects = append(suspects, runFromProto(r))
+	}
+	a.pacer.suspected(suspects)
 	if a.runner != nil {
 		age := a.heard.Sub(echo)
 		for _, s := range o.GetStarts() {
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/bootclock"
+	"github.com/daisywall/daisywall/placement/steps"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
 	"github.com/daisywall/daisywall/workflow"
@@ -46,14 +47,15 @@
 	inFlight  bool
 	began     bootclock.Time // start of the commit in flight
 
-	jobs     map[structs.JobID]*job
-	order    []*job // jobs that are not over, oldest first
-	accepted int64  // jobs accepted or loaded, numbers their order
-	dirty    []*job // jobs with changes that are not being committed
-	over     []*job // jobs that are over, oldest first
-	workers  map[structs.WorkerID]*worker
-	sessions int64
-	stepping bool // other nodes were asked to take over
+	jobs         map[structs.JobID]*job
+	order        []*job // jobs that are not over, oldest first
+	accepted     int64  // jobs accepted or loaded, numbers their order
+	dirty        []*job // jobs with changes that are not being committed
+	over         []*job // jobs that are over, oldest first
+	workers      map[structs.WorkerID]*worker
+	sessions     int64
+	stepping     bool // other nodes were asked to take over
+	interference *steps.Interference
 
 	leaveOnce sync.Once
 	leaving   chan struct{} // closed when the process stops
@@ -73,6 +75,7 @@
 	lost     []func()         // failures of the commit in flight
 	overAt   bootclock.Time
 	failedOn map[structs.StepTaskID][]structs.WorkerID
+	placedAt bootclock.Time // last assignment, or acceptance
 }
 
 func newLeader(o Options, m *metrics, row leaderRow) *leader {
@@ -85,7 +88,8 @@
 		results:   make(chan commitResult, 1),
 		row:       row, since: now, confirmed: now,
 		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{},
-		leaving: make(chan struct{}),
+		leaving:      make(chan struct{}),
+		interference: steps.NewInterference(),
 	}
 }
 
@@ -115,6 +119,7 @@
 func (l *leader) add(j *job) {
 	l.accepted++
 	j.order = l.accepted
+	j.placedAt = l.o.Clock()
 	j.failedOn = map[structs.StepTaskID][]structs.WorkerID{}
 	l.jobs[j.Spec.ID] = j
 	if !j.Over() {
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -36,6 +36,7 @@
 	}
 	l.reconcile(w, r, now)
 	w.acknowledge()
+	l.learn(w, now)
 	if !w.ready {
 		w.ready = true
 		l.log.Info("worker ready", zap.String("worker", string(w.id)), zap.Int("runs", len(w.runs)),
@@ -211,11 +212,14 @@
 // observe takes in what the runner says about a run.
 func (r *run) observe(a *fleetpb.Active, now bootclock.Time) {
 	if r.startedAt == 0 {
-		r.startedAt, r.progressAt = now, now
+		r.startedAt, r.progressAt, r.pacedAt = now, now, now
 	}
 	if a.GetPercent() != r.percent || a.GetCheckpoint() != r.checkpoint {
 		r.progressAt = now
 	}
+	if a.GetPace() != r.pace {
+		r.pacedAt = now
+	}
 	r.percent, r.figure, r.pace = a.GetPercent(), a.GetFigure(), a.GetPace()
 	if a.GetCheckpoint() != "" {
 		r.checkpoint = a.GetCheckpoint()
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -2,11 +2,11 @@
 
 import (
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/api/fleetpb"
-	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/placement/steps"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/workflow"
@@ -23,6 +23,10 @@
 	return out
 }
 
+// longWait is the time without any placement after which a job's filling tasks
+// take workers on which they will be slowed down.
+const longWait = 2500 * time.Millisecond
+
 // schedule assigns pending tasks to workers. What it assigns is ordered once
 // the commit that follows is stored.
 func (l *leader) schedule() {
@@ -31,18 +35,11 @@
 	if len(demands) == 0 {
 		return
 	}
-	now := l.o.Clock()
-	var views []*steps.Worker
-	for _, w := range l.workers {
-		if l.usable(w, now) && !l.drained(w.domain) {
-			views = append(views, w.view(now))
-		}
-	}
+	views := l.usableViews(l.o.Clock())
 	if len(views) == 0 {
 		return
 	}
-	slices.SortFunc(views, func(a, b *steps.Worker) int { return compareWorkers(a.ID, b.ID) })
-	for _, p := range steps.Plan(views, demands) {
+	for _, p := range steps.Plan(views, demands, l.interference) {
 		l.start(p)
 	}
 }
@@ -58,10 +55,10 @@
 }
 
 // view sums up what the worker runs for the policy.
-func (w *worker) view(now bootclock.Time) *steps.Worker {
+func (l *leader) view(w *worker) *steps.Worker {
 	v := &steps.Worker{
 		ID: w.id, FailureDomain: w.domain, Rack: w.rack, Pool: w.pool, Labels: w.labels,
-		Capacity: w.capacity, Distrust: w.record.distrust(now),
+		Capacity: w.capacity, Distrust: w.record.distrust(l.o.Clock()), Serving: map[string]int{},
 	}
 	for _, r := range w.runs {
 		step := r.job.Step(r.run.Task)
@@ -74,8 +71,8 @@
 		if step.LongRunning {
 			v.Services += need.MilliCPU
 		}
-		if target := step.LatencyTarget.Milliseconds(); target > 0 {
-			v.Strain = max(v.Strain, float64(r.figure)/float64(target))
+		if step.LatencyTarget > 0 {
+			v.Serving[step.Image]++
 		}
 	}
 	return v
@@ -105,6 +102,7 @@
 				}
 			}
 			if len(d.Tasks) > 0 {
+				d.Waiting = l.o.Clock().Sub(j.placedAt) > longWait
 				demands = append(demands, d)
 			}
 		})
@@ -130,6 +128,7 @@
 	if !ok {
 		return
 	}
+	j.placedAt = l.o.Clock()
 	r := w.assign(id, w.incarnation, j)
 	l.touch(j, func() { l.orderStart(w, r) }, nil)
 }
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -39,6 +39,10 @@
 	acked  int64        // ends up to this one are stored
 	outbox outbox
 	record record
+
+	learnedAt bootclock.Time            // when the worker's readings were last learned from
+	filled    map[string]bootclock.Time // when a filling task of an image last worked
+	suspects  []structs.TaskRun
 }
 
 // run is an assigned run of a worker.
@@ -55,6 +59,7 @@
 	figure      int64
 	checkpoint  string
 	pace        int32
+	pacedAt     bootclock.Time // last change of pace
 }
 
 // endRecord is an end that was read and may not be stored yet.
@@ -80,7 +85,7 @@
 func (l *leader) worker(id structs.WorkerID) *worker {
 	w, found := l.workers[id]
 	if !found {
-		w = &worker{id: id, runs: map[structs.TaskRun]*run{}}
+		w = &worker{id: id, runs: map[structs.TaskRun]*run{}, filled: map[string]bootclock.Time{}}
 		l.workers[id] = w
 	}
 	return w
@@ -270,6 +275,9 @@
 		Epoch: l.epoch, Fence: s.fence, Number: s.number, Echo: w.echo,
 		Acknowledged: w.acked, Starts: out.starts, Known: out.known, TakeOver: out.takeOver,
 	}
+	for _, r := range w.suspects {
+		orders.Suspects = append(orders.Suspects, runToProto(r))
+	}
 	for _, r := range out.stops {
 		orders.Stops = append(orders.Stops, runToProto(r))
 	}
--- /dev/null
+++ b/placement/steps/interference.go
@@ -0,0 +1,128 @@
+package steps
+
+import (
+	"math"
+)
+
+// Interference learns which filling tasks disturb which services, by pairs of
+// images. A pair either disturbs or hardly does: a disturbed service is over
+// its target by a multiple, so that a few readings tell. It holds for each pair
+// the odds that it disturbs, and treats the causes of one reading as a noisy
+// or: any one is enough.
+type Interference struct {
+	pairs map[imagePair]float64 // logarithm of the odds
+}
+
+type imagePair struct{ service, fill string }
+
+// NewInterference returns a model that has learned nothing.
+func NewInterference() *Interference { return &Interference{pairs: map[imagePair]float64{}} }
+
+// Chances of the model.
+const (
+	priorChance = 0.25 // that an untried pair disturbs
+	showChance  = 0.6  // that one reading shows it; the services' load swings
+	strayChance = 0.06 // that a reading is high without a cause
+	maxLogOdds  = 4.0  // so that a change of mind takes a few readings
+)
+
+// Readings of a service, as shares of its latency target.
+const (
+	strainShows = 1.0  // above, something disturbs it
+	strainClear = 0.75 // below, nothing does
+)
+
+// Neighbour is a filling image beside a service during a reading.
+type Neighbour struct {
+	Image string
+	// Settled is set when its tasks worked at full pace during all of the
+	// reading. Only then does a calm service speak for it.
+	Settled bool
+}
+
+func (i *Interference) logOdds(service, fill string) float64 {
+	if odds, found := i.pairs[imagePair{service, fill}]; found {
+		return odds
+	}
+	return math.Log(priorChance / (1 - priorChance))
+}
+
+// Chance returns the chance that tasks of the filling image disturb the service.
+func (i *Interference) Chance(service, fill string) float64 {
+	return 1 / (1 + math.Exp(-i.logOdds(service, fill)))
+}
+
+// Learn takes in a reading of a service beside its neighbours.
+func (i *Interference) Learn(service string, strain float64, neighbours []Neighbour) {
+	switch {
+	case strain > strainShows:
+		i.blame(service, neighbours)
+	case strain < strainClear:
+		for _, n := range neighbours {
+			if n.Settled {
+				i.add(service, n.Image, math.Log(1-showChance))
+			}
+		}
+	}
+}
+
+// blame weighs for each neighbour how likely the reading is with and without
+// it, given what is known of the others.
+func (i *Interference) blame(service string, neighbours []Neighbour) {
+	steps := make([]float64, len(neighbours))
+	for k, n := range neighbours {
+		calm := 1 - strayChance
+		for _, other := range neighbours {
+			if other.Image != n.Image {
+				calm *= 1 - showChance*i.Chance(service, other.Image)
+			}
+		}
+		steps[k] = math.Log((1 - calm*(1-showChance)) / (1 - calm))
+	}
+	for k, n := range neighbours {
+		i.add(service, n.Image, steps[k])
+	}
+}
+
+func (i *Interference) add(service, fill string, step float64) {
+	odds := i.logOdds(service, fill) + step
+	i.pairs[imagePair{service, fill}] = max(-maxLogOdds, min(maxLogOdds, odds))
+}
+
+// suspectChance is the chance from which a pair is taken to disturb.
+const suspectChance = 0.5
+
+// Harm returns the chance that a task of the image disturbs a service of the
+// worker.
+func (w *Worker) Harm(i *Interference, image string) float64 {
+	calm := 1.0
+	for service := range w.Serving {
+		calm *= 1 - i.Chance(service, image)
+	}
+	return 1 - calm
+}
+
+// Suspect reports whether tasks of the image are taken to disturb a service of
+// the worker.
+func (w *Worker) Suspect(i *Interference, image string) bool {
+	for service := range w.Serving {
+		if i.Chance(service, image) > suspectChance {
+			return true
+		}
+	}
+	return false
+}
+
+// CanMove reports whether another worker takes a task of the demand, which
+// disturbs a service where it is, with little harm.
+func (d *Demand) CanMove(i *Interference, workers []*Worker, from *Worker) bool {
+	for _, w := range workers {
+		if w.ID != from.ID && d.feasible(w) && w.Harm(i, d.Spec.Image) < moveHarm {
+			return true
+		}
+	}
+	return false
+}
+
+// moveHarm is the chance of harm elsewhere up to which a task is moved.
+const moveHarm = 0.35
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -34,7 +34,7 @@
 	Reserved      structs.Resources // of tasks that don't fill, and the memory of those that do
 	Services      int64             // thousandths of a processor declared by long-running tasks, part of Reserved
 	Fills         int64             // thousandths of a processor declared by filling tasks
-	Strain        float64           // worst tail latency of its services, as a share of the target
+	Serving       map[string]int    // tasks with a latency target by image
 	Distrust      float64           // 0 for a worker in good health, 1 and more for one to avoid
 }
 
@@ -57,6 +57,11 @@
 	Placed map[structs.WorkerID]int32
 	// Avoid holds the workers on which a task failed before.
 	Avoid map[int32][]structs.WorkerID
+	// Waiting is set for a step that has had no worker for long. It then takes
+	// one on which it will be slowed down.
+	Waiting bool
+
+	interference *Interference
 }
 
 // Placement puts a task on a worker.
@@ -68,12 +73,13 @@
 // Plan places as many pending tasks as fit. More urgent demands go first, and
 // within a priority the older ones; a demand that does not fit does not hold up
 // later ones. It changes the workers' reservations.
-func Plan(workers []*Worker, demands []Demand) []Placement {
+func Plan(workers []*Worker, demands []Demand, interference *Interference) []Placement {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Order, b.Order))
 	})
 	var placements []Placement
 	for i := range demands {
+		demands[i].interference = interference
 		placements = demands[i].place(workers, placements)
 	}
 	return placements
@@ -140,7 +146,10 @@
 		if !d.feasible(w) {
 			continue
 		}
-		score := d.score(w, index)
+		score, ok := d.score(w, index)
+		if !ok {
+			continue
+		}
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -174,20 +183,31 @@
 
 // Weights of a score, in shares of a worker's processors.
 const (
-	strainWeight   = 0.5 // services near their target get no further load
+	harmWeight     = 2.0
 	distrustWeight = 1.0
 	avoidWeight    = 4.0 // another worker than the one that failed the task, if there is one
 	rackWeight     = 0.3 // near the input
+	sameWeight     = 0.3 // services of one image beside each other leave filling tasks more room
 )
 
+// harmLimit is the chance of harm above which a filling task waits for another
+// worker.
+const harmLimit = 0.6
+
 // score prefers workers with idle processors, calm services and no bad record.
-func (d *Demand) score(w *Worker, index int32) float64 {
+// It reports false for a worker on which the task is likely to disturb.
+func (d *Demand) score(w *Worker, index int32) (float64, bool) {
 	capacity := float64(max(1, w.Capacity.MilliCPU))
-	score := w.idle() / capacity
-	if !d.Spec.Fills {
-		score = float64(w.Capacity.MilliCPU-w.Reserved.MilliCPU) / capacity
-	} else {
-		score -= strainWeight * w.Strain
+	score := float64(w.Capacity.MilliCPU-w.Reserved.MilliCPU) / capacity
+	switch {
+	case d.Spec.Fills:
+		harm := w.Harm(d.interference, d.Spec.Image)
+		if harm > harmLimit && !d.Waiting {
+			return 0, false
+		}
+		score = w.idle()/capacity - harmWeight*harm
+	case d.Spec.LatencyTarget > 0 && w.Serving[d.Spec.Image] > 0:
+		score += sameWeight
 	}
 	score -= distrustWeight * w.Distrust
 	if slices.Contains(d.Avoid[index], w.ID) {
@@ -196,5 +216,5 @@
 	if d.Spec.Rack != "" && d.Spec.Rack == w.Rack {
 		score += rackWeight
 	}
-	return score
+	return score, true
 }
