--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -201,7 +201,9 @@
 	case status.Code(err) == codes.InvalidArgument:
 		return 0, &structs.InvalidError{Subject: "job", Faults: []structs.Fault{{Path: "/", Rule: status.Convert(err).Message()}}}
 	case err != nil:
-		e.forgetAddress(address, err.Error())
+		if ctx.Err() == nil { // else the caller's time was up, which says nothing of the leader
+			e.forgetAddress(address, err.Error())
+		}
 		return 0, &structs.UnknownOutcomeError{Operation: "call to the leader", Err: err}
 	case outcome == fleetpb.Outcome_NOT_LEADER:
 		e.forgetAddress(address, "not the leader")
