Fleet: tests in virtual time; the end of a runner is told at the next session

Cause (TestCrashedRunnerIsNoticedByItsPort): an agent that found its runner's port closed reported that and ended the session at once; the leader could see the end of the stream first and drop the report, and waited for the lease. Change: the next hello carries the incarnation that has surely ended.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -189,7 +189,7 @@
 	}
 	log := b.telemetry.Log
 	operator := platform.NewOperator(b.store, log)
-	jobs := fleet.NewEntry(b.store, log)
+	jobs := fleet.NewEntry(b.store, nil, log)
 	front := platform.NewFront(jobs, operator, log)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /v1/ready", front.Ready)
--- a/fleet/attendance.go
+++ b/fleet/attendance.go
@@ -295,7 +295,8 @@
 		a.holdsGone = 0
 	}
 	if a.holdsGone >= goneHolds {
-		a.listed = &fleetpb.WorkerReport{Gone: true}
+		a.log.Warn("runner gone", zap.String("runner", a.info.ID))
+		a.h.lose(a.info.Incarnation)
 	}
 }
 
@@ -313,13 +314,5 @@
 	for r := range a.starting {
 		list.Starting = append(list.Starting, runToProto(r))
 	}
-	if err := a.report(list); err != nil {
-		return err
-	}
-	if list.GetGone() {
-		a.h.lose(a.info.Incarnation)
-		a.log.Warn("runner gone", zap.String("runner", a.info.ID))
-		a.h.signal()
-	}
-	return nil
+	return a.report(list)
 }
--- /dev/null
+++ b/fleet/checker_test.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+)
+
+// checker watches the runners from outside the code under test.
+type checker struct {
+	mu       sync.Mutex
+	capacity int64
+	running  map[structs.StepTaskID]map[structs.WorkerID]structs.TaskRun
+	done     map[structs.StepTaskID]bool // an end "done" that was acknowledged
+	loads    map[structs.WorkerID]int
+	starts   map[structs.StepTaskID]int
+	startsOn map[hostTask]int
+	faults   []string
+}
+
+// hostTask is a task on a host.
+type hostTask struct {
+	host structs.WorkerID
+	task structs.StepTaskID
+}
+
+// taskCPU is what each task of a world asks for.
+const taskCPU = 500
+
+func newChecker(capacity int64) *checker {
+	return &checker{
+		capacity: capacity, running: map[structs.StepTaskID]map[structs.WorkerID]structs.TaskRun{}, done: map[structs.StepTaskID]bool{},
+		loads: map[structs.WorkerID]int{}, starts: map[structs.StepTaskID]int{}, startsOn: map[hostTask]int{},
+	}
+}
+
+func (c *checker) fault(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+func (c *checker) started(host structs.WorkerID, r structs.TaskRun) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts[r.Task]++
+	c.startsOn[hostTask{host, r.Task}]++
+	if c.done[r.Task] {
+		c.fault("%s started on %s after its task was done", r, host)
+	}
+	if c.running[r.Task] == nil {
+		c.running[r.Task] = map[structs.WorkerID]structs.TaskRun{}
+	}
+	c.running[r.Task][host] = r
+	if len(c.running[r.Task]) > 1 {
+		c.fault("%s started on %s beside another run: %v", r, host, c.running[r.Task])
+	}
+	c.loads[host]++
+	if int64(c.loads[host]*taskCPU) > c.capacity {
+		c.fault("%s brings %s over its capacity", r, host)
+	}
+}
+
+func (c *checker) ended(host structs.WorkerID, r structs.TaskRun, _ substrate.RunEnd) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running[r.Task], host)
+	c.loads[host]--
+}
+
+// noted is told of acknowledged ends.
+func (c *checker) noted(structs.WorkerID, structs.TaskRun) {}
+
+func (c *checker) runnerReset(host structs.WorkerID) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, hosts := range c.running {
+		delete(hosts, host)
+	}
+	c.loads[host] = 0
+}
+
+func (c *checker) found() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.faults...)
+}
+
+func (c *checker) runs(id structs.StepTaskID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.running[id])
+}
+
+func (c *checker) startsOf(id structs.StepTaskID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts[id]
+}
+
+func (c *checker) total() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, hosts := range c.running {
+		n += len(hosts)
+	}
+	return n
+}
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -10,9 +10,7 @@
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"github.com/daisywall/daisywall/api/fleetpb"
@@ -33,6 +31,7 @@
 // be lost.
 type Entry struct {
 	store substrate.PartStore
+	dial  Dial
 	log   *zap.Logger
 
 	mu      sync.Mutex
@@ -41,9 +40,13 @@
 	readAt  time.Time
 }
 
-// NewEntry returns an entry that finds the leader through the store.
-func NewEntry(store substrate.PartStore, log *zap.Logger) *Entry {
-	return &Entry{store: store, log: log}
+// NewEntry returns an entry that finds the leader through the store. A nil dial
+// stands for TCP.
+func NewEntry(store substrate.PartStore, dial Dial, log *zap.Logger) *Entry {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &Entry{store: store, dial: dial, log: log}
 }
 
 // Close ends the connection to the leader.
@@ -252,10 +255,8 @@
 	if e.conn != nil && e.address == address {
 		return e.conn, address, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer((&dialer{}).dial),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: answerTimeout}))
+	dialed := &dialer{dial: e.dial}
+	conn, err := dialed.connect(address)
 	if err != nil {
 		return nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader, Err: err}
 	}
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -2,17 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/daisywall/daisywall/api/fleetpb"
 	"github.com/daisywall/daisywall/substrate"
@@ -27,6 +20,7 @@
 	mu      sync.Mutex
 	info    substrate.RunnerInfo // zero while no runner is known
 	gone    bool                 // the incarnation was found to have ended
+	ended   string               // the last incarnation that was found so
 	leaving bool                 // the runner said that it ends
 	changed chan struct{}        // signalled when info changes what the leader should know
 	epoch   int64                // highest epoch of a leader that gave orders
@@ -51,6 +45,9 @@
 		return false
 	}
 	notable := !same || info.Draining != h.info.Draining || h.gone
+	if h.ended == info.Incarnation {
+		h.ended = "" // it was not
+	}
 	h.info = info
 	h.gone = false
 	if !same {
@@ -101,9 +98,11 @@
 func (h *host) lose(incarnation string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.ended = incarnation
 	if h.info.Incarnation == incarnation {
 		h.gone = true
 	}
+	h.signal()
 }
 
 // admits reports whether orders of the epoch may be followed.
@@ -139,11 +138,8 @@
 func (h *host) attend(ctx context.Context, row leaderRow) sessionEnd {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dialed := &dialer{}
-	conn, err := grpc.NewClient("passthrough:///"+row.Address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(dialed.dial),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: answerTimeout}))
+	dialed := &dialer{dial: h.o.Dial}
+	conn, err := dialed.connect(row.Address)
 	if err != nil {
 		h.o.Log.Error("leader's address cannot be used", zap.String("leader", row.Address), zap.Error(err))
 		return endSilent
@@ -156,7 +152,7 @@
 	}
 	info := h.current()
 	a := newAttendance(h, row, info, stream)
-	if err := stream.Send(&fleetpb.WorkerReport{Hello: helloOf(h.o, info), SentAt: int64(h.o.Clock())}); err != nil {
+	if err := stream.Send(&fleetpb.WorkerReport{Hello: h.hello(info), SentAt: int64(h.o.Clock())}); err != nil {
 		return h.unanswered(row, dialed, err)
 	}
 	first, err := stream.Recv()
@@ -178,37 +174,12 @@
 	return end
 }
 
-func helloOf(o Options, info substrate.RunnerInfo) *fleetpb.Hello {
+func (h *host) hello(info substrate.RunnerInfo) *fleetpb.Hello {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	return &fleetpb.Hello{
-		Worker: string(o.Worker), FailureDomain: string(o.FailureDomain), Address: o.Address,
+		Worker: string(h.o.Worker), FailureDomain: string(h.o.FailureDomain), Address: h.o.Address, Gone: h.ended,
 		Incarnation: info.Incarnation, Runner: info.ID, Pool: string(info.Pool), Rack: info.Rack, Labels: info.Labels,
 		MilliCpu: info.Capacity.MilliCPU, MemoryMb: info.Capacity.MemoryMB, Accelerators: info.Capacity.Accelerators,
 	}
 }
-
-// dialer opens connections and remembers whether the last one was refused.
-type dialer struct {
-	mu  sync.Mutex
-	err error
-}
-
-// userTimeout closes a connection whose data is not acknowledged for this long.
-const userTimeout = 2 * time.Second
-
-func (d *dialer) dial(ctx context.Context, address string) (net.Conn, error) {
-	plain := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: userTimeout, Interval: userTimeout / 2, Count: 2}}
-	conn, err := plain.DialContext(ctx, "tcp", address)
-	d.mu.Lock()
-	d.err = err
-	d.mu.Unlock()
-	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w", address, err)
-	}
-	return conn, nil
-}
-
-func (d *dialer) refused() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return errors.Is(d.err, syscall.ECONNREFUSED)
-}
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"go.opentelemetry.io/otel/metric"
@@ -21,6 +23,9 @@
 	Changed() <-chan struct{}
 }
 
+// Dial opens a connection to a peer address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // Options describe a node.
 type Options struct {
 	Worker        structs.WorkerID
@@ -32,6 +37,7 @@
 	// Config starts following the configuration until stop is called. Only a
 	// leader follows it.
 	Config func() (source ConfigSource, stop func())
+	Dial   Dial             // nil for TCP
 	Clock  bootclock.Clock  // nil for the system's
 	Wall   func() time.Time // nil for the system's; only for scheduled rounds
 	Timing Timing           // zero fields get defaults
@@ -121,6 +127,9 @@
 		return o, &structs.InvalidError{Subject: "fleet options", Faults: faults}
 	}
 	o.Timing = o.Timing.withDefaults()
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
 	if o.Clock == nil {
 		o.Clock = bootclock.Now
 	}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -20,10 +20,6 @@
 	now := l.o.Clock()
 	w.reportedAt = now
 	w.outbox.reply = true
-	if r.GetGone() {
-		l.gone(w)
-		return
-	}
 	l.setDraining(w, r)
 	if !r.GetListed() || w.incarnation == "" {
 		return
@@ -44,18 +40,6 @@
 	}
 }
 
-// gone releases everything: the incarnation has surely ended.
-func (l *leader) gone(w *worker) {
-	l.log.Warn("runner gone", zap.String("worker", string(w.id)), zap.String("incarnation", w.incarnation), zap.Int("runs", len(w.runs)))
-	for _, r := range w.sortedRuns() {
-		if r.incarnation == w.incarnation {
-			l.release(w, r, "runner gone", "")
-		}
-	}
-	w.incarnation = ""
-	w.ready = false
-}
-
 func (l *leader) setDraining(w *worker, r *fleetpb.WorkerReport) {
 	w.remaining = time.Duration(r.GetRemainingMs()) * time.Millisecond
 	if w.draining == r.GetDraining() {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -130,11 +130,14 @@
 	w.incarnation = hello.GetIncarnation()
 	l.log.Info("worker attends", zap.String("worker", string(w.id)), zap.String("incarnation", w.incarnation),
 		zap.Int64("fence", s.fence), zap.Int("assigned", len(w.runs)))
-	if w.incarnation == "" {
-		return w
-	}
 	for _, r := range w.sortedRuns() {
-		if r.incarnation != w.incarnation {
+		switch {
+		case r.incarnation == hello.GetGone():
+			l.release(w, r, "runner gone", "")
+			continue
+		case w.incarnation == "":
+			continue
+		case r.incarnation != w.incarnation:
 			l.release(w, r, "runner restarted", "")
 			continue
 		}
