Bound every call to the platform; a call that never left is not in doubt

After a silent outage of the store, calls that never ended kept all eight connections of an entry, which read nothing for 14 s and answered 404 for a new route.

--- a/fleet/checker_test.go
+++ b/fleet/checker_test.go
@@ -89,12 +89,6 @@
 	return append([]string(nil), c.faults...)
 }
 
-func (c *checker) runs(id structs.StepTaskID) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.running[id])
-}
-
 func (c *checker) startsOf(id structs.StepTaskID) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fleet/dial.go
+++ b/fleet/dial.go
@@ -29,6 +29,7 @@
 	dial Dial
 	mu   sync.Mutex
 	err  error
+	ever bool // an attempt has succeeded
 }
 
 // connect returns a client connection, which dials when it is first used.
@@ -47,6 +48,7 @@
 	conn, err := d.dial(ctx, address)
 	d.mu.Lock()
 	d.err = err
+	d.ever = d.ever || err == nil
 	d.mu.Unlock()
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
@@ -54,6 +56,14 @@
 	return conn, nil
 }
 
+// connected reports whether a connection was ever open. Before that, no call
+// has left.
+func (d *dialer) connected() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ever
+}
+
 // refused reports whether nothing listens at the address.
 func (d *dialer) refused() bool {
 	d.mu.Lock()
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -20,11 +20,14 @@
 
 // Bounds of calls to the leader.
 const (
-	leaderCall   = 900 * time.Millisecond // one call; a commit in a slow store takes up to 800 ms
-	leaderPause  = 50 * time.Millisecond  // between attempts
-	leaderRead   = 600 * time.Millisecond // one read of the leadership row
-	retryLeader  = time.Second            // when clients may come back while there is no leader
-	readInterval = 100 * time.Millisecond // least time between two reads of the leadership row
+	leaderCall   = 900 * time.Millisecond  // one call; a commit in a slow store takes up to 800 ms
+	leaderPause  = 50 * time.Millisecond   // between attempts
+	leaderRead   = 600 * time.Millisecond  // one read of the leadership row
+	retryLeader  = time.Second             // when clients may come back while there is no leader
+	leaderSearch = 1500 * time.Millisecond // how long a call waits for a leader: about as long as a takeover takes
+	briefSearch  = 250 * time.Millisecond  // the same, once there has been none for that long
+	phaseSearch  = 700 * time.Millisecond  // the same, before the store is asked instead
+	readInterval = 100 * time.Millisecond  // least time between two reads of the leadership row
 )
 
 // Entry passes jobs of callers on to the leader. It keeps nothing that can't
@@ -37,7 +40,9 @@
 	mu      sync.Mutex
 	address string // of the leader, empty if unknown
 	conn    *grpc.ClientConn
+	dialed  *dialer // of conn
 	readAt  time.Time
+	lostAt  time.Time // since when no leader has answered, zero while one does
 }
 
 // NewEntry returns an entry that finds the leader through the store. A nil dial
@@ -129,7 +134,9 @@
 // Phase returns the phase of a job, or *structs.NotFoundError.
 func (e *Entry) Phase(ctx context.Context, id structs.JobID, queue structs.QueueID) (structs.JobPhase, error) {
 	var phase string
-	outcome, err := e.decided(ctx, func(ctx context.Context, c fleetpb.FleetClient) (fleetpb.Outcome, string, error) {
+	search, cancel := context.WithTimeout(ctx, phaseSearch)
+	defer cancel()
+	outcome, err := e.decided(search, func(ctx context.Context, c fleetpb.FleetClient) (fleetpb.Outcome, string, error) {
 		resp, err := c.Phase(ctx, &fleetpb.PhaseRequest{Job: string(id), Queue: string(queue)})
 		phase = resp.GetPhase()
 		return resp.GetOutcome(), resp.GetLeader(), err
@@ -137,7 +144,7 @@
 	if err == nil && outcome == fleetpb.Outcome_DONE {
 		return structs.JobPhase(phase), nil
 	}
-	return e.storedPhase(context.WithoutCancel(ctx), id, queue)
+	return e.storedPhase(ctx, id, queue)
 }
 
 // Waiting returns the number of jobs of the queue that have not begun.
@@ -165,8 +172,11 @@
 func (e *Entry) decided(ctx context.Context, f call) (fleetpb.Outcome, error) {
 	doubtful := false
 	var last error
+	ctx, cancel := context.WithTimeout(ctx, e.search())
+	defer cancel()
 	for {
 		outcome, err := e.attempt(ctx, f)
+		e.heard(err == nil && outcome != fleetpb.Outcome_NOT_LEADER)
 		var invalid *structs.InvalidError
 		switch {
 		case err == nil && (outcome == fleetpb.Outcome_DONE || outcome == fleetpb.Outcome_NOT_FOUND):
@@ -191,9 +201,33 @@
 	return 0, &structs.NotRunError{Reason: structs.ReasonNotLeader, RetryAfter: retryLeader, Err: last}
 }
 
-// attempt makes one call.
+// search returns how long a call may look for a leader. While there has been
+// none for long, waiting for one helps nobody.
+func (e *Entry) search() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.lostAt.IsZero() && time.Since(e.lostAt) > leaderSearch {
+		return briefSearch
+	}
+	return leaderSearch
+}
+
+// heard takes note of whether a leader has answered.
+func (e *Entry) heard(answered bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case answered:
+		e.lostAt = time.Time{}
+	case e.lostAt.IsZero():
+		e.lostAt = time.Now()
+	}
+}
+
+// attempt makes one call. Its error is *structs.UnknownOutcomeError unless the
+// call surely did not reach a leader.
 func (e *Entry) attempt(ctx context.Context, f call) (fleetpb.Outcome, error) {
-	conn, address, err := e.connect(ctx)
+	conn, dialed, address, err := e.connect(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -207,11 +241,14 @@
 		if ctx.Err() == nil { // else the caller's time was up, which says nothing of the leader
 			e.forgetAddress(address, err.Error())
 		}
+		if !dialed.connected() {
+			return 0, &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader, Err: err}
+		}
 		return 0, &structs.UnknownOutcomeError{Operation: "call to the leader", Err: err}
 	case outcome == fleetpb.Outcome_NOT_LEADER:
 		e.forgetAddress(address, "not the leader")
 		if leader != "" && leader != address {
-			if _, _, err := e.use(leader); err != nil {
+			if _, _, _, err := e.use(leader); err != nil {
 				return 0, err
 			}
 		}
@@ -221,48 +258,48 @@
 
 // connect returns a connection to the leader that is known, or to the one that
 // the store names.
-func (e *Entry) connect(ctx context.Context) (*grpc.ClientConn, string, error) {
+func (e *Entry) connect(ctx context.Context) (*grpc.ClientConn, *dialer, string, error) {
 	e.mu.Lock()
-	conn, address := e.conn, e.address
+	conn, dialed, address := e.conn, e.dialed, e.address
 	since := time.Since(e.readAt)
 	if conn == nil && since >= readInterval {
 		e.readAt = time.Now()
 	}
 	e.mu.Unlock()
 	if conn != nil {
-		return conn, address, nil
+		return conn, dialed, address, nil
 	}
 	if since < readInterval {
-		return nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader}
+		return nil, nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader}
 	}
 	limited, cancel := context.WithTimeout(ctx, leaderRead)
 	defer cancel()
 	row, err := readLeader(limited, e.store)
 	if err != nil {
-		return nil, "", &structs.UnavailableError{Dependency: "store", RetryAfter: retryLeader, Err: err}
+		return nil, nil, "", &structs.UnavailableError{Dependency: "store", RetryAfter: retryLeader, Err: err}
 	}
 	if row.Address == "" {
-		return nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader}
+		return nil, nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader}
 	}
 	e.log.Info("leader found", zap.String("leader", row.Address), zap.Int64("epoch", row.Epoch), zap.Int64("version", row.Version))
 	return e.use(row.Address)
 }
 
 // use makes the address the leader's.
-func (e *Entry) use(address string) (*grpc.ClientConn, string, error) {
+func (e *Entry) use(address string) (*grpc.ClientConn, *dialer, string, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.conn != nil && e.address == address {
-		return e.conn, address, nil
+		return e.conn, e.dialed, address, nil
 	}
 	dialed := &dialer{dial: e.dial}
 	conn, err := dialed.connect(address)
 	if err != nil {
-		return nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader, Err: err}
+		return nil, nil, "", &structs.UnavailableError{Dependency: "leader", RetryAfter: retryLeader, Err: err}
 	}
 	e.drop()
-	e.conn, e.address = conn, address
-	return conn, address, nil
+	e.conn, e.dialed, e.address = conn, dialed, address
+	return conn, dialed, address, nil
 }
 
 // drop closes the connection once calls on it have had time to finish.
@@ -274,7 +311,7 @@
 			}
 		})
 	}
-	e.conn, e.address = nil, ""
+	e.conn, e.dialed, e.address = nil, nil, ""
 }
 
 func (e *Entry) forgetAddress(address, reason string) {
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -31,7 +31,6 @@
 	config  *fixedConfig
 	runTime func(structs.TaskRun) time.Duration
 
-	mu    sync.Mutex
 	hosts []*worldHost
 }
 
@@ -49,7 +48,6 @@
 	cancel   context.CancelFunc
 	done     chan struct{}
 	cut      bool // from all other hosts
-	conns    []net.Conn
 }
 
 // fixedConfig is the operators' configuration in a world.
