Refuse at once, and truly, while the store does not answer the leader

Change: a leader whose commit has taken a second refuses new jobs, and those that no commit has carried; the entry asks the store once whether another leader is named, and answers 503. Only a call that may have reached a leader leaves a doubt. Tests: TestJobsAreRefusedAtOnceWhileTheStoreIsSilent, TestSubmitWithoutALeaderHasNotRun (silent store, failing before).

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -183,12 +183,17 @@
 			return outcome, nil
 		case errors.As(err, &invalid):
 			return outcome, err
+		case err == nil && outcome == fleetpb.Outcome_REFUSED && !e.moved(ctx):
+			last = &structs.UnavailableError{Dependency: "store", RetryAfter: retryLeader}
+			cancel() // the leader knows better than to wait
 		case err == nil && outcome == fleetpb.Outcome_UNKNOWN:
 			doubtful = true
 			last = &structs.UnavailableError{Dependency: "leader"}
 		case err != nil:
-			var unknown *structs.UnknownOutcomeError
-			doubtful = doubtful || errors.As(err, &unknown)
+			// The store's read of the leadership may be the cause of an
+			// unavailable leader; its own outcome is of no matter.
+			var unavailable *structs.UnavailableError
+			doubtful = doubtful || !errors.As(err, &unavailable)
 			last = err
 		}
 		if sleep(ctx, leaderPause) != nil {
@@ -238,7 +243,7 @@
 	case status.Code(err) == codes.InvalidArgument:
 		return 0, &structs.InvalidError{Subject: "job", Faults: []structs.Fault{{Path: "/", Rule: status.Convert(err).Message()}}}
 	case err != nil:
-		if ctx.Err() == nil { // else the caller's time was up, which says nothing of the leader
+		if !expiring(ctx) { // else the caller's time was up, which says nothing of the leader
 			e.forgetAddress(address, err.Error())
 		}
 		if !dialed.connected() {
@@ -256,6 +261,13 @@
 	return outcome, nil
 }
 
+// expiring reports whether the context is at its end. The other side sees the
+// same deadline, and its answer may arrive a little before it.
+func expiring(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	return ctx.Err() != nil || (limited && time.Until(deadline) < leaderPause)
+}
+
 // connect returns a connection to the leader that is known, or to the one that
 // the store names.
 func (e *Entry) connect(ctx context.Context) (*grpc.ClientConn, *dialer, string, error) {
@@ -285,6 +297,25 @@
 	return e.use(row.Address)
 }
 
+// moved reports whether the store names another leader than the one that was
+// called, and uses it.
+func (e *Entry) moved(ctx context.Context) bool {
+	limited, cancel := context.WithTimeout(ctx, briefSearch)
+	defer cancel()
+	row, err := readLeader(limited, e.store)
+	if err != nil || row.Address == "" {
+		return false
+	}
+	e.mu.Lock()
+	same := row.Address == e.address
+	e.mu.Unlock()
+	if same {
+		return false
+	}
+	_, _, _, err = e.use(row.Address)
+	return err == nil
+}
+
 // use makes the address the leader's.
 func (e *Entry) use(address string) (*grpc.ClientConn, *dialer, string, error) {
 	e.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -277,14 +277,18 @@
 		is := is.New(t)
 		w.ready()
 		w.hosts[0].kill()
-		e := NewEntry(&storeClient{store: newFakeStore()}, w.dial(nil), nopLog)
-		defer e.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
-		defer cancel()
-		err := e.Submit(ctx, worldJob("a", 1), worldQueue)
-		var notRun *structs.NotRunError
-		is.True(errors.As(err, &notRun))
-		is.True(notRun.RetryAfter > 0)
+		for _, mode := range []storeMode{storeServes, storeRefuses, storeSilent} {
+			store := &storeClient{store: newFakeStore()}
+			store.set(mode)
+			e := NewEntry(store, w.dial(nil), nopLog)
+			ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+			err := e.Submit(ctx, worldJob("a", 1), worldQueue)
+			cancel()
+			var notRun *structs.NotRunError
+			is.True(errors.As(err, &notRun))
+			is.True(notRun.RetryAfter > 0)
+			is.NoErr(e.Close())
+		}
 	})
 }
 
@@ -356,3 +360,30 @@
 		is.Equal(w.hosts[0].startsOf("a", 0)+w.hosts[1].startsOf("a", 0), 0)
 	})
 }
+
+func TestJobsAreRefusedAtOnceWhileTheStoreIsSilent(t *testing.T) {
+	play(t, 3, func(w *world) {
+		is := is.New(t)
+		w.ready()
+		for _, h := range w.hosts {
+			h.store.set(storeSilent)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		store := &storeClient{store: w.store}
+		e := NewEntry(store, w.dial(nil), nopLog)
+		defer e.Close()
+		is.Equal(w.phase(e, "none"), structs.JobPhase("")) // finds the leader
+		store.set(storeSilent)
+		begun := time.Now()
+		err := w.submit(e, worldJob("a", 1))
+		var notRun *structs.NotRunError
+		is.True(errors.As(err, &notRun))
+		is.True(time.Since(begun) < 400*time.Millisecond)
+		for _, h := range w.hosts {
+			h.store.set(storeServes)
+		}
+		store.set(storeServes)
+		time.Sleep(5 * time.Second)
+		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 0)
+	})
+}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -22,6 +22,10 @@
 	leaderTick        = 100 * time.Millisecond
 )
 
+// stallAfter is how long a commit may take before new jobs are refused; a slow
+// store takes up to 0.8 s.
+const stallAfter = time.Second
+
 // troubleAfter is how long commits may fail before the leader asks the other
 // nodes to take over; it is above the slowest answers of a slow store.
 const troubleAfter = 1500 * time.Millisecond
@@ -65,7 +69,9 @@
 type job struct {
 	*workflow.Job
 	order    int64
-	stored   bool // the accepted record is in the store
+	stored   bool   // the accepted record is in the store
+	sent     bool   // a commit has carried the accepted record, and may be applied
+	refuse   func() // answers that the job was not accepted, nil once accepted
 	isDirty  bool
 	shown    structs.JobPhase // phase that is in the store
 	writing  structs.JobPhase // phase of the commit in flight
@@ -258,7 +264,7 @@
 			size += len(row.Value)
 		}
 		puts = append(puts, rows...)
-		j.writing = j.Phase()
+		j.writing, j.sent = j.Phase(), true
 		j.waiting, j.effects = j.effects, nil
 		j.lost, j.failures = j.failures, nil
 		l.committed = append(l.committed, j)
@@ -341,6 +347,9 @@
 	if l.inFlight && now.Sub(l.confirmed) > troubleAfter && now.Sub(l.began) > troubleAfter && !l.stepping {
 		l.stepDown("store does not answer")
 	}
+	if l.stalled() {
+		l.refuseUnsent()
+	}
 	for _, w := range l.workers {
 		l.watchWorker(w, now)
 	}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -160,14 +161,40 @@
 		}
 		return
 	}
+	if l.stalled() {
+		l.log.Info("job refused: the store does not answer", zap.String("job", string(spec.ID)), zap.Duration("since_commit", l.o.Clock().Sub(l.confirmed)))
+		answer(fleetpb.Outcome_REFUSED)
+		return
+	}
 	j := &job{Job: workflow.New(spec, queue)}
 	l.add(j)
 	l.log.Info("job accepted", zap.String("job", string(spec.ID)), zap.String("queue", string(spec.Queue)),
 		zap.Int("steps", len(spec.Steps)), zap.Int("open_jobs", len(l.order)))
 	l.metrics.count(l.metrics.accepted, string(spec.Queue))
+	j.refuse = func() { answer(fleetpb.Outcome_REFUSED) }
 	l.touch(j, done, lost)
 }
 
+// stalled reports whether the commit in flight takes so long that nothing new
+// should wait for it.
+func (l *leader) stalled() bool {
+	return l.inFlight && l.o.Clock().Sub(l.began) > stallAfter
+}
+
+// refuseUnsent refuses the jobs that no commit has carried yet.
+func (l *leader) refuseUnsent() {
+	l.dirty = slices.DeleteFunc(l.dirty, func(j *job) bool {
+		if j.sent || j.stored || j.refuse == nil {
+			return false
+		}
+		l.log.Info("job refused: the store does not answer", zap.String("job", string(j.Spec.ID)), zap.Duration("since_commit", l.o.Clock().Sub(l.confirmed)))
+		j.refuse()
+		delete(l.jobs, j.Spec.ID)
+		return true
+	})
+	l.order = slices.DeleteFunc(l.order, func(j *job) bool { return l.jobs[j.Spec.ID] != j })
+}
+
 // cancel cancels a job. It is answered once that is stored.
 func (l *leader) cancel(id structs.JobID, queue structs.QueueID, answer func(fleetpb.Outcome)) {
 	j, found := l.jobs[id]
@@ -175,6 +202,10 @@
 		answer(fleetpb.Outcome_NOT_FOUND)
 		return
 	}
+	if l.stalled() {
+		answer(fleetpb.Outcome_REFUSED)
+		return
+	}
 	if !j.Phase().Final() {
 		j.Cancelled = true
 		l.log.Info("job cancelled", zap.String("job", string(id)), zap.String("phase", string(j.shown)))
