--- /dev/null
+++ b/placement/steps/steps_test.go
@@ -0,0 +1,196 @@
+package steps
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+func workers(n int) []*Worker {
+	var list []*Worker
+	for i := range n {
+		list = append(list, &Worker{
+			ID: structs.WorkerID(fmt.Sprintf("w%d", i)), Pool: "p", Rack: fmt.Sprintf("r%d", i/3), Labels: []string{"a"},
+			Capacity: structs.Resources{MilliCPU: 16000, MemoryMB: 64000}, Serving: map[string]int{},
+		})
+	}
+	return list
+}
+
+func demand(job string, tasks int32, step structs.Step) Demand {
+	step.Tasks = tasks
+	d := Demand{Job: structs.JobID(job), Spec: &step, Pool: "p"}
+	for i := range tasks {
+		d.Tasks = append(d.Tasks, i)
+	}
+	return d
+}
+
+// Whatever the demands and the state of the workers: no worker is filled beyond
+// its capacity, tasks stay in their pool and with their label, and no more of a
+// step than it allows come to one worker.
+func TestPlansKeepCapacityPoolAndSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := workers(rapid.IntRange(1, 6).Draw(t, "workers"))
+		for _, w := range list {
+			w.Reserved.MilliCPU = int64(rapid.IntRange(0, 16000).Draw(t, "reserved"))
+			w.Distrust = float64(rapid.IntRange(0, 1).Draw(t, "distrust"))
+			if rapid.Bool().Draw(t, "other pool") {
+				w.Pool = "other"
+			}
+		}
+		byID := map[structs.WorkerID]*Worker{}
+		used := map[structs.WorkerID]structs.Resources{}
+		for _, w := range list {
+			byID[w.ID], used[w.ID] = w, w.Reserved
+		}
+		var demands []Demand
+		specs := map[structs.JobID]structs.Step{}
+		for i := range rapid.IntRange(1, 8).Draw(t, "demands") {
+			step := structs.Step{
+				Resources:    structs.Resources{MilliCPU: int64(rapid.IntRange(0, 6000).Draw(t, "cpu")), MemoryMB: int64(rapid.IntRange(0, 30000).Draw(t, "memory"))},
+				Fills:        rapid.Bool().Draw(t, "fills"),
+				MaxPerWorker: int32(rapid.IntRange(0, 2).Draw(t, "spread")),
+				Gang:         rapid.Bool().Draw(t, "gang"),
+				Image:        fmt.Sprintf("image%d", i%3),
+			}
+			d := demand(fmt.Sprintf("j%d", i), int32(rapid.IntRange(1, 9).Draw(t, "tasks")), step)
+			d.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+			specs[d.Job] = *d.Spec
+			demands = append(demands, d)
+		}
+		placed := map[structs.JobID]map[structs.WorkerID]int32{}
+		counts := map[structs.JobID]int32{}
+		seen := map[structs.StepTaskID]bool{}
+		for _, p := range Plan(list, demands, NewInterference()) {
+			spec, w := specs[p.Task.Job], byID[p.Worker]
+			if seen[p.Task] {
+				t.Fatalf("%s placed twice", p.Task)
+			}
+			seen[p.Task] = true
+			counts[p.Task.Job]++
+			need := spec.Resources
+			if spec.Fills {
+				need.MilliCPU = 0
+			}
+			used[p.Worker] = used[p.Worker].Add(need)
+			if placed[p.Task.Job] == nil {
+				placed[p.Task.Job] = map[structs.WorkerID]int32{}
+			}
+			placed[p.Task.Job][p.Worker]++
+			if w.Pool != "p" || w.Distrust >= 1 {
+				t.Fatalf("%s on %+v", p.Task, w)
+			}
+			if spec.MaxPerWorker > 0 && placed[p.Task.Job][p.Worker] > spec.MaxPerWorker {
+				t.Fatalf("%d tasks of %s on %s", placed[p.Task.Job][p.Worker], p.Task.Job, p.Worker)
+			}
+		}
+		for id, sum := range used {
+			if sum != byID[id].Reserved {
+				t.Fatalf("%s: placed %+v, reserved %+v", id, sum, byID[id].Reserved)
+			}
+			if !sum.Fits(byID[id].Capacity) {
+				t.Fatalf("%s is over its capacity: %+v", id, sum)
+			}
+		}
+		for job, n := range counts {
+			if specs[job].Gang && n != specs[job].Tasks {
+				t.Fatalf("%d of %d tasks of gang %s", n, specs[job].Tasks, job)
+			}
+		}
+	})
+}
+
+func TestMoreUrgentDemandsGoFirst(t *testing.T) {
+	is := is.New(t)
+	step := structs.Step{Resources: structs.Resources{MilliCPU: 16000}}
+	deferred, urgent := demand("deferred", 1, step), demand("urgent", 1, step)
+	deferred.Priority, deferred.Order, urgent.Order = 2, 1, 2
+	plan := Plan(workers(1), []Demand{deferred, urgent}, NewInterference())
+	is.Equal(len(plan), 1)
+	is.Equal(plan[0].Task.Job, structs.JobID("urgent"))
+}
+
+func TestDemandThatDoesNotFitHoldsUpNobody(t *testing.T) {
+	is := is.New(t)
+	big, small := demand("big", 1, structs.Step{Resources: structs.Resources{MilliCPU: 99000}}), demand("small", 1, structs.Step{})
+	small.Order = 1
+	is.Equal(len(Plan(workers(2), []Demand{big, small}, NewInterference())), 1)
+}
+
+func TestRetryAvoidsTheWorkerThatFailed(t *testing.T) {
+	is := is.New(t)
+	list := workers(2)
+	list[1].Reserved.MilliCPU = 8000
+	d := demand("a", 1, structs.Step{Resources: structs.Resources{MilliCPU: 100}})
+	d.Avoid = map[int32][]structs.WorkerID{0: {"w0"}}
+	is.Equal(Plan(list, []Demand{d}, NewInterference())[0].Worker, structs.WorkerID("w1"))
+}
+
+func TestFillingTasksKeepAwayFromServicesThatTheyDisturb(t *testing.T) {
+	is := is.New(t)
+	i := NewInterference()
+	for range 3 {
+		i.Learn("web", 8, []Neighbour{{Image: "match", Settled: true}})
+	}
+	list := workers(2)
+	list[0].Serving["web"] = 1
+	list[1].Serving["ledger"] = 1
+	list[1].Reserved.MilliCPU = 9000 // less idle, but harmless
+	d := demand("a", 2, structs.Step{Image: "match", Fills: true, Resources: structs.Resources{MilliCPU: 1800}})
+	for _, p := range Plan(list, []Demand{d}, i) {
+		is.Equal(p.Worker, structs.WorkerID("w1"))
+	}
+	only := []*Worker{list[0]}
+	is.Equal(len(Plan(only, []Demand{d}, i)), 0) // it waits for another worker
+	d.Waiting = true
+	is.Equal(len(Plan(only, []Demand{d}, i)), 2)
+}
+
+func TestBlameFallsOnTheNeighbourThatIsNotKnownToBeHarmless(t *testing.T) {
+	is := is.New(t)
+	i := NewInterference()
+	for range 3 {
+		i.Learn("web", 0.4, []Neighbour{{Image: "calm", Settled: true}})
+	}
+	i.Learn("web", 9, []Neighbour{{Image: "calm", Settled: true}, {Image: "noisy", Settled: true}})
+	is.True(i.Chance("web", "noisy") > suspectChance)
+	is.True(i.Chance("web", "calm") < 0.2)
+	is.True(i.Chance("other", "noisy") < suspectChance) // it is a matter of the pair
+}
+
+func TestCalmReadingDoesNotSpeakForATaskThatWasSlowedDown(t *testing.T) {
+	is := is.New(t)
+	i := NewInterference()
+	before := i.Chance("web", "slow")
+	i.Learn("web", 0.4, []Neighbour{{Image: "slow"}})
+	is.Equal(i.Chance("web", "slow"), before)
+}
+
+// Load: a service is over its target at every reading, whoever is suspected.
+// All filling tasks of the host are paused within eight readings, which are half
+// a second apart.
+func TestPauseComesBeforeFourSeconds(t *testing.T) {
+	for _, suspects := range []bool{true, false} {
+		is := is.New(t)
+		p := FullPace()
+		readings := 0
+		for ; p.Others > 0 || p.Suspects > 0; readings++ {
+			p = p.Next(2, suspects)
+		}
+		is.True(readings <= 6)
+	}
+}
+
+func TestCalmReadingsGiveThePaceBack(t *testing.T) {
+	is := is.New(t)
+	p := FullPace().Next(5, false).Next(5, false)
+	for range 12 {
+		p = p.Next(0.4, false)
+	}
+	is.Equal(p, FullPace())
+}
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -100,6 +100,9 @@
 	if err := json.Unmarshal(progressRecord, &p); err != nil {
 		return nil, &DecodeError{Job: id, Err: err}
 	}
+	if err := Validate(&a.Job); err != nil {
+		return nil, &DecodeError{Job: id, Err: err}
+	}
 	j := New(a.Job, a.Queue)
 	j.Cancelled, j.Failed = p.Cancelled, p.Failed
 	if p.Phase == structs.JobCompleted {
