--- a/workflow/job_test.go
+++ b/workflow/job_test.go
@@ -143,7 +143,7 @@
 					continue
 				}
 				was := *before
-				blocked := id.Step == 1 && !(done[taskOf("a", 0, 0)] && done[taskOf("a", 0, 1)])
+				blocked := id.Step == 1 && (!done[taskOf("a", 0, 0)] || !done[taskOf("a", 0, 1)])
 				if blocked {
 					j.ReadySteps(time.Time{}, func(_, step int32, _ []Task) {
 						if step == 1 {
