Services of one image share few workers; blame weighs paces

Seen in the leader's log: each image was a suspect on nearly every worker. Change: services go beside their own image first, then beside others, fuller workers first; a plan counts the services that it has placed itself; readings that overlap count once, a paused task is neither blamed nor cleared, and one that works at a part of its pace counts for that part.

--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -13,54 +13,77 @@
 
 // Readings of a runner cover about half a second.
 const (
-	readingWindow  = 700 * time.Millisecond // what a reading may still show
-	readingEvery   = 450 * time.Millisecond // readings that overlap much count once
-	settledPace    = 50                     // percent from which a filling task counts as working
+	readingWindow  = 900 * time.Millisecond // what a reading may still show
+	readingEvery   = 800 * time.Millisecond // readings that overlap count once
 	restartPercent = 10                     // work below which a run is stopped although it saves nothing
 )
 
+// paceSample is the pace of a worker's filling images at one report: 0 to 1,
+// the highest of the tasks of an image.
+type paceSample struct {
+	at    bootclock.Time
+	paces map[string]float64
+}
+
 // learn takes in the readings of a worker's services, and deals with the
 // filling tasks that disturb them.
 func (l *leader) learn(w *worker, now bootclock.Time) {
 	runs := w.sortedRuns()
-	neighbours := w.neighbours(runs, now)
-	if now.Sub(w.learnedAt) < readingEvery {
-		return
-	}
-	w.learnedAt = now
+	w.samplePaces(runs, now)
+	strains := map[string]float64{}
 	strained := false
 	for _, r := range runs {
 		step := r.job.Step(r.run.Task)
-		if step.LatencyTarget <= 0 || r.figure <= 0 || now.Sub(r.startedAt) < readingWindow {
+		if step.LatencyTarget <= 0 || r.figure <= 0 || r.startedAt == 0 || now.Sub(r.startedAt) < readingWindow {
 			continue
 		}
 		strain := float64(r.figure) / float64(step.LatencyTarget.Milliseconds())
 		strained = strained || strain > 1
-		l.interference.Learn(step.Image, strain, neighbours)
+		strains[step.Image] = max(strains[step.Image], strain)
+	}
+	if now.Sub(w.learnedAt) >= readingEvery {
+		w.learnedAt = now
+		neighbours := w.neighbours()
+		for image, strain := range strains {
+			l.interference.Learn(image, strain, neighbours)
+		}
 	}
 	l.suspect(w, runs, strained, now)
 }
 
-// neighbours lists the filling images that the worker's readings may show.
-func (w *worker) neighbours(runs []*run, now bootclock.Time) []steps.Neighbour {
-	settled := map[string]bool{}
+// samplePaces records the pace of the filling tasks.
+func (w *worker) samplePaces(runs []*run, now bootclock.Time) {
+	sample := paceSample{at: now, paces: map[string]float64{}}
 	for _, r := range runs {
-		step := r.job.Step(r.run.Task)
-		if !step.Fills || r.startedAt == 0 || r.pace == 0 {
-			continue
+		if step := r.job.Step(r.run.Task); step.Fills && r.startedAt != 0 {
+			sample.paces[step.Image] = max(sample.paces[step.Image], float64(r.pace)/100)
 		}
-		w.filled[step.Image] = now
-		if r.pace >= settledPace && now.Sub(r.pacedAt) >= readingWindow {
-			settled[step.Image] = true
+	}
+	w.paces = append(w.paces, sample)
+	// The last sample from before the window tells the pace at its begin.
+	for len(w.paces) > 1 && now.Sub(w.paces[1].at) >= readingWindow {
+		w.paces = w.paces[1:]
+	}
+}
+
+// neighbours lists the filling images that the worker's readings may show.
+func (w *worker) neighbours() []steps.Neighbour {
+	most := map[string]float64{}
+	for _, sample := range w.paces {
+		for image, pace := range sample.paces {
+			most[image] = max(most[image], pace)
 		}
 	}
 	var list []steps.Neighbour
-	for image, at := range w.filled {
-		if now.Sub(at) > readingWindow {
-			delete(w.filled, image)
+	for image, pace := range most {
+		if pace == 0 {
 			continue
 		}
-		list = append(list, steps.Neighbour{Image: image, Settled: settled[image]})
+		n := steps.Neighbour{Image: image, Least: 1, Most: pace}
+		for _, sample := range w.paces {
+			n.Least = min(n.Least, sample.paces[image])
+		}
+		list = append(list, n)
 	}
 	return list
 }
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -196,14 +196,11 @@
 // observe takes in what the runner says about a run.
 func (r *run) observe(a *fleetpb.Active, now bootclock.Time) {
 	if r.startedAt == 0 {
-		r.startedAt, r.progressAt, r.pacedAt = now, now, now
+		r.startedAt, r.progressAt = now, now
 	}
 	if a.GetPercent() != r.percent || a.GetCheckpoint() != r.checkpoint {
 		r.progressAt = now
 	}
-	if a.GetPace() != r.pace {
-		r.pacedAt = now
-	}
 	r.percent, r.figure, r.pace = a.GetPercent(), a.GetFigure(), a.GetPace()
 	if a.GetCheckpoint() != "" {
 		r.checkpoint = a.GetCheckpoint()
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -40,8 +40,8 @@
 	outbox outbox
 	record record
 
-	learnedAt bootclock.Time            // when the worker's readings were last learned from
-	filled    map[string]bootclock.Time // when a filling task of an image last worked
+	learnedAt bootclock.Time // when the worker's readings were last learned from
+	paces     []paceSample   // of its filling tasks in the last reading window
 	suspects  []structs.TaskRun
 }
 
@@ -59,7 +59,6 @@
 	figure      int64
 	checkpoint  string
 	pace        int32
-	pacedAt     bootclock.Time // last change of pace
 }
 
 // endRecord is an end that was read and may not be stored yet.
@@ -85,7 +84,7 @@
 func (l *leader) worker(id structs.WorkerID) *worker {
 	w, found := l.workers[id]
 	if !found {
-		w = &worker{id: id, runs: map[structs.TaskRun]*run{}, filled: map[string]bootclock.Time{}}
+		w = &worker{id: id, runs: map[structs.TaskRun]*run{}}
 		l.workers[id] = w
 	}
 	return w
--- a/placement/steps/interference.go
+++ b/placement/steps/interference.go
@@ -28,16 +28,15 @@
 
 // Readings of a service, as shares of its latency target.
 const (
-	strainShows = 1.0  // above, something disturbs it
+	strainShows = 1.5  // above, something disturbs it; its own load alone takes it to about 1
 	strainClear = 0.75 // below, nothing does
 )
 
 // Neighbour is a filling image beside a service during a reading.
 type Neighbour struct {
 	Image string
-	// Settled is set when its tasks worked at full pace during all of the
-	// reading. Only then does a calm service speak for it.
-	Settled bool
+	Least float64 // least pace of its tasks during the reading, 0 to 1
+	Most  float64 // highest pace
 }
 
 func (i *Interference) logOdds(service, fill string) float64 {
@@ -59,9 +58,7 @@
 		i.blame(service, neighbours)
 	case strain < strainClear:
 		for _, n := range neighbours {
-			if n.Settled {
-				i.add(service, n.Image, math.Log(1-showChance))
-			}
+			i.add(service, n.Image, math.Log(1-showChance*n.Least))
 		}
 	}
 }
@@ -74,10 +71,10 @@
 		calm := 1 - strayChance
 		for _, other := range neighbours {
 			if other.Image != n.Image {
-				calm *= 1 - showChance*i.Chance(service, other.Image)
+				calm *= 1 - showChance*other.Most*i.Chance(service, other.Image)
 			}
 		}
-		steps[k] = math.Log((1 - calm*(1-showChance)) / (1 - calm))
+		steps[k] = math.Log((1 - calm*(1-showChance*n.Most)) / (1 - calm))
 	}
 	for k, n := range neighbours {
 		i.add(service, n.Image, steps[k])
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -109,15 +109,9 @@
 	return placements
 }
 
+// take reserves room for a task; undo gives it back for each of the workers.
 func (d *Demand) take(w *Worker) {
-	need := d.Spec.Resources
-	if d.Spec.Fills {
-		w.Fills += need.MilliCPU
-		need.MilliCPU = 0
-	} else if d.Spec.LongRunning {
-		w.Services += need.MilliCPU
-	}
-	w.Reserved = w.Reserved.Add(need)
+	d.reserve(w, 1)
 	if d.Placed == nil {
 		d.Placed = map[structs.WorkerID]int32{}
 	}
@@ -126,18 +120,30 @@
 
 func (d *Demand) undo(taken []*Worker) {
 	for _, w := range taken {
-		need := d.Spec.Resources
-		if d.Spec.Fills {
-			w.Fills -= need.MilliCPU
-			need.MilliCPU = 0
-		} else if d.Spec.LongRunning {
-			w.Services -= need.MilliCPU
-		}
-		w.Reserved = w.Reserved.Sub(need)
+		d.reserve(w, -1)
 		d.Placed[w.ID]--
 	}
 }
 
+// reserve adds n tasks to what the worker holds.
+func (d *Demand) reserve(w *Worker, n int64) {
+	need := d.Spec.Resources.Scale(n)
+	switch {
+	case d.Spec.Fills:
+		w.Fills += need.MilliCPU
+		need.MilliCPU = 0
+	case d.Spec.LongRunning:
+		w.Services += need.MilliCPU
+	}
+	if d.Spec.LatencyTarget > 0 {
+		w.Serving[d.Spec.Image] += int(n)
+		if w.Serving[d.Spec.Image] == 0 {
+			delete(w.Serving, d.Spec.Image)
+		}
+	}
+	w.Reserved = w.Reserved.Add(need)
+}
+
 // best returns the feasible worker with the highest score, nil if there is none.
 func (d *Demand) best(workers []*Worker, index int32) *Worker {
 	var best *Worker
@@ -187,9 +193,33 @@
 	distrustWeight = 1.0
 	avoidWeight    = 4.0 // another worker than the one that failed the task, if there is one
 	rackWeight     = 0.3 // near the input
-	sameWeight     = 0.3 // services of one image beside each other leave filling tasks more room
 )
 
+// Scores of a worker for a service. Load: filling tasks that disturb many
+// services. Few images on few workers leave most workers to most filling tasks.
+const (
+	onlySameScore = 3.0 // serves this image and no other
+	sameScore     = 2.0 // serves this image and others
+	mixedScore    = 1.5 // serves others; less for each of them
+	mixedWeight   = 0.3
+)
+
+// serviceScore prefers workers that serve the image already, then those that
+// serve others, and among them the fuller ones. Free is the worker's share of
+// processors that nobody has reserved.
+func serviceScore(w *Worker, image string, free float64) float64 {
+	switch {
+	case w.Serving[image] > 0 && len(w.Serving) == 1:
+		return onlySameScore - free
+	case w.Serving[image] > 0:
+		return sameScore - free
+	case len(w.Serving) > 0:
+		return mixedScore - mixedWeight*float64(len(w.Serving)) - free
+	default:
+		return free
+	}
+}
+
 // harmLimit is the chance of harm above which a filling task waits for another
 // worker.
 const harmLimit = 0.6
@@ -206,8 +236,8 @@
 			return 0, false
 		}
 		score = w.idle()/capacity - harmWeight*harm
-	case d.Spec.LatencyTarget > 0 && w.Serving[d.Spec.Image] > 0:
-		score += sameWeight
+	case d.Spec.LatencyTarget > 0:
+		score = serviceScore(w, d.Spec.Image, score)
 	}
 	score -= distrustWeight * w.Distrust
 	if slices.Contains(d.Avoid[index], w.ID) {
