Stand-ins of the partitioned store and of the task runner leave the tests

Cause: the fakes of the fleet's tests are needed by tests of whole daemons and by the development mode too; one copy is enough. Change: standin.PartStore (transactions, changes, lost history, clients that are refused, silent, without answers or late) and standin.TaskRunner (leases on a slow clock, fences, incarnations, ends, late starts); fleet's tests use them.

--- a/fleet/checker_test.go
+++ b/fleet/checker_test.go
@@ -12,9 +12,9 @@
 type checker struct {
 	mu       sync.Mutex
 	capacity int64
-	running  map[structs.StepTaskID]map[structs.WorkerID]structs.TaskRun
+	running  map[structs.StepTaskID]map[string]structs.TaskRun
 	done     map[structs.StepTaskID]bool // an end "done" that was acknowledged
-	loads    map[structs.WorkerID]int
+	loads    map[string]int
 	starts   map[structs.StepTaskID]int
 	startsOn map[hostTask]int
 	faults   []string
@@ -22,7 +22,7 @@
 
 // hostTask is a task on a host.
 type hostTask struct {
-	host structs.WorkerID
+	host string
 	task structs.StepTaskID
 }
 
@@ -31,8 +31,8 @@
 
 func newChecker(capacity int64) *checker {
 	return &checker{
-		capacity: capacity, running: map[structs.StepTaskID]map[structs.WorkerID]structs.TaskRun{}, done: map[structs.StepTaskID]bool{},
-		loads: map[structs.WorkerID]int{}, starts: map[structs.StepTaskID]int{}, startsOn: map[hostTask]int{},
+		capacity: capacity, running: map[structs.StepTaskID]map[string]structs.TaskRun{}, done: map[structs.StepTaskID]bool{},
+		loads: map[string]int{}, starts: map[structs.StepTaskID]int{}, startsOn: map[hostTask]int{},
 	}
 }
 
@@ -40,7 +40,8 @@
 	c.faults = append(c.faults, fmt.Sprintf(format, args...))
 }
 
-func (c *checker) started(host structs.WorkerID, r structs.TaskRun) {
+// Started implements standin.RunObserver.
+func (c *checker) Started(host string, r structs.TaskRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts[r.Task]++
@@ -49,7 +50,7 @@
 		c.fault("%s started on %s after its task was done", r, host)
 	}
 	if c.running[r.Task] == nil {
-		c.running[r.Task] = map[structs.WorkerID]structs.TaskRun{}
+		c.running[r.Task] = map[string]structs.TaskRun{}
 	}
 	c.running[r.Task][host] = r
 	if len(c.running[r.Task]) > 1 {
@@ -61,20 +62,16 @@
 	}
 }
 
-func (c *checker) ended(host structs.WorkerID, r structs.TaskRun, _ substrate.RunEnd) {
+// Ended implements standin.RunObserver.
+func (c *checker) Ended(host string, r structs.TaskRun, _ substrate.RunEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.running[r.Task], host)
 	c.loads[host]--
 }
 
-// noted is told of acknowledged ends.
-func (c *checker) noted(structs.WorkerID, structs.TaskRun) {}
-
-func (c *checker) runnerReset(host structs.WorkerID) {
-	if c == nil {
-		return
-	}
+// Reset implements standin.RunObserver.
+func (c *checker) Reset(host string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, hosts := range c.running {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
@@ -94,7 +95,7 @@
 	play(t, 3, func(w *world) {
 		is := is.New(t)
 		for _, h := range w.hosts {
-			h.runner.failing = true
+			h.runner.SetFailing(true)
 		}
 		w.ready()
 		e := w.entry()
@@ -135,7 +136,7 @@
 		defer e.Close()
 		is.NoErr(w.submit(e, worldJob("a", 6)))
 		w.until("tasks run", time.Second, func() bool { return w.checker.total() == 6 })
-		w.notLeader().runner.reset()
+		w.notLeader().runner.Restart()
 		w.until("tasks run again", 1500*time.Millisecond, func() bool { return w.checker.total() == 6 })
 	})
 }
@@ -149,7 +150,7 @@
 		defer e.Close()
 		is.NoErr(w.submit(e, worldJob("a", 6)))
 		w.until("tasks run", time.Second, func() bool { return w.checker.total() == 6 })
-		w.notLeader().runner.crash(false)
+		w.notLeader().runner.Crash(false)
 		w.until("tasks run again", 1500*time.Millisecond, func() bool { return w.checker.total() == 6 })
 	})
 }
@@ -183,7 +184,7 @@
 		defer e.Close()
 		old := w.leader()
 		old.setCut(true)
-		old.store.set(storeSilent)
+		old.store.Set(standin.StoreSilent)
 		w.until("another leads", 4*time.Second, func() bool {
 			for _, h := range w.hosts {
 				if h != old && h.node.leading() != nil {
@@ -194,13 +195,13 @@
 		})
 		is.NoErr(w.submit(e, worldJob("b", 2)))
 		old.setCut(false)
-		old.store.set(storeServes)
+		old.store.Set(standin.StoreServes)
 		w.until("one leads", 6*time.Second, func() bool { return old.node.leading() == nil })
 	})
 }
 
 func TestLeaderWithoutTheStoreHandsOver(t *testing.T) {
-	for name, mode := range map[string]storeMode{"refused": storeRefuses, "silent": storeSilent, "answers lost": storeLoses, "late": storeLate} {
+	for name, mode := range map[string]standin.StoreMode{"refused": standin.StoreRefuses, "silent": standin.StoreSilent, "answers lost": standin.StoreLoses, "late": standin.StoreLate} {
 		t.Run(name, func(t *testing.T) {
 			play(t, 4, func(w *world) {
 				is := is.New(t)
@@ -211,7 +212,7 @@
 				is.NoErr(w.submit(e, worldJob("a", 8)))
 				w.until("tasks run", time.Second, func() bool { return w.checker.total() == 8 })
 				old := w.leader()
-				old.store.set(mode)
+				old.store.Set(mode)
 				w.until("another leads", 5*time.Second, func() bool {
 					for _, h := range w.hosts {
 						if h != old && h.node.leading() != nil {
@@ -222,7 +223,7 @@
 				})
 				time.Sleep(10 * time.Second)
 				is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 1) // nothing was restarted
-				old.store.set(storeServes)
+				old.store.Set(standin.StoreServes)
 				time.Sleep(5 * time.Second)
 			})
 		})
@@ -239,12 +240,12 @@
 		is.NoErr(w.submit(e, worldJob("a", 8)))
 		w.until("tasks run", time.Second, func() bool { return w.checker.total() == 8 })
 		for _, h := range w.hosts {
-			h.store.set(storeSilent)
+			h.store.Set(standin.StoreSilent)
 		}
 		time.Sleep(8 * time.Second)
 		is.Equal(w.checker.total(), 8)
 		for _, h := range w.hosts {
-			h.store.set(storeServes)
+			h.store.Set(standin.StoreServes)
 		}
 		time.Sleep(3 * time.Second)
 		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 1)
@@ -258,7 +259,7 @@
 		e := w.entry()
 		defer e.Close()
 		for _, h := range w.hosts {
-			h.store.set(storeLoses)
+			h.store.Set(standin.StoreLoses)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
 		defer cancel()
@@ -266,7 +267,7 @@
 		var unknown *structs.UnknownOutcomeError
 		is.True(errors.As(err, &unknown))
 		for _, h := range w.hosts {
-			h.store.set(storeServes)
+			h.store.Set(standin.StoreServes)
 		}
 		w.until("completed", 8*time.Second, func() bool { return w.phase(e, "a") == structs.JobCompleted })
 	})
@@ -277,9 +278,9 @@
 		is := is.New(t)
 		w.ready()
 		w.hosts[0].kill()
-		for _, mode := range []storeMode{storeServes, storeRefuses, storeSilent} {
-			store := &storeClient{store: newFakeStore()}
-			store.set(mode)
+		for _, mode := range []standin.StoreMode{standin.StoreServes, standin.StoreRefuses, standin.StoreSilent} {
+			store := standin.NewPartStore().Client()
+			store.Set(mode)
 			e := NewEntry(store, w.dial(nil), nopLog)
 			ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
 			err := e.Submit(ctx, worldJob("a", 1), worldQueue)
@@ -299,11 +300,11 @@
 		e := w.entry()
 		defer e.Close()
 		for _, h := range w.hosts {
-			h.runner.unheard = 2
+			h.runner.LeaveUnanswered(2)
 		}
 		is.NoErr(w.submit(e, worldJob("a", 4)))
 		w.until("completed", 6*time.Second, func() bool { return w.phase(e, "a") == structs.JobCompleted })
-		time.Sleep(2 * lateBy)
+		time.Sleep(2 * standin.LateStart)
 		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 1)
 	})
 }
@@ -316,14 +317,14 @@
 		e := w.entry()
 		defer e.Close()
 		for _, h := range w.hosts {
-			h.runner.unheard = 100
+			h.runner.LeaveUnanswered(100)
 		}
 		is.NoErr(w.submit(e, worldJob("a", 2)))
 		time.Sleep(100 * time.Millisecond)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		is.NoErr(e.Cancel(ctx, "a", "q"))
-		time.Sleep(3 * lateBy)
+		time.Sleep(3 * standin.LateStart)
 		is.Equal(w.checker.total(), 0)
 		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 0)
 	})
@@ -335,10 +336,7 @@
 		w.ready()
 		e := w.entry()
 		defer e.Close()
-		r := w.hosts[0].runner
-		r.mu.Lock()
-		r.info.Draining = true
-		r.mu.Unlock()
+		w.hosts[0].runner.SetDraining(true)
 		time.Sleep(time.Second)
 		is.NoErr(w.submit(e, worldJob("a", 4)))
 		w.until("completed", 8*time.Second, func() bool { return w.phase(e, "a") == structs.JobCompleted })
@@ -366,23 +364,23 @@
 		is := is.New(t)
 		w.ready()
 		for _, h := range w.hosts {
-			h.store.set(storeSilent)
+			h.store.Set(standin.StoreSilent)
 		}
 		time.Sleep(1500 * time.Millisecond)
-		store := &storeClient{store: w.store}
+		store := w.store.Client()
 		e := NewEntry(store, w.dial(nil), nopLog)
 		defer e.Close()
 		is.Equal(w.phase(e, "none"), structs.JobPhase("")) // finds the leader
-		store.set(storeSilent)
+		store.Set(standin.StoreSilent)
 		begun := time.Now()
 		err := w.submit(e, worldJob("a", 1))
 		var notRun *structs.NotRunError
 		is.True(errors.As(err, &notRun))
 		is.True(time.Since(begun) < 400*time.Millisecond)
 		for _, h := range w.hosts {
-			h.store.set(storeServes)
+			h.store.Set(standin.StoreServes)
 		}
-		store.set(storeServes)
+		store.Set(standin.StoreServes)
 		time.Sleep(5 * time.Second)
 		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 0)
 	})
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/daisywall/daisywall/api/fleetpb"
 	"github.com/daisywall/daisywall/bootclock"
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
 )
@@ -24,7 +25,7 @@
 // synctest bubble.
 type world struct {
 	t       *testing.T
-	store   *fakeStore
+	store   *standin.PartStore
 	timing  Timing
 	start   time.Time
 	checker *checker
@@ -39,8 +40,8 @@
 	w      *world
 	name   structs.WorkerID
 	domain structs.FailureDomainID
-	runner *fakeRunner
-	store  *storeClient
+	runner *standin.TaskRunner
+	store  *standin.PartStoreClient
 
 	mu       sync.Mutex
 	node     *Node
@@ -80,7 +81,7 @@
 
 func newWorld(t *testing.T, hosts int) *world {
 	w := &world{
-		t: t, store: newFakeStore(), start: time.Now(), timing: Timing{HoldMax: 10 * time.Second}.withDefaults(),
+		t: t, store: standin.NewPartStore(), start: time.Now(), timing: Timing{HoldMax: 10 * time.Second}.withDefaults(),
 		config:  &fixedConfig{changed: make(chan struct{})},
 		runTime: func(structs.TaskRun) time.Duration { return time.Second },
 	}
@@ -88,8 +89,14 @@
 	for i := range hosts {
 		name := structs.WorkerID(fmt.Sprintf("host-%d", i))
 		domain := structs.FailureDomainID(fmt.Sprintf("domain-%d", i%3))
-		h := &worldHost{w: w, name: name, domain: domain, store: &storeClient{store: w.store}}
-		h.runner = newFakeRunner(w, name, domain, worldCapacity)
+		h := &worldHost{w: w, name: name, domain: domain, store: w.store.Client()}
+		h.runner = standin.NewTaskRunner(standin.TaskRunnerOptions{
+			Info: substrate.RunnerInfo{
+				ID: string(name), Pool: "pool", FailureDomain: domain, Capacity: worldCapacity, Address: string(name),
+			},
+			HoldMax: w.timing.HoldMax, Observer: w.checker,
+			RunTime: func(r structs.TaskRun) time.Duration { return w.runTime(r) },
+		})
 		w.hosts = append(w.hosts, h)
 		h.boot()
 	}
@@ -170,7 +177,7 @@
 	node, err := NewNode(Options{
 		Worker: h.name, FailureDomain: h.domain, Address: string(h.name), Store: h.store,
 		Runner: func(info substrate.RunnerInfo) substrate.Runner {
-			return &runnerClient{r: h.runner, incarnation: info.Incarnation}
+			return h.runner.Client(info.Incarnation)
 		},
 		Config: func() (ConfigSource, func()) { return h.w.config, func() {} },
 		Dial:   h.w.dial(h), Clock: h.w.clock, Wall: time.Now, Timing: h.w.timing, Log: testLog,
@@ -200,11 +207,8 @@
 // beat passes the runner's reports on.
 func (h *worldHost) beat(ctx context.Context, node *Node) {
 	for {
-		h.runner.mu.Lock()
-		away := h.runner.down || h.runner.dark
-		h.runner.mu.Unlock()
-		if !away {
-			node.Announce(h.runner.report())
+		if !h.runner.Away() {
+			node.Announce(h.runner.Report())
 		}
 		if sleep(ctx, 500*time.Millisecond) != nil {
 			return
@@ -238,7 +242,7 @@
 		h.kill()
 	}
 	for _, h := range w.hosts {
-		h.runner.crash(false)
+		h.runner.Crash(false)
 	}
 	time.Sleep(30 * time.Second) // timers and calls that were given up
 }
@@ -294,7 +298,7 @@
 }
 
 func (w *world) entry() *Entry {
-	return NewEntry(&storeClient{store: w.store}, w.dial(nil), zap.NewNop())
+	return NewEntry(w.store.Client(), w.dial(nil), zap.NewNop())
 }
 
 // job returns a job of steps that follow each other.
@@ -344,14 +348,14 @@
 func (h *worldHost) runs() int {
 	h.w.checker.mu.Lock()
 	defer h.w.checker.mu.Unlock()
-	return h.w.checker.loads[h.name]
+	return h.w.checker.loads[string(h.name)]
 }
 
 // startsOf returns how often a task of the first step started on the host.
 func (h *worldHost) startsOf(job structs.JobID, index int32) int {
 	h.w.checker.mu.Lock()
 	defer h.w.checker.mu.Unlock()
-	return h.w.checker.startsOn[hostTask{h.name, structs.StepTaskID{Job: job, Index: index}}]
+	return h.w.checker.startsOn[hostTask{string(h.name), structs.StepTaskID{Job: job, Index: index}}]
 }
 
 // testLog shows the nodes' lines when FLEET_LOG is set.
--- /dev/null
+++ b/standin/taskrunner.go
@@ -0,0 +1,366 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+)
+
+// RunObserver is told what happens on task runners. Calls come one at a time
+// for each runner.
+type RunObserver interface {
+	Started(runner string, run structs.TaskRun)
+	Ended(runner string, run structs.TaskRun, end substrate.RunEnd)
+	// Reset is called when a runner has lost every run.
+	Reset(runner string)
+}
+
+// TaskRunnerOptions describe a TaskRunner.
+type TaskRunnerOptions struct {
+	Info     substrate.RunnerInfo // Born, Incarnation and Sequence are filled in
+	HoldMax  time.Duration        // longest lease
+	RunTime  func(structs.TaskRun) time.Duration
+	Observer RunObserver
+}
+
+// LateStart is when a start that went without an answer is carried out.
+const LateStart = 3 * time.Second
+
+// slowClock is the rate of the clock by which a TaskRunner measures leases.
+const slowClock = 1.02
+
+// TaskRunner runs tasks under one lease, in memory. Its tasks do nothing but
+// take time.
+type TaskRunner struct {
+	o TaskRunnerOptions
+
+	mu         sync.Mutex
+	info       substrate.RunnerInfo
+	began      time.Time // of the incarnation
+	fence      int64
+	lease      time.Time
+	runs       map[structs.TaskRun]*taskRun
+	highest    map[structs.StepTaskID]int32 // highest run that ended or was stopped
+	ended      []substrate.EndedRun
+	ends       int64
+	down       bool // nothing listens
+	dark       bool // nothing answers
+	failing    bool
+	unanswered int // starts that go without an answer
+	notified   chan struct{}
+}
+
+type taskRun struct {
+	timer      *time.Timer
+	began      time.Time
+	took       time.Duration
+	checkpoint string
+	percent    int // of its pace
+}
+
+// NewTaskRunner returns a runner in its first incarnation.
+func NewTaskRunner(o TaskRunnerOptions) *TaskRunner {
+	r := &TaskRunner{o: o, info: o.Info}
+	r.Restart()
+	return r
+}
+
+// Restart begins a new incarnation, which knows nothing of before.
+func (r *TaskRunner) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lose()
+	r.began = time.Now()
+	r.info.Born = r.began
+	r.info.Incarnation = fmt.Sprintf("%s@%d", r.info.ID, r.began.UnixMilli())
+	r.info.Sequence = 0
+	r.fence, r.ends, r.ended, r.lease = 0, 0, nil, time.Time{}
+	r.highest = map[structs.StepTaskID]int32{}
+	r.notified = make(chan struct{})
+	r.down, r.dark = false, false
+}
+
+// lose drops every run; the caller holds the lock.
+func (r *TaskRunner) lose() {
+	for _, run := range r.runs {
+		run.timer.Stop()
+	}
+	r.runs = map[structs.TaskRun]*taskRun{}
+	if r.o.Observer != nil {
+		r.o.Observer.Reset(r.info.ID)
+	}
+}
+
+// Crash ends the incarnation. Its port is closed, or if dark does not answer.
+func (r *TaskRunner) Crash(dark bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lose()
+	r.down, r.dark = !dark, dark
+}
+
+// Away reports whether the runner has crashed.
+func (r *TaskRunner) Away() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down || r.dark
+}
+
+// SetDraining makes the runner say that it leaves soon.
+func (r *TaskRunner) SetDraining(draining bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.info.Draining = draining
+}
+
+// SetFailing makes all runs that end from now on fail.
+func (r *TaskRunner) SetFailing(failing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failing = failing
+}
+
+// LeaveUnanswered lets the next starts go without an answer; they are carried
+// out later.
+func (r *TaskRunner) LeaveUnanswered(starts int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unanswered = starts
+}
+
+// Report returns what the runner says about itself, with the next sequence
+// number.
+func (r *TaskRunner) Report() substrate.RunnerInfo {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.info.Sequence++
+	return r.info
+}
+
+// Client returns a client of one incarnation.
+func (r *TaskRunner) Client(incarnation string) *TaskRunnerClient {
+	return &TaskRunnerClient{r: r, incarnation: incarnation}
+}
+
+// enter answers for what is common to all calls.
+func (r *TaskRunner) enter(ctx context.Context, incarnation string, fence int64) error {
+	if wait(ctx, time.Millisecond) != nil {
+		return unanswered(ctx, "call")
+	}
+	r.mu.Lock()
+	down, dark, current, highest := r.down, r.dark, r.info.Incarnation, r.fence
+	if !down && !dark && current == incarnation {
+		r.fence = max(r.fence, fence)
+	}
+	r.mu.Unlock()
+	switch {
+	case down:
+		return &substrate.GoneError{Address: r.info.Address}
+	case dark:
+		return unanswered(ctx, "call")
+	case current != incarnation:
+		return &substrate.IncarnationError{Want: incarnation}
+	case fence < highest:
+		return &substrate.StartRefusedError{Refusal: substrate.RefusalFenced}
+	default:
+		return nil
+	}
+}
+
+func (r *TaskRunner) clock() substrate.RuntimeClock {
+	return substrate.RuntimeClock(time.Since(r.began))
+}
+
+// end ends a run; the caller holds the lock.
+func (r *TaskRunner) end(id structs.TaskRun, how substrate.RunEnd) {
+	run, found := r.runs[id]
+	if !found {
+		return
+	}
+	run.timer.Stop()
+	delete(r.runs, id)
+	checkpoint := run.checkpoint
+	if how == substrate.RunEndStopped {
+		checkpoint = "stopped-" + id.String()
+	}
+	r.highest[id.Task] = max(r.highest[id.Task], id.Number)
+	r.ends++
+	r.ended = append(r.ended, substrate.EndedRun{Number: r.ends, Run: id, End: how, Checkpoint: checkpoint})
+	if r.o.Observer != nil {
+		r.o.Observer.Ended(r.info.ID, id, how)
+	}
+	close(r.notified)
+	r.notified = make(chan struct{})
+}
+
+// expire ends everything once the lease has run out.
+func (r *TaskRunner) expire(incarnation string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.info.Incarnation != incarnation || time.Now().Before(r.lease) {
+		return
+	}
+	for id := range r.runs {
+		r.end(id, substrate.RunEndLapsed)
+	}
+}
+
+// extend moves the lease forward; the caller holds the lock.
+func (r *TaskRunner) extend(until substrate.RuntimeClock) {
+	at := r.began.Add(time.Duration(until))
+	if most := time.Now().Add(r.o.HoldMax); at.After(most) {
+		at = most
+	}
+	if !at.After(r.lease) {
+		return
+	}
+	r.lease = at
+	incarnation := r.info.Incarnation
+	time.AfterFunc(time.Duration(slowClock*float64(time.Until(at))), func() { r.expire(incarnation) })
+}
+
+// begin carries a start out; the caller holds the lock.
+func (r *TaskRunner) begin(start substrate.TaskStart, lease substrate.RuntimeClock) error {
+	id := start.Run
+	if _, found := r.runs[id]; found {
+		return nil
+	}
+	if id.Number <= r.highest[id.Task] {
+		r.extend(lease)
+		return &substrate.StartRefusedError{Refusal: substrate.RefusalOld}
+	}
+	if r.clock() >= lease {
+		return &substrate.StartRefusedError{Refusal: substrate.RefusalLate}
+	}
+	r.extend(lease)
+	took := r.o.RunTime(id)
+	incarnation := r.info.Incarnation
+	run := &taskRun{began: time.Now(), took: took, checkpoint: start.Checkpoint, percent: 100}
+	run.timer = time.AfterFunc(took, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.info.Incarnation != incarnation || r.runs[id] != run {
+			return
+		}
+		if r.failing {
+			r.end(id, substrate.RunEndFailed)
+		} else {
+			r.end(id, substrate.RunEndDone)
+		}
+	})
+	r.runs[id] = run
+	if r.o.Observer != nil {
+		r.o.Observer.Started(r.info.ID, id)
+	}
+	return nil
+}
+
+// TaskRunnerClient is a client of one incarnation of a TaskRunner. It
+// implements substrate.Runner.
+type TaskRunnerClient struct {
+	r           *TaskRunner
+	incarnation string
+}
+
+var _ substrate.Runner = (*TaskRunnerClient)(nil)
+
+// Start implements substrate.Runner.
+func (c *TaskRunnerClient) Start(ctx context.Context, fence int64, start substrate.TaskStart, lease substrate.RuntimeClock) (substrate.RuntimeClock, error) {
+	if err := c.r.enter(ctx, c.incarnation, fence); err != nil {
+		return 0, err
+	}
+	c.r.mu.Lock()
+	if c.r.unanswered > 0 {
+		c.r.unanswered--
+		c.r.mu.Unlock()
+		time.AfterFunc(LateStart, func() { c.startLate(fence, start, lease) })
+		return 0, unanswered(ctx, "start")
+	}
+	defer c.r.mu.Unlock()
+	return c.r.clock(), c.r.begin(start, lease)
+}
+
+// startLate carries a start out of which nobody hears.
+func (c *TaskRunnerClient) startLate(fence int64, start substrate.TaskStart, lease substrate.RuntimeClock) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if c.r.enter(ctx, c.incarnation, fence) != nil {
+		return
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	_ = c.r.begin(start, lease) // a refusal goes unheard too
+}
+
+// Stop implements substrate.Runner.
+func (c *TaskRunnerClient) Stop(ctx context.Context, fence int64, run structs.TaskRun) error {
+	if err := c.r.enter(ctx, c.incarnation, fence); err != nil {
+		return err
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	c.r.end(run, substrate.RunEndStopped)
+	c.r.highest[run.Task] = max(c.r.highest[run.Task], run.Number)
+	return nil
+}
+
+// Pace implements substrate.Runner. The stand-in's tasks go on as they were.
+func (c *TaskRunnerClient) Pace(ctx context.Context, fence int64, run structs.TaskRun, percent int) error {
+	if err := c.r.enter(ctx, c.incarnation, fence); err != nil {
+		return err
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	if known, found := c.r.runs[run]; found {
+		known.percent = percent
+	}
+	return nil
+}
+
+// Hold implements substrate.Runner.
+func (c *TaskRunnerClient) Hold(ctx context.Context, fence, acknowledged int64, lease substrate.RuntimeClock, most time.Duration) (substrate.RunnerState, error) {
+	if err := c.r.enter(ctx, c.incarnation, fence); err != nil {
+		return substrate.RunnerState{}, err
+	}
+	c.r.mu.Lock()
+	if lease > 0 {
+		c.r.extend(lease)
+	}
+	for len(c.r.ended) > 0 && c.r.ended[0].Number <= acknowledged {
+		c.r.ended = c.r.ended[1:]
+	}
+	notified, pending := c.r.notified, len(c.r.ended)
+	c.r.mu.Unlock()
+	if pending == 0 && most > 0 {
+		limit := time.NewTimer(most)
+		defer limit.Stop()
+		select {
+		case <-notified:
+		case <-limit.C:
+		case <-ctx.Done():
+		}
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	if c.r.down || c.r.dark || c.incarnation != c.r.info.Incarnation {
+		return substrate.RunnerState{}, &structs.UnknownOutcomeError{Operation: "hold", Err: &substrate.IncarnationError{Want: c.incarnation}}
+	}
+	return c.r.state(), nil
+}
+
+// state returns the lists; the caller holds the lock.
+func (r *TaskRunner) state() substrate.RunnerState {
+	state := substrate.RunnerState{Clock: r.clock(), Ended: append([]substrate.EndedRun(nil), r.ended...)}
+	for id, run := range r.runs {
+		percent := 100
+		if run.took > 0 {
+			percent = min(99, int(100*time.Since(run.began)/run.took))
+		}
+		state.Active = append(state.Active, substrate.ActiveRun{Run: id, Percent: percent, Checkpoint: run.checkpoint})
+	}
+	return state
+}
