A stand-in that speaks the platform's HTTP; daemons tested over it

Change: standin/site serves the store and the runners' protocol over the in-memory stand-ins; one test starts three agents and an entry on loopback, runs jobs of two steps through the stop of the leader's process and an outage of the store, and asks for answers 410, 404, 503 and waiting.

--- /dev/null
+++ b/daemon/platform_test.go
@@ -0,0 +1,226 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/daisywall/daisywall/platform"
+	"github.com/daisywall/daisywall/standin"
+	"github.com/daisywall/daisywall/standin/site"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+)
+
+// siteHosts is the number of hosts with a runner in a test site.
+const siteHosts = 3
+
+// testSite is the users' platform on loopback, with daemons in this process.
+type testSite struct {
+	t      *testing.T
+	store  *standin.PartStore
+	client *standin.PartStoreClient
+	front  string
+	ready  string
+	stops  map[string]context.CancelFunc
+	boots  map[string]platform.Boot
+	group  *errgroup.Group
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// freePorts finds two ports that follow each other.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	for range 50 {
+		first, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		second, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		first.Close()
+		if err == nil {
+			second.Close()
+			return port
+		}
+	}
+	t.Fatal("no two free ports in a row")
+	return 0
+}
+
+func serveHTTP(t *testing.T, address string, h http.Handler) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+func newTestSite(t *testing.T) *testSite {
+	store := standin.NewPartStore()
+	s := &testSite{
+		t: t, store: store, client: store.Client(), front: freeAddress(t), ready: freeAddress(t),
+		stops: map[string]context.CancelFunc{}, boots: map[string]platform.Boot{}, group: &errgroup.Group{},
+	}
+	storeAddress := freeAddress(t)
+	serveHTTP(t, storeAddress, site.Store(s.client))
+	_, err := store.Commit(substrate.PartTxn{Puts: []substrate.PartRow{{Table: "op", Key: "config", Value: []byte(
+		`{"version":3,"routes":[{"name":"q","host":"h","path_prefix":"/jobs/","service":"pool","max_attempts":3,"stretch":2}]}`)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	boot := func(name, class string) platform.Boot {
+		port := freePorts(t)
+		return platform.Boot{
+			Host: name, Class: class, IP: "127.0.0.1", FailureDomain: "north", StoreAddress: storeAddress, RowBytes: 65536,
+			LeaseMax: 10 * time.Second, Grace: 6 * time.Second, PeerPorts: platform.PortRange{First: port, Last: port + 1},
+		}
+	}
+	for i := range siteHosts {
+		b := boot(fmt.Sprintf("side-%d", i), "side")
+		b.ReportAddress = freeAddress(t)
+		s.boots[b.Host] = b
+		s.addRunner(b)
+		s.start(b)
+	}
+	entry := boot("edge-0", "edge")
+	entry.CallerAddress, entry.ReadyAddress = s.front, s.ready
+	s.boots[entry.Host] = entry
+	s.start(entry)
+	t.Cleanup(s.stop)
+	return s
+}
+
+// addRunner adds the runner of a host, which reports to its agent.
+func (s *testSite) addRunner(b platform.Boot) {
+	address := freeAddress(s.t)
+	runner := standin.NewTaskRunner(standin.TaskRunnerOptions{
+		Info: substrate.RunnerInfo{
+			ID: "i-" + b.Host, Pool: "pool", FailureDomain: "north", Address: address, Labels: []string{"a", "r1"},
+			Capacity: structs.Resources{MilliCPU: 4000, MemoryMB: 8000},
+		},
+		HoldMax: 10 * time.Second, RunTime: func(structs.TaskRun) time.Duration { return 100 * time.Millisecond },
+	})
+	serveHTTP(s.t, address, site.Runner(runner))
+	ctx, cancel := context.WithCancel(context.Background())
+	s.t.Cleanup(cancel)
+	go func() {
+		for ctx.Err() == nil {
+			// An agent that is away hears the next report.
+			_ = site.Report(ctx, http.DefaultClient, b.ReportAddress, runner)
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+}
+
+func (s *testSite) start(b platform.Boot) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stops[b.Host] = cancel
+	run := RunPlatformAgent
+	if b.Class == "edge" {
+		run = RunPlatformEntry
+	}
+	s.group.Go(func() error { return run(ctx, b) })
+}
+
+func (s *testSite) stop() {
+	for _, cancel := range s.stops {
+		cancel()
+	}
+	if err := s.group.Wait(); err != nil {
+		s.t.Errorf("daemons: %v", err)
+	}
+}
+
+func (s *testSite) call(method, path, body string) (int, string) {
+	req, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+s.front+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "h"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data)
+}
+
+// eventually waits for an answer.
+func (s *testSite) eventually(want int, contains, method, path, body string) {
+	s.t.Helper()
+	var status int
+	var got string
+	for begun := time.Now(); time.Since(begun) < 30*time.Second; time.Sleep(20 * time.Millisecond) {
+		if status, got = s.call(method, path, body); status == want && strings.Contains(got, contains) {
+			return
+		}
+	}
+	s.t.Fatalf("%s %s: want %d %q, last %d %q", method, path, want, contains, status, got)
+}
+
+const twoStepJob = `{"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":100},{"count":2,"cpu":500,"mem_mb":100,"after":[0]}]}`
+
+func TestPlatformDaemonsRunAJobThroughARestartOfTheLeader(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(t)
+	s.eventually(200, "", "POST", "/jobs/5c0e7a21d94b36f8", twoStepJob)
+	s.eventually(200, "completed", "GET", "/jobs/5c0e7a21d94b36f8", "")
+	status, _ := s.call("GET", "/jobs/0000000000000000", "")
+	is.Equal(status, 410)
+	status, _ = s.call("GET", "/none/", "")
+	is.Equal(status, 404)
+	s.eventually(200, `{"waiting":0}`, "GET", "/jobs/", "")
+
+	leader := s.leader()
+	s.stops[leader]()
+	s.eventually(200, "", "POST", "/jobs/5c0e7a21d94b36f9", twoStepJob)
+	s.eventually(200, "completed", "GET", "/jobs/5c0e7a21d94b36f9", "")
+	is.True(s.leader() != leader)
+	s.start(s.boots[leader])
+
+	s.client.Set(standin.StoreRefuses)
+	s.eventually(503, "", "POST", "/jobs/5c0e7a21d94b36fa", twoStepJob)
+	s.client.Set(standin.StoreServes)
+	s.eventually(200, "", "POST", "/jobs/5c0e7a21d94b36fa", twoStepJob)
+	s.eventually(200, "completed", "GET", "/jobs/5c0e7a21d94b36fa", "")
+}
+
+// leader returns the host that the leadership row names.
+func (s *testSite) leader() string {
+	rows, _ := s.store.List("daisywall-leader", "fleet-0")
+	var value struct {
+		Address string `json:"address"`
+	}
+	if len(rows) == 0 || json.Unmarshal(rows[0].Value, &value) != nil {
+		s.t.Fatal("no leader")
+	}
+	for name, b := range s.boots {
+		if value.Address == fmt.Sprintf("%s:%d", b.IP, b.PeerPorts.First) {
+			return name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/site/runner.go
@@ -0,0 +1,171 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/daisywall/daisywall/standin"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+)
+
+type runnerCall struct {
+	Task       string `json:"task"`
+	Run        int32  `json:"run_id"`
+	Payload    string `json:"spec"`
+	ExpiresMS  int64  `json:"expires_ms"`
+	Fence      int64  `json:"fence_token"`
+	Checkpoint string `json:"checkpoint"`
+	LastSeen   int64  `json:"last_seen"`
+	WaitMS     int64  `json:"wait_ms"`
+	Percent    int    `json:"percent"`
+}
+
+type runnerAnswer struct {
+	ClockMS int64   `json:"clock_ms"`
+	Born    int64   `json:"born"`
+	Reason  string  `json:"reason,omitempty"`
+	Running [][]any `json:"running"`
+	Ended   [][]any `json:"ended"`
+}
+
+func taskName(t structs.StepTaskID) string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Step, t.Index)
+}
+
+func (c runnerCall) run() (structs.TaskRun, error) {
+	parts := strings.Split(c.Task, ".")
+	if len(parts) != 4 {
+		return structs.TaskRun{}, &structs.InvalidError{Subject: "task", Faults: []structs.Fault{{Path: "/task", Value: c.Task, Rule: "must have four parts"}}}
+	}
+	var numbers [3]int64
+	for i, part := range parts[1:] {
+		n, err := strconv.ParseInt(part, 10, 32)
+		if err != nil {
+			return structs.TaskRun{}, fmt.Errorf("task %s: %w", c.Task, err)
+		}
+		numbers[i] = n
+	}
+	task := structs.StepTaskID{Job: structs.JobID(parts[0]), Round: int32(numbers[0]), Step: int32(numbers[1]), Index: int32(numbers[2])}
+	return structs.TaskRun{Task: task, Number: c.Run}, nil
+}
+
+// Runner serves a task runner.
+func Runner(r *standin.TaskRunner) http.Handler {
+	mux := http.NewServeMux()
+	handle := func(path string, f func(ctx context.Context, client *standin.TaskRunnerClient, c runnerCall, a *runnerAnswer) error) {
+		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
+			var c runnerCall
+			if err := json.NewDecoder(req.Body).Decode(&c); err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			info := r.Info()
+			if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != info.ID {
+				reply(w, http.StatusMisdirectedRequest, struct{}{})
+				return
+			}
+			a := runnerAnswer{Born: info.Born.UnixMilli(), ClockMS: time.Since(info.Born).Milliseconds()}
+			finishRunner(w, a, f(req.Context(), r.Client(info.Incarnation), c, &a))
+		})
+	}
+	handle("/v1/run-start", func(ctx context.Context, client *standin.TaskRunnerClient, c runnerCall, _ *runnerAnswer) error {
+		run, err := c.run()
+		if err != nil {
+			return err
+		}
+		start := substrate.TaskStart{Run: run, Payload: c.Payload, Checkpoint: c.Checkpoint}
+		_, err = client.Start(ctx, c.Fence, start, clockOf(c.ExpiresMS))
+		return err
+	})
+	handle("/v1/run-stop", func(ctx context.Context, client *standin.TaskRunnerClient, c runnerCall, _ *runnerAnswer) error {
+		run, err := c.run()
+		if err != nil {
+			return err
+		}
+		return client.Stop(ctx, c.Fence, run)
+	})
+	handle("/v1/pace", func(ctx context.Context, client *standin.TaskRunnerClient, c runnerCall, _ *runnerAnswer) error {
+		run, err := c.run()
+		if err != nil {
+			return err
+		}
+		return client.Pace(ctx, c.Fence, run, c.Percent)
+	})
+	handle("/v1/hold", func(ctx context.Context, client *standin.TaskRunnerClient, c runnerCall, a *runnerAnswer) error {
+		state, err := client.Hold(ctx, c.Fence, c.LastSeen, clockOf(c.ExpiresMS), time.Duration(c.WaitMS)*time.Millisecond)
+		if err != nil {
+			return err
+		}
+		a.ClockMS = time.Duration(state.Clock).Milliseconds()
+		for _, active := range state.Active {
+			a.Running = append(a.Running, []any{taskName(active.Run.Task), active.Run.Number, active.Checkpoint, active.Percent, active.Figure})
+		}
+		for _, ended := range state.Ended {
+			a.Ended = append(a.Ended, []any{ended.Number, taskName(ended.Run.Task), ended.Run.Number, string(ended.End), ended.Checkpoint})
+		}
+		return nil
+	})
+	return mux
+}
+
+func clockOf(ms int64) substrate.RuntimeClock {
+	return substrate.RuntimeClock(time.Duration(ms) * time.Millisecond)
+}
+
+// reasons are the platform's words for refusals.
+var reasons = map[substrate.StartRefusal]string{
+	substrate.RefusalFenced: "fence", substrate.RefusalOld: "old", substrate.RefusalLate: "late", substrate.RefusalRoom: "room",
+}
+
+func finishRunner(w http.ResponseWriter, a runnerAnswer, err error) {
+	var refused *substrate.StartRefusedError
+	var other *substrate.IncarnationError
+	var invalid *structs.InvalidError
+	switch {
+	case err == nil:
+		reply(w, http.StatusOK, a)
+	case errors.As(err, &refused):
+		a.Reason = reasons[refused.Refusal]
+		reply(w, http.StatusConflict, a)
+	case errors.As(err, &other):
+		reply(w, http.StatusMisdirectedRequest, struct{}{})
+	case errors.As(err, &invalid):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Report sends what the runner says about itself to the address once.
+func Report(ctx context.Context, client *http.Client, address string, r *standin.TaskRunner) error {
+	info := r.Report()
+	state := "ready"
+	if info.Draining {
+		state = "draining"
+	}
+	body, err := json.Marshal(map[string]any{
+		"service": info.Pool, "address": info.Address, "zone": info.FailureDomain, "version": "v1", "slots": 8, "state": state,
+		"capacity": map[string]int64{"cpu": info.Capacity.MilliCPU, "mem_mb": info.Capacity.MemoryMB, "gpu": info.Capacity.Accelerators},
+		"labels":   info.Labels, "seq_no": info.Sequence, "born": info.Born.UnixMilli(),
+	})
+	if err != nil {
+		return fmt.Errorf("encode report: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/v1/instances/"+info.ID, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("build report: %w", err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("send report: %w", err)
+	}
+	return resp.Body.Close()
+}
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -141,6 +141,13 @@
 	return r.info
 }
 
+// Info returns what is known of the current incarnation.
+func (r *TaskRunner) Info() substrate.RunnerInfo {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.info
+}
+
 // Client returns a client of one incarnation.
 func (r *TaskRunner) Client(incarnation string) *TaskRunnerClient {
 	return &TaskRunnerClient{r: r, incarnation: incarnation}
