--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -24,6 +25,7 @@
 	Metrics http.Handler // the Prometheus exposition of Meters
 
 	provider *sdk.MeterProvider
+	sink     *sink
 }
 
 // New returns the telemetry of the daemon called name. Level is a zap level
@@ -33,14 +35,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(parsed)
-	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	config.DisableStacktrace = true
-	log, err := config.Build()
-	if err != nil {
-		return nil, fmt.Errorf("build logger: %w", err)
-	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reader, err := exporter.New(exporter.WithRegisterer(registry))
@@ -48,17 +42,25 @@
 		return nil, fmt.Errorf("build metrics exporter: %w", err)
 	}
 	provider := sdk.NewMeterProvider(sdk.WithReader(reader))
+	dropped, err := provider.Meter("daisywall/telemetry").Int64Counter("daisywall.log.dropped", metric.WithDescription("Log lines dropped since the output or the rate did not allow them"))
+	if err != nil {
+		return nil, fmt.Errorf("build log counter: %w", err)
+	}
+	sink := newSink(os.Stdout, dropped)
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoding), sink, parsed))
 	return &Telemetry{
 		Log:      log.Named(name),
 		Meters:   provider,
 		Metrics:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		provider: provider,
+		sink:     sink,
 	}, nil
 }
 
 // Close flushes the metrics and the log.
 func (t *Telemetry) Close(ctx context.Context) error {
-	// Syncing a terminal fails on some systems and loses nothing.
-	_ = t.Log.Sync()
+	t.sink.Close()
 	return t.provider.Shutdown(ctx)
 }
