A lost worker's lease is reckoned from the last commit that was seen

Ruled out: a shorter horizon (6.5 s): an outage of the store of 8 s then stops all work, which TestOutageOfTheStoreStopsNothing forbids; reverted.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -99,8 +99,9 @@
 	}
 }
 
-// adopt takes over the jobs that were in the store.
-func (l *leader) adopt(s stored) {
+// adopt takes over the jobs that were in the store. Seen is when the last commit
+// of the leader before was known.
+func (l *leader) adopt(s stored, seen bootclock.Time) {
 	now := l.o.Clock()
 	for _, w := range s.jobs {
 		j := &job{Job: w, stored: true, shown: w.Phase()}
@@ -116,9 +117,9 @@
 		})
 	}
 	// Whatever lease an earlier leader gave, it ends within the horizon of its
-	// last commit, which lies before the one that made this node the leader.
+	// last commit.
 	for _, w := range l.workers {
-		w.leased = now.Add(l.o.Timing.Horizon)
+		w.leased = seen.Add(l.o.Timing.Horizon)
 	}
 }
 
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -162,11 +162,15 @@
 		return nil
 	}
 	n.o.Log.Info("contends", zap.Int64("epoch", row.Epoch), zap.String("leader", row.Address), zap.Stringer("because", end), zap.Duration("watched", watched))
-	return n.lead(ctx, group, now)
+	if now.Version != row.Version {
+		readAt = n.o.Clock()
+	}
+	return n.lead(ctx, group, now, readAt)
 }
 
-// lead takes the leadership over and starts leading.
-func (n *Node) lead(ctx context.Context, group *errgroup.Group, seen leaderRow) error {
+// lead takes the leadership over and starts leading. ReadAt is when the row was
+// first read as it is: its last commit lies before that.
+func (n *Node) lead(ctx context.Context, group *errgroup.Group, seen leaderRow, readAt bootclock.Time) error {
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
 	row, err := takeOver(call, n.o.Store, seen, n.o.Address)
 	cancel()
@@ -182,7 +186,7 @@
 		n.o.Log.Warn("takeover given up: the state cannot be read", zap.Int64("epoch", row.Epoch), zap.Error(err))
 		return sleep(ctx, searchPause)
 	}
-	l.adopt(state)
+	l.adopt(state, readAt)
 	n.metrics.count(n.metrics.takeovers, "all")
 	l.log.Info("leads", zap.Int64("previous_epoch", seen.Epoch), zap.String("previous", seen.Address), zap.Int("jobs", len(l.jobs)),
 		zap.Int("open_jobs", len(l.order)), zap.Int("unreadable", state.bad), zap.Duration("since_takeover", n.o.Clock().Sub(l.since)))
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -104,10 +104,10 @@
 	return t
 }
 
-// lapse returns how long after it was given a lease of length d has surely
-// lapsed on a runner whose clock is slow.
-func (t Timing) lapse(d time.Duration) time.Duration {
-	return d + time.Duration(t.ClockRate*float64(d)) + leaseMargin
+// slack returns how long after its end a lease has surely lapsed on a runner
+// whose clock is slow.
+func (t Timing) slack() time.Duration {
+	return time.Duration(t.ClockRate*float64(t.HoldMax)) + leaseMargin
 }
 
 // complete checks the options and fills in the defaults.
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -170,11 +170,11 @@
 // usable reports whether the worker may get new tasks.
 func (l *leader) usable(w *worker, now bootclock.Time) bool {
 	return w.session != nil && w.ready && !w.draining && w.incarnation != "" &&
-		now.Sub(w.listedAt) < l.o.Timing.Silence && l.leaseFor(w, now) > 0
+		now.Sub(w.listedAt) < l.o.Timing.Silence && l.leaseFor(now) > 0
 }
 
 // leaseFor returns how long a lease that is given now may last.
-func (l *leader) leaseFor(_ *worker, now bootclock.Time) time.Duration {
+func (l *leader) leaseFor(now bootclock.Time) time.Duration {
 	return max(0, min(l.o.Timing.Lease, l.confirmed.Add(l.o.Timing.Horizon).Sub(now)))
 }
 
@@ -188,11 +188,11 @@
 	if w.session != nil && now.Sub(w.reportedAt) > l.o.Timing.Silence*2 {
 		l.detached(w.session, &structs.UnavailableError{Dependency: "agent"})
 	}
-	if w.lapsed || len(w.runs) == 0 || now < w.leased.Add(l.o.Timing.lapse(0)+l.drift(w, now)) {
+	if w.lapsed || len(w.runs) == 0 || now < w.leased.Add(l.o.Timing.slack()) {
 		return
 	}
 	w.lapsed = true
-	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Duration("since_list", now.Sub(w.listedAt)),
+	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", w.listedAt > 0), zap.Duration("since_lease", now.Sub(w.leased)),
 		zap.Int("runs", len(w.runs)), zap.Bool("attends", w.session != nil))
 	for _, r := range w.sortedRuns() {
 		l.release(w, r, "lease lapsed", "")
@@ -200,12 +200,6 @@
 	w.detach()
 }
 
-// drift returns how much later a lease may end by a clock that is slow. The
-// longest lease that a runner keeps bounds it.
-func (l *leader) drift(_ *worker, _ bootclock.Time) time.Duration {
-	return time.Duration(l.o.Timing.ClockRate * float64(l.o.Timing.HoldMax))
-}
-
 // stopRepeat is the time after which a stop that had no effect is sent again.
 const stopRepeat = 500 * time.Millisecond
 
@@ -284,7 +278,7 @@
 		orders.Stops = append(orders.Stops, runToProto(r))
 	}
 	if w.ready && now.Sub(w.listedAt) < l.o.Timing.Silence {
-		lease := l.leaseFor(w, now)
+		lease := l.leaseFor(now)
 		orders.LeaseMs = lease.Milliseconds()
 		w.leased = max(w.leased, now.Add(lease))
 	}
