--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -172,8 +172,7 @@
 func (e *Entry) decided(ctx context.Context, f call) (fleetpb.Outcome, error) {
 	doubtful := false
 	var last error
-	ctx, cancel := context.WithTimeout(ctx, e.search())
-	defer cancel()
+	begun, search := time.Now(), e.search()
 	for {
 		outcome, err := e.attempt(ctx, f)
 		e.heard(err == nil && outcome != fleetpb.Outcome_NOT_LEADER)
@@ -185,7 +184,7 @@
 			return outcome, err
 		case err == nil && outcome == fleetpb.Outcome_REFUSED && !e.moved(ctx):
 			last = &structs.UnavailableError{Dependency: "store", RetryAfter: retryLeader}
-			cancel() // the leader knows better than to wait
+			search = 0 // the leader knows better than to wait
 		case err == nil && outcome == fleetpb.Outcome_UNKNOWN:
 			doubtful = true
 			last = &structs.UnavailableError{Dependency: "leader"}
@@ -196,7 +195,7 @@
 			doubtful = doubtful || !errors.As(err, &unavailable)
 			last = err
 		}
-		if sleep(ctx, leaderPause) != nil {
+		if time.Since(begun) > search || sleep(ctx, leaderPause) != nil {
 			break
 		}
 	}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -22,13 +23,13 @@
 	leaderTick        = 100 * time.Millisecond
 )
 
-// stallAfter is how long a commit may take before new jobs are refused; a slow
-// store takes up to 0.8 s.
-const stallAfter = time.Second
+// stallAfter is how long a commit may take before new jobs are refused; a store
+// that is a hundred times slower than usual takes 1.2 s.
+const stallAfter = 1600 * time.Millisecond
 
 // troubleAfter is how long commits may fail before the leader asks the other
 // nodes to take over; it is above the slowest answers of a slow store.
-const troubleAfter = 1500 * time.Millisecond
+const troubleAfter = 1800 * time.Millisecond
 
 // leader is one leadership. A single goroutine, run, owns all fields but those
 // named otherwise; everything else reaches it through do.
@@ -61,6 +62,9 @@
 	stepping     bool // other nodes were asked to take over
 	interference *steps.Interference
 
+	learned   string         // what was learned, as it was last written
+	learnedAt bootclock.Time // when that was looked at
+
 	leaveOnce sync.Once
 	leaving   chan struct{} // closed when the process stops
 }
@@ -103,6 +107,7 @@
 // of the leader before was known.
 func (l *leader) adopt(s stored, seen bootclock.Time) {
 	now := l.o.Clock()
+	l.interference.Adopt(s.learned)
 	for _, w := range s.jobs {
 		j := &job{Job: w, stored: true, shown: w.Phase()}
 		l.add(j)
@@ -270,6 +275,7 @@
 		j.lost, j.failures = j.failures, nil
 		l.committed = append(l.committed, j)
 	}
+	puts = append(puts, l.learnedRow()...)
 	removes = l.expired(maxRowsPerCommit - len(puts))
 	next := leadership{Address: l.o.Address, Epoch: l.epoch, Commit: l.row.Commit + 1}
 	l.inFlight = true
@@ -278,6 +284,28 @@
 	go func() { l.results <- l.committer.run(ctx, seen, next, puts, removes) }()
 }
 
+// learnedEvery is the least time between two writes of what was learned.
+const learnedEvery = 3 * time.Second
+
+// learnedRow returns the row of what was learned, if it is due and has changed.
+func (l *leader) learnedRow() []substrate.PartRow {
+	now := l.o.Clock()
+	if now.Sub(l.learnedAt) < learnedEvery {
+		return nil
+	}
+	l.learnedAt = now
+	value, err := json.Marshal(l.interference.Pairs())
+	if err != nil {
+		l.log.Error("what was learned is not stored: it cannot be encoded", zap.Error(err))
+		return nil
+	}
+	if string(value) == l.learned {
+		return nil
+	}
+	l.learned = string(value)
+	return []substrate.PartRow{{Table: tableModel, Part: fleetPart, Key: modelKey, Value: value}}
+}
+
 // jobRows returns the rows of a changed job.
 func jobRows(j *job) ([]substrate.PartRow, error) {
 	var rows []substrate.PartRow
--- a/fleet/leadership.go
+++ b/fleet/leadership.go
@@ -16,8 +16,10 @@
 	tableLeader = "daisywall-leader"
 	tableJobs   = "daisywall-jobs"  // what was accepted, written once for each job
 	tableState  = "daisywall-state" // the state of each job
+	tableModel  = "daisywall-model" // what leaders have learned
 	fleetPart   = "fleet-0"
 	leaderKey   = "leader"
+	modelKey    = "interference"
 )
 
 // leadership is the value of the leadership row.
--- a/fleet/recover.go
+++ b/fleet/recover.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 
 	"go.uber.org/zap"
 
+	"github.com/daisywall/daisywall/placement/steps"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
 	"github.com/daisywall/daisywall/workflow"
@@ -15,6 +18,8 @@
 type stored struct {
 	jobs []*workflow.Job
 	bad  int // jobs that could not be read; they stay in the store
+	// learned is what leaders before have learned of interference.
+	learned []steps.PairOdds
 }
 
 // load reads the state of the fleet.
@@ -42,7 +47,27 @@
 		}
 		s.jobs = append(s.jobs, job)
 	}
-	return s, nil
+	s.learned, err = loadLearned(ctx, store, log)
+	return s, err
+}
+
+// loadLearned reads what leaders before have learned. A row that cannot be read
+// is learned anew.
+func loadLearned(ctx context.Context, store substrate.PartStore, log *zap.Logger) ([]steps.PairOdds, error) {
+	row, err := store.Row(ctx, tableModel, fleetPart, modelKey)
+	var missing *structs.NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		return nil, nil
+	case err != nil:
+		return nil, fmt.Errorf("read what was learned: %w", err)
+	}
+	var learned []steps.PairOdds
+	if err := json.Unmarshal(row.Value, &learned); err != nil {
+		log.Error("what was learned is skipped: it cannot be read", zap.Int64("version", row.Version), zap.Error(err))
+		return nil, nil
+	}
+	return learned, nil
 }
 
 // StoredPhase reads the phase and the queue of a job from the store, or
--- a/placement/steps/interference.go
+++ b/placement/steps/interference.go
@@ -1,7 +1,9 @@
 package steps
 
 import (
+	"cmp"
 	"math"
+	"slices"
 )
 
 // Interference learns which filling tasks disturb which services, by pairs of
@@ -18,6 +20,33 @@
 // NewInterference returns a model that has learned nothing.
 func NewInterference() *Interference { return &Interference{pairs: map[imagePair]float64{}} }
 
+// PairOdds is what is known of one pair, for storing.
+type PairOdds struct {
+	Service string  `json:"s"`
+	Fill    string  `json:"f"`
+	LogOdds float64 `json:"o"`
+}
+
+// Pairs returns all that was learned, in a fixed order.
+func (i *Interference) Pairs() []PairOdds {
+	pairs := make([]PairOdds, 0, len(i.pairs))
+	for pair, odds := range i.pairs {
+		pairs = append(pairs, PairOdds{Service: pair.service, Fill: pair.fill, LogOdds: odds})
+	}
+	slices.SortFunc(pairs, func(a, b PairOdds) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Fill, b.Fill))
+	})
+	return pairs
+}
+
+// Adopt takes over what was learned before. Odds out of bounds are moved to
+// the nearest bound.
+func (i *Interference) Adopt(pairs []PairOdds) {
+	for _, p := range pairs {
+		i.pairs[imagePair{p.Service, p.Fill}] = max(-maxLogOdds, min(maxLogOdds, p.LogOdds))
+	}
+}
+
 // Chances of the model.
 const (
 	priorChance = 0.25 // that an untried pair disturbs
