--- a/command/explain.go
+++ b/command/explain.go
@@ -4,15 +4,19 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/daisywall/daisywall/cell"
 	"github.com/daisywall/daisywall/explain"
+	"github.com/daisywall/daisywall/structs"
 )
 
-// ExplainCommand prints where a task, a job or a worker stands and why.
+// ExplainCommand prints where a task, a job or a worker stands and why, or the
+// story of a request from the daemons' logs.
 type ExplainCommand struct {
-	Subject string `arg:"" enum:"task,job,worker" help:"One of task, job, worker."`
-	ID      string `arg:"" help:"Its name; a task is job/index."`
+	Subject string   `arg:"" enum:"task,job,worker,request" help:"One of task, job, worker, request."`
+	ID      string   `arg:"" help:"Its name; a task is job/index."`
+	Log     []string `type:"existingfile" help:"Log files of the daemons, for a request; standard input if there is none."`
 }
 
 // explanation is the answer of a leader, with the planner's decisions.
@@ -23,6 +27,9 @@
 
 // Run prints the explanation.
 func (c *ExplainCommand) Run(root *Root, env Env) error {
+	if c.Subject == "request" {
+		return c.story(root, env)
+	}
 	api, ctx, cancel := root.api(env)
 	defer cancel()
 	document, err := api.Raw(ctx, nil, "v1", "explain", c.Subject, c.ID)
@@ -41,6 +48,35 @@
 	return textErr
 }
 
+// story prints what the logs say of a request.
+func (c *ExplainCommand) story(root *Root, env Env) error {
+	logs := []io.Reader{env.In}
+	if len(c.Log) > 0 {
+		logs = nil
+	}
+	for _, path := range c.Log {
+		file, err := os.Open(path)
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		defer file.Close()
+		logs = append(logs, file)
+	}
+	events, err := explain.Story(io.MultiReader(logs...), c.ID)
+	if err != nil {
+		return err
+	}
+	if len(events) == 0 {
+		return &structs.NotFoundError{Subject: "request", Name: c.ID}
+	}
+	var textErr error
+	err = root.print(env, events, func(w io.Writer) { textErr = explain.WriteStory(w, events) })
+	if err != nil {
+		return err
+	}
+	return textErr
+}
+
 // write prints the explanation as text; what is empty is left out.
 func (e *explanation) write(w io.Writer) error {
 	fmt.Fprintf(w, "%s %s in cell %s, led in epoch %d\n", e.Subject, e.ID, e.Cell, e.Epoch)
--- a/fleet/attendance.go
+++ b/fleet/attendance.go
@@ -91,16 +91,16 @@
 	go a.receive(ctx, orders, broken)
 	tick := time.NewTicker(attendanceTick)
 	defer tick.Stop()
-	if a.obey(ctx, first) {
-		return endTakeOver, nil
-	}
+	a.obey(ctx, first)
 	for {
 		a.hold(ctx)
 		var err error
 		select {
 		case o := <-orders:
-			if a.obey(ctx, o) {
-				return endTakeOver, nil
+			a.obey(ctx, o)
+		case epoch := <-a.h.replaced:
+			if epoch == a.row.Epoch {
+				return endReplaced, nil
 			}
 		case f := <-a.results:
 			f()
@@ -160,8 +160,8 @@
 	return a.stream.Send(r)
 }
 
-// obey carries orders out. It reports whether the leader asks to be replaced.
-func (a *attendance) obey(ctx context.Context, o *fleetpb.WorkerOrders) bool {
+// obey carries orders out.
+func (a *attendance) obey(ctx context.Context, o *fleetpb.WorkerOrders) {
 	a.heard = a.h.o.Clock()
 	a.ordersSeen = o.GetNumber()
 	echo := bootclock.Time(o.GetEcho())
@@ -191,7 +191,9 @@
 			a.stop(ctx, runFromProto(r))
 		}
 	}
-	return o.GetTakeOver()
+	if o.GetTakeOver() {
+		a.h.askTakeOver(a.row)
+	}
 }
 
 // lease returns the reading of the runner's clock until which the leader lets
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -24,10 +24,13 @@
 	leaving bool                 // the runner said that it ends
 	changed chan struct{}        // signalled when info changes what the leader should know
 	epoch   int64                // highest epoch of a leader that gave orders
+
+	takeOver chan leaderRow // the leader that asks to be replaced
+	replaced chan int64     // epoch of a leader that has been replaced
 }
 
 func newHost(o Options, m *metrics) *host {
-	return &host{o: o, metrics: m, changed: make(chan struct{}, 1)}
+	return &host{o: o, metrics: m, changed: make(chan struct{}, 1), takeOver: make(chan leaderRow, 1), replaced: make(chan int64, 1)}
 }
 
 // announce takes in a report of a runner about itself. An older incarnation, or
@@ -116,6 +119,22 @@
 	return true
 }
 
+// askTakeOver passes a leader's wish to be replaced on.
+func (h *host) askTakeOver(row leaderRow) {
+	select {
+	case h.takeOver <- row:
+	default: // an earlier wish is being dealt with
+	}
+}
+
+// leaderReplaced ends the session with a leader that has been replaced.
+func (h *host) leaderReplaced(epoch int64) {
+	select {
+	case h.replaced <- epoch:
+	default: // the session is told already
+	}
+}
+
 // sessionEnd says why a session ended.
 type sessionEnd int
 
@@ -123,12 +142,12 @@
 	endLost     sessionEnd = iota // it had worked, and broke
 	endSilent                     // nobody answered
 	endRefused                    // nothing listens there
-	endTakeOver                   // the leader asked to be replaced
+	endReplaced                   // another node leads
 )
 
 // String returns the word for logs.
 func (e sessionEnd) String() string {
-	return [...]string{"connection lost", "no answer", "connection refused", "asked to"}[e]
+	return [...]string{"connection lost", "no answer", "connection refused", "another leads"}[e]
 }
 
 // answerTimeout bounds the wait for the first orders of a session.
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -31,6 +31,9 @@
 // nodes to take over; it is above the slowest answers of a slow store.
 const troubleAfter = 1800 * time.Millisecond
 
+// askAgain is the time between two requests to be replaced.
+const askAgain = time.Second
+
 // leader is one leadership. A single goroutine, run, owns all fields but those
 // named otherwise; everything else reaches it through do.
 type leader struct {
@@ -59,7 +62,7 @@
 	over         []*job // jobs that are over, oldest first
 	workers      map[structs.WorkerID]*worker
 	sessions     int64
-	stepping     bool // other nodes were asked to take over
+	steppedAt    bootclock.Time // when the other nodes were last asked to take over
 	interference *steps.Interference
 
 	learned   string         // what was learned, as it was last written
@@ -346,7 +349,6 @@
 	l.inFlight = false
 	l.row = result.row
 	l.confirmed = result.sent
-	l.stepping = false
 	l.metrics.commit(result.took, len(l.committed))
 	done := l.committed
 	l.committed = nil
@@ -373,7 +375,7 @@
 // watch does what is due by time alone.
 func (l *leader) watch() {
 	now := l.o.Clock()
-	if l.inFlight && now.Sub(l.confirmed) > troubleAfter && now.Sub(l.began) > troubleAfter && !l.stepping {
+	if l.inFlight && now.Sub(l.began) > troubleAfter && now.Sub(l.steppedAt) > askAgain {
 		l.stepDown("store does not answer")
 	}
 	if l.stalled() {
@@ -387,7 +389,7 @@
 // stepDown asks the attending nodes to take over. The leader goes on until one
 // of them has.
 func (l *leader) stepDown(reason string) {
-	l.stepping = true
+	l.steppedAt = l.o.Clock()
 	l.log.Warn("asks for takeover", zap.String("reason", reason), zap.Duration("since_commit", l.o.Clock().Sub(l.confirmed)))
 	for _, w := range l.workers {
 		w.outbox.takeOver = w.session != nil
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -13,9 +13,10 @@
 
 // Readings of a runner cover about half a second.
 const (
-	readingWindow  = 900 * time.Millisecond // what a reading may still show
-	readingEvery   = 800 * time.Millisecond // readings that overlap count once
-	restartPercent = 10                     // work below which a run is stopped although it saves nothing
+	readingWindow   = 900 * time.Millisecond // what a reading may still show
+	readingEvery    = 800 * time.Millisecond // readings that overlap count once
+	restartPercent  = 10                     // work below which a run is stopped although it saves nothing
+	heldBackPercent = 50                     // pace below which a run counts as held back
 )
 
 // paceSample is the pace of a worker's filling images at one report: 0 to 1,
@@ -48,7 +49,7 @@
 			l.interference.Learn(image, strain, neighbours)
 		}
 	}
-	l.suspect(w, runs, strained, now)
+	l.suspect(w, runs, strained)
 }
 
 // samplePaces records the pace of the filling tasks.
@@ -89,25 +90,20 @@
 }
 
 // suspect names the filling tasks of a worker that are taken to disturb its
-// services, and moves those that can go on elsewhere.
-func (l *leader) suspect(w *worker, runs []*run, strained bool, now bootclock.Time) {
+// services. Those that can go on elsewhere, or later, give their place up: a
+// task that is held back keeps others from the worker.
+func (l *leader) suspect(w *worker, runs []*run, strained bool) {
 	view := l.view(w)
 	var suspects []structs.TaskRun
-	var others []*steps.Worker
 	for _, r := range runs {
 		step := r.job.Step(r.run.Task)
 		if !step.Fills || !view.Suspect(l.interference, step.Image) {
 			continue
 		}
 		suspects = append(suspects, r.run)
-		if r.stopping != "" || r.startedAt == 0 || (!step.Checkpoints && r.percent > restartPercent) {
-			continue
-		}
-		if others == nil {
-			others = l.usableViews(now)
-		}
-		d := steps.Demand{Job: r.run.Task.Job, Spec: step, Pool: l.queue(r.job).Pool}
-		if d.CanMove(l.interference, others, view) {
+		heldBack := strained || r.pace < heldBackPercent
+		movable := step.Checkpoints || r.percent <= restartPercent
+		if r.stopping == "" && r.startedAt != 0 && heldBack && movable {
 			l.stop(w, r, "disturbs a service")
 		}
 	}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -24,6 +24,8 @@
 	metrics *metrics
 	host    *host
 
+	leadMu sync.Mutex // held while taking over
+
 	mu      sync.Mutex
 	leader  *leader // while this node leads
 	seen    leaderRow
@@ -96,6 +98,7 @@
 // Run attends and leads until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.answerTakeOvers(ctx, group) })
 	group.Go(func() error {
 		for {
 			if err := n.turn(ctx, group); err != nil {
@@ -133,7 +136,7 @@
 		return ctx.Err()
 	}
 	switch {
-	case end == endLost:
+	case end == endLost, end == endReplaced:
 		return sleep(ctx, reattachPause/2+rand.N(reattachPause))
 	case n.stopping() || n.leading() != nil:
 		return sleep(ctx, searchPause)
@@ -168,9 +171,62 @@
 	return n.lead(ctx, group, now, readAt)
 }
 
+// answerTakeOvers tries to replace a leader that asks for it, while the session
+// with it goes on: it may still renew leases, and this node may not reach the
+// store either.
+func (n *Node) answerTakeOvers(ctx context.Context, group *errgroup.Group) error {
+	for {
+		var asked leaderRow
+		select {
+		case asked = <-n.host.takeOver:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := n.answerTakeOver(ctx, group, asked); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) answerTakeOver(ctx context.Context, group *errgroup.Group, asked leaderRow) error {
+	if n.stopping() || n.leading() != nil {
+		return nil
+	}
+	wait := rand.N(contendSpread)
+	if n.host.draining() {
+		wait += drainingDelay
+	}
+	if err := sleep(ctx, wait); err != nil {
+		return err
+	}
+	row, err := n.read(ctx)
+	if err != nil {
+		n.o.Log.Info("takeover not possible", zap.Int64("epoch", asked.Epoch), zap.Error(err))
+		return nil //nolint:nilerr // the leader asks again
+	}
+	if row.Epoch == asked.Epoch {
+		n.o.Log.Info("contends", zap.Int64("epoch", row.Epoch), zap.String("leader", row.Address), zap.String("because", "asked to"))
+		if err := n.lead(ctx, group, row, n.o.Clock()); err != nil {
+			return err
+		}
+		if row, err = n.read(ctx); err != nil {
+			n.o.Log.Info("leader unknown after takeover", zap.Int64("epoch", asked.Epoch), zap.Error(err))
+		}
+	}
+	if row.Epoch > asked.Epoch {
+		n.host.leaderReplaced(asked.Epoch)
+	}
+	return nil
+}
+
 // lead takes the leadership over and starts leading. ReadAt is when the row was
 // first read as it is: its last commit lies before that.
 func (n *Node) lead(ctx context.Context, group *errgroup.Group, seen leaderRow, readAt bootclock.Time) error {
+	n.leadMu.Lock()
+	defer n.leadMu.Unlock()
+	if n.leading() != nil {
+		return nil
+	}
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
 	row, err := takeOver(call, n.o.Store, seen, n.o.Address)
 	cancel()
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -23,10 +22,6 @@
 	return out
 }
 
-// longWait is the time without any placement after which a job's filling tasks
-// take workers on which they will be slowed down.
-const longWait = 2500 * time.Millisecond
-
 // schedule assigns pending tasks to workers. What it assigns is ordered once
 // the commit that follows is stored.
 func (l *leader) schedule() {
@@ -102,7 +97,7 @@
 				}
 			}
 			if len(d.Tasks) > 0 {
-				d.Waiting = l.o.Clock().Sub(j.placedAt) > longWait
+				d.Waited = l.o.Clock().Sub(j.placedAt)
 				demands = append(demands, d)
 			}
 		})
--- a/placement/steps/interference.go
+++ b/placement/steps/interference.go
@@ -13,12 +13,15 @@
 // or: any one is enough.
 type Interference struct {
 	pairs map[imagePair]float64 // logarithm of the odds
+	fills map[string]struct{}   // filling images of the pairs
 }
 
 type imagePair struct{ service, fill string }
 
 // NewInterference returns a model that has learned nothing.
-func NewInterference() *Interference { return &Interference{pairs: map[imagePair]float64{}} }
+func NewInterference() *Interference {
+	return &Interference{pairs: map[imagePair]float64{}, fills: map[string]struct{}{}}
+}
 
 // PairOdds is what is known of one pair, for storing.
 type PairOdds struct {
@@ -43,6 +46,7 @@
 // the nearest bound.
 func (i *Interference) Adopt(pairs []PairOdds) {
 	for _, p := range pairs {
+		i.fills[p.Fill] = struct{}{}
 		i.pairs[imagePair{p.Service, p.Fill}] = max(-maxLogOdds, min(maxLogOdds, p.LogOdds))
 	}
 }
@@ -57,7 +61,8 @@
 
 // Readings of a service, as shares of its latency target.
 const (
-	strainShows = 1.5  // above, something disturbs it; its own load alone takes it to about 1
+	strainSlow  = 1.0  // above, something disturbs it although it is slowed down
+	strainShows = 1.5  // the same at full pace; its own load alone takes it to about 1
 	strainClear = 0.75 // below, nothing does
 )
 
@@ -82,8 +87,12 @@
 
 // Learn takes in a reading of a service beside its neighbours.
 func (i *Interference) Learn(service string, strain float64, neighbours []Neighbour) {
+	pace := 0.0
+	for _, n := range neighbours {
+		pace = max(pace, n.Most)
+	}
 	switch {
-	case strain > strainShows:
+	case strain > strainSlow+(strainShows-strainSlow)*pace:
 		i.blame(service, neighbours)
 	case strain < strainClear:
 		for _, n := range neighbours {
@@ -112,6 +121,7 @@
 
 func (i *Interference) add(service, fill string, step float64) {
 	odds := i.logOdds(service, fill) + step
+	i.fills[fill] = struct{}{}
 	i.pairs[imagePair{service, fill}] = max(-maxLogOdds, min(maxLogOdds, odds))
 }
 
@@ -139,16 +149,21 @@
 	return false
 }
 
-// CanMove reports whether another worker takes a task of the demand, which
-// disturbs a service where it is, with little harm.
-func (d *Demand) CanMove(i *Interference, workers []*Worker, from *Worker) bool {
-	for _, w := range workers {
-		if w.ID != from.ID && d.feasible(w) && w.Harm(i, d.Spec.Image) < moveHarm {
-			return true
+// openness returns the share of the known filling images that disturb no
+// service of the worker.
+func (w *Worker) openness(i *Interference) float64 {
+	if len(w.Serving) == 0 {
+		return 1
+	}
+	images, open := 0, 0
+	for image := range i.fills {
+		images++
+		if !w.Suspect(i, image) {
+			open++
 		}
 	}
-	return false
+	if images == 0 {
+		return 1
+	}
+	return float64(open) / float64(images)
 }
-
-// moveHarm is the chance of harm elsewhere up to which a task is moved.
-const moveHarm = 0.35
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/daisywall/daisywall/structs"
 )
@@ -57,9 +58,9 @@
 	Placed map[structs.WorkerID]int32
 	// Avoid holds the workers on which a task failed before.
 	Avoid map[int32][]structs.WorkerID
-	// Waiting is set for a step that has had no worker for long. It then takes
-	// one on which it will be slowed down.
-	Waiting bool
+	// Waited is how long the job has had no placement. The longer, the more
+	// likely it may be to disturb where it goes.
+	Waited time.Duration
 
 	interference *Interference
 }
@@ -190,6 +191,7 @@
 // Weights of a score, in shares of a worker's processors.
 const (
 	harmWeight     = 2.0
+	openWeight     = 0.4 // workers on which any image may run are left to those that may run on few
 	distrustWeight = 1.0
 	avoidWeight    = 4.0 // another worker than the one that failed the task, if there is one
 	rackWeight     = 0.3 // near the input
@@ -221,8 +223,11 @@
 }
 
 // harmLimit is the chance of harm above which a filling task waits for another
-// worker.
-const harmLimit = 0.6
+// worker. It grows by harmPatience with each second of waiting.
+const (
+	harmLimit    = 0.6
+	harmPatience = 0.05
+)
 
 // score prefers workers with idle processors, calm services and no bad record.
 // It reports false for a worker on which the task is likely to disturb.
@@ -232,10 +237,10 @@
 	switch {
 	case d.Spec.Fills:
 		harm := w.Harm(d.interference, d.Spec.Image)
-		if harm > harmLimit && !d.Waiting {
+		if harm > harmLimit+harmPatience*d.Waited.Seconds() {
 			return 0, false
 		}
-		score = w.idle()/capacity - harmWeight*harm
+		score = w.idle()/capacity - harmWeight*harm - openWeight*w.openness(d.interference)
 	case d.Spec.LatencyTarget > 0:
 		score = serviceScore(w, d.Spec.Image, score)
 	}
