--- a/explain/story.go
+++ b/explain/story.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -57,7 +58,7 @@
 				beside = append(beside, event)
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
