--- a/fleet/attendance.go
+++ b/fleet/attendance.go
@@ -275,7 +275,10 @@
 		list.Ended = append(list.Ended, &fleetpb.Ended{Number: e.Number, Run: runToProto(e.Run), End: string(e.End), Checkpoint: e.Checkpoint})
 		a.readEnds = max(a.readEnds, e.Number)
 	}
-	if a.readEnds > a.acknowledged {
+	// The answer to the first list carries the lease, which an earlier leader may
+	// have left short, and that to a list of ends their acknowledgement: the next
+	// hold takes either along instead of waiting without it.
+	if launch == 1 || a.readEnds > a.acknowledged {
 		a.holdAgain = now.Add(holdPause)
 	}
 	a.listed = list
--- a/fleet/checker_test.go
+++ b/fleet/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
@@ -18,6 +19,9 @@
 	starts   map[structs.StepTaskID]int
 	startsOn map[hostTask]int
 	faults   []string
+	log      []string // all that was seen
+	// restartsDone is set where tasks are meant to go on after they are done.
+	restartsDone bool
 }
 
 // hostTask is a task on a host.
@@ -44,6 +48,7 @@
 func (c *checker) Started(host string, r structs.TaskRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.log = append(c.log, fmt.Sprintf("%s started %s %s", time.Now().Format("05.000"), r, host))
 	c.starts[r.Task]++
 	c.startsOn[hostTask{host, r.Task}]++
 	if c.done[r.Task] {
@@ -63,13 +68,37 @@
 }
 
 // Ended implements standin.RunObserver.
-func (c *checker) Ended(host string, r structs.TaskRun, _ substrate.RunEnd) {
+func (c *checker) Ended(host string, r structs.TaskRun, end substrate.RunEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.log = append(c.log, fmt.Sprintf("%s ended %s %s %s", time.Now().Format("05.000"), r, host, end))
 	delete(c.running[r.Task], host)
 	c.loads[host]--
 }
 
+// Acknowledged implements standin.RunObserver.
+func (c *checker) Acknowledged(_ string, r structs.TaskRun, end substrate.RunEnd) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.log = append(c.log, fmt.Sprintf("%s acknowledged %s %s", time.Now().Format("05.000"), r, end))
+	if end == substrate.RunEndDone && !c.restartsDone {
+		c.done[r.Task] = true
+	}
+}
+
+// startsOfJob returns how many runs of the job's tasks began.
+func (c *checker) startsOfJob(job structs.JobID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for id, starts := range c.starts {
+		if id.Job == job {
+			n += starts
+		}
+	}
+	return n
+}
+
 // Reset implements standin.RunObserver.
 func (c *checker) Reset(host string) {
 	c.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -79,6 +79,7 @@
 	play(t, 3, func(w *world) {
 		is := is.New(t)
 		w.runTime = func(structs.TaskRun) time.Duration { return 2 * time.Second } // ends done each time
+		w.checker.restartsDone = true
 		w.ready()
 		e := w.entry()
 		defer e.Close()
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -222,7 +222,9 @@
 // lead takes the leadership over and starts leading. ReadAt is when the row was
 // first read as it is: its last commit lies before that.
 func (n *Node) lead(ctx context.Context, group *errgroup.Group, seen leaderRow, readAt bootclock.Time) error {
-	n.leadMu.Lock()
+	if !n.leadMu.TryLock() {
+		return sleep(ctx, searchPause) // the other attempt of this node goes on
+	}
 	defer n.leadMu.Unlock()
 	if n.leading() != nil {
 		return nil
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -27,6 +27,7 @@
 	ready      bool // a complete list has come in this session
 	draining   bool
 	remaining  time.Duration
+	attachedAt bootclock.Time // begin of the session
 	reportedAt bootclock.Time // last report
 	listedAt   bootclock.Time // last complete list
 	leased     bootclock.Time // no lease of this worker ends later, on a clock of the right rate
@@ -120,6 +121,7 @@
 	w.outbox = outbox{reply: true}
 	w.draining = false
 	w.reportedAt = l.o.Clock()
+	w.attachedAt = w.reportedAt
 	w.domain = structs.FailureDomainID(hello.GetFailureDomain())
 	w.rack, w.pool, w.labels = hello.GetRack(), structs.PoolID(hello.GetPool()), hello.GetLabels()
 	w.capacity = structs.Resources{MilliCPU: hello.GetMilliCpu(), MemoryMB: hello.GetMemoryMb(), Accelerators: hello.GetAccelerators()}
@@ -188,6 +190,9 @@
 	if w.session != nil && now.Sub(w.reportedAt) > l.o.Timing.Silence*2 {
 		l.detached(w.session, &structs.UnavailableError{Dependency: "agent"})
 	}
+	if w.session != nil && !w.ready && now.Sub(w.attachedAt) < listWait {
+		return // its list may tell how the runs ended
+	}
 	if w.lapsed || len(w.runs) == 0 || now < w.leased.Add(l.o.Timing.slack()) {
 		return
 	}
@@ -200,6 +205,10 @@
 	w.detach()
 }
 
+// listWait is how long the first list of a session is waited for before the
+// runs of a worker whose lease is over are released.
+const listWait = 1500 * time.Millisecond
+
 // stopRepeat is the time after which a stop that had no effect is sent again.
 const stopRepeat = 500 * time.Millisecond
 
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -231,6 +231,12 @@
 	}
 }
 
+func (h *worldHost) alive() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.node != nil
+}
+
 func (h *worldHost) setCut(cut bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -190,7 +190,7 @@
 
 // Weights of a score, in shares of a worker's processors.
 const (
-	harmWeight     = 2.0
+	harmWeight     = 4.0
 	openWeight     = 0.4 // workers on which any image may run are left to those that may run on few
 	distrustWeight = 1.0
 	avoidWeight    = 4.0 // another worker than the one that failed the task, if there is one
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -15,6 +15,9 @@
 type RunObserver interface {
 	Started(runner string, run structs.TaskRun)
 	Ended(runner string, run structs.TaskRun, end substrate.RunEnd)
+	// Acknowledged is called when the end of a run is forgotten on request. An
+	// end from before a lapse of the lease does not count as known to anyone.
+	Acknowledged(runner string, run structs.TaskRun, end substrate.RunEnd)
 	// Reset is called when a runner has lost every run.
 	Reset(runner string)
 }
@@ -47,8 +50,9 @@
 	highest    map[structs.StepTaskID]int32 // highest run that ended or was stopped
 	ended      []substrate.EndedRun
 	ends       int64
-	down       bool // nothing listens
-	dark       bool // nothing answers
+	lapsedTo   int64 // ends up to this one lie before a lapse of the lease
+	down       bool  // nothing listens
+	dark       bool  // nothing answers
 	failing    bool
 	unanswered int // starts that go without an answer
 	notified   chan struct{}
@@ -78,7 +82,7 @@
 	r.info.Born = r.began
 	r.info.Incarnation = fmt.Sprintf("%s@%d", r.info.ID, r.began.UnixMilli())
 	r.info.Sequence = 0
-	r.fence, r.ends, r.ended, r.lease = 0, 0, nil, time.Time{}
+	r.fence, r.ends, r.lapsedTo, r.ended, r.lease = 0, 0, 0, nil, time.Time{}
 	r.highest = map[structs.StepTaskID]int32{}
 	r.notified = make(chan struct{})
 	r.down, r.dark = false, false
@@ -214,6 +218,7 @@
 	for id := range r.runs {
 		r.end(id, substrate.RunEndLapsed)
 	}
+	r.lapsedTo = r.ends
 }
 
 // extend moves the lease forward; the caller holds the lock.
@@ -338,6 +343,9 @@
 		c.r.extend(lease)
 	}
 	for len(c.r.ended) > 0 && c.r.ended[0].Number <= acknowledged {
+		if c.r.o.Observer != nil && c.r.ended[0].Number > c.r.lapsedTo {
+			c.r.o.Observer.Acknowledged(c.r.info.ID, c.r.ended[0].Run, c.r.ended[0].End)
+		}
 		c.r.ended = c.r.ended[1:]
 	}
 	notified, pending := c.r.notified, len(c.r.ended)
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -172,11 +172,12 @@
 	return structs.TaskRun{Task: id, Number: t.Run}, true
 }
 
-// Finish records that the assigned run is done. It reports whether that
-// changed anything.
+// Finish records that the last run of a task is done. It reports whether that
+// changed anything. A run that was released as lost, and turns out to have
+// finished, counts until the next one is assigned.
 func (j *Job) Finish(run structs.TaskRun) bool {
-	t := j.assigned(run)
-	if t == nil {
+	t := j.Task(run.Task)
+	if t == nil || t.State == Done || t.Run != run.Number {
 		return false
 	}
 	t.State = Done
--- a/workflow/job_test.go
+++ b/workflow/job_test.go
@@ -64,6 +64,20 @@
 	is.True(!j.Finish(second))
 }
 
+// A worker that was silent may come back with work that it had finished.
+func TestLostRunThatHadFinishedCountsUntilTheNextIsAssigned(t *testing.T) {
+	is := is.New(t)
+	j := New(twoSteps("a"), structs.Queue{MaxAttempts: 2})
+	first, _ := j.Assign(taskOf("a", 0, 0), "w", "i")
+	is.True(j.Release(first, ""))
+	is.True(j.Finish(first))
+	second, _ := j.Assign(taskOf("a", 0, 1), "w", "i")
+	is.True(j.Release(second, ""))
+	third, _ := j.Assign(taskOf("a", 0, 1), "v", "i")
+	is.True(!j.Finish(second))
+	is.True(j.Finish(third))
+}
+
 func TestJobFailsWithTheAttemptsOfOneTask(t *testing.T) {
 	is := is.New(t)
 	j := New(twoSteps("a"), structs.Queue{MaxAttempts: 2})
@@ -168,6 +182,8 @@
 				var changed bool
 				switch rapid.IntRange(0, 2).Draw(t, "end") {
 				case 0:
+					state := j.Task(r.Task)
+					current = current || (state.State == Pending && state.Run == r.Number)
 					changed = j.Finish(r)
 					if changed {
 						done[r.Task] = true
