Jobs of steps in the product's own interface, command line and development mode

Cause: jobs of steps could be handed in only in the platform's words. Tests: stepapi.TestAnswers, daemon.TestDevFleetRunsAJobThroughTheStopOfItsLeader, daemon.TestPlatformSettingsThatAreInvalidAreRefused.

--- /dev/null
+++ b/client/steps.go
@@ -0,0 +1,45 @@
+package client
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/daisywall/daisywall/stepapi"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// SubmitSteps hands a job of steps in. Repeats of an ID are one job.
+func (c *Client) SubmitSteps(ctx context.Context, queue structs.QueueID, id structs.JobID, steps []structs.Step, payload string) (stepapi.Status, error) {
+	var status stepapi.Status
+	body := struct {
+		Steps   []structs.Step `json:"steps"`
+		Payload string         `json:"payload,omitempty"`
+	}{steps, payload}
+	err := c.json(ctx, http.MethodPut, stepsPath(queue, id), nil, body, &status)
+	return status, err
+}
+
+// Steps returns the phase of a job of steps.
+func (c *Client) Steps(ctx context.Context, queue structs.QueueID, id structs.JobID) (stepapi.Status, error) {
+	var status stepapi.Status
+	err := c.json(ctx, http.MethodGet, stepsPath(queue, id), nil, nil, &status)
+	return status, err
+}
+
+// CancelSteps cancels a job of steps.
+func (c *Client) CancelSteps(ctx context.Context, queue structs.QueueID, id structs.JobID) (stepapi.Status, error) {
+	var status stepapi.Status
+	err := c.json(ctx, http.MethodDelete, stepsPath(queue, id), nil, nil, &status)
+	return status, err
+}
+
+// Waiting returns the number of jobs of the queue that have not begun.
+func (c *Client) Waiting(ctx context.Context, queue structs.QueueID) (stepapi.Backlog, error) {
+	var backlog stepapi.Backlog
+	err := c.json(ctx, http.MethodGet, path("v1", "queues", string(queue)), nil, nil, &backlog)
+	return backlog, err
+}
+
+func stepsPath(queue structs.QueueID, id structs.JobID) string {
+	return path("v1", "queues", string(queue), "jobs", string(id))
+}
--- a/cmd/daisywall-agent/main.go
+++ b/cmd/daisywall-agent/main.go
@@ -10,7 +10,7 @@
 
 func main() {
 	if daemon.OnPlatform() {
-		os.Exit(daemon.PlatformMain("daisywall-agent", daemon.RunPlatformAgent))
+		os.Exit(daemon.PlatformMain("daisywall-agent", os.Args[1:], daemon.RunPlatformAgent))
 	}
 	os.Exit(daemon.Main("daisywall-agent", "Runs beside the targets and tasks of one host.", settings.DecodeAgent, daemon.RunAgent))
 }
--- a/cmd/daisywall-entry/main.go
+++ b/cmd/daisywall-entry/main.go
@@ -10,7 +10,7 @@
 
 func main() {
 	if daemon.OnPlatform() {
-		os.Exit(daemon.PlatformMain("daisywall-entry", daemon.RunPlatformEntry))
+		os.Exit(daemon.PlatformMain("daisywall-entry", os.Args[1:], daemon.RunPlatformEntry))
 	}
 	os.Exit(daemon.Main("daisywall-entry", "Serves callers and operators on an entry host.", settings.DecodeEntry, daemon.RunEntry))
 }
--- a/command/root.go
+++ b/command/root.go
@@ -43,6 +43,7 @@
 	Config        ConfigCommands               `cmd:"" help:"Show and change the configuration."`
 	Domain        DomainCommands               `cmd:"" help:"Take failure domains out of service and bring them back."`
 	Jobs          JobCommands                  `cmd:"" help:"Submit, follow and cancel jobs."`
+	Steps         StepsCommands                `cmd:"" help:"Submit, follow and cancel jobs of steps."`
 	Request       RequestCommand               `cmd:"" help:"Send one request and print its answer."`
 	Targets       TargetsCommand               `cmd:"" help:"List the targets that have announced themselves."`
 	Explain       ExplainCommand               `cmd:"" help:"Say why a task, a job or a worker is where it is."`
--- /dev/null
+++ b/command/steps.go
@@ -0,0 +1,93 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/daisywall/daisywall/stepapi"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// StepsCommands groups the commands about jobs of steps.
+type StepsCommands struct {
+	Submit  StepsSubmitCommand  `cmd:"" help:"Hand a job of steps in. Repeats of an ID are one job."`
+	Status  StepsStatusCommand  `cmd:"" help:"Show the phase of a job."`
+	Cancel  StepsCancelCommand  `cmd:"" help:"Cancel a job."`
+	Waiting StepsWaitingCommand `cmd:"" help:"Count the jobs of a queue that have not begun."`
+}
+
+// StepsSubmitCommand hands a job in.
+type StepsSubmitCommand struct {
+	Queue string `arg:"" help:"Queue of the job."`
+	ID    string `arg:"" help:"ID of the job, chosen by the caller."`
+	Steps string `help:"JSON file with the list of steps; - reads standard input." short:"s" default:"-"`
+}
+
+// Run hands the job in.
+func (c *StepsSubmitCommand) Run(root *Root, env Env) error {
+	document, err := readInput(env, c.Steps)
+	if err != nil {
+		return err
+	}
+	var steps []structs.Step
+	if err := json.Unmarshal(document, &steps); err != nil {
+		return &structs.InvalidError{Subject: "steps", Faults: []structs.Fault{{Path: "/", Rule: err.Error()}}}
+	}
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	status, err := api.SubmitSteps(ctx, structs.QueueID(c.Queue), structs.JobID(c.ID), steps, "")
+	return printStatus(root, env, status, err)
+}
+
+// StepsStatusCommand shows a job.
+type StepsStatusCommand struct {
+	Queue string `arg:"" help:"Queue of the job."`
+	ID    string `arg:"" help:"ID of the job."`
+}
+
+// Run shows the job.
+func (c *StepsStatusCommand) Run(root *Root, env Env) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	status, err := api.Steps(ctx, structs.QueueID(c.Queue), structs.JobID(c.ID))
+	return printStatus(root, env, status, err)
+}
+
+// StepsCancelCommand cancels a job.
+type StepsCancelCommand struct {
+	Queue string `arg:"" help:"Queue of the job."`
+	ID    string `arg:"" help:"ID of the job."`
+}
+
+// Run cancels the job.
+func (c *StepsCancelCommand) Run(root *Root, env Env) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	status, err := api.CancelSteps(ctx, structs.QueueID(c.Queue), structs.JobID(c.ID))
+	return printStatus(root, env, status, err)
+}
+
+// StepsWaitingCommand counts the jobs that have not begun.
+type StepsWaitingCommand struct {
+	Queue string `arg:"" help:"Queue."`
+}
+
+// Run counts the jobs.
+func (c *StepsWaitingCommand) Run(root *Root, env Env) error {
+	api, ctx, cancel := root.api(env)
+	defer cancel()
+	backlog, err := api.Waiting(ctx, structs.QueueID(c.Queue))
+	if err != nil {
+		return err
+	}
+	return root.print(env, backlog, func(w io.Writer) { fmt.Fprintln(w, backlog.Waiting) })
+}
+
+// printStatus prints a job, or returns the error that there was instead.
+func printStatus(root *Root, env Env, status stepapi.Status, err error) error {
+	if err != nil {
+		return err
+	}
+	return root.print(env, status, func(w io.Writer) { fmt.Fprintln(w, status.ID, status.Phase) })
+}
--- a/command/tour.go
+++ b/command/tour.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/url"
 
 	"github.com/daisywall/daisywall/burn"
 	"github.com/daisywall/daisywall/client"
 	"github.com/daisywall/daisywall/config"
+	"github.com/daisywall/daisywall/daemon"
 	"github.com/daisywall/daisywall/examples"
 	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
@@ -20,7 +22,7 @@
 
 // run walks through the parts of the system in their order.
 func (t *tour) run(ctx context.Context) error {
-	steps := []func(context.Context) error{t.configure, t.requests, t.jobs, t.domain, t.report}
+	steps := []func(context.Context) error{t.configure, t.requests, t.jobs, t.steps, t.domain, t.report}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return err
@@ -29,6 +31,43 @@
 	return nil
 }
 
+// steps runs a job of two steps on a fleet of its own, and stops the leader
+// between them.
+func (t *tour) steps(ctx context.Context) error {
+	t.step("a job of two steps; the process that leads the fleet stops between them")
+	fleet, err := daemon.StartDevFleet(ctx)
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	api := client.New(fleet.URL, "", &http.Client{})
+	job := []structs.Step{
+		{Tasks: 4, Resources: structs.Resources{MilliCPU: 500, MemoryMB: 100}},
+		{Tasks: 2, Resources: structs.Resources{MilliCPU: 500, MemoryMB: 100}, After: []int32{0}},
+	}
+	err = until(ctx, "job of steps accepted", func(ctx context.Context) (bool, error) {
+		status, err := api.SubmitSteps(ctx, daemon.DevQueue, "tour", job, "")
+		if err == nil {
+			fmt.Fprintf(t.out, "job %s: %s\n", status.ID, status.Phase)
+		}
+		return err == nil, err
+	})
+	if err != nil {
+		return err
+	}
+	if leader, found := fleet.StopLeader(); found {
+		fmt.Fprintf(t.out, "%s led and has stopped\n", leader)
+	}
+	return until(ctx, "job of steps completed", func(ctx context.Context) (bool, error) {
+		status, err := api.Steps(ctx, daemon.DevQueue, "tour")
+		done := err == nil && status.Phase == structs.JobCompleted
+		if done {
+			fmt.Fprintf(t.out, "job %s: %s\n", status.ID, status.Phase)
+		}
+		return done, err
+	})
+}
+
 // configure applies the sample configurations and waits for the targets.
 func (t *tour) configure(ctx context.Context) error {
 	t.step("the teams' configuration, made from the answers in examples/")
--- /dev/null
+++ b/daemon/devfleet.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/daisywall/daisywall/api/fleetpb"
+	"github.com/daisywall/daisywall/fleet"
+	"github.com/daisywall/daisywall/standin"
+	"github.com/daisywall/daisywall/stepapi"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+)
+
+// DevQueue is the queue of a development fleet.
+const DevQueue structs.QueueID = "pricing"
+
+// Sizes of a development fleet.
+const (
+	devFleetHosts   = 3
+	devFleetRunTime = 300 * time.Millisecond
+	devFleetReport  = 200 * time.Millisecond
+	devFleetLease   = 10 * time.Second
+)
+
+// devPool is the pool of a development fleet's workers.
+const devPool structs.PoolID = "workers"
+
+// DevFleet is a fleet for jobs of steps in this process, over stand-ins of the
+// store and the runners, with the HTTP API of package stepapi.
+type DevFleet struct {
+	URL string
+
+	nodes  []*devNode
+	server *http.Server
+	entry  *fleet.Entry
+	wait   sync.WaitGroup
+}
+
+type devNode struct {
+	name   string
+	node   *fleet.Node
+	server *grpc.Server
+	stop   context.CancelFunc
+}
+
+// devConfig is the configuration of a development fleet, which never changes.
+type devConfig struct{ config *structs.FleetConfig }
+
+// Current implements fleet.ConfigSource.
+func (c devConfig) Current() (*structs.FleetConfig, time.Duration) { return c.config, 0 }
+
+// Changed implements fleet.ConfigSource.
+func (c devConfig) Changed() <-chan struct{} { return nil }
+
+// StartDevFleet starts a fleet. Stop ends it.
+func StartDevFleet(ctx context.Context) (*DevFleet, error) {
+	store := standin.NewPartStore()
+	queue := structs.Queue{ID: DevQueue, Pool: devPool, MaxAttempts: 3}
+	config := devConfig{&structs.FleetConfig{Version: 1, Queues: map[structs.QueueID]structs.Queue{DevQueue: queue}}}
+	f := &DevFleet{entry: fleet.NewEntry(store.Client(), nil, zap.NewNop())}
+	for i := range devFleetHosts {
+		if err := f.addNode(ctx, fmt.Sprintf("host-%d", i+1), store, config); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Stop()
+		return nil, fmt.Errorf("listen for the steps API: %w", err)
+	}
+	queues := func(id structs.QueueID) (structs.Queue, bool) { return queue, id == queue.ID }
+	f.server = &http.Server{Handler: stepapi.New(f.entry, queues), ReadHeaderTimeout: readHeaderTimeout}
+	f.URL = "http://" + listener.Addr().String()
+	f.wait.Go(func() { _ = f.server.Serve(listener) }) // ends with Stop
+	return f, nil
+}
+
+func (f *DevFleet) addNode(ctx context.Context, name string, store *standin.PartStore, config devConfig) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", name, err)
+	}
+	runner := standin.NewTaskRunner(standin.TaskRunnerOptions{
+		Info:    substrate.RunnerInfo{ID: "runner-" + name, Pool: devPool, Capacity: structs.Resources{MilliCPU: 4000, MemoryMB: 8000}},
+		HoldMax: devFleetLease, RunTime: func(structs.TaskRun) time.Duration { return devFleetRunTime },
+	})
+	node, err := fleet.NewNode(fleet.Options{
+		Worker: structs.WorkerID(name), FailureDomain: "dev", Address: listener.Addr().String(), Store: store.Client(),
+		Runner: func(info substrate.RunnerInfo) substrate.Runner { return runner.Client(info.Incarnation) },
+		Config: func() (fleet.ConfigSource, func()) { return config, func() {} },
+		Timing: fleet.Timing{HoldMax: devFleetLease},
+	})
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	running, stop := context.WithCancel(ctx)
+	server := grpc.NewServer()
+	fleetpb.RegisterFleetServer(server, node)
+	f.nodes = append(f.nodes, &devNode{name: name, node: node, server: server, stop: stop})
+	f.wait.Go(func() { _ = server.Serve(listener) }) // ends with Stop
+	f.wait.Go(func() { _ = node.Run(running) })      // ends with its context
+	f.wait.Go(func() { announce(running, node, runner) })
+	return nil
+}
+
+// announce passes a runner's reports on until ctx ends.
+func announce(ctx context.Context, node *fleet.Node, runner *standin.TaskRunner) {
+	tick := time.NewTicker(devFleetReport)
+	defer tick.Stop()
+	for {
+		node.Announce(runner.Report())
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// StopLeader stops the process that leads, after it has asked another to.
+func (f *DevFleet) StopLeader() (name string, found bool) {
+	for _, n := range f.nodes {
+		if n.node.Leads() {
+			n.node.Stop()
+			time.Sleep(handoverDelay)
+			n.stop()
+			n.server.Stop()
+			return n.name, true
+		}
+	}
+	return "", false
+}
+
+// Stop ends the fleet.
+func (f *DevFleet) Stop() {
+	if f.server != nil {
+		_ = f.server.Close() // open calls are cut off
+	}
+	for _, n := range f.nodes {
+		n.stop()
+		n.server.Stop()
+	}
+	f.wait.Wait()
+	_ = f.entry.Close() // the leader is gone already
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
@@ -39,15 +40,30 @@
 	handoverDelay = 150 * time.Millisecond // for another node to take the leadership over
 )
 
+// PlatformArguments are the command line of a daemon on the users' platform.
+type PlatformArguments struct {
+	Check bool `help:"Check the settings and exit: 0 when they are valid, 2 when not."`
+}
+
 // PlatformMain runs a daemon with the settings of the users' platform until
 // SIGTERM. SIGHUP reads the settings again, which apply from the next start on.
 // It returns the exit code.
-func PlatformMain(name string, run func(context.Context, platform.Boot) error) int {
-	path := os.Getenv(platform.BootVariable)
-	boot, err := platform.ReadBoot(path)
+func PlatformMain(name string, args []string, run func(context.Context, platform.Boot) error) int {
+	var arguments PlatformArguments
+	parser, err := kong.New(&arguments, kong.Name(name), kong.Description("Runs with the settings that "+platform.BootVariable+" names."))
+	if err != nil {
+		return complain(os.Stderr, name, err, exitFailure)
+	}
+	if _, err := parser.Parse(args); err != nil {
+		return complain(os.Stderr, name, err, exitInvalid)
+	}
+	boot, err := platform.ReadBoot(os.Getenv(platform.BootVariable))
 	if err != nil {
 		return complain(os.Stderr, name, err, exitInvalid)
 	}
+	if arguments.Check {
+		return exitOK
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := run(ctx, boot); err != nil {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -63,6 +63,9 @@
 	}
 }
 
+// Leads reports whether this node leads.
+func (n *Node) Leads() bool { return n.leading() != nil }
+
 func (n *Node) stopping() bool {
 	select {
 	case <-n.stopped:
--- /dev/null
+++ b/stepapi/stepapi.go
@@ -0,0 +1,113 @@
+// Package stepapi is the HTTP API for jobs of steps.
+//
+//	PUT    /v1/queues/{queue}/jobs/{id}   hand a job in; repeats of an ID are one job
+//	GET    /v1/queues/{queue}/jobs/{id}   its phase
+//	DELETE /v1/queues/{queue}/jobs/{id}   cancel it
+//	GET    /v1/queues/{queue}             how many jobs have not begun
+//
+// Bodies are JSON, errors RFC 9457 problems.
+package stepapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/daisywall/daisywall/problem"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/workflow"
+)
+
+// maxBody bounds a job; its payload has at most workflow.MaxPayloadBytes.
+const maxBody = 256 << 10
+
+// Jobs takes jobs of steps. *fleet.Entry implements it and documents the errors.
+type Jobs interface {
+	Submit(ctx context.Context, job *structs.StepJob, queue structs.Queue) error
+	Cancel(ctx context.Context, id structs.JobID, queue structs.QueueID) error
+	Phase(ctx context.Context, id structs.JobID, queue structs.QueueID) (structs.JobPhase, error)
+	Waiting(ctx context.Context, queue structs.QueueID) (int64, error)
+}
+
+// Queues returns the configuration of a queue.
+type Queues func(structs.QueueID) (structs.Queue, bool)
+
+// Status is the answer about a job.
+type Status struct {
+	ID    structs.JobID    `json:"id"`
+	Phase structs.JobPhase `json:"phase"`
+}
+
+// Backlog is the answer about a queue.
+type Backlog struct {
+	Waiting int64 `json:"waiting"`
+}
+
+type server struct {
+	jobs   Jobs
+	queues Queues
+}
+
+// New returns the handler.
+func New(jobs Jobs, queues Queues) http.Handler {
+	s := &server{jobs: jobs, queues: queues}
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/queues/{queue}/jobs/{id}", s.answer(s.submit))
+	mux.HandleFunc("GET /v1/queues/{queue}/jobs/{id}", s.answer(s.status))
+	mux.HandleFunc("DELETE /v1/queues/{queue}/jobs/{id}", s.answer(s.cancel))
+	mux.HandleFunc("GET /v1/queues/{queue}", s.answer(s.backlog))
+	return mux
+}
+
+// answer finds the queue, and writes what f returns.
+func (s *server) answer(f func(r *http.Request, queue structs.Queue) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		queue, found := s.queues(structs.QueueID(r.PathValue("queue")))
+		if !found {
+			problem.Write(w, &structs.NotFoundError{Subject: "queue", Name: r.PathValue("queue")}, "")
+			return
+		}
+		body, err := f(r, queue)
+		if err != nil {
+			problem.Write(w, err, structs.RequestID(r.PathValue("id")))
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A client that has gone away needs no answer.
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
+
+func (s *server) submit(r *http.Request, queue structs.Queue) (any, error) {
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	var job structs.StepJob
+	if err := decoder.Decode(&job); err != nil {
+		return nil, &structs.InvalidError{Subject: "job", Faults: []structs.Fault{{Path: "/", Rule: err.Error()}}}
+	}
+	job.ID, job.Queue = structs.JobID(r.PathValue("id")), queue.ID
+	if err := workflow.Validate(&job); err != nil {
+		return nil, err
+	}
+	if err := s.jobs.Submit(r.Context(), &job, queue); err != nil {
+		return nil, fmt.Errorf("submit job %s: %w", job.ID, err)
+	}
+	return Status{ID: job.ID, Phase: structs.JobQueued}, nil
+}
+
+func (s *server) status(r *http.Request, queue structs.Queue) (any, error) {
+	id := structs.JobID(r.PathValue("id"))
+	phase, err := s.jobs.Phase(r.Context(), id, queue.ID)
+	return Status{ID: id, Phase: phase}, err
+}
+
+func (s *server) cancel(r *http.Request, queue structs.Queue) (any, error) {
+	id := structs.JobID(r.PathValue("id"))
+	return Status{ID: id, Phase: structs.JobCancelled}, s.jobs.Cancel(r.Context(), id, queue.ID)
+}
+
+func (s *server) backlog(r *http.Request, queue structs.Queue) (any, error) {
+	waiting, err := s.jobs.Waiting(r.Context(), queue.ID)
+	return Backlog{Waiting: waiting}, err
+}
