--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -386,3 +386,17 @@
 		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 0)
 	})
 }
+
+func TestTasksThatStandStillRunElsewhere(t *testing.T) {
+	play(t, 3, func(w *world) {
+		is := is.New(t)
+		w.ready()
+		e := w.entry()
+		defer e.Close()
+		w.hosts[0].runner.SetHanging(true)
+		j := worldJob("a", 6)
+		j.Steps[0].Estimate = time.Second
+		is.NoErr(w.submit(e, j))
+		w.until("completed", 8*time.Second, func() bool { return w.phase(e, "a") == structs.JobCompleted })
+	})
+}
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -33,6 +33,12 @@
 	}
 }
 
+// stuck takes note of a run that stood still.
+func (r *record) stuck(now bootclock.Time) {
+	r.inARow = max(r.inARow, failuresInARow-1)
+	r.failed(now)
+}
+
 // distrust returns 1 during a quarantine, and less for a worker whose last run
 // failed.
 func (r *record) distrust(now bootclock.Time) float64 {
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -33,6 +33,9 @@
 // LateStart is when a start that went without an answer is carried out.
 const LateStart = 3 * time.Second
 
+// hung is the run time of a task that stands still.
+const hung = 1000 * time.Hour
+
 // slowClock is the rate of the clock by which a TaskRunner measures leases.
 const slowClock = 1.02
 
@@ -54,7 +57,8 @@
 	down       bool  // nothing listens
 	dark       bool  // nothing answers
 	failing    bool
-	unanswered int // starts that go without an answer
+	hanging    bool // runs that begin stand still
+	unanswered int  // starts that go without an answer
 	notified   chan struct{}
 }
 
@@ -128,6 +132,13 @@
 	r.failing = failing
 }
 
+// SetHanging makes all runs that begin from now on stand still.
+func (r *TaskRunner) SetHanging(hanging bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hanging = hanging
+}
+
 // LeaveUnanswered lets the next starts go without an answer; they are carried
 // out later.
 func (r *TaskRunner) LeaveUnanswered(starts int) {
@@ -250,6 +261,9 @@
 	}
 	r.extend(lease)
 	took := r.o.RunTime(id)
+	if r.hanging {
+		took = hung
+	}
 	incarnation := r.info.Incarnation
 	run := &taskRun{began: time.Now(), took: took, checkpoint: start.Checkpoint, percent: 100}
 	run.timer = time.AfterFunc(took, func() {
