Services fill the workers that serve others before they open an empty one

Cause: with dense disturbance (60 of 100 pairs) filling tasks find room on workers without a service; a new image of services took an empty worker about as often as one that serves others. Change: the scores of a service's worker keep their order whatever is free.

--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -200,9 +200,9 @@
 // Scores of a worker for a service. Load: filling tasks that disturb many
 // services. Few images on few workers leave most workers to most filling tasks.
 const (
-	onlySameScore = 3.0 // serves this image and no other
-	sameScore     = 2.0 // serves this image and others
-	mixedScore    = 1.5 // serves others; less for each of them
+	onlySameScore = 5.0 // serves this image and no other
+	sameScore     = 4.0 // serves this image and others
+	mixedScore    = 3.0 // serves others; less for each of them
 	mixedWeight   = 0.3
 )
 
