Least slack goes first inside a priority; late jobs after those that can be in time

Change: slack against the queue's objective, from the declared chain; late jobs follow, and go first again once they are 30 s late. Test: TestLeastSlackGoesFirstAndNoJobStarves, TestChainIsTheLongestWayThroughTheSteps.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -57,7 +57,6 @@
 
 	jobs         map[structs.JobID]*job
 	order        []*job // jobs that are not over, oldest first
-	accepted     int64  // jobs accepted or loaded, numbers their order
 	dirty        []*job // jobs with changes that are not being committed
 	over         []*job // jobs that are over, oldest first
 	workers      map[structs.WorkerID]*worker
@@ -75,20 +74,22 @@
 // job is a job with what only this leader needs to know.
 type job struct {
 	*workflow.Job
-	order    int64
-	stored   bool   // the accepted record is in the store
-	sent     bool   // a commit has carried the accepted record, and may be applied
-	refuse   func() // answers that the job was not accepted, nil once accepted
-	isDirty  bool
-	shown    structs.JobPhase // phase that is in the store
-	writing  structs.JobPhase // phase of the commit in flight
-	effects  []func()         // to be done once the current state is stored
-	failures []func()         // to be done instead when the leadership is lost first
-	waiting  []func()         // effects of the commit in flight
-	lost     []func()         // failures of the commit in flight
-	overAt   bootclock.Time
-	failedOn map[structs.StepTaskID][]structs.WorkerID
-	placedAt bootclock.Time // last assignment, or acceptance
+	order      int64
+	stored     bool   // the accepted record is in the store
+	sent       bool   // a commit has carried the accepted record, and may be applied
+	refuse     func() // answers that the job was not accepted, nil once accepted
+	isDirty    bool
+	shown      structs.JobPhase // phase that is in the store
+	writing    structs.JobPhase // phase of the commit in flight
+	effects    []func()         // to be done once the current state is stored
+	failures   []func()         // to be done instead when the leadership is lost first
+	waiting    []func()         // effects of the commit in flight
+	lost       []func()         // failures of the commit in flight
+	overAt     bootclock.Time
+	failedOn   map[structs.StepTaskID][]structs.WorkerID
+	acceptedAt bootclock.Time // or taken over
+	chain      time.Duration  // longest chain of declared run times
+	placedAt   bootclock.Time // last assignment, or acceptance
 }
 
 func newLeader(o Options, m *metrics, row leaderRow) *leader {
@@ -132,9 +133,9 @@
 }
 
 func (l *leader) add(j *job) {
-	l.accepted++
-	j.order = l.accepted
-	j.placedAt = l.o.Clock()
+	j.acceptedAt = l.o.Clock()
+	j.placedAt = j.acceptedAt
+	j.chain = j.Chain()
 	j.failedOn = map[structs.StepTaskID][]structs.WorkerID{}
 	l.jobs[j.Spec.ID] = j
 	if !j.Over() {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -82,7 +83,7 @@
 		j.ReadySteps(wall, func(round, step int32, tasks []workflow.Task) {
 			d := steps.Demand{
 				Job: j.Spec.ID, Round: round, Step: step, Spec: &j.Spec.Steps[step],
-				Pool: queue.Pool, Priority: queue.Priority, Order: j.order,
+				Pool: queue.Pool, Priority: queue.Priority, Slack: l.slack(j, queue),
 			}
 			for i := range tasks {
 				switch tasks[i].State {
@@ -105,6 +106,13 @@
 	return demands
 }
 
+// slack returns how long it is until the job is late. Declared run times are
+// rough, but they tell short jobs from long ones.
+func (l *leader) slack(j *job, queue structs.Queue) time.Duration {
+	objective := time.Duration(queue.Stretch*float64(j.chain)) + queue.Aim
+	return objective - l.o.Clock().Sub(j.acceptedAt)
+}
+
 func (l *leader) avoid(d *steps.Demand, j *job, index int32) {
 	id := structs.StepTaskID{Job: j.Spec.ID, Round: d.Round, Step: d.Step, Index: index}
 	if failed := j.failedOn[id]; len(failed) > 0 {
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -51,8 +51,8 @@
 	Step     int32
 	Spec     *structs.Step
 	Pool     structs.PoolID
-	Priority int   // 0 goes first
-	Order    int64 // goes first among equal priorities when lower
+	Priority int           // 0 goes first
+	Slack    time.Duration // until the job is late; less goes first among equal priorities, late jobs last
 	Tasks    []int32
 	// Placed counts the tasks of the step on each worker.
 	Placed map[structs.WorkerID]int32
@@ -71,12 +71,34 @@
 	Worker structs.WorkerID
 }
 
+// starvedAfter is how late a job is when it goes first again.
+const starvedAfter = 30 * time.Second
+
+// compareSlack puts jobs that can still be in time before late ones, the latest
+// of these first. Load: more work than fits, where first come, first served
+// makes every job late. A job that is very late goes before all others.
+func compareSlack(a, b time.Duration) int {
+	return cmp.Or(cmp.Compare(lateness(a), lateness(b)), cmp.Compare(a, b))
+}
+
+// lateness ranks a slack: very late, in time, late.
+func lateness(slack time.Duration) int {
+	switch {
+	case slack < -starvedAfter:
+		return 0
+	case slack >= 0:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // Plan places as many pending tasks as fit. More urgent demands go first, and
-// within a priority the older ones; a demand that does not fit does not hold up
-// later ones. It changes the workers' reservations.
+// within a priority those with the least slack. A demand that does not fit does
+// not hold up later ones. It changes the workers' reservations.
 func Plan(workers []*Worker, demands []Demand, interference *Interference) []Placement {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Order, b.Order))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareSlack(a.Slack, b.Slack))
 	})
 	var placements []Placement
 	for i := range demands {
--- a/placement/steps/steps_test.go
+++ b/placement/steps/steps_test.go
@@ -110,7 +110,7 @@
 	is := is.New(t)
 	step := structs.Step{Resources: structs.Resources{MilliCPU: 16000}}
 	deferred, urgent := demand("deferred", 1, step), demand("urgent", 1, step)
-	deferred.Priority, deferred.Order, urgent.Order = 2, 1, 2
+	deferred.Priority, deferred.Slack, urgent.Slack = 2, 1, 2
 	plan := Plan(workers(1), []Demand{deferred, urgent}, NewInterference())
 	is.Equal(len(plan), 1)
 	is.Equal(plan[0].Task.Job, structs.JobID("urgent"))
@@ -119,7 +119,7 @@
 func TestDemandThatDoesNotFitHoldsUpNobody(t *testing.T) {
 	is := is.New(t)
 	big, small := demand("big", 1, structs.Step{Resources: structs.Resources{MilliCPU: 99000}}), demand("small", 1, structs.Step{})
-	small.Order = 1
+	small.Slack = 1
 	is.Equal(len(Plan(workers(2), []Demand{big, small}, NewInterference())), 1)
 }
 
@@ -219,3 +219,20 @@
 	is.Equal(free, 2)
 	is.Equal(mixed, 0)
 }
+
+// Load: one worker, four jobs, of which one can still be in time.
+func TestLeastSlackGoesFirstAndNoJobStarves(t *testing.T) {
+	is := is.New(t)
+	step := structs.Step{Resources: structs.Resources{MilliCPU: 4000}}
+	var demands []Demand
+	for name, slack := range map[string]time.Duration{"late": -time.Second, "later": -9 * time.Second, "starved": -time.Minute, "soon": time.Second} {
+		d := demand(name, 1, step)
+		d.Slack = slack
+		demands = append(demands, d)
+	}
+	var order []string
+	for _, p := range Plan(workers(1), demands, NewInterference()) {
+		order = append(order, string(p.Task.Job))
+	}
+	is.Equal(order, []string{"starved", "soon", "later", "late"})
+}
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -78,6 +78,21 @@
 // Step returns the specification of the task's step.
 func (j *Job) Step(id structs.StepTaskID) *structs.Step { return &j.Spec.Steps[id.Step] }
 
+// Chain returns the longest chain of declared run times through the steps.
+func (j *Job) Chain() time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(j.Spec.Steps))
+	for i := range j.Spec.Steps {
+		var begin time.Duration
+		for _, before := range j.Spec.Steps[i].After {
+			begin = max(begin, ends[before])
+		}
+		ends[i] = begin + j.Spec.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // Over reports whether no task of the job may start any more.
 func (j *Job) Over() bool { return j.Cancelled || j.Failed || j.open == 0 }
 
--- a/workflow/job_test.go
+++ b/workflow/job_test.go
@@ -245,3 +245,14 @@
 		}
 	})
 }
+
+func TestChainIsTheLongestWayThroughTheSteps(t *testing.T) {
+	is := is.New(t)
+	spec := structs.StepJob{Steps: []structs.Step{
+		{Tasks: 1, Estimate: 2 * time.Second},
+		{Tasks: 1, Estimate: 5 * time.Second},
+		{Tasks: 1, Estimate: time.Second, After: []int32{0, 1}},
+		{Tasks: 1, Estimate: 3 * time.Second, After: []int32{0}},
+	}}
+	is.Equal(New(spec, structs.Queue{}).Chain(), 6*time.Second)
+}
