Split the leader's worker file; read-through

Cause: worker.go held sessions, progress and orders; an unused field, an epoch logged twice, a duration without its unit. No change of behaviour.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -77,7 +77,7 @@
 		case ctx.Err() != nil:
 			return commitResult{err: ctx.Err()}
 		}
-		c.log.Warn("commit repeated", zap.Int64("epoch", next.Epoch), zap.Int64("commit", next.Commit),
+		c.log.Warn("commit repeated", zap.Int64("commit", next.Commit),
 			zap.Int("attempt", attempt), zap.Duration("since_first", c.clock().Sub(first)), zap.Error(err))
 		if err := sleep(ctx, pause/2+rand.N(pause)); err != nil {
 			return commitResult{err: err}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -74,10 +74,9 @@
 // job is a job with what only this leader needs to know.
 type job struct {
 	*workflow.Job
-	order      int64
 	stored     bool   // the accepted record is in the store
 	sent       bool   // a commit has carried the accepted record, and may be applied
-	refuse     func() // answers that the job was not accepted, nil once accepted
+	refuse     func() // answers that the job was not accepted; nil for jobs of leaders before
 	isDirty    bool
 	shown      structs.JobPhase // phase that is in the store
 	writing    structs.JobPhase // phase of the commit in flight
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc/codes"
@@ -215,7 +216,7 @@
 }
 
 // maxWaitingAge bounds the age of the state from which waiting jobs are counted.
-const maxWaitingAge = 1500 * 1_000_000 // nanoseconds; the platform allows 2 s
+const maxWaitingAge = 1500 * time.Millisecond // the platform allows 2 s
 
 // Phase implements fleetpb.FleetServer.
 func (n *Node) Phase(ctx context.Context, req *fleetpb.PhaseRequest) (*fleetpb.PhaseResponse, error) {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -68,20 +68,6 @@
 	stored bool
 }
 
-// outbox collects the orders of one turn of the loop.
-type outbox struct {
-	reply    bool // a report waits for its answer
-	takeOver bool
-	acked    bool
-	starts   []*fleetpb.Start
-	stops    []structs.TaskRun
-	known    []*fleetpb.Known
-}
-
-func (o *outbox) empty() bool {
-	return !o.reply && !o.takeOver && !o.acked && len(o.starts) == 0 && len(o.stops) == 0 && len(o.known) == 0
-}
-
 func (l *leader) worker(id structs.WorkerID) *worker {
 	w, found := l.workers[id]
 	if !found {
@@ -206,46 +192,6 @@
 	w.detach()
 }
 
-// Bounds of progress. A reading of a run moves with each hundredth of its work;
-// declared run times are off by up to ten times, and workers up to eight times
-// slower than others.
-const (
-	stuckAfter = 3 * time.Second // without progress at full pace
-	stuckShare = 0.5             // of the declared run time, the same for longer tasks
-	stuckPace  = 20              // percent below which a run need not move
-	atWork     = 100             // percent of a long-running task that is at work
-)
-
-// watchProgress stops runs that stand still, so that they start elsewhere. Load:
-// workers whose tasks hang although the runner answers.
-func (l *leader) watchProgress(w *worker, now bootclock.Time) {
-	if !w.ready || now.Sub(w.listedAt) > l.o.Timing.Silence {
-		return
-	}
-	for _, r := range w.sortedRuns() {
-		if r.startedAt == 0 || r.stopping != "" || r.pace < stuckPace {
-			continue
-		}
-		if !r.standsStill(now) {
-			continue
-		}
-		w.record.stuck(now)
-		r.job.failedOn[r.run.Task] = append(r.job.failedOn[r.run.Task], w.id)
-		l.stop(w, r, "stands still")
-	}
-}
-
-// standsStill reports whether the run makes no progress although it should. A
-// task without a declared run time may take any time for its next hundredth.
-func (r *run) standsStill(now bootclock.Time) bool {
-	step := r.job.Step(r.run.Task)
-	if step.LongRunning {
-		return r.percent < atWork && now.Sub(r.progressAt) >= stuckAfter
-	}
-	limit := max(stuckAfter, time.Duration(stuckShare*float64(step.Estimate)))
-	return step.Estimate > 0 && now.Sub(r.progressAt) >= limit*100/time.Duration(r.pace)
-}
-
 // listWait is how long the first list of a session is waited for before the
 // runs of a worker whose lease is over are released.
 const listWait = 1500 * time.Millisecond
@@ -308,41 +254,6 @@
 		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number))
 }
 
-// sendOrders sends what has gathered for the worker.
-func (l *leader) sendOrders(w *worker) {
-	s := w.session
-	if s == nil || w.outbox.empty() {
-		return
-	}
-	now := l.o.Clock()
-	out := &w.outbox
-	s.number++
-	orders := &fleetpb.WorkerOrders{
-		Epoch: l.epoch, Fence: s.fence, Number: s.number, Echo: w.echo,
-		Acknowledged: w.acked, Starts: out.starts, Known: out.known, TakeOver: out.takeOver,
-	}
-	for _, r := range w.suspects {
-		orders.Suspects = append(orders.Suspects, runToProto(r))
-	}
-	for _, r := range out.stops {
-		orders.Stops = append(orders.Stops, runToProto(r))
-	}
-	if w.ready && now.Sub(w.listedAt) < l.o.Timing.Silence {
-		lease := l.leaseFor(now)
-		orders.LeaseMs = lease.Milliseconds()
-		w.leased = max(w.leased, now.Add(lease))
-	}
-	for _, start := range out.starts {
-		if r := w.runs[runFromProto(start.GetRun())]; r != nil {
-			r.ordered = s.number
-		}
-	}
-	w.outbox = outbox{}
-	if !s.send(orders) {
-		l.detached(s, &structs.UnavailableError{Dependency: "agent"})
-	}
-}
-
 // runToProto and runFromProto translate a run.
 func runToProto(r structs.TaskRun) *fleetpb.Run {
 	return &fleetpb.Run{Job: string(r.Task.Job), Round: r.Task.Round, Step: r.Task.Step, Index: r.Task.Index, Number: r.Number}
