Tests reserve their ports below the range of outgoing connections

Its stand-in could not listen: 'bind: address already in use'. The harness took a port from the system, closed it, and gave it to a process that bound it later; meanwhile the system can give it to any outgoing connection or to a test of another package, and the tests of the new daemons open many. Ruled out: the daemons (the stand-in had ended before they began). Change: standin/ports takes ports below the ephemeral range and holds a UDP marker on each until the process ends; e2e and daemon use it. No check changed.

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/daisywall/daisywall/platform"
 	"github.com/daisywall/daisywall/standin"
+	"github.com/daisywall/daisywall/standin/ports"
 	"github.com/daisywall/daisywall/standin/site"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
@@ -38,32 +39,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
-// freePorts finds two ports that follow each other.
-func freePorts(t *testing.T) int {
-	t.Helper()
-	for range 50 {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		second, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
-		first.Close()
-		if err == nil {
-			second.Close()
-			return port
-		}
-	}
-	t.Fatal("no two free ports in a row")
-	return 0
+	return address
 }
 
 func serveHTTP(t *testing.T, address string, h http.Handler) {
@@ -91,7 +71,10 @@
 		t.Fatal(err)
 	}
 	boot := func(name, class string) platform.Boot {
-		port := freePorts(t)
+		port, err := ports.Reserve(2)
+		if err != nil {
+			t.Fatal(err)
+		}
 		return platform.Boot{
 			Host: name, Class: class, IP: "127.0.0.1", FailureDomain: "north", StoreAddress: storeAddress, RowBytes: 65536,
 			LeaseMax: 10 * time.Second, Grace: 6 * time.Second, PeerPorts: platform.PortRange{First: port, Last: port + 1},
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 
 	"github.com/daisywall/daisywall/client"
 	"github.com/daisywall/daisywall/command"
+	"github.com/daisywall/daisywall/standin/ports"
 )
 
 // waitLimit bounds every wait on a condition; it is far above what any needs.
@@ -50,28 +50,13 @@
 	return m.Run()
 }
 
-// ports hands out free loopback ports, each once in this process.
-var ports = struct {
-	sync.Mutex
-	used map[int]bool
-}{used: map[int]bool{}}
-
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	ports.Lock()
-	defer ports.Unlock()
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := l.Addr().(*net.TCPAddr).Port
-		l.Close()
-		if !ports.used[port] {
-			ports.used[port] = true
-			return l.Addr().String()
-		}
+	address, err := ports.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
+	return address
 }
 
 // process is one running daemon.
