Gangs: one run number, whole starts, one end for all

Cause: a gang was placed whole once, but its tasks were tracked one by one. When a member was lost, the others kept their run; the lost one started again alone with a higher number and waited in vain. Change: the members of a gang share the number of a run and its checkpoint, are pending together or not at all, end with the first end "done" and count one failure a run. What is left of a run is stopped once a member is over, also by a leader that finds it half assigned. A gang that is slower across racks is placed in one, and spreads after 2 s. Stand-in: gangs over several runners.

--- a/fleet/checker_test.go
+++ b/fleet/checker_test.go
@@ -18,6 +18,7 @@
 	loads    map[string]int
 	starts   map[structs.StepTaskID]int
 	startsOn map[hostTask]int
+	ends     map[substrate.RunEnd]int
 	faults   []string
 	log      []string // all that was seen
 	// restartsDone is set where tasks are meant to go on after they are done.
@@ -37,6 +38,7 @@
 	return &checker{
 		capacity: capacity, running: map[structs.StepTaskID]map[string]structs.TaskRun{}, done: map[structs.StepTaskID]bool{},
 		loads: map[string]int{}, starts: map[structs.StepTaskID]int{}, startsOn: map[hostTask]int{},
+		ends: map[substrate.RunEnd]int{},
 	}
 }
 
@@ -74,6 +76,14 @@
 	c.log = append(c.log, fmt.Sprintf("%s ended %s %s %s", time.Now().Format("05.000"), r, host, end))
 	delete(c.running[r.Task], host)
 	c.loads[host]--
+	c.ends[end]++
+}
+
+// endsOf returns how many runs ended that way.
+func (c *checker) endsOf(end substrate.RunEnd) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ends[end]
 }
 
 // Acknowledged implements standin.RunObserver.
@@ -121,6 +131,13 @@
 	return c.starts[id]
 }
 
+// runsOn returns how many runs the host has.
+func (c *checker) runsOn(host string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loads[host]
+}
+
 func (c *checker) total() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fleet/random_test.go
+++ b/fleet/random_test.go
@@ -77,10 +77,22 @@
 	}
 }
 
+// name returns the ID of the nth job. Each fourth one is of gangs.
+func (h *history) name(n int) string {
+	if n%4 == 0 {
+		return fmt.Sprintf("%s%d", gangPrefix, n)
+	}
+	return fmt.Sprintf("job-%d", n)
+}
+
 func (h *history) submit() {
 	h.next++
-	id := fmt.Sprintf("job-%d", h.next)
-	err := h.w.submit(h.entry, worldJob(id, int32(1+h.rng.IntN(4)), int32(1+h.rng.IntN(3))))
+	id := h.name(h.next)
+	job := worldJob(id, int32(1+h.rng.IntN(4)), int32(1+h.rng.IntN(3)))
+	if gangSize(structs.StepTaskID{Job: job.ID}) > 0 {
+		job = gangJob(strings.TrimPrefix(id, gangPrefix), 2)
+	}
+	err := h.w.submit(h.entry, job)
 	var notRun *structs.NotRunError
 	switch {
 	case err == nil:
@@ -95,7 +107,7 @@
 	if h.next == 0 {
 		return
 	}
-	id := fmt.Sprintf("job-%d", 1+h.rng.IntN(h.next))
+	id := h.name(1 + h.rng.IntN(h.next))
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	err := h.entry.Cancel(ctx, structs.JobID(id), "q")
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -73,6 +73,8 @@
 	l.storedWith(w, j, record)
 	if j.Over() {
 		l.stopAll(j)
+	} else {
+		l.stopGang(j, id)
 	}
 }
 
@@ -154,6 +156,9 @@
 		listed[id] = true
 		if known := w.runs[id]; known != nil && known.incarnation == w.incarnation {
 			known.observe(a, now)
+			if reason := known.job.Obsolete(id); reason != "" {
+				l.stop(w, known, reason)
+			}
 			continue
 		}
 		l.log.Warn("stops a run that is not assigned", zap.Stringer("run", id), zap.String("worker", string(w.id)))
@@ -186,7 +191,7 @@
 // orderAgain repeats the start of a run that an earlier session may not have
 // delivered, or releases it when it need not start any more.
 func (l *leader) orderAgain(w *worker, r *run) {
-	if r.job.Over() || w.draining || l.drained(w.domain) || r.stopping != "" {
+	if r.job.Obsolete(r.run) != "" || w.draining || l.drained(w.domain) || r.stopping != "" {
 		l.release(w, r, "not started", "")
 		return
 	}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -141,7 +141,7 @@
 	if w.runs[r.run] != r || w.incarnation != r.incarnation || w.session == nil {
 		return
 	}
-	if r.job.Over() || w.draining || l.drained(w.domain) {
+	if r.job.Obsolete(r.run) != "" || w.draining || l.drained(w.domain) || r.stopping != "" {
 		l.release(w, r, "not started", "")
 		return
 	}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -10,6 +10,7 @@
 	"github.com/daisywall/daisywall/api/fleetpb"
 	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/workflow"
 )
 
 // worker is what the leader knows of one worker.
@@ -228,6 +229,23 @@
 	if changed {
 		l.metrics.count(l.metrics.released, reason)
 		l.touch(r.job, nil, nil)
+		l.stopGang(r.job, r.run)
+	}
+}
+
+// stopGang stops what is left of a gang's run of which a member is over, unless
+// the gang is done. The next run begins when all of it has ended.
+func (l *leader) stopGang(j *job, over structs.TaskRun) {
+	if !j.Step(over.Task).Gang || j.Task(over.Task).State == workflow.Done {
+		return
+	}
+	for _, w := range l.workers {
+		for _, r := range w.sortedRuns() {
+			t := r.run.Task
+			if r.job == j && t.Round == over.Task.Round && t.Step == over.Task.Step && r.run.Number == over.Number {
+				l.stop(w, r, "member of its gang ended")
+			}
+		}
 	}
 }
 
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -31,6 +32,7 @@
 	checker *checker
 	config  *fixedConfig
 	runTime func(structs.TaskRun) time.Duration
+	gangs   *standin.Gangs
 
 	hosts []*worldHost
 }
@@ -86,6 +88,7 @@
 		runTime: func(structs.TaskRun) time.Duration { return time.Second },
 	}
 	w.checker = newChecker(worldCapacity.MilliCPU)
+	w.gangs = standin.NewGangs(gangWait, gangSize)
 	for i := range hosts {
 		name := structs.WorkerID(fmt.Sprintf("host-%d", i))
 		domain := structs.FailureDomainID(fmt.Sprintf("domain-%d", i%3))
@@ -94,7 +97,7 @@
 			Info: substrate.RunnerInfo{
 				ID: string(name), Pool: "pool", FailureDomain: domain, Capacity: worldCapacity, Address: string(name),
 			},
-			HoldMax: w.timing.HoldMax, Observer: w.checker,
+			HoldMax: w.timing.HoldMax, Observer: w.checker, Gangs: w.gangs,
 			RunTime: func(r structs.TaskRun) time.Duration { return w.runTime(r) },
 		})
 		w.hosts = append(w.hosts, h)
@@ -320,6 +323,35 @@
 	return j
 }
 
+// gangWait is how long a member of a gang waits for the others.
+const gangWait = 3 * time.Second
+
+// gangPrefix begins the names of jobs whose steps are gangs of gangTasks.
+const (
+	gangPrefix = "gang-"
+	gangTasks  = 3
+)
+
+func gangSize(id structs.StepTaskID) int {
+	if strings.HasPrefix(string(id.Job), gangPrefix) {
+		return gangTasks
+	}
+	return 0
+}
+
+// gangJob returns a job of gangs that follow each other.
+func gangJob(name string, steps int) *structs.StepJob {
+	widths := make([]int32, steps)
+	for i := range widths {
+		widths[i] = gangTasks
+	}
+	j := worldJob(gangPrefix+name, widths...)
+	for i := range j.Steps {
+		j.Steps[i].Gang = true
+	}
+	return j
+}
+
 func (w *world) submit(e *Entry, j *structs.StepJob) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -110,6 +111,50 @@
 
 // place adds the placements of the demand. A gang is placed whole or not at all.
 func (d *Demand) place(workers []*Worker, placements []Placement) []Placement {
+	if d.Spec.Gang && d.Spec.SameRack {
+		return d.placeTogether(workers, placements)
+	}
+	return d.placeOn(workers, placements)
+}
+
+// rackPatience is how long a gang that is slower across racks waits for room in
+// one. Shorter than what the slowdown of 1.5 to 3 costs a task of some seconds.
+const rackPatience = 2 * time.Second
+
+// placeTogether puts the gang into the rack with the most room that holds it,
+// and across racks when it has waited for long.
+func (d *Demand) placeTogether(workers []*Worker, placements []Placement) []Placement {
+	for _, rack := range racksByRoom(workers) {
+		if placed := d.placeOn(rack, placements); len(placed) > len(placements) {
+			return placed
+		}
+	}
+	if d.Waited < rackPatience {
+		return placements
+	}
+	return d.placeOn(workers, placements)
+}
+
+// racksByRoom groups the workers by rack, the most idle processors first.
+func racksByRoom(workers []*Worker) [][]*Worker {
+	byName := map[string][]*Worker{}
+	room := map[string]float64{}
+	for _, w := range workers {
+		byName[w.Rack] = append(byName[w.Rack], w)
+		room[w.Rack] += w.idle()
+	}
+	names := slices.SortedFunc(maps.Keys(byName), func(a, b string) int {
+		return cmp.Or(cmp.Compare(room[b], room[a]), cmp.Compare(a, b))
+	})
+	racks := make([][]*Worker, 0, len(names))
+	for _, name := range names {
+		racks = append(racks, byName[name])
+	}
+	return racks
+}
+
+// placeOn adds the placements of the demand on the given workers.
+func (d *Demand) placeOn(workers []*Worker, placements []Placement) []Placement {
 	first := len(placements)
 	var taken []*Worker
 	for _, index := range d.Tasks {
--- a/placement/steps/steps_test.go
+++ b/placement/steps/steps_test.go
@@ -236,3 +236,30 @@
 	}
 	is.Equal(order, []string{"starved", "soon", "later", "late"})
 }
+
+// Load: a gang that is slower across racks, and one rack with room for it.
+func TestGangStaysInOneRackWhileOneHasRoom(t *testing.T) {
+	is := is.New(t)
+	list := workers(6) // racks of three
+	list[0].Reserved.MilliCPU, list[1].Reserved.MilliCPU = 12000, 12000
+	d := demand("g", 6, structs.Step{Gang: true, SameRack: true, Resources: structs.Resources{MilliCPU: 6000}})
+	racks := map[string]bool{}
+	rackOf := map[structs.WorkerID]string{}
+	for _, w := range list {
+		rackOf[w.ID] = w.Rack
+	}
+	plan := Plan(list, []Demand{d}, NewInterference())
+	is.Equal(len(plan), 6)
+	for _, p := range plan {
+		racks[rackOf[p.Worker]] = true
+	}
+	is.Equal(len(racks), 1)
+}
+
+func TestGangThatNoRackHoldsWaitsBeforeItSpreads(t *testing.T) {
+	is := is.New(t)
+	d := demand("g", 8, structs.Step{Gang: true, SameRack: true, Resources: structs.Resources{MilliCPU: 6000}})
+	is.Equal(len(Plan(workers(6), []Demand{d}, NewInterference())), 0)
+	d.Waited = rackPatience
+	is.Equal(len(Plan(workers(6), []Demand{d}, NewInterference())), 8)
+}
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -28,6 +28,7 @@
 	HoldMax  time.Duration        // longest lease
 	RunTime  func(structs.TaskRun) time.Duration
 	Observer RunObserver
+	Gangs    *Gangs // shared by all runners; nil without gangs
 }
 
 // LateStart is when a start that went without an answer is carried out.
@@ -94,8 +95,9 @@
 
 // lose drops every run; the caller holds the lock.
 func (r *TaskRunner) lose() {
-	for _, run := range r.runs {
+	for id, run := range r.runs {
 		run.timer.Stop()
+		r.leaveGang(id)
 	}
 	r.runs = map[structs.TaskRun]*taskRun{}
 	if r.o.Observer != nil {
@@ -209,6 +211,7 @@
 	if how == substrate.RunEndStopped {
 		checkpoint = "stopped-" + id.String()
 	}
+	r.leaveGang(id)
 	r.highest[id.Task] = max(r.highest[id.Task], id.Number)
 	r.ends++
 	r.ended = append(r.ended, substrate.EndedRun{Number: r.ends, Run: id, End: how, Checkpoint: checkpoint})
@@ -219,6 +222,31 @@
 	r.notified = make(chan struct{})
 }
 
+// finish ends a run that is still there.
+func (r *TaskRunner) finish(id structs.TaskRun, how substrate.RunEnd) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.end(id, how)
+}
+
+func (r *TaskRunner) isFailing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failing
+}
+
+// inGang reports whether the task works only together with others.
+func (r *TaskRunner) inGang(id structs.TaskRun) bool {
+	return r.o.Gangs != nil && r.o.Gangs.Size(id.Task) > 0
+}
+
+// leaveGang tells the other members that this one is over.
+func (r *TaskRunner) leaveGang(id structs.TaskRun) {
+	if r.inGang(id) {
+		go r.o.Gangs.left(id)
+	}
+}
+
 // expire ends everything once the lease has run out.
 func (r *TaskRunner) expire(incarnation string) {
 	r.mu.Lock()
@@ -266,7 +294,12 @@
 	}
 	incarnation := r.info.Incarnation
 	run := &taskRun{began: time.Now(), took: took, checkpoint: start.Checkpoint, percent: 100}
-	run.timer = time.AfterFunc(took, func() {
+	alone := took
+	if r.inGang(id) {
+		alone = hung // the gang ends it
+		go r.o.Gangs.join(r, id, took)
+	}
+	run.timer = time.AfterFunc(alone, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if r.info.Incarnation != incarnation || r.runs[id] != run {
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -4,6 +4,7 @@
 package workflow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisywall/daisywall/structs"
@@ -26,7 +27,8 @@
 	Worker      structs.WorkerID `json:"w,omitempty"` // of the assigned run
 	Incarnation string           `json:"i,omitempty"` // of that worker's runner
 	Checkpoint  string           `json:"c,omitempty"` // the next run resumes from it
-	Failures    int32            `json:"f,omitempty"` // runs that failed
+	Failures    int32            `json:"f,omitempty"` // runs that failed; of a gang, kept with its first task
+	FailedRun   int32            `json:"l,omitempty"` // first task of a gang only: last run counted in Failures
 }
 
 // Job is a job of steps with the state of its tasks.
@@ -139,7 +141,8 @@
 }
 
 // ReadySteps calls visit with every step of every round that may run now and
-// has pending tasks.
+// has pending tasks. A gang starts whole: its step is not ready before every
+// task of its last run is over.
 func (j *Job) ReadySteps(now time.Time, visit func(round, step int32, tasks []Task)) {
 	if j.Over() {
 		return
@@ -149,13 +152,23 @@
 			return
 		}
 		for s := range steps {
-			if steps[s].open > 0 && j.unblocked(steps, s) {
+			if steps[s].open > 0 && j.unblocked(steps, s) && (!j.Spec.Steps[s].Gang || steps[s].allPending()) {
 				visit(int32(r), int32(s), steps[s].tasks)
 			}
 		}
 	}
 }
 
+// allPending reports whether no task of the step is assigned or done.
+func (s *stepState) allPending() bool {
+	for i := range s.tasks {
+		if s.tasks[i].State != Pending {
+			return false
+		}
+	}
+	return true
+}
+
 // NextDue returns the earliest time after now at which a round becomes due.
 func (j *Job) NextDue(now time.Time) (time.Time, bool) {
 	for r := range j.rounds {
@@ -176,42 +189,85 @@
 }
 
 // Assign commits the next run of a pending task to a worker and returns it.
+// The tasks of a gang are assigned one after the other, with one run number.
 func (j *Job) Assign(id structs.StepTaskID, worker structs.WorkerID, incarnation string) (structs.TaskRun, bool) {
 	t := j.Task(id)
 	if t == nil || t.State != Pending || j.Over() {
 		return structs.TaskRun{}, false
 	}
+	t.Run = j.nextRun(id, t)
 	t.State = Assigned
-	t.Run++
 	t.Worker, t.Incarnation = worker, incarnation
 	return structs.TaskRun{Task: id, Number: t.Run}, true
 }
 
+// nextRun returns the number of the next run of a task. Members of a gang
+// share the number of the first one that is assigned.
+func (j *Job) nextRun(id structs.StepTaskID, t *Task) int32 {
+	if !j.Step(id).Gang {
+		return t.Run + 1
+	}
+	highest := int32(0)
+	members := j.members(id)
+	for i := range members {
+		if members[i].State == Assigned {
+			return members[i].Run
+		}
+		highest = max(highest, members[i].Run)
+	}
+	return highest + 1
+}
+
+// members returns the tasks of the step of a task.
+func (j *Job) members(id structs.StepTaskID) []Task { return j.rounds[id.Round][id.Step].tasks }
+
 // Finish records that the last run of a task is done. It reports whether that
 // changed anything. A run that was released as lost, and turns out to have
-// finished, counts until the next one is assigned.
+// finished, counts until the next one is assigned. A gang has finished when one
+// of its tasks has.
 func (j *Job) Finish(run structs.TaskRun) bool {
 	t := j.Task(run.Task)
 	if t == nil || t.State == Done || t.Run != run.Number {
 		return false
 	}
+	if !j.Step(run.Task).Gang {
+		j.finish(run.Task, t)
+		return true
+	}
+	members := j.members(run.Task)
+	for i := range members {
+		j.finish(run.Task, &members[i])
+	}
+	return true
+}
+
+func (j *Job) finish(id structs.StepTaskID, t *Task) {
 	t.State = Done
 	t.Worker, t.Incarnation, t.Checkpoint = "", "", ""
-	j.rounds[run.Task.Round][run.Task.Step].open--
+	j.rounds[id.Round][id.Step].open--
 	j.open--
-	return true
 }
 
 // Fail records that the assigned run failed. The job fails with it when the
-// task has no attempts left; a long-running task is tried for ever.
+// task has no attempts left; a long-running task is tried for ever. Several
+// members of a gang that fail in one run are one failure.
 func (j *Job) Fail(run structs.TaskRun, checkpoint string) bool {
 	t := j.assigned(run)
 	if t == nil {
 		return false
 	}
-	t.Failures++
-	j.release(t, checkpoint)
-	if t.Failures >= max(1, j.Queue.MaxAttempts) && !j.Step(run.Task).LongRunning {
+	counted := t
+	if j.Step(run.Task).Gang {
+		counted = &j.members(run.Task)[0]
+	}
+	if counted.FailedRun != run.Number {
+		counted.Failures++
+	}
+	if j.Step(run.Task).Gang {
+		counted.FailedRun = run.Number
+	}
+	j.release(run.Task, t, checkpoint)
+	if counted.Failures >= max(1, j.Queue.MaxAttempts) && !j.Step(run.Task).LongRunning {
 		j.Failed = true
 	}
 	return true
@@ -224,18 +280,41 @@
 	if t == nil {
 		return false
 	}
-	j.release(t, checkpoint)
+	j.release(run.Task, t, checkpoint)
 	return true
 }
 
-func (j *Job) release(t *Task, checkpoint string) {
+// release makes a task pending. The checkpoint of one member of a gang holds
+// for all of them, and all must resume from the same one.
+func (j *Job) release(id structs.StepTaskID, t *Task, checkpoint string) {
 	t.State = Pending
 	t.Worker, t.Incarnation = "", ""
-	if checkpoint != "" {
+	switch {
+	case checkpoint == "":
+	case j.Step(id).Gang:
+		members := j.members(id)
+		for i := range members {
+			members[i].Checkpoint = checkpoint
+		}
+	default:
 		t.Checkpoint = checkpoint
 	}
 }
 
+// Obsolete says why an assigned run need not go on, and is empty if it should.
+func (j *Job) Obsolete(run structs.TaskRun) string {
+	switch t := j.Task(run.Task); {
+	case j.Over():
+		return "job is over"
+	case t.State == Done:
+		return "task is done"
+	case j.Step(run.Task).Gang && slices.ContainsFunc(j.members(run.Task), func(t Task) bool { return t.State == Pending }):
+		return "member of its gang ended"
+	default:
+		return ""
+	}
+}
+
 // assigned returns the task if the run is its current one.
 func (j *Job) assigned(run structs.TaskRun) *Task {
 	t := j.Task(run.Task)
--- a/workflow/job_test.go
+++ b/workflow/job_test.go
@@ -256,3 +256,59 @@
 	}}
 	is.Equal(New(spec, structs.Queue{}).Chain(), 6*time.Second)
 }
+
+func gang(tasks int32) *Job {
+	return New(structs.StepJob{ID: "g", Queue: "q", Steps: []structs.Step{{Tasks: tasks, Gang: true, Checkpoints: true}}}, structs.Queue{MaxAttempts: 2})
+}
+
+func assignGang(t *testing.T, j *Job) []structs.TaskRun {
+	t.Helper()
+	var runs []structs.TaskRun
+	for i := range j.Spec.Steps[0].Tasks {
+		r, ok := j.Assign(taskOf("g", 0, i), "w", "i")
+		if !ok {
+			t.Fatalf("member %d not assigned", i)
+		}
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+func TestMembersOfAGangShareTheRunNumber(t *testing.T) {
+	is := is.New(t)
+	j := gang(3)
+	first := assignGang(t, j)
+	is.True(j.Release(first[1], "half"))
+	is.Equal(len(readySteps(j, time.Time{})), 0) // two members are still there
+	is.Equal(j.Obsolete(first[0]), "member of its gang ended")
+	is.True(j.Release(first[0], ""))
+	is.True(j.Release(first[2], "more"))
+	is.Equal(readySteps(j, time.Time{}), []int32{0})
+	for i, r := range assignGang(t, j) {
+		is.Equal(r.Number, int32(2))
+		is.Equal(j.Task(r.Task).Checkpoint, "more") // the same for all
+		is.Equal(r.Task.Index, int32(i))
+	}
+}
+
+func TestOneFinishedMemberFinishesTheGang(t *testing.T) {
+	is := is.New(t)
+	j := gang(3)
+	runs := assignGang(t, j)
+	is.True(j.Release(runs[0], "")) // lost with its worker
+	is.True(j.Finish(runs[2]))
+	is.True(!j.Finish(runs[1]))
+	is.Equal(j.Phase(), structs.JobCompleted)
+}
+
+func TestMembersThatFailTogetherAreOneFailure(t *testing.T) {
+	is := is.New(t)
+	j := gang(2)
+	for attempt := range 2 {
+		runs := assignGang(t, j)
+		is.True(j.Fail(runs[1], ""))
+		is.Equal(j.Failed, attempt == 1)
+		is.True(j.Fail(runs[0], ""))
+		is.Equal(j.Failed, attempt == 1)
+	}
+}
