Tasks go to the rack of their input while it has room

Cause: nearness counted for less than an idler worker, while a task takes 1.5 to 3 times as long away from its input. Ruled out: lack of room; racks with a few per cent in use were passed by too. Change: the weight of the rack is above that of any difference in idle room. TestTasksGoToTheRackOfTheirInputWhileItHasRoom fails on the code before.

--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -261,7 +261,7 @@
 	openWeight     = 0.4 // workers on which any image may run are left to those that may run on few
 	distrustWeight = 1.0
 	avoidWeight    = 4.0 // another worker than the one that failed the task, if there is one
-	rackWeight     = 0.3 // near the input
+	rackWeight     = 1.0 // near the input: an idler worker elsewhere takes 1.5 to 3 times as long
 )
 
 // Scores of a worker for a service. Load: filling tasks that disturb many
--- a/placement/steps/steps_test.go
+++ b/placement/steps/steps_test.go
@@ -263,3 +263,17 @@
 	d.Waited = rackPatience
 	is.Equal(len(Plan(workers(6), []Demand{d}, NewInterference())), 8)
 }
+
+// Load: tasks whose input lies in one rack, which is half full; the others are
+// idle. They take half as long again elsewhere.
+func TestTasksGoToTheRackOfTheirInputWhileItHasRoom(t *testing.T) {
+	is := is.New(t)
+	list := workers(6)
+	for _, w := range list[:3] {
+		w.Reserved.MilliCPU = 8000
+	}
+	d := demand("near", 9, structs.Step{Rack: list[0].Rack, Resources: structs.Resources{MilliCPU: 2000}})
+	for _, p := range Plan(list, []Demand{d}, NewInterference()) {
+		is.True(p.Worker < "w3") // of the first rack
+	}
+}
