A stop does not wait for connections that have gone silent; reloads end no process

Cause: (1) a stop of an HTTP server waited for the rest of a request that a cut link had swallowed, up to the whole grace. (2) A stop of a gRPC server waits for connections that are being opened, each up to 120 s: an agent with one from behind a cut was killed after its grace. (3) SIGHUP ends a Go process before something takes it: while packages are initialized, and after the services have stopped. Ruled out: the node itself; it had ended 0.15 s after the signal in each log. Change: the servers wait 0.3 s for calls on the host and 3.2 s for callers; connections have 2 s to open; SIGHUP is taken from the first initialized package on.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -20,6 +20,7 @@
 	"github.com/daisywall/daisywall/fleet"
 	"github.com/daisywall/daisywall/kernel"
 	"github.com/daisywall/daisywall/platform"
+	_ "github.com/daisywall/daisywall/reloadsignal" // a reload must not end a process that starts or stops
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
 	"github.com/daisywall/daisywall/telemetry"
@@ -38,6 +39,10 @@
 	// after which no new connection comes.
 	balancerDelay = 2300 * time.Millisecond
 	handoverDelay = 150 * time.Millisecond // for another node to take the leadership over
+	// callerPatience is how long callers' requests in flight may take: their
+	// usual deadline, and with the balancer's delay less than the grace.
+	callerPatience = 3200 * time.Millisecond
+	localPatience  = 300 * time.Millisecond // the same for calls on the host, which take milliseconds
 )
 
 // PlatformArguments are the command line of a daemon on the users' platform.
@@ -100,7 +105,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", b.telemetry.Metrics)
 	services = append(services,
-		namedService{"metrics", &httpServer{address: b.port(metricsPortOffset), handler: metrics}, nil},
+		namedService{"metrics", &httpServer{address: b.port(metricsPortOffset), handler: metrics, patience: localPatience}, nil},
 		namedService{"reload", newRunner(b.watchReload), nil})
 	for _, s := range services {
 		if err := b.kernel.Register(s.name, s.service, s.needs...); err != nil {
@@ -177,7 +182,7 @@
 	peers := &grpcServer{address: b.port(fleetPortOffset), register: func(s *grpc.Server) { fleetpb.RegisterFleetServer(s, node) }}
 	err = b.register([]namedService{
 		{"peers", abrupt{peers}, nil},
-		{"reports", &httpServer{address: boot.ReportAddress, handler: platform.Reports(node, log)}, nil},
+		{"reports", &httpServer{address: boot.ReportAddress, handler: platform.Reports(node, log), patience: localPatience}, nil},
 		{"node", newRunner(node.Run), []string{"peers", "reports"}},
 		{"handover", stopNode, []string{"node"}},
 	})
@@ -219,8 +224,8 @@
 	err = b.register([]namedService{
 		{"jobs", hooks{stop: func(context.Context) error { return jobs.Close() }}, nil},
 		{"operator", newRunner(operator.Run), nil},
-		{"ready", &httpServer{address: boot.ReadyAddress, handler: ready}, []string{"operator"}},
-		{"front", &httpServer{address: boot.CallerAddress, handler: front, before: drain}, []string{"operator", "jobs", "ready"}},
+		{"ready", &httpServer{address: boot.ReadyAddress, handler: ready, patience: localPatience}, []string{"operator"}},
+		{"front", &httpServer{address: boot.CallerAddress, handler: front, before: drain, patience: callerPatience}, []string{"operator", "jobs", "ready"}},
 	})
 	if err != nil {
 		return err
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -22,6 +22,9 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	// handshakeTimeout bounds the opening of a gRPC connection. A stop waits for
+	// those that are being opened, and one that went silent never is.
+	handshakeTimeout = 2 * time.Second
 )
 
 // runner is a kernel service around a function that runs until its context
@@ -89,10 +92,11 @@
 // httpServer is a kernel service that serves a handler and shuts down
 // gracefully.
 type httpServer struct {
-	address string
-	handler http.Handler
-	before  func(ctx context.Context) // runs before the listener closes, may be nil
-	server  *http.Server
+	address  string
+	handler  http.Handler
+	before   func(ctx context.Context) // runs before the listener closes, may be nil
+	patience time.Duration             // longest wait for calls in flight at a stop, 0 for all the time there is
+	server   *http.Server
 }
 
 // Start implements kernel.Service.
@@ -116,12 +120,23 @@
 	return nil
 }
 
-// Stop implements kernel.Service. Calls in flight finish.
+// Stop implements kernel.Service. Calls in flight finish, but a call that does
+// not end within the patience is cut: on a connection that has gone silent, the
+// rest of a request may never come.
 func (s *httpServer) Stop(ctx context.Context) error {
 	if s.before != nil {
 		s.before(ctx)
 	}
-	return s.server.Shutdown(ctx)
+	if s.patience == 0 {
+		return s.server.Shutdown(ctx)
+	}
+	waiting, cancel := context.WithTimeout(ctx, s.patience)
+	defer cancel()
+	err := s.server.Shutdown(waiting)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	return s.server.Close()
 }
 
 // grpcServer is a kernel service that serves gRPC and shuts down gracefully.
@@ -139,7 +154,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", s.address, err)
 	}
-	options := append([]grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes)}, s.options...)
+	options := append([]grpc.ServerOption{grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes)}, s.options...)
 	s.server = grpc.NewServer(options...)
 	s.register(s.server)
 	host.Go(func(context.Context) error {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 	"os"
 	"sort"
 	"strings"
+	"sync"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"golang.org/x/text/language"
@@ -25,11 +26,19 @@
 // Schema is a compiled JSON Schema for documents called subject.
 type Schema struct {
 	subject  string
-	compiled *jsonschema.Schema
+	compiled func() *jsonschema.Schema
 }
 
 // Compile compiles a JSON Schema.
 func Compile(subject string, schema []byte) (*Schema, error) {
+	compiled, err := compile(subject, schema)
+	if err != nil {
+		return nil, err
+	}
+	return &Schema{subject: subject, compiled: func() *jsonschema.Schema { return compiled }}, nil
+}
+
+func compile(subject string, schema []byte) (*jsonschema.Schema, error) {
 	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
 	if err != nil {
 		return nil, fmt.Errorf("schema of %s: %w", subject, err)
@@ -42,16 +51,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("schema of %s: %w", subject, err)
 	}
-	return &Schema{subject: subject, compiled: compiled}, nil
+	return compiled, nil
 }
 
-// MustCompile is Compile for schemas that are part of the program.
+// MustCompile is Compile for schemas that are part of the program. They are
+// compiled at their first use, since that takes several milliseconds each and
+// few programs need them all.
 func MustCompile(subject string, schema []byte) *Schema {
-	s, err := Compile(subject, schema)
-	if err != nil {
-		panic(err)
-	}
-	return s
+	return &Schema{subject: subject, compiled: sync.OnceValue(func() *jsonschema.Schema {
+		compiled, err := compile(subject, schema)
+		if err != nil {
+			panic(err)
+		}
+		return compiled
+	})}
 }
 
 // Decode checks data against the schema and decodes it into out. It returns
@@ -64,7 +77,7 @@
 	if list := oversized(nil, document); len(list) > 0 {
 		return s.invalid(list...)
 	}
-	if err := s.compiled.Validate(document); err != nil {
+	if err := s.compiled().Validate(document); err != nil {
 		return s.invalid(faults(err, document)...)
 	}
 	if err := json.Unmarshal(data, out); err != nil {
