--- a/fleet/attendance.go
+++ b/fleet/attendance.go
@@ -292,7 +292,9 @@
 	var other *substrate.IncarnationError
 	switch {
 	case errors.As(err, &other):
-		a.holdsGone = goneHolds
+		a.log.Warn("runner restarted", zap.String("runner", a.info.ID))
+		a.h.lose(a.info.Incarnation, true)
+		return
 	case errors.As(err, &gone):
 		a.holdsGone++
 		a.holdAgain = now.Add(goneConfirm)
@@ -301,7 +303,7 @@
 	}
 	if a.holdsGone >= goneHolds {
 		a.log.Warn("runner gone", zap.String("runner", a.info.ID))
-		a.h.lose(a.info.Incarnation)
+		a.h.lose(a.info.Incarnation, false)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // play runs a scenario in a bubble and checks the promises at its end.
@@ -20,7 +22,7 @@
 		w := newWorld(t, hosts)
 		defer w.close()
 		scenario(w)
-		for _, fault := range w.checker.found() {
+		for _, fault := range w.checker.Found() {
 			t.Error(fault)
 		}
 	})
@@ -37,7 +39,7 @@
 		is.NoErr(w.submit(e, worldJob("a", 4, 2))) // a repeat is the same job
 		w.until("completed", 4*time.Second, func() bool { return w.phase(e, "a") == structs.JobCompleted })
 		is.True(time.Since(begun) < 2500*time.Millisecond) // two steps of a second each
-		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 1)
+		is.Equal(w.checker.StartsOf(structs.StepTaskID{Job: "a"}), 1)
 	})
 }
 
@@ -64,14 +66,14 @@
 		e := w.entry()
 		defer e.Close()
 		is.NoErr(w.submit(e, worldJob("a", 6)))
-		w.until("tasks run", time.Second, func() bool { return w.checker.total() == 6 })
+		w.until("tasks run", time.Second, func() bool { return w.checker.Total() == 6 })
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		is.NoErr(e.Cancel(ctx, "a", "q"))
 		is.Equal(w.phase(e, "a"), structs.JobCancelled)
-		w.until("tasks stopped", time.Second, func() bool { return w.checker.total() == 0 })
+		w.until("tasks stopped", time.Second, func() bool { return w.checker.Total() == 0 })
 		time.Sleep(10 * time.Second)
-		is.Equal(w.checker.total(), 0)
+		is.Equal(w.checker.Total(), 0)
 	})
 }
 
@@ -79,7 +81,7 @@
 	play(t, 3, func(w *world) {
 		is := is.New(t)
 		w.runTime = func(structs.TaskRun) time.Duration { return 2 * time.Second } // ends done each time
-		w.checker.restartsDone = true
+		w.checker.RestartsDone = true
 		w.ready()
 		e := w.entry()
 		defer e.Close()
@@ -87,7 +89,7 @@
 		j.Steps[0].LongRunning = true
 		is.NoErr(w.submit(e, j))
 		time.Sleep(9 * time.Second)
-		is.True(w.checker.startsOf(structs.StepTaskID{Job: "a"}) >= 4)
+		is.True(w.checker.StartsOf(structs.StepTaskID{Job: "a"}) >= 4)
 		is.Equal(w.phase(e, "a"), structs.JobRunning)
 	})
 }
@@ -103,7 +105,7 @@
 		defer e.Close()
 		is.NoErr(w.submit(e, worldJob("a", 1)))
 		w.until("failed", 30*time.Second, func() bool { return w.phase(e, "a") == structs.JobFailed })
-		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), int(worldQueue.MaxAttempts))
+		is.Equal(w.checker.StartsOf(structs.StepTaskID{Job: "a"}), int(worldQueue.MaxAttempts))
 	})
 }
 
@@ -115,12 +117,12 @@
 		e := w.entry()
 		defer e.Close()
 		is.NoErr(w.submit(e, worldJob("a", 8)))
-		w.until("tasks run", time.Second, func() bool { return w.checker.total() == 8 })
+		w.until("tasks run", time.Second, func() bool { return w.checker.Total() == 8 })
 		lost := w.notLeader()
 		lost.setCut(true)
 		began := time.Now()
 		w.until("the tasks run elsewhere", 8*time.Second, func() bool {
-			return w.checker.total() == 8 && lost.runs() == 0
+			return w.checker.Total() == 8 && lost.runs() == 0
 		})
 		is.True(time.Since(began) > 3500*time.Millisecond)
 		lost.setCut(false)
@@ -136,9 +138,9 @@
 		e := w.entry()
 		defer e.Close()
 		is.NoErr(w.submit(e, worldJob("a", 6)))
-		w.until("tasks run", time.Second, func() bool { return w.checker.total() == 6 })
+		w.until("tasks run", time.Second, func() bool { return w.checker.Total() == 6 })
 		w.notLeader().runner.Restart()
-		w.until("tasks run again", 1500*time.Millisecond, func() bool { return w.checker.total() == 6 })
+		w.until("tasks run again", 1500*time.Millisecond, func() bool { return w.checker.Total() == 6 })
 	})
 }
 
@@ -150,9 +152,9 @@
 		e := w.entry()
 		defer e.Close()
 		is.NoErr(w.submit(e, worldJob("a", 6)))
-		w.until("tasks run", time.Second, func() bool { return w.checker.total() == 6 })
+		w.until("tasks run", time.Second, func() bool { return w.checker.Total() == 6 })
 		w.notLeader().runner.Crash(false)
-		w.until("tasks run again", 1500*time.Millisecond, func() bool { return w.checker.total() == 6 })
+		w.until("tasks run again", 1500*time.Millisecond, func() bool { return w.checker.Total() == 6 })
 	})
 }
 
@@ -164,7 +166,7 @@
 		e := w.entry()
 		defer e.Close()
 		is.NoErr(w.submit(e, worldJob("a", 8)))
-		w.until("tasks run", time.Second, func() bool { return w.checker.total() == 8 })
+		w.until("tasks run", time.Second, func() bool { return w.checker.Total() == 8 })
 		killed := w.leader()
 		killed.kill()
 		w.until("another leads", time.Second, func() bool { return w.leader() != nil })
@@ -173,7 +175,7 @@
 		w.until("both completed", 12*time.Second, func() bool {
 			return w.phase(e, "a") == structs.JobCompleted && w.phase(e, "b") == structs.JobCompleted
 		})
-		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 1)
+		is.Equal(w.checker.StartsOf(structs.StepTaskID{Job: "a"}), 1)
 	})
 }
 
@@ -211,7 +213,7 @@
 				e := w.entry()
 				defer e.Close()
 				is.NoErr(w.submit(e, worldJob("a", 8)))
-				w.until("tasks run", time.Second, func() bool { return w.checker.total() == 8 })
+				w.until("tasks run", time.Second, func() bool { return w.checker.Total() == 8 })
 				old := w.leader()
 				old.store.Set(mode)
 				w.until("another leads", 5*time.Second, func() bool {
@@ -223,7 +225,7 @@
 					return false
 				})
 				time.Sleep(10 * time.Second)
-				is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 1) // nothing was restarted
+				is.Equal(w.checker.StartsOf(structs.StepTaskID{Job: "a"}), 1) // nothing was restarted
 				old.store.Set(standin.StoreServes)
 				time.Sleep(5 * time.Second)
 			})
@@ -239,17 +241,17 @@
 		e := w.entry()
 		defer e.Close()
 		is.NoErr(w.submit(e, worldJob("a", 8)))
-		w.until("tasks run", time.Second, func() bool { return w.checker.total() == 8 })
+		w.until("tasks run", time.Second, func() bool { return w.checker.Total() == 8 })
 		for _, h := range w.hosts {
 			h.store.Set(standin.StoreSilent)
 		}
 		time.Sleep(8 * time.Second)
-		is.Equal(w.checker.total(), 8)
+		is.Equal(w.checker.Total(), 8)
 		for _, h := range w.hosts {
 			h.store.Set(standin.StoreServes)
 		}
 		time.Sleep(3 * time.Second)
-		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 1)
+		is.Equal(w.checker.StartsOf(structs.StepTaskID{Job: "a"}), 1)
 	})
 }
 
@@ -306,7 +308,7 @@
 		is.NoErr(w.submit(e, worldJob("a", 4)))
 		w.until("completed", 6*time.Second, func() bool { return w.phase(e, "a") == structs.JobCompleted })
 		time.Sleep(2 * standin.LateStart)
-		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 1)
+		is.Equal(w.checker.StartsOf(structs.StepTaskID{Job: "a"}), 1)
 	})
 }
 
@@ -326,8 +328,8 @@
 		defer cancel()
 		is.NoErr(e.Cancel(ctx, "a", "q"))
 		time.Sleep(3 * standin.LateStart)
-		is.Equal(w.checker.total(), 0)
-		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 0)
+		is.Equal(w.checker.Total(), 0)
+		is.Equal(w.checker.StartsOf(structs.StepTaskID{Job: "a"}), 0)
 	})
 }
 
@@ -383,7 +385,7 @@
 		}
 		store.Set(standin.StoreServes)
 		time.Sleep(5 * time.Second)
-		is.Equal(w.checker.startsOf(structs.StepTaskID{Job: "a"}), 0)
+		is.Equal(w.checker.StartsOf(structs.StepTaskID{Job: "a"}), 0)
 	})
 }
 
@@ -400,3 +402,48 @@
 		w.until("completed", 8*time.Second, func() bool { return w.phase(e, "a") == structs.JobCompleted })
 	})
 }
+
+// Agents start again while the commit of an assignment has no answer. Their new
+// sessions don't order the start: it would run unknown to the next leader, which
+// gives the same number out again.
+func TestNothingStartsBeforeItsAssignmentIsStored(t *testing.T) {
+	play(t, 3, func(w *world) {
+		is := is.New(t)
+		w.ready()
+		e := w.entry()
+		defer e.Close()
+		is.NoErr(w.submit(e, worldJob("a", 1, 6)))
+		leader := w.leader()
+		for w.checker.EndsOf(substrate.RunEndDone) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		leader.store.Set(standin.StoreLate) // before the commit that follows the end is answered
+		time.Sleep(100 * time.Millisecond)
+		for _, h := range w.hosts {
+			if h != leader {
+				h.kill()
+				h.boot()
+			}
+		}
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(w.checker.StartsOfJob("a"), 1)
+		leader.store.Set(standin.StoreServes)
+		w.until("completed", 20*time.Second, func() bool { return w.phase(e, "a") == structs.JobCompleted })
+	})
+}
+
+// A runner restarts under its ID just before a start arrives, which the new
+// incarnation takes. The run goes on there instead of starting elsewhere too.
+func TestStartThatReachesTheNextIncarnationRunsOnce(t *testing.T) {
+	play(t, 3, func(w *world) {
+		is := is.New(t)
+		w.ready()
+		var once sync.Once
+		w.beforeStart = func(h *worldHost) { once.Do(h.runner.Restart) }
+		e := w.entry()
+		defer e.Close()
+		is.NoErr(w.submit(e, worldJob("a", 3)))
+		w.until("completed", 10*time.Second, func() bool { return w.phase(e, "a") == structs.JobCompleted })
+		is.Equal(w.checker.StartsOfJob("a"), 3)
+	})
+}
--- a/fleet/gang_test.go
+++ b/fleet/gang_test.go
@@ -18,8 +18,8 @@
 		defer e.Close()
 		is.NoErr(w.submit(e, gangJob("a", 2)))
 		w.until("completed", 4*time.Second, func() bool { return w.phase(e, "gang-a") == structs.JobCompleted })
-		is.Equal(w.checker.startsOfJob("gang-a"), 2*gangTasks)
-		is.Equal(w.checker.endsOf(substrate.RunEndAlone), 0)
+		is.Equal(w.checker.StartsOfJob("gang-a"), 2*gangTasks)
+		is.Equal(w.checker.EndsOf(substrate.RunEndAlone), 0)
 	})
 }
 
@@ -33,16 +33,16 @@
 		e := w.entry()
 		defer e.Close()
 		is.NoErr(w.submit(e, gangJob("a", 1)))
-		w.until("running", time.Second, func() bool { return w.checker.total() == gangTasks })
+		w.until("running", time.Second, func() bool { return w.checker.Total() == gangTasks })
 		for _, h := range w.hosts {
-			if w.checker.runsOn(string(h.name)) > 0 {
+			if w.checker.RunsOn(string(h.name)) > 0 {
 				h.runner.Crash(false)
 				break
 			}
 		}
 		w.until("completed", 8*time.Second, func() bool { return w.phase(e, "gang-a") == structs.JobCompleted })
-		is.Equal(w.checker.startsOfJob("gang-a"), 2*gangTasks)
-		is.Equal(w.checker.endsOf(substrate.RunEndAlone), 0)
+		is.Equal(w.checker.StartsOfJob("gang-a"), 2*gangTasks)
+		is.Equal(w.checker.EndsOf(substrate.RunEndAlone), 0)
 	})
 }
 
@@ -56,12 +56,12 @@
 		e := w.entry()
 		defer e.Close()
 		is.NoErr(w.submit(e, gangJob("a", 1)))
-		w.until("running", time.Second, func() bool { return w.checker.total() == gangTasks })
+		w.until("running", time.Second, func() bool { return w.checker.Total() == gangTasks })
 		leader := w.leader()
 		leader.kill()
 		leader.runner.Crash(false)
 		w.until("completed", 25*time.Second, func() bool { return w.phase(e, "gang-a") == structs.JobCompleted })
-		is.Equal(w.checker.endsOf(substrate.RunEndAlone), 0)
+		is.Equal(w.checker.EndsOf(substrate.RunEndAlone), 0)
 	})
 }
 
@@ -94,6 +94,6 @@
 		defer e.Close()
 		is.NoErr(w.submit(e, gangJob("a", 1)))
 		w.until("failed", 60*time.Second, func() bool { return w.phase(e, "gang-a") == structs.JobFailed })
-		is.Equal(w.checker.startsOfJob("gang-a"), int(worldQueue.MaxAttempts)*gangTasks)
+		is.Equal(w.checker.StartsOfJob("gang-a"), int(worldQueue.MaxAttempts)*gangTasks)
 	})
 }
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -97,11 +97,15 @@
 
 func (h *host) draining() bool { return h.current().Draining }
 
-// lose takes note that the incarnation has ended.
-func (h *host) lose(incarnation string) {
+// lose takes note that the incarnation has ended. If another one answered in
+// its place, that one may have taken a start that was meant for it, and only
+// its list tells: the leader is not told that the runs are over.
+func (h *host) lose(incarnation string, replaced bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ended = incarnation
+	if !replaced {
+		h.ended = incarnation
+	}
 	if h.info.Incarnation == incarnation {
 		h.gone = true
 	}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -120,7 +120,7 @@
 		}
 		w.Tasks(func(id structs.StepTaskID, t *workflow.Task) {
 			if t.State == workflow.Assigned {
-				l.worker(t.Worker).assign(structs.TaskRun{Task: id, Number: t.Run}, t.Incarnation, j)
+				l.worker(t.Worker).assign(structs.TaskRun{Task: id, Number: t.Run}, t.Incarnation, j).stored = true
 			}
 		})
 	}
--- a/fleet/random_test.go
+++ b/fleet/random_test.go
@@ -149,17 +149,15 @@
 		}
 	}
 	for id := range h.refused {
-		if n := h.w.checker.startsOfJob(structs.JobID(id)); n > 0 {
+		if n := h.w.checker.StartsOfJob(structs.JobID(id)); n > 0 {
 			t.Errorf("%s was refused and started %d tasks", id, n)
 		}
 	}
-	for _, fault := range h.w.checker.found() {
+	for _, fault := range h.w.checker.Found() {
 		t.Error(fault)
 		task, _, _ := strings.Cut(fault, "#")
-		for _, line := range h.w.checker.log {
-			if strings.Contains(line, task) {
-				t.Log(line)
-			}
+		for _, line := range h.w.checker.Log(task) {
+			t.Log(line)
 		}
 	}
 	if t.Failed() {
@@ -216,18 +214,18 @@
 	is := is.New(t)
 	run := structs.TaskRun{Task: structs.StepTaskID{Job: "a"}, Number: 1}
 	again := structs.TaskRun{Task: run.Task, Number: 2}
-	c := newChecker(taskCPU)
+	c := standin.NewRunChecker(taskCPU, taskCPU)
 	c.Started("w1", run)
 	c.Started("w2", again) // beside the first
-	is.Equal(len(c.found()), 1)
-	c = newChecker(taskCPU)
+	is.Equal(len(c.Found()), 1)
+	c = standin.NewRunChecker(taskCPU, taskCPU)
 	c.Started("w1", run)
 	c.Ended("w1", run, substrate.RunEndDone)
 	c.Acknowledged("w1", run, substrate.RunEndDone)
 	c.Started("w1", again) // after it was done
-	is.Equal(len(c.found()), 1)
-	c = newChecker(taskCPU)
+	is.Equal(len(c.Found()), 1)
+	c = standin.NewRunChecker(taskCPU, taskCPU)
 	c.Started("w1", run)
 	c.Started("w1", structs.TaskRun{Task: structs.StepTaskID{Job: "b"}, Number: 1}) // over the capacity
-	is.Equal(len(c.found()), 1)
+	is.Equal(len(c.Found()), 1)
 }
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -154,7 +154,8 @@
 	for _, a := range r.GetActive() {
 		id := runFromProto(a.GetRun())
 		listed[id] = true
-		if known := w.runs[id]; known != nil && known.incarnation == w.incarnation {
+		if known := w.runs[id]; known != nil {
+			known.incarnation = w.incarnation
 			known.observe(a, now)
 			if reason := known.job.Obsolete(id); reason != "" {
 				l.stop(w, known, reason)
@@ -168,7 +169,11 @@
 		listed[runFromProto(p)] = true
 	}
 	for _, known := range w.sortedRuns() {
-		if known.incarnation != w.incarnation || listed[known.run] {
+		if listed[known.run] {
+			continue
+		}
+		if known.incarnation != w.incarnation {
+			l.release(w, known, "runner restarted", "")
 			continue
 		}
 		l.missing(w, known, r.GetOrdersSeen())
@@ -179,6 +184,9 @@
 // has ended.
 func (l *leader) missing(w *worker, known *run, ordersSeen int64) {
 	switch {
+	case !known.stored:
+		// It is ordered once it is stored. Ordered now, it would run unknown to
+		// a next leader if the commit is lost.
 	case !w.ready:
 		// From before the session, whose fencing token makes sure that it no
 		// longer starts by itself.
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -133,7 +133,10 @@
 	}
 	j.placedAt = l.o.Clock()
 	r := w.assign(id, w.incarnation, j)
-	l.touch(j, func() { l.orderStart(w, r) }, nil)
+	l.touch(j, func() {
+		r.stored = true
+		l.orderStart(w, r)
+	}, nil)
 }
 
 // orderStart tells the worker to start an assigned run, if it still should.
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -52,6 +52,7 @@
 	run         structs.TaskRun
 	incarnation string
 	job         *job
+	stored      bool  // the assignment is in the store; before, the run must not start
 	ordered     int64 // number of the orders that carried the start, 0 before
 	stopping    string
 	stoppedAt   bootclock.Time // when the stop was last sent
@@ -93,7 +94,8 @@
 }
 
 // attach makes the session the worker's current one. Runs of an earlier
-// incarnation of the runner are over.
+// incarnation of the runner are over, but for one whose start reached the next
+// incarnation: runners may keep their ID. The first list tells.
 func (l *leader) attach(s *session, hello *fleetpb.Hello) *worker {
 	w := l.worker(structs.WorkerID(hello.GetWorker()))
 	if w.session != nil {
@@ -125,7 +127,7 @@
 			continue
 		case w.incarnation == "":
 			continue
-		case r.incarnation != w.incarnation:
+		case r.incarnation != w.incarnation && !r.stored:
 			l.release(w, r, "runner restarted", "")
 			continue
 		}
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -29,10 +29,12 @@
 	store   *standin.PartStore
 	timing  Timing
 	start   time.Time
-	checker *checker
+	checker *standin.RunChecker
 	config  *fixedConfig
 	runTime func(structs.TaskRun) time.Duration
 	gangs   *standin.Gangs
+	// beforeStart is called before each start reaches the runner; nil for nothing.
+	beforeStart func(h *worldHost)
 
 	hosts []*worldHost
 }
@@ -79,6 +81,9 @@
 
 var worldQueue = structs.Queue{ID: "q", Pool: "pool", MaxAttempts: 3, Stretch: 2}
 
+// taskCPU is what each task of a world asks for.
+const taskCPU = 500
+
 var worldCapacity = structs.Resources{MilliCPU: 4000, MemoryMB: 8000}
 
 func newWorld(t *testing.T, hosts int) *world {
@@ -87,7 +92,7 @@
 		config:  &fixedConfig{changed: make(chan struct{})},
 		runTime: func(structs.TaskRun) time.Duration { return time.Second },
 	}
-	w.checker = newChecker(worldCapacity.MilliCPU)
+	w.checker = standin.NewRunChecker(worldCapacity.MilliCPU, taskCPU)
 	w.gangs = standin.NewGangs(gangWait, gangSize)
 	for i := range hosts {
 		name := structs.WorkerID(fmt.Sprintf("host-%d", i))
@@ -97,7 +102,7 @@
 			Info: substrate.RunnerInfo{
 				ID: string(name), Pool: "pool", FailureDomain: domain, Capacity: worldCapacity, Address: string(name),
 			},
-			HoldMax: w.timing.HoldMax, Observer: w.checker, Gangs: w.gangs,
+			HoldMax: w.timing.HoldMax, Observer: w.checker, Gangs: w.gangs, KeepsID: true,
 			RunTime: func(r structs.TaskRun) time.Duration { return w.runTime(r) },
 		})
 		w.hosts = append(w.hosts, h)
@@ -175,12 +180,26 @@
 	}
 }
 
+// watchedRunner is the client of a host's runner.
+type watchedRunner struct {
+	substrate.Runner
+	h *worldHost
+}
+
+// Start implements substrate.Runner.
+func (r *watchedRunner) Start(ctx context.Context, fence int64, start substrate.TaskStart, lease substrate.RuntimeClock) (substrate.RuntimeClock, error) {
+	if r.h.w.beforeStart != nil {
+		r.h.w.beforeStart(r.h)
+	}
+	return r.Runner.Start(ctx, fence, start, lease)
+}
+
 // boot starts the agent's process.
 func (h *worldHost) boot() {
 	node, err := NewNode(Options{
 		Worker: h.name, FailureDomain: h.domain, Address: string(h.name), Store: h.store,
 		Runner: func(info substrate.RunnerInfo) substrate.Runner {
-			return h.runner.Client(info.Incarnation)
+			return &watchedRunner{Runner: h.runner.Client(info.Incarnation), h: h}
 		},
 		Config: func() (ConfigSource, func()) { return h.w.config, func() {} },
 		Dial:   h.w.dial(h), Clock: h.w.clock, Wall: time.Now, Timing: h.w.timing, Log: testLog,
@@ -314,7 +333,7 @@
 func worldJob(id string, widths ...int32) *structs.StepJob {
 	j := &structs.StepJob{ID: structs.JobID(id), Queue: "q", Payload: "work"}
 	for i, n := range widths {
-		step := structs.Step{Tasks: n, Resources: structs.Resources{MilliCPU: 500, MemoryMB: 100}}
+		step := structs.Step{Tasks: n, Resources: structs.Resources{MilliCPU: taskCPU, MemoryMB: 100}}
 		if i > 0 {
 			step.After = []int32{int32(i - 1)}
 		}
@@ -384,16 +403,12 @@
 
 // runs returns the number of runs on the host.
 func (h *worldHost) runs() int {
-	h.w.checker.mu.Lock()
-	defer h.w.checker.mu.Unlock()
-	return h.w.checker.loads[string(h.name)]
+	return h.w.checker.RunsOn(string(h.name))
 }
 
 // startsOf returns how often a task of the first step started on the host.
 func (h *worldHost) startsOf(job structs.JobID, index int32) int {
-	h.w.checker.mu.Lock()
-	defer h.w.checker.mu.Unlock()
-	return h.w.checker.startsOn[hostTask{string(h.name), structs.StepTaskID{Job: job, Index: index}}]
+	return h.w.checker.StartsOn(string(h.name), structs.StepTaskID{Job: job, Index: index})
 }
 
 // testLog shows the nodes' lines when FLEET_LOG is set.
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
 )
@@ -51,7 +50,7 @@
 const pageRows = 500
 
 // Store serves the metadata store to one host.
-func Store(client *standin.PartStoreClient) http.Handler {
+func Store(client substrate.PartStore) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/rows-tx", func(w http.ResponseWriter, r *http.Request) { commit(w, r, client) })
 	mux.HandleFunc("GET /v1/rows-get", func(w http.ResponseWriter, r *http.Request) { list(w, r, client) })
@@ -59,7 +58,7 @@
 	return mux
 }
 
-func commit(w http.ResponseWriter, r *http.Request, client *standin.PartStoreClient) {
+func commit(w http.ResponseWriter, r *http.Request, client substrate.PartStore) {
 	var t txn
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -84,7 +83,7 @@
 	finish(w, answer{Version: version}, err)
 }
 
-func list(w http.ResponseWriter, r *http.Request, client *standin.PartStoreClient) {
+func list(w http.ResponseWriter, r *http.Request, client substrate.PartStore) {
 	query := r.URL.Query()
 	rows, version, err := client.Rows(r.Context(), query.Get("table"), query.Get("part"))
 	limit := pageRows
@@ -105,7 +104,7 @@
 	finish(w, a, err)
 }
 
-func feed(w http.ResponseWriter, r *http.Request, client *standin.PartStoreClient) {
+func feed(w http.ResponseWriter, r *http.Request, client substrate.PartStore) {
 	query := r.URL.Query()
 	after, err := strconv.ParseInt(query.Get("after"), 10, 64)
 	if err != nil {
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -28,7 +30,11 @@
 	HoldMax  time.Duration        // longest lease
 	RunTime  func(structs.TaskRun) time.Duration
 	Observer RunObserver
-	Gangs    *Gangs // shared by all runners; nil without gangs
+	Gangs    *Gangs        // shared by all runners; nil without gangs
+	Permits  *PermitIssuer // without whose permit nothing starts; nil where none is needed
+	// KeepsID makes each incarnation take starts that are meant for an earlier
+	// one, since it has the same ID. The answers tell of the new incarnation.
+	KeepsID bool
 }
 
 // LateStart is when a start that went without an answer is carried out.
@@ -329,7 +335,15 @@
 
 // Start implements substrate.Runner.
 func (c *TaskRunnerClient) Start(ctx context.Context, fence int64, start substrate.TaskStart, lease substrate.RuntimeClock) (substrate.RuntimeClock, error) {
-	if err := c.r.enter(ctx, c.incarnation, fence); err != nil {
+	err := c.r.enter(ctx, c.incarnation, fence)
+	var other *substrate.IncarnationError
+	if errors.As(err, &other) && c.r.o.KeepsID {
+		c.r.mu.Lock()
+		defer c.r.mu.Unlock()
+		_ = c.r.begin(start, lease) // a refusal is not what the answer tells
+		return 0, err
+	}
+	if err != nil {
 		return 0, err
 	}
 	c.r.mu.Lock()
@@ -409,7 +423,7 @@
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	if c.r.down || c.r.dark || c.incarnation != c.r.info.Incarnation {
-		return substrate.RunnerState{}, &structs.UnknownOutcomeError{Operation: "hold", Err: &substrate.IncarnationError{Want: c.incarnation}}
+		return substrate.RunnerState{}, &structs.UnknownOutcomeError{Operation: "hold", Err: io.ErrUnexpectedEOF} // the connection broke
 	}
 	return c.r.state(), nil
 }
