Permits: steps of some queues run only where a service allows it

Cause: queues may have a policy by which a service decides on which runners a step may run. Nothing asked it, so that every start there would be refused. Change: the leader asks for the best fitting workers of a step, at most 30 in a call and two calls at once, the most urgent step first; permitted workers are all that placing sees. A permit is kept by step and incarnation, ends 0.5 s before the service says, and is dropped when its start was not taken. It is not stored: a next leader asks again. Translation in platform/permits.go; stand-in standin.PermitIssuer with its handler. Ruled out: asking for all workers at once; the objective of a job allows for one call on 30 runners.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -166,7 +166,8 @@
 			go func() { _ = operator.Run(following) }()
 			return operator, stop
 		},
-		Timing: fleet.Timing{HoldMax: boot.LeaseMax}, Log: log, Meters: b.telemetry.Meters,
+		Permits: permitSource(boot),
+		Timing:  fleet.Timing{HoldMax: boot.LeaseMax}, Log: log, Meters: b.telemetry.Meters,
 	})
 	if err != nil {
 		return err
@@ -192,6 +193,15 @@
 	return b.run(ctx)
 }
 
+// permitSource returns the platform's service for permits, nil where there is
+// none.
+func permitSource(boot platform.Boot) substrate.PermitSource {
+	if boot.PermitAddress == "" {
+		return nil
+	}
+	return platform.NewPermits(boot.PermitAddress)
+}
+
 // abrupt is a gRPC server that cuts its streams at a stop; they have no end of
 // their own.
 type abrupt struct{ *grpcServer }
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -35,6 +35,7 @@
 	stops  map[string]context.CancelFunc
 	boots  map[string]platform.Boot
 	group  *errgroup.Group
+	issuer *standin.PermitIssuer
 }
 
 func freeAddress(t *testing.T) string {
@@ -63,10 +64,15 @@
 		t: t, store: store, client: store.Client(), front: freeAddress(t), ready: freeAddress(t),
 		stops: map[string]context.CancelFunc{}, boots: map[string]platform.Boot{}, group: &errgroup.Group{},
 	}
+	// Steps may run on one host only, where permits are asked for.
+	s.issuer = standin.NewPermitIssuer(structs.PermitPolicy{Valid: 3 * time.Second}, func(_ structs.StepID, runner string) bool { return runner == "i-side-1" })
+	permits := freeAddress(t)
+	serveHTTP(t, permits, site.Permits(s.issuer))
 	storeAddress := freeAddress(t)
 	serveHTTP(t, storeAddress, site.Store(s.client))
 	_, err := store.Commit(substrate.PartTxn{Puts: []substrate.PartRow{{Table: "op", Key: "config", Value: []byte(
-		`{"version":3,"routes":[{"name":"q","host":"h","path_prefix":"/jobs/","service":"pool","max_attempts":3,"stretch":2}]}`)}}})
+		`{"version":3,"routes":[{"name":"q","host":"h","path_prefix":"/jobs/","service":"pool","max_attempts":3,"stretch":2},` +
+			`{"name":"p","host":"h","path_prefix":"/permitted/","service":"pool","max_attempts":3,"stretch":2,"advice":{"decide_ms":5,"each_ms":1,"valid_ms":3000}}]}`)}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +82,7 @@
 			t.Fatal(err)
 		}
 		return platform.Boot{
-			Host: name, Class: class, IP: "127.0.0.1", FailureDomain: "north", StoreAddress: storeAddress, RowBytes: 65536,
+			Host: name, Class: class, IP: "127.0.0.1", FailureDomain: "north", StoreAddress: storeAddress, PermitAddress: permits, RowBytes: 65536,
 			LeaseMax: 10 * time.Second, Grace: 6 * time.Second, PeerPorts: platform.PortRange{First: port, Last: port + 1},
 		}
 	}
@@ -177,6 +183,10 @@
 	is.Equal(status, 404)
 	s.eventually(200, `{"waiting":0}`, "GET", "/jobs/", "")
 
+	s.eventually(200, "", "POST", "/permitted/5c0e7a21d94b36fb", twoStepJob)
+	s.eventually(200, "completed", "GET", "/permitted/5c0e7a21d94b36fb", "")
+	is.True(s.issuer.Asked() > 0)
+
 	leader := s.leader()
 	s.stops[leader]()
 	s.eventually(200, "", "POST", "/jobs/5c0e7a21d94b36f9", twoStepJob)
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -63,6 +63,7 @@
 	sessions     int64
 	steppedAt    bootclock.Time // when the other nodes were last asked to take over
 	interference *steps.Interference
+	permits      *permits
 
 	learned   string         // what was learned, as it was last written
 	learnedAt bootclock.Time // when that was looked at
@@ -103,6 +104,7 @@
 		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{},
 		leaving:      make(chan struct{}),
 		interference: steps.NewInterference(),
+		permits:      newPermits(),
 	}
 }
 
@@ -246,7 +248,7 @@
 // flush plans, commits what has changed and sends the orders that are due.
 func (l *leader) flush(ctx context.Context) {
 	if !l.inFlight {
-		l.schedule()
+		l.schedule(ctx)
 		if len(l.dirty) > 0 || l.o.Clock().Sub(l.began) >= l.o.Timing.Renew {
 			l.commit(ctx)
 		}
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -36,13 +36,14 @@
 	Runner func(substrate.RunnerInfo) substrate.Runner
 	// Config starts following the configuration until stop is called. Only a
 	// leader follows it.
-	Config func() (source ConfigSource, stop func())
-	Dial   Dial             // nil for TCP
-	Clock  bootclock.Clock  // nil for the system's
-	Wall   func() time.Time // nil for the system's; only for scheduled rounds
-	Timing Timing           // zero fields get defaults
-	Log    *zap.Logger
-	Meters metric.MeterProvider
+	Config  func() (source ConfigSource, stop func())
+	Permits substrate.PermitSource // nil where no queue needs permits
+	Dial    Dial                   // nil for TCP
+	Clock   bootclock.Clock        // nil for the system's
+	Wall    func() time.Time       // nil for the system's; only for scheduled rounds
+	Timing  Timing                 // zero fields get defaults
+	Log     *zap.Logger
+	Meters  metric.MeterProvider
 }
 
 // Timing holds the durations of a fleet. Every node must use the same values.
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -27,7 +27,7 @@
 	call, cancel := context.WithCancel(ctx)
 	op := &startOp{cancel: cancel, settled: -1}
 	a.starting[r] = op
-	start := substrate.TaskStart{Run: r, Payload: s.GetPayload(), Checkpoint: s.GetCheckpoint()}
+	start := substrate.TaskStart{Run: r, Payload: s.GetPayload(), Checkpoint: s.GetCheckpoint(), Permit: s.GetPermit()}
 	begun := a.h.o.Clock()
 	go func() {
 		defer cancel()
--- a/fleet/random_test.go
+++ b/fleet/random_test.go
@@ -182,7 +182,13 @@
 
 func playHistory(t *testing.T, seed uint64) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 4)
+		var issuer *standin.PermitIssuer
+		if seed%4 == 3 {
+			issuer = standin.NewPermitIssuer(permitPolicy, func(step structs.StepID, runner string) bool {
+				return step.Step%2 == 0 || runner != "host-0"
+			})
+		}
+		w := newWorldWith(t, 4, issuer)
 		defer w.close()
 		w.ready()
 		h := &history{
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -192,6 +192,7 @@
 		// longer starts by itself.
 		l.orderAgain(w, known)
 	case known.ordered > 0 && known.ordered <= ordersSeen:
+		l.permits.drop(known.run.Task.StepID(), w)
 		l.release(w, known, "not started", "")
 	}
 }
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -25,7 +26,7 @@
 
 // schedule assigns pending tasks to workers. What it assigns is ordered once
 // the commit that follows is stored.
-func (l *leader) schedule() {
+func (l *leader) schedule(ctx context.Context) {
 	l.order = slices.DeleteFunc(l.order, func(j *job) bool { return j.Over() })
 	demands := l.demands()
 	if len(demands) == 0 {
@@ -35,6 +36,7 @@
 	if len(views) == 0 {
 		return
 	}
+	l.askPermits(ctx, views, demands)
 	for _, p := range steps.Plan(views, demands, l.interference) {
 		l.start(p)
 	}
@@ -148,6 +150,11 @@
 		l.release(w, r, "not started", "")
 		return
 	}
+	permit, permitted := l.permitFor(w, r)
+	if !permitted {
+		l.release(w, r, "no permit", "")
+		return
+	}
 	step := r.job.Step(r.run.Task)
 	checkpoint := r.job.Task(r.run.Task).Checkpoint
 	l.log.Info("start", zap.Stringer("run", r.run), zap.String("worker", string(w.id)), zap.String("domain", string(w.domain)),
@@ -155,7 +162,7 @@
 	l.metrics.count(l.metrics.starts, string(r.job.Spec.Queue))
 	w.outbox.starts = append(w.outbox.starts, &fleetpb.Start{
 		Run: runToProto(r.run), Payload: r.job.Spec.Payload, Checkpoint: checkpoint,
-		Fills: step.Fills, LatencyTargetMs: step.LatencyTarget.Milliseconds(),
+		Fills: step.Fills, LatencyTargetMs: step.LatencyTarget.Milliseconds(), Permit: permit,
 	})
 	r.ordered = pendingOrder
 }
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -19,6 +19,7 @@
 	session *session // nil while no agent attends for it
 
 	incarnation string
+	runner      string // its ID
 	domain      structs.FailureDomainID
 	rack        string
 	pool        structs.PoolID
@@ -112,6 +113,7 @@
 	w.reportedAt = l.o.Clock()
 	w.attachedAt = w.reportedAt
 	w.domain = structs.FailureDomainID(hello.GetFailureDomain())
+	w.runner = hello.GetRunner()
 	w.rack, w.pool, w.labels = hello.GetRack(), structs.PoolID(hello.GetPool()), hello.GetLabels()
 	w.capacity = structs.Resources{MilliCPU: hello.GetMilliCpu(), MemoryMB: hello.GetMemoryMb(), Accelerators: hello.GetAccelerators()}
 	if w.incarnation != hello.GetIncarnation() {
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -33,6 +33,7 @@
 	config  *fixedConfig
 	runTime func(structs.TaskRun) time.Duration
 	gangs   *standin.Gangs
+	permits *standin.PermitIssuer // nil for queues without a policy
 	// beforeStart is called before each start reaches the runner; nil for nothing.
 	beforeStart func(h *worldHost)
 
@@ -57,6 +58,7 @@
 
 // fixedConfig is the operators' configuration in a world.
 type fixedConfig struct {
+	queue   structs.Queue
 	mu      sync.Mutex
 	drained map[structs.FailureDomainID]struct{}
 	changed chan struct{}
@@ -65,7 +67,7 @@
 func (c *fixedConfig) Current() (*structs.FleetConfig, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &structs.FleetConfig{Version: 1, Queues: map[structs.QueueID]structs.Queue{"q": worldQueue}, Drained: c.drained}, 0
+	return &structs.FleetConfig{Version: 1, Queues: map[structs.QueueID]structs.Queue{"q": c.queue}, Drained: c.drained}, 0
 }
 
 func (c *fixedConfig) Changed() <-chan struct{} { return c.changed }
@@ -86,12 +88,18 @@
 
 var worldCapacity = structs.Resources{MilliCPU: 4000, MemoryMB: 8000}
 
-func newWorld(t *testing.T, hosts int) *world {
+func newWorld(t *testing.T, hosts int) *world { return newWorldWith(t, hosts, nil) }
+
+// newWorldWith returns a world whose queue needs permits, unless nil.
+func newWorldWith(t *testing.T, hosts int, permits *standin.PermitIssuer) *world {
 	w := &world{
 		t: t, store: standin.NewPartStore(), start: time.Now(), timing: Timing{HoldMax: 10 * time.Second}.withDefaults(),
-		config:  &fixedConfig{changed: make(chan struct{})},
+		config: &fixedConfig{changed: make(chan struct{}), queue: worldQueue}, permits: permits,
 		runTime: func(structs.TaskRun) time.Duration { return time.Second },
 	}
+	if permits != nil {
+		w.config.queue.Permits = permits.Policy
+	}
 	w.checker = standin.NewRunChecker(worldCapacity.MilliCPU, taskCPU)
 	w.gangs = standin.NewGangs(gangWait, gangSize)
 	for i := range hosts {
@@ -102,7 +110,7 @@
 			Info: substrate.RunnerInfo{
 				ID: string(name), Pool: "pool", FailureDomain: domain, Capacity: worldCapacity, Address: string(name),
 			},
-			HoldMax: w.timing.HoldMax, Observer: w.checker, Gangs: w.gangs, KeepsID: true,
+			HoldMax: w.timing.HoldMax, Observer: w.checker, Gangs: w.gangs, Permits: permits, KeepsID: true,
 			RunTime: func(r structs.TaskRun) time.Duration { return w.runTime(r) },
 		})
 		w.hosts = append(w.hosts, h)
@@ -196,8 +204,13 @@
 
 // boot starts the agent's process.
 func (h *worldHost) boot() {
+	var permits substrate.PermitSource
+	if h.w.permits != nil {
+		permits = h.w.permits
+	}
 	node, err := NewNode(Options{
-		Worker: h.name, FailureDomain: h.domain, Address: string(h.name), Store: h.store,
+		Permits: permits,
+		Worker:  h.name, FailureDomain: h.domain, Address: string(h.name), Store: h.store,
 		Runner: func(info substrate.RunnerInfo) substrate.Runner {
 			return &watchedRunner{Runner: h.runner.Client(info.Incarnation), h: h}
 		},
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -57,6 +57,8 @@
 	Tasks    []int32
 	// Placed counts the tasks of the step on each worker.
 	Placed map[structs.WorkerID]int32
+	// Permitted holds the workers that may run the step; nil where any may.
+	Permitted map[structs.WorkerID]bool
 	// Avoid holds the workers on which a task failed before.
 	Avoid map[int32][]structs.WorkerID
 	// Waited is how long the job has had no placement. The longer, the more
@@ -94,13 +96,37 @@
 	}
 }
 
+// Sort orders demands by urgency.
+func Sort(demands []Demand) {
+	slices.SortStableFunc(demands, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareSlack(a.Slack, b.Slack))
+	})
+}
+
+// Candidates returns at most so many workers on which the demand fits now, the
+// best first, whether they are permitted or not.
+func Candidates(workers []*Worker, d Demand, interference *Interference, most int) []structs.WorkerID {
+	d.Permitted, d.interference = nil, interference
+	scores := map[structs.WorkerID]float64{}
+	var fitting []structs.WorkerID
+	for _, w := range workers {
+		if !d.feasible(w) {
+			continue
+		}
+		if score, ok := d.score(w, d.Tasks[0]); ok {
+			scores[w.ID] = score
+			fitting = append(fitting, w.ID)
+		}
+	}
+	slices.SortStableFunc(fitting, func(a, b structs.WorkerID) int { return cmp.Compare(scores[b], scores[a]) })
+	return fitting[:min(most, len(fitting))]
+}
+
 // Plan places as many pending tasks as fit. More urgent demands go first, and
 // within a priority those with the least slack. A demand that does not fit does
 // not hold up later ones. It changes the workers' reservations.
 func Plan(workers []*Worker, demands []Demand, interference *Interference) []Placement {
-	slices.SortStableFunc(demands, func(a, b Demand) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareSlack(a.Slack, b.Slack))
-	})
+	Sort(demands)
 	var placements []Placement
 	for i := range demands {
 		demands[i].interference = interference
@@ -232,7 +258,7 @@
 }
 
 func (d *Demand) feasible(w *Worker) bool {
-	if w.Pool != d.Pool || w.Distrust >= 1 {
+	if w.Pool != d.Pool || w.Distrust >= 1 || d.Permitted != nil && !d.Permitted[w.ID] {
 		return false
 	}
 	if d.Spec.Label != "" && !slices.Contains(w.Labels, d.Spec.Label) {
--- a/placement/steps/steps_test.go
+++ b/placement/steps/steps_test.go
@@ -277,3 +277,28 @@
 		is.True(p.Worker < "w3") // of the first rack
 	}
 }
+
+func TestOnlyPermittedWorkersAreUsed(t *testing.T) {
+	is := is.New(t)
+	d := demand("p", 4, structs.Step{Resources: structs.Resources{MilliCPU: 1000}})
+	d.Permitted = map[structs.WorkerID]bool{"w2": true}
+	plan := Plan(workers(4), []Demand{d}, NewInterference())
+	is.Equal(len(plan), 4)
+	for _, p := range plan {
+		is.Equal(p.Worker, structs.WorkerID("w2"))
+	}
+	d.Permitted = map[structs.WorkerID]bool{}
+	is.Equal(len(Plan(workers(4), []Demand{d}, NewInterference())), 0)
+}
+
+func TestCandidatesAreTheFittingWorkersBestFirst(t *testing.T) {
+	is := is.New(t)
+	list := workers(4)
+	list[0].Reserved.MilliCPU = 16000 // full
+	list[1].Reserved.MilliCPU = 8000
+	list[2].Reserved.MilliCPU = 4000
+	d := demand("p", 2, structs.Step{Resources: structs.Resources{MilliCPU: 1000}})
+	d.Permitted = map[structs.WorkerID]bool{} // does not count
+	is.Equal(Candidates(list, d, NewInterference(), 2), []structs.WorkerID{"w3", "w2"})
+	is.Equal(Candidates(list, d, NewInterference(), 9), []structs.WorkerID{"w3", "w2", "w1"})
+}
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -23,6 +23,7 @@
 	ExpiresMS  int64  `json:"expires_ms"`
 	Fence      int64  `json:"fence_token"`
 	Checkpoint string `json:"checkpoint"`
+	Permit     string `json:"ticket"`
 	LastSeen   int64  `json:"last_seen"`
 	WaitMS     int64  `json:"wait_ms"`
 	Percent    int    `json:"percent"`
@@ -81,7 +82,7 @@
 		if err != nil {
 			return err
 		}
-		start := substrate.TaskStart{Run: run, Payload: c.Payload, Checkpoint: c.Checkpoint}
+		start := substrate.TaskStart{Run: run, Payload: c.Payload, Checkpoint: c.Checkpoint, Permit: c.Permit}
 		_, err = client.Start(ctx, c.Fence, start, clockOf(c.ExpiresMS))
 		return err
 	})
@@ -123,6 +124,7 @@
 // reasons are the platform's words for refusals.
 var reasons = map[substrate.StartRefusal]string{
 	substrate.RefusalFenced: "fence", substrate.RefusalOld: "old", substrate.RefusalLate: "late", substrate.RefusalRoom: "room",
+	substrate.RefusalTicket: "ticket",
 }
 
 func finishRunner(w http.ResponseWriter, a runnerAnswer, err error) {
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -290,6 +290,10 @@
 		r.extend(lease)
 		return &substrate.StartRefusedError{Refusal: substrate.RefusalOld}
 	}
+	if p := r.o.Permits; p != nil && !p.holds(start.Permit, id.Task.StepID(), r.info.ID) {
+		r.extend(lease)
+		return &substrate.StartRefusedError{Refusal: substrate.RefusalTicket}
+	}
 	if r.clock() >= lease {
 		return &substrate.StartRefusedError{Refusal: substrate.RefusalLate}
 	}
--- a/structs/steps.go
+++ b/structs/steps.go
@@ -76,6 +76,19 @@
 	Index int32
 }
 
+// StepID names a step of a round of a job.
+type StepID struct {
+	Job   JobID
+	Round int32
+	Step  int32
+}
+
+// String returns the form "job/round/step".
+func (s StepID) String() string { return fmt.Sprintf("%s/%d/%d", s.Job, s.Round, s.Step) }
+
+// StepID returns the step of the task.
+func (t StepTaskID) StepID() StepID { return StepID{Job: t.Job, Round: t.Round, Step: t.Step} }
+
 // String returns the form "job/round/step/index".
 func (t StepTaskID) String() string {
 	return fmt.Sprintf("%s/%d/%d/%d", t.Job, t.Round, t.Step, t.Index)
@@ -115,8 +128,20 @@
 	MaxAttempts int32         // failed runs after which a task, and its job, has failed
 	Stretch     float64       // objective: this many times the longest chain of work ...
 	Aim         time.Duration // ... and this much more
+	Permits     PermitPolicy
 }
 
+// PermitPolicy tells that a step of the queue may run only on workers for which
+// a permit was given. The zero value asks for none.
+type PermitPolicy struct {
+	Decide    time.Duration `json:"decide,omitempty"`     // one call takes this long ...
+	PerWorker time.Duration `json:"per_worker,omitempty"` // ... and this much more for each worker
+	Valid     time.Duration `json:"valid,omitempty"`      // of a permit, 0 without a policy
+}
+
+// Required reports whether steps need a permit.
+func (p PermitPolicy) Required() bool { return p.Valid > 0 }
+
 // FleetConfig is what operators have set for the workers and queues of a
 // deployment. It is never changed once published.
 type FleetConfig struct {
--- a/substrate/runner.go
+++ b/substrate/runner.go
@@ -28,6 +28,7 @@
 	Run        structs.TaskRun
 	Payload    string
 	Checkpoint string // progress to resume from, may be empty
+	Permit     string // to run the step on this runner, empty where none is needed
 }
 
 // ActiveRun is a run that a runner works on.
