Runs that are far slower than their step start elsewhere

Cause: a task on a worker that has turned slow makes its whole job late, and the worker got more tasks all the same: only what failed or stood still counted. Change: runs of a step are compared by the share of their work done in a second; one under 0.3 of the median is stopped if it would be done earlier elsewhere, and its worker is left alone for a while (steps.Stragglers, pure). Gangs, runs that were paced and runs away from their input are not compared. Before and after: in TestTasksOnASlowWorkerRunElsewhere 12 tasks of 1 s, some on a worker that is 8 times slower, take less than 2.6 s; without the comparison the test fails.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -447,3 +447,21 @@
 		is.Equal(w.checker.StartsOfJob("a"), 3)
 	})
 }
+
+// A worker turns eight times slower. A job of tasks of a second each, of which it
+// gets some, is done in little more than twice its time.
+func TestTasksOnASlowWorkerRunElsewhere(t *testing.T) {
+	play(t, 4, func(w *world) {
+		is := is.New(t)
+		w.ready()
+		slow := w.hosts[1]
+		slow.runner.SetSlow(8)
+		e := w.entry()
+		defer e.Close()
+		is.NoErr(w.submit(e, worldJob("a", 12)))
+		w.until("completed", 2600*time.Millisecond, func() bool { return w.phase(e, "a") == structs.JobCompleted })
+		is.NoErr(w.submit(e, worldJob("b", 8)))
+		w.until("completed", 1500*time.Millisecond, func() bool { return w.phase(e, "b") == structs.JobCompleted })
+		is.Equal(slow.runs(), 0) // it was left alone
+	})
+}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -68,6 +68,8 @@
 	learned   string         // what was learned, as it was last written
 	learnedAt bootclock.Time // when that was looked at
 
+	comparedAt bootclock.Time // when the runs of each step were last compared
+
 	leaveOnce sync.Once
 	leaving   chan struct{} // closed when the process stops
 }
@@ -386,6 +388,7 @@
 	for _, w := range l.workers {
 		l.watchWorker(w, now)
 	}
+	l.watchStragglers(now)
 }
 
 // stepDown asks the attending nodes to take over. The leader goes on until one
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -210,8 +210,9 @@
 // observe takes in what the runner says about a run.
 func (r *run) observe(a *fleetpb.Active, now bootclock.Time) {
 	if r.startedAt == 0 {
-		r.startedAt, r.progressAt = now, now
+		r.startedAt, r.progressAt, r.startedWith = now, now, a.GetPercent()
 	}
+	r.paced = r.paced || a.GetPace() < fullPace
 	if a.GetPercent() != r.percent || a.GetCheckpoint() != r.checkpoint {
 		r.progressAt = now
 	}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -58,6 +58,8 @@
 	stopping    string
 	stoppedAt   bootclock.Time // when the stop was last sent
 	startedAt   bootclock.Time // when it was first listed, 0 before
+	startedWith int32          // percent when it was first listed
+	paced       bool           // it was slowed down at some time
 	percent     int32
 	progressAt  bootclock.Time // last change of percent
 	figure      int64
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -65,6 +65,7 @@
 	dark       bool  // nothing answers
 	failing    bool
 	hanging    bool // runs that begin stand still
+	slow       int  // times as long as usual that runs take that begin, 0 for 1
 	unanswered int  // starts that go without an answer
 	notified   chan struct{}
 }
@@ -147,6 +148,13 @@
 	r.hanging = hanging
 }
 
+// SetSlow makes all runs that begin from now on take so many times as long.
+func (r *TaskRunner) SetSlow(times int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slow = times
+}
+
 // LeaveUnanswered lets the next starts go without an answer; they are carried
 // out later.
 func (r *TaskRunner) LeaveUnanswered(starts int) {
@@ -298,7 +306,7 @@
 		return &substrate.StartRefusedError{Refusal: substrate.RefusalLate}
 	}
 	r.extend(lease)
-	took := r.o.RunTime(id)
+	took := r.o.RunTime(id) * time.Duration(max(1, r.slow))
 	if r.hanging {
 		took = hung
 	}
