Long-running filling tasks that disturb a service are only paced

Cause: a filling task that disturbs a service and saves its work was stopped, also a long-running one; that would spend the disruption budget of its step. Ruled out: nothing; no deployment of ours has such tasks. Change: only tasks that end by themselves give their place up.

--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -102,7 +102,9 @@
 		}
 		suspects = append(suspects, r.run)
 		heldBack := strained || r.pace < heldBackPercent
-		movable := step.Checkpoints || r.percent <= restartPercent
+		// Long-running tasks are only paced: a stop would spend their step's
+		// disruption budget.
+		movable := !step.LongRunning && (step.Checkpoints || r.percent <= restartPercent)
 		if r.stopping == "" && r.startedAt != 0 && heldBack && movable {
 			l.stop(w, r, "disturbs a service")
 		}
