--- a/daemon/services.go
+++ b/daemon/services.go
@@ -23,7 +23,8 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
 	// handshakeTimeout bounds the opening of a gRPC connection. A stop waits for
-	// those that are being opened, and one that went silent never is.
+	// those that are being opened, and one that went silent never is. It is well
+	// under the grace of 6 s that the platform leaves a stop.
 	handshakeTimeout = 2 * time.Second
 )
 
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -15,7 +15,7 @@
 const (
 	permitWorkers = 30                     // asked for in one call; objectives allow for one call of this size
 	permitCalls   = 2                      // at once; the service takes the calls of a host one by one
-	permitMargin  = 500 * time.Millisecond // before its end in which a permit starts nothing
+	permitMargin  = 500 * time.Millisecond // before its end in which a permit starts nothing: a commit and an order take less
 	permitSlack   = 2 * time.Second        // for an answer, beyond what the policy says
 	permitRetry   = 300 * time.Millisecond // after a call that decided nothing
 )
@@ -36,7 +36,7 @@
 // permit is the answer for one worker. A denial holds for good, and has no end.
 type permit struct {
 	incarnation string
-	ticket      string // empty for a denial
+	token       string // empty for a denial
 	until       bootclock.Time
 }
 
@@ -74,7 +74,7 @@
 	if !found || known.incarnation != w.incarnation {
 		return permit{}, false
 	}
-	return known, known.ticket == "" || now < known.until
+	return known, known.token == "" || now < known.until
 }
 
 // permitFor returns the permit for a run, and whether it may start.
@@ -83,7 +83,7 @@
 		return "", true
 	}
 	known, found := l.permits.of(r.run.Task.StepID()).answer(w, l.o.Clock())
-	return known.ticket, found && known.ticket != ""
+	return known.token, found && known.token != ""
 }
 
 // askPermits marks the workers that may run each demand of a queue with a
@@ -121,7 +121,7 @@
 		switch {
 		case !found:
 			unknown = append(unknown, w)
-		case answer.ticket != "":
+		case answer.token != "":
 			d.Permitted[id] = true
 		}
 	}
@@ -152,13 +152,13 @@
 	limit := policy.Decide + time.Duration(len(workers))*policy.PerWorker + permitSlack
 	go func() {
 		call, cancel := context.WithTimeout(ctx, limit)
-		tickets, err := l.o.Permits.Permits(call, step, runners)
+		tokens, err := l.o.Permits.Permits(call, step, runners)
 		cancel()
 		l.do(ctx, func() {
 			l.permits.calls--
 			known.asking = false
 			took := l.o.Clock().Sub(now)
-			l.log.Info("permits", zap.Stringer("step", step), zap.Int("asked", len(runners)), zap.Int("given", len(tickets)), zap.Duration("took", took), zap.Error(err))
+			l.log.Info("permits", zap.Stringer("step", step), zap.Int("asked", len(runners)), zap.Int("given", len(tokens)), zap.Duration("took", took), zap.Error(err))
 			if err != nil {
 				known.retryAt = l.o.Clock().Add(permitRetry)
 				return
@@ -166,7 +166,7 @@
 			// Valid from the decision on, which may be as early as the call.
 			until := now.Add(policy.Valid - permitMargin)
 			for i, w := range workers {
-				known.workers[w.id] = permit{incarnation: incarnations[i], ticket: tickets[runners[i]], until: until}
+				known.workers[w.id] = permit{incarnation: incarnations[i], token: tokens[runners[i]], until: until}
 			}
 		})
 	}()
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -155,8 +155,7 @@
 		id := runFromProto(a.GetRun())
 		listed[id] = true
 		if known := w.runs[id]; known != nil {
-			// Its start may have reached the next incarnation.
-			known.incarnation = w.incarnation
+			l.adoptListed(w, known)
 			known.observe(a, now)
 			if reason := known.job.Obsolete(id); reason != "" {
 				l.stop(w, known, reason)
@@ -181,6 +180,17 @@
 	}
 }
 
+// adoptListed takes note that a run goes on in the runner's next incarnation,
+// which its start has reached.
+func (l *leader) adoptListed(w *worker, r *run) {
+	if r.incarnation == w.incarnation {
+		return
+	}
+	l.log.Info("run found in the next incarnation", zap.Stringer("run", r.run), zap.String("worker", string(w.id)),
+		zap.String("assigned_to", r.incarnation), zap.String("incarnation", w.incarnation))
+	r.incarnation = w.incarnation
+}
+
 // missing deals with an assigned run that the worker neither runs, starts nor
 // has ended.
 func (l *leader) missing(w *worker, known *run, ordersSeen int64) {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -267,6 +267,7 @@
 		}
 		l, err := s.addLink(address, from, behind)
 		if err != nil {
+			s.checker.fault("no link from %s to %s: %v", from.name, behind.name, err)
 			return address
 		}
 		s.mu.Lock()
--- a/standin/permits.go
+++ b/standin/permits.go
@@ -58,17 +58,17 @@
 	given := map[string]string{}
 	for _, runner := range runners {
 		if p.Allows(step, runner) {
-			ticket := fmt.Sprintf("%s on %s", step, runner)
-			given[runner] = ticket
-			p.issued[ticket] = time.Now().Add(p.Policy.Valid)
+			token := fmt.Sprintf("%s on %s", step, runner)
+			given[runner] = token
+			p.issued[token] = time.Now().Add(p.Policy.Valid)
 		}
 	}
 	return given, nil
 }
 
 // holds reports whether the permit covers the step on the runner now.
-func (p *PermitIssuer) holds(ticket string, step structs.StepID, runner string) bool {
+func (p *PermitIssuer) holds(token string, step structs.StepID, runner string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return ticket == fmt.Sprintf("%s on %s", step, runner) && time.Now().Before(p.issued[ticket])
+	return token == fmt.Sprintf("%s on %s", step, runner) && time.Now().Before(p.issued[token])
 }
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -124,7 +124,7 @@
 // reasons are the platform's words for refusals.
 var reasons = map[substrate.StartRefusal]string{
 	substrate.RefusalFenced: "fence", substrate.RefusalOld: "old", substrate.RefusalLate: "late", substrate.RefusalRoom: "room",
-	substrate.RefusalTicket: "ticket",
+	substrate.RefusalPermit: "ticket",
 }
 
 func finishRunner(w http.ResponseWriter, a runnerAnswer, err error) {
--- a/substrate/runner.go
+++ b/substrate/runner.go
@@ -80,7 +80,7 @@
 	RefusalOld       StartRefusal = "old"       // this run, or a later one, is over
 	RefusalLate      StartRefusal = "late"      // its lease has run out already
 	RefusalRoom      StartRefusal = "room"      // it does not fit
-	RefusalTicket    StartRefusal = "ticket"    // no permission to run the step
+	RefusalPermit    StartRefusal = "permit"    // no permit to run the step
 	RefusalUnhealthy StartRefusal = "unhealthy" // the runner takes no starts now
 	RefusalInvalid   StartRefusal = "invalid"   // the runner can't read it
 )
