Log and count the time for which a service is over its target

Callers saw services over their target beside batch work. The logs could not tell the three hypotheses of the incident apart: a reading that changes nothing is not logged, nor the starts of filling tasks during a violation, nor calls without an answer that were repeated.

The agent now tracks each violation across sessions. One line is logged when a violation reaches half of the limit and one when it ends, so a service causes at most two lines in half of harm_ms. They give how long work was allowed beside the service (hypothesis 1), the calls without an answer and whether the session changed (2), and the starts (3). harm_ms and pace_ms are read from the platform's settings; decisions do not use them yet.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -175,7 +175,8 @@
 			return operator, stop
 		},
 		Permits: permitSource(settings),
-		Timing:  fleet.Timing{MaxLease: settings.MaxLease}, Log: log, Meters: b.telemetry.Meters,
+		Timing:  fleet.Timing{MaxLease: settings.MaxLease, ViolationLimit: settings.ViolationLimit, PaceDelay: settings.PaceDelay},
+		Log:     log, Meters: b.telemetry.Meters,
 	})
 	if err != nil {
 		return err
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -14,8 +14,9 @@
 // host holds the state of the agent's host: the announced runner, and the
 // channels between the node and its session with the leader.
 type host struct {
-	o       Options
-	metrics *metrics
+	o          Options
+	metrics    *metrics
+	violations *violations // owned by the goroutine of the current session
 
 	mu               sync.Mutex
 	info             substrate.RunnerInfo // last announcement of the runner, zero before the first
@@ -30,7 +31,9 @@
 }
 
 func newHost(o Options, m *metrics) *host {
-	return &host{o: o, metrics: m, changed: make(chan struct{}, 1), takeoverRequests: make(chan leaderRow, 1), replacedEpochs: make(chan int64, 1)}
+	return &host{
+		o: o, metrics: m, violations: newViolations(o, m), changed: make(chan struct{}, 1), takeoverRequests: make(chan leaderRow, 1), replacedEpochs: make(chan int64, 1),
+	}
 }
 
 // announce records a report of a runner about itself. It returns false for an
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -15,6 +15,8 @@
 	commits                                                    metric.Float64Histogram
 	commitJobs                                                 metric.Int64Counter
 	startDelay                                                 metric.Float64Histogram
+	paceCalls                                                  metric.Int64Counter
+	violations, readingInterval                                metric.Float64Histogram
 }
 
 func newMetrics(meters metric.MeterProvider) (*metrics, error) {
@@ -32,13 +34,17 @@
 	counter(&m.released, "daisywall.fleet.released", "Runs released without an end of their own by reason")
 	counter(&m.takeovers, "daisywall.fleet.takeovers", "Leaderships taken over")
 	counter(&m.refusedStarts, "daisywall.fleet.refused", "Starts refused by the runner by reason")
+	counter(&m.paceCalls, "daisywall.fleet.pace.calls", "Changes of pace sent to the runner by outcome")
 	counter(&m.commitJobs, "daisywall.fleet.commit.jobs", "Jobs written by commits")
-	if err == nil {
-		m.commits, err = meter.Float64Histogram("daisywall.fleet.commit.seconds", metric.WithUnit("s"), metric.WithDescription("Time of a commit"))
-	}
-	if err == nil {
-		m.startDelay, err = meter.Float64Histogram("daisywall.fleet.start.seconds", metric.WithUnit("s"), metric.WithDescription("Time of a start at the runner"))
+	seconds := func(into *metric.Float64Histogram, name, description string) {
+		if err == nil {
+			*into, err = meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(description))
+		}
 	}
+	seconds(&m.commits, "daisywall.fleet.commit.seconds", "Time of a commit")
+	seconds(&m.startDelay, "daisywall.fleet.start.seconds", "Time of a start at the runner")
+	seconds(&m.violations, "daisywall.fleet.violation.seconds", "Time for which the readings of a service were over its latency target")
+	seconds(&m.readingInterval, "daisywall.fleet.reading.interval.seconds", "Time between two readings of the runner")
 	if err != nil {
 		return nil, fmt.Errorf("fleet metrics: %w", err)
 	}
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -66,7 +66,11 @@
 	MaxOrderAge       time.Duration // age above which an order starts nothing
 	RunnerCallTimeout time.Duration // timeout of the first attempt of a call to the runner
 	Retention         time.Duration // how long the state of a finished job is kept
-	MaxClockDrift     float64       // largest relative difference between the rates of two clocks
+	// ViolationLimit is the longest time for which a service may be over its
+	// latency target because of filling tasks on its host.
+	ViolationLimit time.Duration
+	PaceDelay      time.Duration // longest time until a change of pace that the runner has confirmed takes effect
+	MaxClockDrift  float64       // largest relative difference between the rates of two clocks
 }
 
 // Default durations.
@@ -80,7 +84,9 @@
 	DefaultMaxOrderAge       = 1500 * time.Millisecond
 	DefaultRunnerCallTimeout = 250 * time.Millisecond
 	DefaultRetention         = 180 * time.Second // the platform requires 120 s
-	DefaultMaxClockDrift     = 0.02              // from the platform's page on runners
+	DefaultViolationLimit    = 4 * time.Second
+	DefaultPaceDelay         = 100 * time.Millisecond
+	DefaultMaxClockDrift     = 0.02 // from the platform's page on runners
 )
 
 // leaseMargin is the time between the end of a lease on the runner's clock and
@@ -109,6 +115,8 @@
 	setDefault(&t.MaxOrderAge, DefaultMaxOrderAge)
 	setDefault(&t.RunnerCallTimeout, DefaultRunnerCallTimeout)
 	setDefault(&t.Retention, DefaultRetention)
+	setDefault(&t.ViolationLimit, DefaultViolationLimit)
+	setDefault(&t.PaceDelay, DefaultPaceDelay)
 	setDefault(&t.MaxClockDrift, DefaultMaxClockDrift)
 	return t
 }
--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,7 +57,8 @@
 // changes to the runner.
 func (p *pacer) update(ctx context.Context, active []substrate.ActiveRun, now bootclock.Time) {
 	listed := make(map[structs.RunID]bool, len(active))
-	latencyRatio, fills, suspects := 0.0, 0, 0
+	latencyRatio, ratios := 0.0, map[structs.RunID]float64{}
+	fills := fillState{fencingToken: p.session.fencingToken, suspectsLimit: p.pace.Suspects, othersLimit: p.pace.Others}
 	for _, r := range active {
 		listed[r.Run] = true
 		run := p.runs[r.Run]
@@ -64,13 +66,17 @@
 			continue
 		}
 		if run.fills {
-			fills++
+			fills.running++
 			if run.suspect {
-				suspects++
+				fills.suspects++
+			}
+			if run.appliedPercent > 0 {
+				fills.working++
 			}
 		}
 		if run.targetMS > 0 {
-			latencyRatio = max(latencyRatio, float64(r.Reading)/float64(run.targetMS))
+			ratios[r.Run] = float64(r.Reading) / float64(run.targetMS)
+			latencyRatio = max(latencyRatio, ratios[r.Run])
 		}
 	}
 	for r := range p.runs {
@@ -80,8 +86,9 @@
 	}
 	if now.Sub(p.decidedAt) >= paceInterval {
 		p.decidedAt = now
-		p.decide(latencyRatio, fills, suspects)
+		p.decide(latencyRatio, fills.running, fills.suspects)
 	}
+	p.session.host.violations.observe(ratios, fills, now)
 	p.apply(ctx, listed)
 }
 
@@ -133,11 +140,32 @@
 		if err != nil {
 			p.session.log.Warn("pace not set", zap.Stringer("run", r), zap.Int32("percent", percent), zap.Error(err))
 		}
+		p.session.host.metrics.count(p.session.host.metrics.paceCalls, callOutcome(err))
 		p.session.runInLoop(ctx, func() {
 			run.callInFlight = false
+			if isUnknownOutcome(err) {
+				p.session.host.violations.countUnansweredCall()
+			}
 			if err == nil {
 				run.appliedPercent = percent
 			}
 		})
 	}()
 }
+
+func isUnknownOutcome(err error) bool {
+	var unknown *structs.UnknownOutcomeError
+	return errors.As(err, &unknown)
+}
+
+// callOutcome returns the label of a call's result in the metrics.
+func callOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "done"
+	case isUnknownOutcome(err):
+		return "unknown"
+	default:
+		return refusalLabel(err)
+	}
+}
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -24,6 +24,9 @@
 		return
 	}
 	a.pacer.addRun(r, s.GetFills(), s.GetLatencyTargetMs())
+	if s.GetFills() {
+		a.host.violations.countFillStart()
+	}
 	call, cancel := context.WithCancel(ctx)
 	op := &startOp{cancel: cancel, settledAtPoll: -1}
 	a.starting[r] = op
