--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -33,10 +33,16 @@
 	config  *fakeConfig
 	runTime func(structs.RunID) time.Duration
 	gangs   *standin.Gangs
-	permits *standin.PermitIssuer // nil if the queue has no permit policy
+	// longRunning reports whether a run is at work until it is stopped.
+	longRunning func(structs.RunID) bool
+	permits     *standin.PermitIssuer // nil if the queue has no permit policy
 	// beforeStart is called before each start reaches the runner. It may be
 	// nil.
 	beforeStart func(h *simulatedHost)
+	// beforePoll is called before each list of runs is requested. It may be nil.
+	beforePoll func()
+	// reading returns the reading of a run. It may be nil.
+	reading func(h *simulatedHost, run structs.RunID) int64
 
 	hosts []*simulatedHost
 }
@@ -99,7 +105,8 @@
 	f := &simulatedFleet{
 		t: t, store: standin.NewPartStore(), start: time.Now(), timing: Timing{MaxLease: 10 * time.Second}.withDefaults(),
 		config: &fakeConfig{changed: make(chan struct{}), queue: testQueue}, permits: permits,
-		runTime: func(structs.RunID) time.Duration { return time.Second },
+		runTime:     func(structs.RunID) time.Duration { return time.Second },
+		longRunning: func(structs.RunID) bool { return false },
 	}
 	if permits != nil {
 		f.config.queue.Permits = permits.Policy
@@ -115,7 +122,14 @@
 				ID: string(name), Pool: "pool", FailureDomain: domain, Capacity: testCapacity, Address: string(name),
 			},
 			MaxLease: f.timing.MaxLease, Observer: f.checker, Gangs: f.gangs, Permits: permits, AcceptsStaleStarts: true,
-			RunTime: func(r structs.RunID) time.Duration { return f.runTime(r) },
+			RunTime: func(r structs.RunID) time.Duration { return f.runTime(r) }, PaceDelay: f.timing.PaceDelay,
+			LongRunning: func(r structs.RunID) bool { return f.longRunning(r) },
+			Reading: func(r structs.RunID) int64 {
+				if f.reading == nil {
+					return 0
+				}
+				return f.reading(h, r)
+			},
 		})
 		f.hosts = append(f.hosts, h)
 		h.startAgent()
@@ -195,7 +209,8 @@
 }
 
 // interceptedRunner is the client of a host's runner. It calls beforeStart
-// before each start.
+// before each start, and
+// beforePoll before each poll.
 type interceptedRunner struct {
 	substrate.Runner
 	h *simulatedHost
@@ -209,6 +224,14 @@
 	return r.Runner.Start(ctx, fence, start, lease)
 }
 
+// PollRuns implements substrate.Runner.
+func (r *interceptedRunner) PollRuns(ctx context.Context, fence, acknowledged int64, lease substrate.RuntimeClock, maxWait time.Duration) (substrate.RunnerState, error) {
+	if r.h.fleet.beforePoll != nil {
+		r.h.fleet.beforePoll()
+	}
+	return r.Runner.PollRuns(ctx, fence, acknowledged, lease, maxWait)
+}
+
 func (h *simulatedHost) startAgent() {
 	var permits substrate.PermitSource
 	if h.fleet.permits != nil {
@@ -271,6 +294,16 @@
 	}
 }
 
+// dropSession ends the session of the host's agent with the leader.
+func (h *simulatedHost) dropSession() {
+	h.mu.Lock()
+	node := h.node
+	h.mu.Unlock()
+	if node != nil {
+		node.host.endSessionOf(node.lastKnownLeader().Epoch)
+	}
+}
+
 func (h *simulatedHost) agentRuns() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -34,10 +34,13 @@
 	// Such a runner carries out starts that are addressed to an earlier
 	// incarnation. The reply still reports the incarnation mismatch.
 	AcceptsStaleStarts bool
+	LongRunning        func(structs.RunID) bool  // runs that are at work until they are stopped, none if nil
+	PaceDelay          time.Duration             // time from a change of pace to its effect
+	Reading            func(structs.RunID) int64 // reading of an active run, 0 for every run if nil
 }
 
-// LateStartDelay is how long after its call a start takes effect if its reply
-// is withheld.
+// LateStartDelay is how long after its call a start or a change of pace takes
+// effect if its reply is withheld.
 const LateStartDelay = 3 * time.Second
 
 // hungRunTime is the run time of a task that makes no progress.
@@ -69,6 +72,8 @@
 	hangRuns         bool                         // new runs make no progress
 	slowdown         int                          // factor by which the run time of new runs is multiplied, 0 means 1
 	unansweredStarts int                          // number of further starts that get no reply
+	unansweredPaces  int                          // number of further changes of pace that get no reply
+	paceCallDelay    time.Duration                // time from a change of pace to its execution
 	runEnded         chan struct{}                // closed when a run ends
 }
 
@@ -77,7 +82,7 @@
 	startedAt   time.Time
 	runTime     time.Duration
 	checkpoint  string
-	pacePercent int // speed in percent that SetPace requested, 100 until then
+	pacePercent int // speed in percent that is in effect
 }
 
 // NewTaskRunner returns a runner in its first incarnation.
@@ -167,6 +172,47 @@
 	r.unansweredStarts = starts
 }
 
+// WithholdPaceReplies withholds the reply to the given number of changes of
+// pace. They are carried out after LateStartDelay.
+func (r *TaskRunner) WithholdPaceReplies(calls int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unansweredPaces = calls
+}
+
+// SetPaceCallDelay sets how long the runner takes to carry out a change of
+// pace.
+func (r *TaskRunner) SetPaceCallDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.paceCallDelay = d
+}
+
+// Paces returns the speed in percent that is in effect for each active run.
+func (r *TaskRunner) Paces() map[structs.RunID]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	paces := make(map[structs.RunID]int, len(r.runs))
+	for id, run := range r.runs {
+		paces[id] = run.pacePercent
+	}
+	return paces
+}
+
+// setPaceLocked changes the speed of a run after PaceDelay. The caller holds
+// the lock.
+func (r *TaskRunner) setPaceLocked(id structs.RunID, percent int) {
+	run, found := r.runs[id]
+	if !found {
+		return
+	}
+	time.AfterFunc(r.options.PaceDelay, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		run.pacePercent = percent
+	})
+}
+
 // Report returns the state that the runner publishes, with the next sequence
 // number.
 func (r *TaskRunner) Report() substrate.RunnerInfo {
@@ -233,6 +279,10 @@
 	return r.options.Gangs != nil && r.options.Gangs.Size(id.Task) > 0
 }
 
+func (r *TaskRunner) isLongRunning(id structs.RunID) bool {
+	return r.options.LongRunning != nil && r.options.LongRunning(id)
+}
+
 // leaveGang notifies the gang of a run that has ended. It uses a goroutine,
 // since the caller holds the lock of the runner.
 func (r *TaskRunner) leaveGang(id structs.RunID) {
@@ -294,7 +344,10 @@
 	incarnation := r.info.Incarnation
 	run := &taskRun{startedAt: time.Now(), runTime: runTime, checkpoint: start.Checkpoint, pacePercent: 100}
 	timerDelay := runTime
-	if r.inGang(id) {
+	switch {
+	case r.isLongRunning(id):
+		timerDelay = hungRunTime
+	case r.inGang(id):
 		timerDelay = hungRunTime // the gang ends the run
 		go r.options.Gangs.join(r, id, runTime)
 	}
@@ -323,10 +376,14 @@
 	state := substrate.RunnerState{Clock: r.clockLocked(), Ended: append([]substrate.EndedRun(nil), r.unacknowledged...)}
 	for id, run := range r.runs {
 		percent := 100
-		if run.runTime > 0 {
+		if run.runTime > 0 && !r.isLongRunning(id) {
 			percent = min(99, int(100*time.Since(run.startedAt)/run.runTime))
 		}
-		state.Active = append(state.Active, substrate.ActiveRun{Run: id, Percent: percent, Checkpoint: run.checkpoint})
+		active := substrate.ActiveRun{Run: id, Percent: percent, Checkpoint: run.checkpoint}
+		if r.options.Reading != nil {
+			active.Reading = r.options.Reading(id)
+		}
+		state.Active = append(state.Active, active)
 	}
 	return state
 }
--- a/standin/taskrunner_client.go
+++ b/standin/taskrunner_client.go
@@ -67,19 +67,42 @@
 	return nil
 }
 
-// SetPace implements substrate.Runner. The simulated tasks keep their speed.
+// SetPace implements substrate.Runner. The simulated tasks keep their run time.
 func (c *TaskRunnerClient) SetPace(ctx context.Context, fence int64, run structs.RunID, percent int) error {
 	if err := c.runner.admitCall(ctx, c.incarnation, fence); err != nil {
 		return err
 	}
 	c.runner.mu.Lock()
-	defer c.runner.mu.Unlock()
-	if active, found := c.runner.runs[run]; found {
-		active.pacePercent = percent
+	delay, unanswered := c.runner.paceCallDelay, c.runner.unansweredPaces > 0
+	if unanswered {
+		c.runner.unansweredPaces--
+	}
+	c.runner.mu.Unlock()
+	if unanswered {
+		time.AfterFunc(LateStartDelay, func() { c.applyPace(fence, run, percent) })
+		return withholdReply(ctx, "pace")
+	}
+	if delay > 0 {
+		time.AfterFunc(delay, func() { c.applyPace(fence, run, percent) })
+		if wait(ctx, delay) != nil {
+			return &structs.UnknownOutcomeError{Operation: "pace", Err: ctx.Err()}
+		}
+		return nil
 	}
+	c.applyPace(fence, run, percent)
 	return nil
 }
 
+// applyPace changes the pace of a run unless the runner has received a higher
+// fencing token.
+func (c *TaskRunnerClient) applyPace(fence int64, run structs.RunID, percent int) {
+	c.runner.mu.Lock()
+	defer c.runner.mu.Unlock()
+	if fence >= c.runner.highestFence {
+		c.runner.setPaceLocked(run, percent)
+	}
+}
+
 // PollRuns implements substrate.Runner.
 func (c *TaskRunnerClient) PollRuns(ctx context.Context, fence, acknowledged int64, lease substrate.RuntimeClock, maxWait time.Duration) (substrate.RunnerState, error) {
 	if err := c.runner.admitCall(ctx, c.incarnation, fence); err != nil {
