Place no filling task beside a service that is over its target

Cause: the pace of a host limits only the tasks that the runner has listed. A task starts at full pace, and the leader went on placing tasks on a host whose services were over their target, unless their images were suspects there. Each start worked at 100% until the next list; on a host that was already throttled the starts alone kept the service over its target. The class of the fault: a limit that new entrants bypass, because admission does not look at the state that the limit protects.

Test: fleet.TestFillingTasksDontStartBesideAServiceOverItsTarget fails on the code before ("6 != 3" tasks).

Why it works: each list of runs carries the services' latencies, so the leader knows them when it places. The tasks wait for a host where they could work; on the throttled one they would have been paused.

--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -35,12 +35,17 @@
 	w.samplePaces(runs, now)
 	latencyRatios := map[string]float64{}
 	overTarget := false
+	w.latencyRatio = 0
 	for _, r := range runs {
 		step := r.job.Step(r.id.Task)
-		if step.LatencyTarget <= 0 || r.reading <= 0 || r.startedAt == 0 || now.Sub(r.startedAt) < readingWindow {
+		if step.LatencyTarget <= 0 || r.reading <= 0 || r.startedAt == 0 {
 			continue
 		}
 		ratio := float64(r.reading) / float64(step.LatencyTarget.Milliseconds())
+		w.latencyRatio = max(w.latencyRatio, ratio)
+		if now.Sub(r.startedAt) < readingWindow {
+			continue
+		}
 		overTarget = overTarget || ratio > 1
 		latencyRatios[step.Image] = max(latencyRatios[step.Image], ratio)
 	}
--- /dev/null
+++ b/fleet/pacer_test.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// throttledFleet is a fleet of hosts that each run a service and a filling
+// task. The test sets the latency of all services.
+type throttledFleet struct {
+	*simulatedFleet
+	entry   *Entry
+	latency atomic.Int64 // percent of the latency target
+}
+
+// Latencies of the services in percent of their target.
+const (
+	lowLatency     = 40
+	highLatency    = 500
+	latencyPercent = 100
+)
+
+// runInThrottledFleet runs a scenario on a fleet whose filling tasks have full
+// pace.
+func runInThrottledFleet(t *testing.T, hosts int, scenario func(f *throttledFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &throttledFleet{simulatedFleet: newSimulatedFleet(t, hosts)}
+		defer f.close()
+		f.latency.Store(lowLatency)
+		f.longRunning = func(structs.RunID) bool { return true }
+		f.reading = func(*simulatedHost, structs.RunID) int64 {
+			return latencyTarget.Milliseconds() * f.latency.Load() / latencyPercent
+		}
+		f.entry = f.newEntry()
+		defer f.entry.Close()
+		f.waitReady()
+		service := testJob(servicePrefix+"web", int32(hosts))
+		step := &service.Steps[0]
+		step.LongRunning, step.LatencyTarget, step.Image, step.MaxPerWorker = true, latencyTarget, "web", 1
+		if err := f.submit(f.entry, service); err != nil {
+			t.Fatal(err)
+		}
+		f.submitFillingTasks("fill", int32(hosts))
+		f.waitUntil("filling tasks run", 5*time.Second, func() bool { return len(f.fillPaces()) == hosts })
+		scenario(f)
+	})
+}
+
+// submitFillingTasks submits a job with one filling task for each host.
+func (f *throttledFleet) submitFillingTasks(id string, tasks int32) {
+	f.t.Helper()
+	job := testJob(id, tasks)
+	step := &job.Steps[0]
+	step.Fills, step.Image, step.MaxPerWorker = true, id, 1
+	step.LongRunning = true // the leader throttles such tasks and never moves them
+	if err := f.submit(f.entry, job); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// fillPaces returns the real paces of all filling tasks.
+func (f *throttledFleet) fillPaces() map[structs.RunID]int {
+	paces := map[structs.RunID]int{}
+	for _, h := range f.hosts {
+		for run, pace := range h.runner.Paces() {
+			if !strings.HasPrefix(string(run.Task.Job), servicePrefix) {
+				paces[run] = pace
+			}
+		}
+	}
+	return paces
+}
+
+func (f *throttledFleet) highestPace() int {
+	highest := 0
+	for _, pace := range f.fillPaces() {
+		highest = max(highest, pace)
+	}
+	return highest
+}
+
+// waitPaused raises the latency and waits until every filling task is paused.
+func (f *throttledFleet) waitPaused() {
+	f.t.Helper()
+	f.latency.Store(highLatency)
+	f.waitUntil("filling tasks paused", f.timing.ViolationLimit, func() bool { return f.highestPace() == 0 })
+}
+
+func TestFillingTasksDontStartBesideAServiceOverItsTarget(t *testing.T) {
+	runInThrottledFleet(t, 3, func(f *throttledFleet) {
+		is := is.New(t)
+		f.waitPaused()
+		f.submitFillingTasks("late", 3)
+		time.Sleep(5 * time.Second)
+		is.Equal(len(f.fillPaces()), 3)
+		f.latency.Store(lowLatency)
+		f.waitUntil("tasks start", 5*time.Second, func() bool { return len(f.fillPaces()) == 6 })
+	})
+}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -56,7 +56,8 @@
 func (l *leader) placementView(w *worker) *steps.Worker {
 	v := &steps.Worker{
 		ID: w.id, FailureDomain: w.domain, Rack: w.rack, Pool: w.pool, Labels: w.labels,
-		Capacity: w.capacity, HealthPenalty: w.health.healthPenalty(l.o.Clock()), TasksByServiceImage: map[string]int{},
+		Capacity: w.capacity, HealthPenalty: w.health.healthPenalty(l.o.Clock()), LatencyRatio: w.latencyRatio,
+		TasksByServiceImage: map[string]int{},
 	}
 	for _, r := range w.runs {
 		step := r.job.Step(r.id.Task)
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -44,6 +44,7 @@
 	FillMilliCPU        int64             // thousandths of a processor declared by filling tasks, not included in Reserved
 	TasksByServiceImage map[string]int    // number of tasks with a latency target, by image
 	HealthPenalty       float64           // 0 for a healthy worker, no placements from 1 on
+	LatencyRatio        float64           // last highest ratio of a service's tail latency to its target
 }
 
 // idleMilliCPU returns the processors that are expected to stay unused, in
@@ -289,7 +290,7 @@
 	if !d.Spec.Fills {
 		return w.Reserved.Add(need).Fits(w.Capacity)
 	}
-	if w.idleMilliCPU() < minIdleShare*float64(need.MilliCPU) {
+	if w.LatencyRatio >= throttleRatio || w.idleMilliCPU() < minIdleShare*float64(need.MilliCPU) {
 		return false
 	}
 	need.MilliCPU = 0
--- a/placement/steps/steps_test.go
+++ b/placement/steps/steps_test.go
@@ -153,6 +153,19 @@
 	is.Equal(len(Plan(only, []Demand{d}, i)), 2)
 }
 
+func TestFillingTasksAreNotPlacedBesideAServiceOverItsTarget(t *testing.T) {
+	is := is.New(t)
+	list := workers(2)
+	list[0].LatencyRatio, list[1].LatencyRatio = 1.2, 0.9
+	list[1].Reserved.MilliCPU = 9000 // less idle
+	fill := demand("a", 2, structs.Step{Image: "match", Fills: true, Resources: structs.Resources{MilliCPU: 1800}})
+	for _, p := range Plan(list, []Demand{fill}, NewInterference()) {
+		is.Equal(p.Worker, structs.WorkerID("w1"))
+	}
+	other := demand("b", 1, structs.Step{Image: "match", Resources: structs.Resources{MilliCPU: 1800}})
+	is.Equal(Plan(list, []Demand{other}, NewInterference())[0].Worker, structs.WorkerID("w0"))
+}
+
 func TestInterferenceIsAttributedToUnprovenNeighbour(t *testing.T) {
 	is := is.New(t)
 	i := NewInterference()
