Pause filling tasks by the time over target, not by the number of readings

What callers saw: services over their target beside batch work for longer than the limit (harm_ms).

Cause: the pacer counted high readings. Beside a suspect the other tasks were throttled from the third reading in a row and paused at the fifth, and a reading between 0.75 and 0.95 set the count back. Decisions were taken on every second reading, 0.8 s apart, so the last pause was ordered up to 4 s after the first reading that could show the violation. The limit itself appeared nowhere. The class of the fault: a bound in time that is kept by counting events whose rate is assumed.

Change: everything is paused once readings have been high for half of the limit less the window of a reading; the other half is left for readings and calls. The limit and the delay of a change come from the settings. Throttling is proportional to the excess: a slight one costs less than half of the pace, a strong one pauses at once. A reading that covers the time before the last change is not counted twice.

Tests: TestFillingTasksArePausedWithinFourSeconds assumed a reading every half second, so six readings passed as 3 s where they take 4.8 s. It is replaced by TestFillingTasksArePausedWithinHalfOfTheViolationLimit, which plays several limits and intervals of readings and allows half of the time. The old code, called with the same readings, fails 9 of its 24 combinations: with a limit of 2 s all but one, with 4 s those with a reading each second.

--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -13,18 +13,17 @@
 	"github.com/daisywall/daisywall/substrate"
 )
 
-// paceInterval is the time between two decisions on the pace. The runner's
-// readings cover the last half second.
-const paceInterval = 500 * time.Millisecond
+// latencyWindow is the period that one reading of a runner covers.
+const latencyWindow = 500 * time.Millisecond
 
 // pacer throttles filling tasks while the latency of a service on the host is
 // near or above its target. It works without the leader, which only reports the
 // tasks that probably interfere with the services.
 type pacer struct {
-	session   *agentSession
-	runs      map[structs.RunID]*pacedRun
-	pace      steps.Pace
-	decidedAt bootclock.Time
+	session *agentSession
+	runs    map[structs.RunID]*pacedRun
+	pace    steps.Pace
+	readAt  bootclock.Time // last reading, 0 before the first
 }
 
 // pacedRun is the pacer's state of a run.
@@ -57,7 +56,8 @@
 // changes to the runner.
 func (p *pacer) update(ctx context.Context, active []substrate.ActiveRun, now bootclock.Time) {
 	listed := make(map[structs.RunID]bool, len(active))
-	latencyRatio, ratios := 0.0, map[structs.RunID]float64{}
+	ratios := map[structs.RunID]float64{}
+	reading := steps.LatencyReading{}
 	fills := fillState{fencingToken: p.session.fencingToken, suspectsLimit: p.pace.Suspects, othersLimit: p.pace.Others}
 	for _, r := range active {
 		listed[r.Run] = true
@@ -72,11 +72,12 @@
 			}
 			if run.appliedPercent > 0 {
 				fills.working++
+				reading.SuspectWorking = reading.SuspectWorking || run.suspect
 			}
 		}
 		if run.targetMS > 0 {
 			ratios[r.Run] = float64(r.Reading) / float64(run.targetMS)
-			latencyRatio = max(latencyRatio, ratios[r.Run])
+			reading.LatencyRatio = max(reading.LatencyRatio, ratios[r.Run])
 		}
 	}
 	for r := range p.runs {
@@ -84,10 +85,11 @@
 			delete(p.runs, r)
 		}
 	}
-	if now.Sub(p.decidedAt) >= paceInterval {
-		p.decidedAt = now
-		p.decide(latencyRatio, fills.running, fills.suspects)
+	if p.readAt > 0 {
+		reading.Elapsed = now.Sub(p.readAt)
 	}
+	p.readAt = now
+	p.decide(reading, fills)
 	p.session.host.violations.observe(ratios, fills, now)
 	p.apply(ctx, listed)
 }
@@ -121,10 +123,11 @@
 	return p.pace.Others
 }
 
-func (p *pacer) decide(latencyRatio float64, fills, suspects int) {
-	next := p.pace.Next(latencyRatio, suspects > 0)
-	if next != p.pace && fills > 0 {
-		p.session.log.Info("pace", zap.Float64("strain", latencyRatio), zap.Int("filling", fills), zap.Int("suspects", suspects),
+func (p *pacer) decide(reading steps.LatencyReading, fills fillState) {
+	t := p.session.host.o.Timing
+	next := p.pace.Next(reading, steps.PaceTiming{ReadingWindow: latencyWindow, PaceDelay: t.PaceDelay, ViolationLimit: t.ViolationLimit})
+	if (next.Suspects != p.pace.Suspects || next.Others != p.pace.Others) && fills.running > 0 {
+		p.session.log.Info("pace", zap.Float64("strain", reading.LatencyRatio), zap.Int("filling", fills.running), zap.Int("suspects", fills.suspects),
 			zap.Int32("suspects_percent", next.Suspects), zap.Int32("others_percent", next.Others))
 	}
 	p.pace = next
--- a/placement/steps/pace.go
+++ b/placement/steps/pace.go
@@ -1,60 +1,106 @@
 package steps
 
+import "time"
+
 // Latency ratios (tail latency to target) that change the pace, and the steps
 // of the pace in percent.
 const (
 	throttleRatio       = 0.95 // from this ratio on, filling tasks are throttled
+	throttledRatio      = 0.85 // ratio at which throttling aims
 	recoveryRatio       = 0.75 // below this ratio, the pace rises
+	unaffectedRatio     = 0.5  // ratio that a service is expected to have without filling tasks
 	paceRaisePercent    = 25   // percentage points by which a low reading raises the pace
 	suspectRaisePercent = 10   // percentage points by which a low reading raises the pace of suspects
 	minPacePercent      = 10   // pace below which tasks are paused
 )
 
+// PaceTiming holds the durations on which Pace.Next depends.
+type PaceTiming struct {
+	ReadingWindow  time.Duration // period that one reading covers
+	PaceDelay      time.Duration // longest time until a change of pace takes effect
+	ViolationLimit time.Duration // longest time for which filling tasks may keep a service over its target
+}
+
+// settleTime is the time after a change of pace from which on readings show
+// only the new pace.
+func (t PaceTiming) settleTime() time.Duration { return t.ReadingWindow + t.PaceDelay }
+
+// pauseAfter is the time from the first high reading on after which all filling
+// tasks are paused. The service may have been over its target for a whole
+// reading window before that reading. Half of the limit is left for the time
+// between readings and for calls to the runner.
+func (t PaceTiming) pauseAfter() time.Duration { return t.ViolationLimit/2 - t.ReadingWindow }
+
+// LatencyReading is one reading of all services of a host.
+type LatencyReading struct {
+	LatencyRatio   float64       // highest ratio of a service's tail latency to its target
+	Elapsed        time.Duration // time since the reading before, 0 for the first
+	SuspectWorking bool          // the pace of some suspect was above 0
+}
+
 // Pace is the percentage of full speed at which the filling tasks of a host
 // may run. Zero pauses them.
 type Pace struct {
-	Suspects     int32 // percent for tasks that count as interfering with a service of the host
-	Others       int32 // percent for all other filling tasks
-	highReadings int   // consecutive readings at or above throttleRatio
+	Suspects int32 // percent for tasks that count as interfering with a service of the host
+	Others   int32 // percent for all other filling tasks
+
+	high        bool          // the readings are high
+	highFor     time.Duration // time since the first high reading
+	sinceHigh   time.Duration // time since the last high reading
+	sinceChange time.Duration // time since the last change of the pace
 }
 
 // FullPace returns the pace without throttling.
 func FullPace() Pace { return Pace{Suspects: 100, Others: 100} }
 
-// suspectsOnlyReadings is the number of consecutive high readings for which
-// only suspects are throttled if there are any. With a reading every half
-// second, all tasks are paused well before a service has exceeded its target
-// for 4 s.
-const suspectsOnlyReadings = 2
-
-// Next returns the pace after a reading of the tail latencies of the host's
-// services. latencyRatio is the highest ratio of a service's tail latency to
-// its target. If it is high, suspects are paused at once. Other tasks are
-// throttled if there is no suspect or if pausing the suspects did not help. Low
-// readings raise the pace step by step.
-func (p Pace) Next(latencyRatio float64, suspects bool) Pace {
+// Next returns the pace after a reading. If the reading is high, suspects are
+// paused at once. Other tasks are throttled if no suspect was working, in
+// proportion to the excess, and paused when the readings have been high for
+// pauseAfter. Low readings raise the pace step by step. A reading that may show
+// the pace before the last change neither throttles nor raises it.
+func (p Pace) Next(r LatencyReading, t PaceTiming) Pace {
+	p.highFor += r.Elapsed
+	p.sinceHigh += r.Elapsed
+	p.sinceChange += r.Elapsed
+	settled := p.sinceChange >= t.settleTime()
+	before := p
 	switch {
-	case latencyRatio >= throttleRatio:
-		p.highReadings++
-		p.Suspects = 0
-		if !suspects || p.highReadings > suspectsOnlyReadings {
-			p.Others = halvePace(p.Others)
+	case r.LatencyRatio >= throttleRatio:
+		if !p.high {
+			p.high, p.highFor = true, 0
 		}
-		if p.highReadings > 2*suspectsOnlyReadings {
+		p.sinceHigh = 0
+		p.Suspects = 0
+		switch {
+		case p.highFor >= t.pauseAfter():
 			p.Others = 0
+		case r.SuspectWorking:
+			p.sinceChange = 0
+		case settled:
+			p.Others = throttledPercent(p.Others, r.LatencyRatio)
+		}
+	case r.LatencyRatio < recoveryRatio:
+		p.high = false
+		if settled {
+			p.Others = min(100, p.Others+paceRaisePercent)
+			p.Suspects = min(p.Others, p.Suspects+suspectRaisePercent)
 		}
-	case latencyRatio < recoveryRatio:
-		p.highReadings = 0
-		p.Others = min(100, p.Others+paceRaisePercent)
-		p.Suspects = min(p.Others, p.Suspects+suspectRaisePercent)
-	default:
-		p.highReadings = 0
+	case p.sinceHigh >= t.ReadingWindow:
+		// A single reading below throttleRatio may be due to the error of the
+		// readings.
+		p.high = false
+	}
+	if p.Suspects != before.Suspects || p.Others != before.Others {
+		p.sinceChange = 0
 	}
 	return p
 }
 
-func halvePace(percent int32) int32 {
-	if percent /= 2; percent < minPacePercent {
+// throttledPercent returns the pace that brings a service from latencyRatio
+// to throttledRatio. It assumes that interference is proportional to the pace.
+func throttledPercent(percent int32, latencyRatio float64) int32 {
+	share := (throttledRatio - unaffectedRatio) / (latencyRatio - unaffectedRatio)
+	if percent = int32(float64(percent) * share); percent < minPacePercent {
 		return 0
 	}
 	return percent
--- a/placement/steps/steps_test.go
+++ b/placement/steps/steps_test.go
@@ -186,28 +186,73 @@
 	is.Equal(i.Probability("web", "slow"), before)
 }
 
+var testPaceTiming = PaceTiming{ReadingWindow: 500 * time.Millisecond, PaceDelay: 100 * time.Millisecond, ViolationLimit: 4 * time.Second}
+
 // A service exceeds its target at every reading, with and without suspects.
-// Readings are half a second apart, and all filling tasks of the host must be
-// paused within 4 s.
-func TestFillingTasksArePausedWithinFourSeconds(t *testing.T) {
-	for _, suspects := range []bool{true, false} {
-		is := is.New(t)
-		p := FullPace()
-		readings := 0
-		for ; p.Others > 0 || p.Suspects > 0; readings++ {
-			p = p.Next(2, suspects)
+func TestFillingTasksArePausedWithinHalfOfTheViolationLimit(t *testing.T) {
+	for _, limit := range []time.Duration{2 * time.Second, 4 * time.Second, 10 * time.Second} {
+		for _, interval := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 450 * time.Millisecond, time.Second} {
+			for _, suspects := range []bool{true, false} {
+				is := is.New(t)
+				timing := testPaceTiming
+				timing.ViolationLimit = limit
+				p := FullPace()
+				overFor := timing.ReadingWindow
+				for ; p.Others > 0 || p.Suspects > 0; overFor += interval {
+					p = p.Next(LatencyReading{LatencyRatio: 1.01, Elapsed: interval, SuspectWorking: suspects}, timing)
+				}
+				is.True(overFor-interval <= limit/2+interval)
+			}
+		}
+	}
+}
+
+func TestReadingsAroundTheTargetDontKeepTheOtherTasksAtFullPace(t *testing.T) {
+	is := is.New(t)
+	p := FullPace()
+	for i := range 10 {
+		ratio := 1.05
+		if i%3 > 0 {
+			ratio = 0.9
 		}
-		is.True(readings <= 6)
+		p = p.Next(LatencyReading{LatencyRatio: ratio, Elapsed: 400 * time.Millisecond, SuspectWorking: i == 0}, testPaceTiming)
+	}
+	is.True(p.Others < 50)
+}
+
+func TestThrottlingIsProportionalToTheExcess(t *testing.T) {
+	is := is.New(t)
+	reading := LatencyReading{LatencyRatio: 1, Elapsed: time.Second}
+	slight := FullPace().Next(reading, testPaceTiming).Others
+	reading.LatencyRatio = 2
+	strong := FullPace().Next(reading, testPaceTiming).Others
+	is.True(slight > 60 && slight < 100)
+	is.True(strong > 10 && strong < 30)
+	reading.LatencyRatio = 20
+	is.Equal(FullPace().Next(reading, testPaceTiming).Others, int32(0))
+}
+
+// The reading window of the second reading begins before the change of pace
+// takes effect.
+func TestReadingThatMayShowTheFormerPaceChangesNothing(t *testing.T) {
+	is := is.New(t)
+	p := FullPace().Next(LatencyReading{LatencyRatio: 1.2, Elapsed: time.Second}, testPaceTiming)
+	for _, ratio := range []float64{1.2, 0.4} {
+		is.Equal(p.Next(LatencyReading{LatencyRatio: ratio, Elapsed: 400 * time.Millisecond}, testPaceTiming).Others, p.Others)
 	}
 }
 
 func TestLowReadingsRestoreFullPace(t *testing.T) {
 	is := is.New(t)
-	p := FullPace().Next(5, false).Next(5, false)
+	p := FullPace()
+	for range 2 {
+		p = p.Next(LatencyReading{LatencyRatio: 5, Elapsed: time.Second}, testPaceTiming)
+	}
+	is.Equal(p.Others, int32(0))
 	for range 12 {
-		p = p.Next(0.4, false)
+		p = p.Next(LatencyReading{LatencyRatio: 0.4, Elapsed: time.Second}, testPaceTiming)
 	}
-	is.Equal(p, FullPace())
+	is.Equal([]int32{p.Suspects, p.Others}, []int32{100, 100})
 }
 
 func TestServicesOfOneImageShareFewWorkers(t *testing.T) {
