Keep the pace of a host's filling tasks across sessions

What callers saw: batch tasks that never went on after a change of leader, and paused tasks that were set to half of their speed beside a service over its target.

Cause: the state of the pacer belonged to the session with a leader. A new session assumed that every run that it found worked at 100%, and began its own decision at 100%. A run that was paused and should work at full pace was never sent a call, since both figures said 100; a run that was paused and should stay so was raised by the first halving. Calls in flight at the end of a session were cancelled, with an unknown outcome. The class: control state tied to a connection instead of to the thing that is controlled.

Change: the pacer belongs to the incarnation of the runner and outlives sessions. The pace of a run that a restarted agent finds is unknown, so it is sent. Calls end by their own timeout and have their own limit in flight, so unanswered starts don't delay them. A decision that is taken while a call is in flight is sent when the call ends, not at the next reading.

Tests, which fail on the code before with "not within 15s: full pace" (20s): TestNewSessionRaisesThePaceOfPausedTasksOnceTheServicesRecover and TestRestartedAgentSetsThePaceOfRunsThatItFinds.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -18,7 +18,7 @@
 // the runner with calls that extend the lease, wait for a change and return the
 // runs.
 const (
-	maxRunnerCalls       = 6                       // start, stop and pace calls in flight
+	maxRunnerCalls       = 6                       // start and stop calls in flight
 	pollTimeoutMargin    = 1500 * time.Millisecond // difference between the timeout of a poll and the wait that the poll requests
 	pollPause            = 150 * time.Millisecond  // delay of the next poll after a failed poll, and longest wait for the leader's answer to a list of runs
 	refusedPollPause     = 100 * time.Millisecond  // delay of the next poll after a refused connection
@@ -81,7 +81,7 @@
 	if info.Incarnation != "" {
 		a.runner = host.o.Runner(info)
 	}
-	a.pacer = newPacer(a)
+	a.pacer = host.pacerOf(info.Incarnation)
 	return a
 }
 
@@ -93,6 +93,7 @@
 		return endLost, &structs.FencedError{Cell: fleetPart, Epoch: first.GetEpoch()}
 	}
 	a.fencingToken = first.GetFence()
+	a.pacer.attach(a.log, a.runner, a.fencingToken)
 	a.log.Info("session opened", zap.String("leader", a.row.Address), zap.Int64("fence", a.fencingToken))
 	orders := make(chan *fleetpb.WorkerOrders)
 	receiveErrors := make(chan error, 1)
@@ -185,7 +186,7 @@
 		a.nextPollAt = 0
 	}
 	for _, k := range o.GetKnown() {
-		a.pacer.addRun(runFromProto(k.GetRun()), k.GetFills(), k.GetLatencyTargetMs())
+		a.pacer.addKnownRun(runFromProto(k.GetRun()), k.GetFills(), k.GetLatencyTargetMs())
 	}
 	suspects := make([]structs.RunID, 0, len(o.GetSuspects()))
 	for _, r := range o.GetSuspects() {
@@ -298,6 +299,7 @@
 		a.nextPollAt = now.Add(pollPause)
 	}
 	a.pendingList = list
+	a.pacer.forgetRuns(state.Active, a.starting)
 	a.pacer.update(ctx, state.Active, now)
 }
 
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -14,9 +14,8 @@
 // host holds the state of the agent's host: the announced runner, and the
 // channels between the node and its session with the leader.
 type host struct {
-	o          Options
-	metrics    *metrics
-	violations *violations // owned by the goroutine of the current session
+	o       Options
+	metrics *metrics
 
 	mu               sync.Mutex
 	info             substrate.RunnerInfo // last announcement of the runner, zero before the first
@@ -24,6 +23,7 @@
 	endedIncarnation string               // last incarnation that ended and was not replaced, empty if it was announced again
 	leaving          bool                 // the runner announced that it ends
 	changed          chan struct{}        // signalled after a change that the leader must be informed of
+	pacer            *pacer               // nil before the first session with a runner
 	highestEpoch     int64                // highest epoch of the leaders that have sent orders
 
 	takeoverRequests chan leaderRow // leaders that request to be replaced
@@ -31,9 +31,7 @@
 }
 
 func newHost(o Options, m *metrics) *host {
-	return &host{
-		o: o, metrics: m, violations: newViolations(o, m), changed: make(chan struct{}, 1), takeoverRequests: make(chan leaderRow, 1), replacedEpochs: make(chan int64, 1),
-	}
+	return &host{o: o, metrics: m, changed: make(chan struct{}, 1), takeoverRequests: make(chan leaderRow, 1), replacedEpochs: make(chan int64, 1)}
 }
 
 // announce records a report of a runner about itself. It returns false for an
@@ -145,6 +143,16 @@
 	}
 }
 
+// pacerOf returns the pacer of the runner's incarnation.
+func (h *host) pacerOf(incarnation string) *pacer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pacer == nil || h.pacer.incarnation != incarnation {
+		h.pacer = newPacer(h.o, h.metrics, incarnation)
+	}
+	return h.pacer
+}
+
 // sessionEnd is the reason for the end of a session.
 type sessionEnd int
 
--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,104 +17,161 @@
 // latencyWindow is the period that one reading of a runner covers.
 const latencyWindow = 500 * time.Millisecond
 
+// maxPaceCalls limits the changes of pace in flight. They have a limit of their
+// own, so that they don't wait for starts that get no answer.
+const maxPaceCalls = 6
+
+// unknownPercent is the applied pace of a run whose pace is not known.
+const unknownPercent = -1
+
 // pacer throttles filling tasks while the latency of a service on the host is
-// near or above its target. It works without the leader, which only reports the
-// tasks that probably interfere with the services.
+// near or above its target. It belongs to one incarnation of the runner and
+// lasts across sessions with leaders. It works without a leader, which only
+// reports the tasks that probably interfere with the services.
 type pacer struct {
-	session *agentSession
-	runs    map[structs.RunID]*pacedRun
-	pace    steps.Pace
-	readAt  bootclock.Time // last reading, 0 before the first
+	o           Options
+	metrics     *metrics
+	incarnation string
+	callSlots   chan struct{}
+
+	mu           sync.Mutex
+	log          *zap.Logger
+	runner       substrate.Runner
+	fencingToken int64
+	runs         map[structs.RunID]*pacedRun
+	pace         steps.Pace
+	readAt       bootclock.Time // last reading, 0 before the first
+	violations   *violations
 }
 
 // pacedRun is the pacer's state of a run.
 type pacedRun struct {
 	fills          bool
 	suspect        bool
+	active         bool  // the runner has listed the run
 	targetMS       int64 // latency target in milliseconds, 0 for none
-	appliedPercent int32 // pace that the runner has confirmed
+	appliedPercent int32 // pace that the runner has confirmed, or unknownPercent
 	callInFlight   bool
 }
 
-func newPacer(session *agentSession) *pacer {
-	return &pacer{session: session, runs: map[structs.RunID]*pacedRun{}, pace: steps.FullPace()}
+func newPacer(o Options, m *metrics, incarnation string) *pacer {
+	return &pacer{
+		o: o, metrics: m, incarnation: incarnation, callSlots: make(chan struct{}, maxPaceCalls),
+		log: o.Log, runs: map[structs.RunID]*pacedRun{}, pace: steps.FullPace(), violations: newViolations(o, m),
+	}
+}
+
+// attach makes the pacer use the runner's client and the fencing token of a
+// new session.
+func (p *pacer) attach(log *zap.Logger, runner substrate.Runner, fencingToken int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log, p.runner, p.fencingToken = log, runner, fencingToken
+}
+
+// addKnownRun adds a run that was assigned before the session, unless the pacer
+// has it already. The pace of such a run is not known.
+func (p *pacer) addKnownRun(r structs.RunID, fills bool, targetMS int64) {
+	p.addRun(r, fills, targetMS, unknownPercent)
+}
+
+// addStart adds a run that is about to start. Runs start at full pace.
+func (p *pacer) addStart(r structs.RunID, fills bool, targetMS int64) {
+	p.addRun(r, fills, targetMS, 100)
 }
 
-// addRun adds a run with full pace.
-func (p *pacer) addRun(r structs.RunID, fills bool, targetMS int64) {
-	p.runs[r] = &pacedRun{fills: fills, targetMS: targetMS, appliedPercent: 100}
+func (p *pacer) addRun(r structs.RunID, fills bool, targetMS int64, appliedPercent int32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.runs[r] == nil {
+		p.runs[r] = &pacedRun{fills: fills, targetMS: targetMS, appliedPercent: appliedPercent}
+	}
 }
 
-// appliedPace returns the percentage to which the run is limited.
+// appliedPace returns the percentage to which the run is limited, 100 if it is
+// not known.
 func (p *pacer) appliedPace(r structs.RunID) int32 {
-	if run, found := p.runs[r]; found {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if run, found := p.runs[r]; found && run.appliedPercent != unknownPercent {
 		return run.appliedPercent
 	}
 	return 100
 }
 
+// setSuspects replaces the set of runs that probably interfere with a service
+// on the host.
+func (p *pacer) setSuspects(runs []structs.RunID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, run := range p.runs {
+		run.suspect = false
+	}
+	for _, r := range runs {
+		if run := p.runs[r]; run != nil {
+			run.suspect = true
+		}
+	}
+}
+
+// forgetRuns removes the runs that are neither listed nor about to start.
+func (p *pacer) forgetRuns(active []substrate.ActiveRun, starting map[structs.RunID]*startOp) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[structs.RunID]bool, len(active))
+	for _, r := range active {
+		listed[r.Run] = true
+	}
+	for r := range p.runs {
+		if !listed[r] && starting[r] == nil {
+			delete(p.runs, r)
+		}
+	}
+}
+
 // update decides on a new pace after a reading of the runner, and sends the
 // changes to the runner.
 func (p *pacer) update(ctx context.Context, active []substrate.ActiveRun, now bootclock.Time) {
-	listed := make(map[structs.RunID]bool, len(active))
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	ratios := map[structs.RunID]float64{}
 	reading := steps.LatencyReading{}
-	fills := fillState{fencingToken: p.session.fencingToken, suspectsLimit: p.pace.Suspects, othersLimit: p.pace.Others}
+	fills := fillState{fencingToken: p.fencingToken, suspectsLimit: p.pace.Suspects, othersLimit: p.pace.Others}
 	for _, r := range active {
-		listed[r.Run] = true
 		run := p.runs[r.Run]
 		if run == nil {
 			continue
 		}
+		run.active = true
 		if run.fills {
-			fills.running++
-			if run.suspect {
-				fills.suspects++
-			}
-			if run.appliedPercent > 0 {
-				fills.working++
-				reading.SuspectWorking = reading.SuspectWorking || run.suspect
-			}
+			fills.add(run)
+			reading.SuspectWorking = reading.SuspectWorking || run.suspect && run.appliedPercent != 0
 		}
 		if run.targetMS > 0 {
 			ratios[r.Run] = float64(r.Reading) / float64(run.targetMS)
 			reading.LatencyRatio = max(reading.LatencyRatio, ratios[r.Run])
 		}
 	}
-	for r := range p.runs {
-		if !listed[r] && p.session.starting[r] == nil {
-			delete(p.runs, r)
-		}
-	}
 	if p.readAt > 0 {
 		reading.Elapsed = now.Sub(p.readAt)
+		p.metrics.readingInterval.Record(ctx, reading.Elapsed.Seconds())
 	}
 	p.readAt = now
-	p.decide(reading, fills)
-	p.session.host.violations.observe(ratios, fills, now)
-	p.apply(ctx, listed)
-}
-
-// setSuspects replaces the set of runs that probably interfere with a service
-// on the host.
-func (p *pacer) setSuspects(runs []structs.RunID) {
-	for _, run := range p.runs {
-		run.suspect = false
-	}
-	for _, r := range runs {
-		if run := p.runs[r]; run != nil {
-			run.suspect = true
-		}
+	p.decideLocked(reading, fills)
+	p.violations.observe(ratios, fills, now)
+	for r, run := range p.runs {
+		p.applyLocked(ctx, r, run)
 	}
 }
 
-// apply sends the runner the pace of each run whose pace has changed.
-func (p *pacer) apply(ctx context.Context, listed map[structs.RunID]bool) {
-	for r, run := range p.runs {
-		if run.fills && listed[r] && !run.callInFlight && run.appliedPercent != p.targetPercent(run) {
-			p.sendPace(ctx, r, run)
-		}
+func (p *pacer) decideLocked(reading steps.LatencyReading, fills fillState) {
+	t := p.o.Timing
+	next := p.pace.Next(reading, steps.PaceTiming{ReadingWindow: latencyWindow, PaceDelay: t.PaceDelay, ViolationLimit: t.ViolationLimit})
+	if (next.Suspects != p.pace.Suspects || next.Others != p.pace.Others) && fills.running > 0 {
+		p.log.Info("pace", zap.Float64("strain", reading.LatencyRatio), zap.Int("filling", fills.running), zap.Int("suspects", fills.suspects),
+			zap.Int32("suspects_percent", next.Suspects), zap.Int32("others_percent", next.Others))
 	}
+	p.pace = next
 }
 
 func (p *pacer) targetPercent(run *pacedRun) int32 {
@@ -123,39 +181,50 @@
 	return p.pace.Others
 }
 
-func (p *pacer) decide(reading steps.LatencyReading, fills fillState) {
-	t := p.session.host.o.Timing
-	next := p.pace.Next(reading, steps.PaceTiming{ReadingWindow: latencyWindow, PaceDelay: t.PaceDelay, ViolationLimit: t.ViolationLimit})
-	if (next.Suspects != p.pace.Suspects || next.Others != p.pace.Others) && fills.running > 0 {
-		p.session.log.Info("pace", zap.Float64("strain", reading.LatencyRatio), zap.Int("filling", fills.running), zap.Int("suspects", fills.suspects),
-			zap.Int32("suspects_percent", next.Suspects), zap.Int32("others_percent", next.Others))
+// applyLocked sends the runner the pace of the run, if the run is active and
+// has another pace.
+func (p *pacer) applyLocked(ctx context.Context, r structs.RunID, run *pacedRun) {
+	percent := p.targetPercent(run)
+	if !run.fills || !run.active || run.callInFlight || run.appliedPercent == percent {
+		return
 	}
-	p.pace = next
-}
-
-func (p *pacer) sendPace(ctx context.Context, r structs.RunID, run *pacedRun) {
 	run.callInFlight = true
-	percent := p.targetPercent(run)
+	runner, token, log := p.runner, p.fencingToken, p.log
+	// The end of a session must not cancel the call, since its outcome would
+	// then be unknown.
+	ctx = context.WithoutCancel(ctx)
 	go func() {
-		err := p.session.callRunner(ctx, p.session.host.o.Timing.RunnerCallTimeout*2, func(call context.Context) error {
-			return p.session.runner.SetPace(call, p.session.fencingToken, r, int(percent))
-		})
+		p.callSlots <- struct{}{}
+		call, cancel := context.WithTimeout(ctx, 2*p.o.Timing.RunnerCallTimeout)
+		err := runner.SetPace(call, token, r, int(percent))
+		cancel()
+		<-p.callSlots
+		p.metrics.count(p.metrics.paceCalls, callOutcome(err))
 		if err != nil {
-			p.session.log.Warn("pace not set", zap.Stringer("run", r), zap.Int32("percent", percent), zap.Error(err))
+			log.Warn("pace not set", zap.Stringer("run", r), zap.Int32("percent", percent), zap.Error(err))
 		}
-		p.session.host.metrics.count(p.session.host.metrics.paceCalls, callOutcome(err))
-		p.session.runInLoop(ctx, func() {
-			run.callInFlight = false
-			if isUnknownOutcome(err) {
-				p.session.host.violations.countUnansweredCall()
-			}
-			if err == nil {
-				run.appliedPercent = percent
-			}
-		})
+		p.finishCall(ctx, r, run, percent, err)
 	}()
 }
 
+// finishCall records the result of a change of pace. If the wanted pace has
+// changed meanwhile, it sends the new one.
+func (p *pacer) finishCall(ctx context.Context, r structs.RunID, run *pacedRun, percent int32, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	run.callInFlight = false
+	if err != nil {
+		if isUnknownOutcome(err) {
+			p.violations.countUnansweredCall()
+		}
+		return // the next reading repeats the call
+	}
+	run.appliedPercent = percent
+	if p.targetPercent(run) != percent && p.runs[r] == run {
+		p.applyLocked(ctx, r, run)
+	}
+}
+
 func isUnknownOutcome(err error) bool {
 	var unknown *structs.UnknownOutcomeError
 	return errors.As(err, &unknown)
--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -94,6 +94,66 @@
 	f.waitUntil("filling tasks paused", f.timing.ViolationLimit, func() bool { return f.highestPace() == 0 })
 }
 
+// timeWorking returns for how long some filling task works in the period d.
+func (f *throttledFleet) timeWorking(d time.Duration) time.Duration {
+	working := time.Duration(0)
+	for range d / sampleInterval {
+		time.Sleep(sampleInterval)
+		if f.highestPace() > 0 {
+			working += sampleInterval
+		}
+	}
+	return working
+}
+
+func TestNewSessionDoesNotRaiseThePaceOfPausedTasks(t *testing.T) {
+	runInThrottledFleet(t, 3, func(f *throttledFleet) {
+		is := is.New(t)
+		f.waitPaused()
+		for _, h := range f.hosts {
+			h.dropSession()
+		}
+		is.Equal(f.timeWorking(5*time.Second), time.Duration(0))
+	})
+}
+
+func TestNewSessionRaisesThePaceOfPausedTasksOnceTheServicesRecover(t *testing.T) {
+	runInThrottledFleet(t, 3, func(f *throttledFleet) {
+		f.waitPaused()
+		for _, h := range f.hosts {
+			h.dropSession()
+		}
+		f.latency.Store(lowLatency)
+		f.waitUntil("full pace", 15*time.Second, func() bool {
+			for _, pace := range f.fillPaces() {
+				if pace < 100 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+func TestRestartedAgentSetsThePaceOfRunsThatItFinds(t *testing.T) {
+	runInThrottledFleet(t, 3, func(f *throttledFleet) {
+		f.waitPaused()
+		for _, h := range f.hosts {
+			h.killAgent()
+			h.startAgent()
+		}
+		f.latency.Store(lowLatency)
+		f.waitUntil("full pace", 20*time.Second, func() bool {
+			for _, pace := range f.fillPaces() {
+				if pace < 100 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
 func TestFillingTasksDontStartBesideAServiceOverItsTarget(t *testing.T) {
 	runInThrottledFleet(t, 3, func(f *throttledFleet) {
 		is := is.New(t)
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -23,10 +23,7 @@
 		a.log.Warn("start dropped: order too old", zap.Stringer("run", r), zap.Duration("age", age))
 		return
 	}
-	a.pacer.addRun(r, s.GetFills(), s.GetLatencyTargetMs())
-	if s.GetFills() {
-		a.host.violations.countFillStart()
-	}
+	a.pacer.addStart(r, s.GetFills(), s.GetLatencyTargetMs())
 	call, cancel := context.WithCancel(ctx)
 	op := &startOp{cancel: cancel, settledAtPoll: -1}
 	a.starting[r] = op
--- a/fleet/violation.go
+++ b/fleet/violation.go
@@ -17,7 +17,7 @@
 	readAt          bootclock.Time // last reading over the target
 	longestInterval time.Duration  // longest time between two readings
 	worstRatio      float64        // highest latency as a ratio to the target
-	besideWork      time.Duration  // time for which some filling task of the host had a confirmed pace above 0
+	besideWork      time.Duration  // time for which some filling task of the host had no confirmed pace of 0
 	fillStarts      int            // filling tasks that were started on the host
 	unansweredCalls int            // changes of pace with an unknown outcome
 	fencingToken    int64          // session in which the violation began
@@ -27,22 +27,31 @@
 // fillState summarises the filling tasks of a host at one reading.
 type fillState struct {
 	running       int
-	working       int // running with a confirmed pace above 0
+	working       int // running without a confirmed pace of 0
 	suspects      int
 	fencingToken  int64 // session of the reading
 	suspectsLimit int32 // decided pace of the suspects, in percent
 	othersLimit   int32 // decided pace of the other filling tasks, in percent
 }
 
+// add counts a filling task.
+func (f *fillState) add(run *pacedRun) {
+	f.running++
+	if run.appliedPercent != 0 {
+		f.working++
+	}
+	if run.suspect {
+		f.suspects++
+	}
+}
+
 // violations tracks the violations of the services of one host, across
 // sessions with leaders. It logs those that last for longer than half of
-// Timing.ViolationLimit, with what is needed to tell their causes apart. The
-// goroutine of the current session owns it.
+// Timing.ViolationLimit, with what is needed to tell their causes apart.
 type violations struct {
 	o       Options
 	metrics *metrics
 	open    map[structs.RunID]*violation
-	readAt  bootclock.Time // last reading of the runner, 0 before the first
 }
 
 func newViolations(o Options, m *metrics) *violations {
@@ -52,10 +61,6 @@
 // observe processes one reading of every service of the host. ratios holds the
 // tail latency of each service as a ratio to its target.
 func (v *violations) observe(ratios map[structs.RunID]float64, fills fillState, now bootclock.Time) {
-	if v.readAt > 0 {
-		v.metrics.readingInterval.Record(context.Background(), now.Sub(v.readAt).Seconds())
-	}
-	v.readAt = now
 	for run, ratio := range ratios {
 		if ratio > 1 {
 			v.extend(run, ratio, fills, now)
