Throttle a filling task as soon as it has started on a throttled host

What callers saw: services over their target beside batch work.

Cause: a task starts at full pace, whatever the pace of the host, and the agent set its pace only after the runner had listed it: up to a poll (0.4 s), the call and the delay of a change later.

Change: the pace is sent when the runner has answered the start.

Test: TestFillingTaskThatStartsOnAThrottledHostIsThrottledAtOnce fails on the code before; the task must not work for longer than the runner's delay of a change.

--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -48,7 +48,7 @@
 type pacedRun struct {
 	fills          bool
 	suspect        bool
-	active         bool  // the runner has listed the run
+	active         bool  // the runner has started or listed the run
 	targetMS       int64 // latency target in milliseconds, 0 for none
 	appliedPercent int32 // pace that the runner has confirmed, or unknownPercent
 	callInFlight   bool
@@ -88,6 +88,22 @@
 	}
 }
 
+// setStarted records that the runner has started the run, and throttles the
+// run if the other filling tasks are throttled.
+func (p *pacer) setStarted(ctx context.Context, r structs.RunID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	run := p.runs[r]
+	if run == nil {
+		return
+	}
+	run.active = true
+	if run.fills {
+		p.violations.countFillStart()
+	}
+	p.applyLocked(ctx, r, run)
+}
+
 // appliedPace returns the percentage to which the run is limited, 100 if it is
 // not known.
 func (p *pacer) appliedPace(r structs.RunID) int32 {
--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -23,6 +24,7 @@
 // Latencies of the services in percent of their target.
 const (
 	lowLatency     = 40
+	bandLatency    = 85 // neither throttles nor raises
 	highLatency    = 500
 	latencyPercent = 100
 )
@@ -154,6 +156,22 @@
 	})
 }
 
+func TestFillingTaskThatStartsOnAThrottledHostIsThrottledAtOnce(t *testing.T) {
+	runInThrottledFleet(t, 3, func(f *throttledFleet) {
+		is := is.New(t)
+		f.waitPaused()
+		f.latency.Store(bandLatency)
+		time.Sleep(2 * time.Second)
+		for i := range 5 {
+			f.submitFillingTasks(fmt.Sprintf("late-%d", i), 1)
+			working := f.timeWorking(930 * time.Millisecond) // starts at different times between two lists
+			is.Equal(len(f.fillPaces()), 4+i)
+			is.True(working > 0) // a task starts at full pace
+			is.True(working <= f.timing.PaceDelay+2*sampleInterval)
+		}
+	})
+}
+
 func TestFillingTasksDontStartBesideAServiceOverItsTarget(t *testing.T) {
 	runInThrottledFleet(t, 3, func(f *throttledFleet) {
 		is := is.New(t)
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -33,6 +33,9 @@
 		defer cancel()
 		attempts, err := a.startUntilSettled(call, start)
 		took := a.host.o.Clock().Sub(begunAt)
+		if err == nil {
+			a.pacer.setStarted(ctx, r)
+		}
 		a.host.metrics.startDelay.Record(ctx, took.Seconds())
 		a.log.Info("start settled", zap.Stringer("run", r), zap.Duration("took", took), zap.Duration("order_age", age), zap.Int("attempts", attempts), zap.Error(err))
 		if err != nil {
