Send the pace of a run again after a call without an answer

What callers saw: services over their target beside batch work, in the worst case for as long as a task ran.

Cause: a call to the runner without an answer may be carried out seconds later, after newer calls. The pacer repeated such a call, recorded the answer to the repetition as the pace of the run, and sent nothing as long as that was the wanted pace. When the first call was carried out late, the task went on at its pace, 25% in the test, beside a service over its target.

Change: after a call with an unknown outcome the pace of that run is sent with each reading. The calls go from the agent to the runner of its own host.

--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -52,6 +52,9 @@
 	targetMS       int64 // latency target in milliseconds, 0 for none
 	appliedPercent int32 // pace that the runner has confirmed, or unknownPercent
 	callInFlight   bool
+	// mayChange is set after a call without an answer. The runner may still
+	// execute that call, even after newer ones.
+	mayChange bool
 }
 
 func newPacer(o Options, m *metrics, incarnation string) *pacer {
@@ -198,10 +201,10 @@
 }
 
 // applyLocked sends the runner the pace of the run, if the run is active and
-// has another pace.
+// may have another pace.
 func (p *pacer) applyLocked(ctx context.Context, r structs.RunID, run *pacedRun) {
 	percent := p.targetPercent(run)
-	if !run.fills || !run.active || run.callInFlight || run.appliedPercent == percent {
+	if !run.fills || !run.active || run.callInFlight || (run.appliedPercent == percent && !run.mayChange) {
 		return
 	}
 	run.callInFlight = true
@@ -231,6 +234,7 @@
 	run.callInFlight = false
 	if err != nil {
 		if isUnknownOutcome(err) {
+			run.mayChange = true
 			p.violations.countUnansweredCall()
 		}
 		return // the next reading repeats the call
--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -172,6 +172,22 @@
 	})
 }
 
+func TestPaceCallThatIsCarriedOutLateIsCorrected(t *testing.T) {
+	runInThrottledFleet(t, 1, func(f *throttledFleet) {
+		is := is.New(t)
+		f.waitPaused()
+		for _, h := range f.hosts {
+			h.runner.WithholdPaceReplies(1)
+		}
+		f.latency.Store(lowLatency) // the call that raises the pace gets no answer
+		f.waitUntil("pace raised", 2*time.Second, func() bool { return f.highestPace() > 0 })
+		f.waitPaused()
+		working := f.timeWorking(6 * time.Second)
+		is.True(working > 0) // the late calls are carried out
+		is.True(working <= f.timing.ReportInterval+2*f.timing.PaceDelay)
+	})
+}
+
 func TestFillingTasksDontStartBesideAServiceOverItsTarget(t *testing.T) {
 	runInThrottledFleet(t, 3, func(f *throttledFleet) {
 		is := is.New(t)
