Read the services' latencies while no session does

What callers saw: services over their target beside batch work around a change of leader.

Change: when the last reading is older than two intervals, the agent reads the runner's list itself, with the last fencing token. It neither extends the lease nor acknowledges ends.

Tests: TestFillingTasksArePausedWithinTheLimitWithoutALeader fails on the code before ("not within 4s").

--- a/fleet/host.go
+++ b/fleet/host.go
@@ -153,6 +153,29 @@
 	return h.pacer
 }
 
+func (h *host) currentPacer() *pacer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pacer
+}
+
+// watchServices reads the latencies of the host's services while no session
+// does, so that filling tasks are throttled without a leader too.
+func (h *host) watchServices(ctx context.Context) error {
+	tick := time.NewTicker(h.o.Timing.ReportInterval / 2)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if p := h.currentPacer(); p != nil && p.incarnation == h.current().Incarnation {
+			p.readIfDue(ctx)
+		}
+	}
+}
+
 // sessionEnd is the reason for the end of a session.
 type sessionEnd int
 
--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -183,6 +183,25 @@
 	}
 }
 
+// readIfDue reads the latencies of the services if the last reading is older
+// than twice the interval of a session's readings. It leaves the lease and the
+// records of ends unchanged.
+func (p *pacer) readIfDue(ctx context.Context) {
+	p.mu.Lock()
+	runner, token, due := p.runner, p.fencingToken, p.readAt > 0 && p.o.Clock().Sub(p.readAt) >= 2*p.o.Timing.ReportInterval
+	p.mu.Unlock()
+	if !due {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, 2*p.o.Timing.RunnerCallTimeout)
+	defer cancel()
+	state, err := runner.PollRuns(call, token, 0, 0, 0)
+	if err != nil {
+		return // the session reports failed polls
+	}
+	p.update(ctx, state.Active, p.o.Clock())
+}
+
 func (p *pacer) decideLocked(reading steps.LatencyReading, fills fillState) {
 	t := p.o.Timing
 	next := p.pace.Next(reading, steps.PaceTiming{ReadingWindow: latencyWindow, PaceDelay: t.PaceDelay, ViolationLimit: t.ViolationLimit})
--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
@@ -188,6 +189,18 @@
 	})
 }
 
+func TestFillingTasksArePausedWithinTheLimitWithoutALeader(t *testing.T) {
+	runInThrottledFleet(t, 3, func(f *throttledFleet) {
+		leader := f.leaderHost()
+		for _, h := range f.hosts {
+			h.store.SetMode(standin.StoreUnresponsive) // no other host can take over
+		}
+		leader.killAgent()
+		leader.runner.Crash(true)
+		f.waitPaused()
+	})
+}
+
 func TestFillingTasksDontStartBesideAServiceOverItsTarget(t *testing.T) {
 	runInThrottledFleet(t, 3, func(f *throttledFleet) {
 		is := is.New(t)
