Throttle at the first reading of a runner too

What callers saw: services over their target for a second longer than needed after the start of a runner or an agent.

Cause: a new pace counted as just changed, so the first reading was taken as one that may show the pace before the change. Seen in a trace of TestPaceCallThatIsCarriedOutLateIsCorrected: a reading of 5 times the target left the tasks at 100% for two more readings.

Change: the pace holds the time until readings show only the present pace, 0 at first.

Test: TestFirstReadingThrottles fails on the code before (100 != 0).

Tried and not kept: throttling at a high reading directly after a raise, without waiting for a reading of the raised pace alone.

--- a/placement/steps/pace.go
+++ b/placement/steps/pace.go
@@ -44,10 +44,10 @@
 	Suspects int32 // percent for tasks that count as interfering with a service of the host
 	Others   int32 // percent for all other filling tasks
 
-	high        bool          // the readings are high
-	highFor     time.Duration // time since the first high reading
-	sinceHigh   time.Duration // time since the last high reading
-	sinceChange time.Duration // time since the last change of the pace
+	high      bool          // the readings are high
+	highFor   time.Duration // time since the first high reading
+	sinceHigh time.Duration // time since the last high reading
+	settlesIn time.Duration // time until readings show only the present pace
 }
 
 // FullPace returns the pace without throttling.
@@ -61,8 +61,8 @@
 func (p Pace) Next(r LatencyReading, t PaceTiming) Pace {
 	p.highFor += r.Elapsed
 	p.sinceHigh += r.Elapsed
-	p.sinceChange += r.Elapsed
-	settled := p.sinceChange >= t.settleTime()
+	p.settlesIn = max(0, p.settlesIn-r.Elapsed)
+	settled := p.settlesIn == 0
 	before := p
 	switch {
 	case r.LatencyRatio >= throttleRatio:
@@ -75,7 +75,7 @@
 		case p.highFor >= t.pauseAfter():
 			p.Others = 0
 		case r.SuspectWorking:
-			p.sinceChange = 0
+			p.settlesIn = t.settleTime()
 		case settled:
 			p.Others = throttledPercent(p.Others, r.LatencyRatio)
 		}
@@ -91,7 +91,7 @@
 		p.high = false
 	}
 	if p.Suspects != before.Suspects || p.Others != before.Others {
-		p.sinceChange = 0
+		p.settlesIn = t.settleTime()
 	}
 	return p
 }
--- a/placement/steps/steps_test.go
+++ b/placement/steps/steps_test.go
@@ -232,6 +232,11 @@
 	is.Equal(FullPace().Next(reading, testPaceTiming).Others, int32(0))
 }
 
+func TestFirstReadingThrottles(t *testing.T) {
+	is := is.New(t)
+	is.Equal(FullPace().Next(LatencyReading{LatencyRatio: 20}, testPaceTiming).Others, int32(0))
+}
+
 // The reading window of the second reading begins before the change of pace
 // takes effect.
 func TestReadingThatMayShowTheFormerPaceChangesNothing(t *testing.T) {
