Acknowledge no end that a runner's next incarnation has not listed

Cause: the numbers of ends begin at 1 in each incarnation of a runner. After a restart under the same ID, the first poll of the old session carried the number of an end of the previous incarnation, and the new one dropped its own ends up to it, unread.

Change: after a failed poll, polls acknowledge nothing until one is answered by the session's incarnation. The stand-in's runner carries out such acknowledgements, as it does with starts that are addressed to an earlier incarnation.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -47,8 +47,12 @@
 	pacer           *pacer
 
 	pollInFlight bool
-	nextPollAt   bootclock.Time // earliest time of the next poll
-	refusedPolls int            // polls in a row whose connection was refused
+	// isIncarnationUncertain is set after a failed poll, since the runner may
+	// have restarted with the same ID. The numbers of the acknowledged ends are
+	// valid for one incarnation only.
+	isIncarnationUncertain bool
+	nextPollAt             bootclock.Time // earliest time of the next poll
+	refusedPolls           int            // polls in a row whose connection was refused
 	// pendingList is a complete list of the runner's runs that is not yet
 	// reported to the leader. It is nil if there is none.
 	pendingList   *fleetpb.WorkerReport
@@ -252,10 +256,14 @@
 	if pollNumber == 1 {
 		wait = 0
 	}
+	acknowledges := !a.isIncarnationUncertain
 	go func() {
-		a.mu.Lock()
-		acknowledged := a.acknowledgedEnd
-		a.mu.Unlock()
+		acknowledged := int64(0)
+		if acknowledges {
+			a.mu.Lock()
+			acknowledged = a.acknowledgedEnd
+			a.mu.Unlock()
+		}
 		call, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
 		defer cancel()
 		state, err := a.runner.PollRuns(call, a.fencingToken, acknowledged, a.runnerLease(), wait)
@@ -269,6 +277,7 @@
 // handlePollState processes the result of a poll.
 func (a *agentSession) handlePollState(ctx context.Context, pollNumber int64, state substrate.RunnerState, err error) {
 	a.pollInFlight = false
+	a.isIncarnationUncertain = err != nil
 	now := a.host.o.Clock()
 	if err != nil {
 		a.handlePollError(now, err)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -451,6 +451,31 @@
 	})
 }
 
+// The acknowledgements of a session must not reach the runner's next incarnation.
+func TestEndInTheNextIncarnationIsNotAcknowledgedUnread(t *testing.T) {
+	runInFleet(t, 3, func(f *simulatedFleet) {
+		is := is.New(t)
+		f.runTime = func(structs.RunID) time.Duration { return 50 * time.Millisecond }
+		f.waitReady()
+		e := f.newEntry()
+		defer e.Close()
+		is.NoErr(f.submit(e, testJob("first", 12)))
+		f.waitUntil("completed", 5*time.Second, func() bool { return f.phase(e, "first") == structs.JobCompleted })
+		time.Sleep(time.Second)
+		var once sync.Once
+		f.beforeStart = func(h *simulatedHost) {
+			once.Do(func() {
+				h.setSilent(true) // the session goes on
+				h.runner.Restart()
+				time.AfterFunc(2*time.Second, func() { h.setSilent(false) })
+			})
+		}
+		is.NoErr(f.submit(e, testJob("a", 3)))
+		f.waitUntil("completed", 10*time.Second, func() bool { return f.phase(e, "a") == structs.JobCompleted })
+		is.Equal(f.checker.StartsOfJob("a"), 3)
+	})
+}
+
 // One worker becomes eight times slower than the others. A job with tasks of a
 // second each, some of them on that worker, must finish within 2.6 s.
 func TestTasksOnASlowWorkerRunOnOtherWorkers(t *testing.T) {
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -61,6 +61,7 @@
 	cancel      context.CancelFunc
 	done        chan struct{}
 	partitioned bool // the host cannot reach the other hosts
+	silent      bool // the runner's reports don't reach the agent
 }
 
 // fakeConfig is a ConfigSource with one queue and settable drained domains.
@@ -121,7 +122,7 @@
 			Info: substrate.RunnerInfo{
 				ID: string(name), Pool: "pool", FailureDomain: domain, Capacity: testCapacity, Address: string(name),
 			},
-			MaxLease: f.timing.MaxLease, Observer: f.checker, Gangs: f.gangs, Permits: permits, AcceptsStaleStarts: true,
+			MaxLease: f.timing.MaxLease, Observer: f.checker, Gangs: f.gangs, Permits: permits, AcceptsStaleCalls: true,
 			RunTime: func(r structs.RunID) time.Duration { return f.runTime(r) }, PaceDelay: f.timing.PaceDelay,
 			LongRunning: func(r structs.RunID) bool { return f.longRunning(r) },
 			Reading: func(r structs.RunID) int64 {
@@ -271,7 +272,7 @@
 // sendAnnouncements passes the runner's reports to the node.
 func (h *simulatedHost) sendAnnouncements(ctx context.Context, node *Node) {
 	for {
-		if !h.runner.IsCrashed() {
+		if !h.runner.IsCrashed() && !h.isSilent() {
 			node.Announce(h.runner.Report())
 		}
 		if sleep(ctx, 500*time.Millisecond) != nil {
@@ -280,6 +281,18 @@
 	}
 }
 
+func (h *simulatedHost) isSilent() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.silent
+}
+
+func (h *simulatedHost) setSilent(silent bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silent = silent
+}
+
 func (h *simulatedHost) killAgent() {
 	h.mu.Lock()
 	cancel, done := h.cancel, h.done
--- a/soak/regressions_test.go
+++ b/soak/regressions_test.go
@@ -16,6 +16,7 @@
 		"a start that reached the runner's next incarnation was considered lost, and the task ran twice"},
 	{28, "a reload after the services had stopped, but before the process had exited, ended the process"},
 	{439, "fault of the test harness: an answer that was delayed on its way was reported as a violation, as if the job had left its final state"},
+	{7032, "a poll of a session acknowledged an end of the runner's next incarnation that had not been listed, and the task ran again"},
 	{44, "a reload while packages were being initialized ended the process"},
 }
 
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -30,13 +30,14 @@
 	Observer RunObserver
 	Gangs    *Gangs        // shared by all runners, nil without gangs
 	Permits  *PermitIssuer // checks the permit of every start, nil where no permit is needed
-	// AcceptsStaleStarts is set for a runner whose incarnations share one ID.
-	// Such a runner carries out starts that are addressed to an earlier
-	// incarnation. The reply still reports the incarnation mismatch.
-	AcceptsStaleStarts bool
-	LongRunning        func(structs.RunID) bool  // runs that are at work until they are stopped, none if nil
-	PaceDelay          time.Duration             // time from a change of pace to its effect
-	Reading            func(structs.RunID) int64 // reading of an active run, 0 for every run if nil
+	// AcceptsStaleCalls is set for a runner whose incarnations share one ID.
+	// Such a runner carries out starts and acknowledgements that are addressed
+	// to an earlier incarnation. The reply still reports the incarnation
+	// mismatch.
+	AcceptsStaleCalls bool
+	LongRunning       func(structs.RunID) bool  // runs that are at work until they are stopped, none if nil
+	PaceDelay         time.Duration             // time from a change of pace to its effect
+	Reading           func(structs.RunID) int64 // reading of an active run, 0 for every run if nil
 }
 
 // LateStartDelay is how long after its call a start or a change of pace takes
--- a/standin/taskrunner_client.go
+++ b/standin/taskrunner_client.go
@@ -23,7 +23,7 @@
 func (c *TaskRunnerClient) Start(ctx context.Context, fence int64, start substrate.TaskStart, lease substrate.RuntimeClock) (substrate.RuntimeClock, error) {
 	err := c.runner.admitCall(ctx, c.incarnation, fence)
 	var mismatch *substrate.IncarnationError
-	if errors.As(err, &mismatch) && c.runner.options.AcceptsStaleStarts {
+	if errors.As(err, &mismatch) && c.runner.options.AcceptsStaleCalls {
 		c.runner.mu.Lock()
 		defer c.runner.mu.Unlock()
 		_ = c.runner.startRunLocked(start, lease) // the reply reports the incarnation mismatch instead of a refusal
@@ -105,19 +105,20 @@
 
 // PollRuns implements substrate.Runner.
 func (c *TaskRunnerClient) PollRuns(ctx context.Context, fence, acknowledged int64, lease substrate.RuntimeClock, maxWait time.Duration) (substrate.RunnerState, error) {
-	if err := c.runner.admitCall(ctx, c.incarnation, fence); err != nil {
+	err := c.runner.admitCall(ctx, c.incarnation, fence)
+	c.runner.mu.Lock()
+	var mismatch *substrate.IncarnationError
+	if errors.As(err, &mismatch) && c.runner.options.AcceptsStaleCalls {
+		c.runner.acknowledgeLocked(acknowledged)
+	}
+	if err != nil {
+		c.runner.mu.Unlock()
 		return substrate.RunnerState{}, err
 	}
-	c.runner.mu.Lock()
 	if lease > 0 {
 		c.runner.extendLeaseLocked(lease)
 	}
-	for len(c.runner.unacknowledged) > 0 && c.runner.unacknowledged[0].Number <= acknowledged {
-		if c.runner.options.Observer != nil && c.runner.unacknowledged[0].Number > c.runner.lastLapsedEnd {
-			c.runner.options.Observer.Acknowledged(c.runner.info.ID, c.runner.unacknowledged[0].Run, c.runner.unacknowledged[0].End)
-		}
-		c.runner.unacknowledged = c.runner.unacknowledged[1:]
-	}
+	c.runner.acknowledgeLocked(acknowledged)
 	runEnded, pending := c.runner.runEnded, len(c.runner.unacknowledged)
 	c.runner.mu.Unlock()
 	if pending == 0 && maxWait > 0 {
@@ -137,6 +138,17 @@
 	return c.runner.stateLocked(), nil
 }
 
+// acknowledgeLocked drops the records of ends up to the given number. The
+// caller holds the lock.
+func (r *TaskRunner) acknowledgeLocked(number int64) {
+	for len(r.unacknowledged) > 0 && r.unacknowledged[0].Number <= number {
+		if r.options.Observer != nil && r.unacknowledged[0].Number > r.lastLapsedEnd {
+			r.options.Observer.Acknowledged(r.info.ID, r.unacknowledged[0].Run, r.unacknowledged[0].End)
+		}
+		r.unacknowledged = r.unacknowledged[1:]
+	}
+}
+
 // admitCall makes the checks that all calls share: reachability of the runner,
 // incarnation and fence.
 func (r *TaskRunner) admitCall(ctx context.Context, incarnation string, fence int64) error {
