Bound the wait of filling tasks for a host within its targets

Services may be over their targets for reasons of their own.

Change: after 2 s without a placement of its job, a filling task may start beside a service over its target, at most one on a worker within the limit of a violation. Other workers come first.

Tests: TestFillingTaskStartsBesideAServiceOverItsTargetAfterAWait does not pass without the change (no placement after any wait).

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -58,6 +58,9 @@
 		ID: w.id, FailureDomain: w.domain, Rack: w.rack, Pool: w.pool, Labels: w.labels,
 		Capacity: w.capacity, HealthPenalty: w.health.healthPenalty(l.o.Clock()), LatencyRatio: w.latencyRatio,
 		TasksByServiceImage: map[string]int{},
+		// A task starts at full pace, so frequent starts would keep a service
+		// over its target.
+		AllowsFillOverTarget: l.o.Clock().Sub(w.fillAssignedAt) >= l.o.Timing.ViolationLimit,
 	}
 	for _, r := range w.runs {
 		step := r.job.Step(r.id.Task)
@@ -138,6 +141,9 @@
 		return
 	}
 	j.lastAssignedAt = l.o.Clock()
+	if j.Step(p.Task).Fills {
+		w.fillAssignedAt = j.lastAssignedAt
+	}
 	r := w.assign(id, w.incarnation, j)
 	l.markDirty(j, func() {
 		r.stored = true
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -44,6 +44,7 @@
 	health          workerHealth
 
 	latencyRatio          float64        // highest ratio of a service's latency to its target in the last list, 0 without services
+	fillAssignedAt        bootclock.Time // last assignment of a filling task
 	interferenceUpdatedAt bootclock.Time // last update of the interference model from this worker
 	paceSamples           []paceSample   // pace of the filling tasks in the last reading window
 	// suspects are the filling runs that probably interfere with a service of
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -33,18 +33,19 @@
 // Worker is one worker with its reservations. Plan adds the tasks that it
 // places.
 type Worker struct {
-	ID                  structs.WorkerID
-	FailureDomain       structs.FailureDomainID
-	Rack                string
-	Pool                structs.PoolID
-	Labels              []string
-	Capacity            structs.Resources
-	Reserved            structs.Resources // resources of tasks that don't fill, and memory of filling tasks
-	ServiceMilliCPU     int64             // thousandths of a processor declared by long-running tasks, included in Reserved
-	FillMilliCPU        int64             // thousandths of a processor declared by filling tasks, not included in Reserved
-	TasksByServiceImage map[string]int    // number of tasks with a latency target, by image
-	HealthPenalty       float64           // 0 for a healthy worker, no placements from 1 on
-	LatencyRatio        float64           // last highest ratio of a service's tail latency to its target
+	ID                   structs.WorkerID
+	FailureDomain        structs.FailureDomainID
+	Rack                 string
+	Pool                 structs.PoolID
+	Labels               []string
+	Capacity             structs.Resources
+	Reserved             structs.Resources // resources of tasks that don't fill, and memory of filling tasks
+	ServiceMilliCPU      int64             // thousandths of a processor declared by long-running tasks, included in Reserved
+	FillMilliCPU         int64             // thousandths of a processor declared by filling tasks, not included in Reserved
+	TasksByServiceImage  map[string]int    // number of tasks with a latency target, by image
+	HealthPenalty        float64           // 0 for a healthy worker, no placements from 1 on
+	LatencyRatio         float64           // last highest ratio of a service's tail latency to its target
+	AllowsFillOverTarget bool              // a filling task may start although a service is over its target, since none has started for a while
 }
 
 // idleMilliCPU returns the processors that are expected to stay unused, in
@@ -243,6 +244,7 @@
 	switch {
 	case d.Spec.Fills:
 		w.FillMilliCPU += need.MilliCPU
+		w.AllowsFillOverTarget = false
 		need.MilliCPU = 0
 	case d.Spec.LongRunning:
 		w.ServiceMilliCPU += need.MilliCPU
@@ -290,7 +292,10 @@
 	if !d.Spec.Fills {
 		return w.Reserved.Add(need).Fits(w.Capacity)
 	}
-	if w.LatencyRatio >= throttleRatio || w.idleMilliCPU() < minIdleShare*float64(need.MilliCPU) {
+	if w.isOverTarget() && (d.Waited < maxOverTargetWait || !w.AllowsFillOverTarget) {
+		return false
+	}
+	if w.idleMilliCPU() < minIdleShare*float64(need.MilliCPU) {
 		return false
 	}
 	need.MilliCPU = 0
@@ -300,11 +305,21 @@
 	return w.Reserved.Add(need).Fits(room)
 }
 
+// maxOverTargetWait is how long a filling task waits for a worker whose services
+// are within their targets. Services may be over their targets for reasons of
+// their own, so a longer wait could have no end.
+const maxOverTargetWait = 2 * time.Second
+
+// isOverTarget reports whether a service on the worker is near or above its
+// target.
+func (w *Worker) isOverTarget() bool { return w.LatencyRatio >= throttleRatio }
+
 // Weights of the terms of a score. One unit is all processors of a worker.
 const (
 	interferenceWeight        = 4.0
 	nonInterferingShareWeight = 0.4 // keeps workers on which many images may run for images that may run on few
 	healthPenaltyWeight       = 1.0
+	overTargetWeight          = 8.0 // penalty of a filling task for a worker with a service over its target
 	failedBeforeWeight        = 4.0 // penalty for a worker on which the task failed before
 	inputRackWeight           = 1.0 // bonus for the rack of the input; elsewhere a task takes 1.5 to 3 times as long
 )
@@ -357,6 +372,9 @@
 			return 0, false
 		}
 		score = w.idleMilliCPU()/capacity - interferenceWeight*probability - nonInterferingShareWeight*w.nonInterferingImageShare(d.interference)
+		if w.isOverTarget() {
+			score -= overTargetWeight
+		}
 	case d.Spec.LatencyTarget > 0:
 		score = serviceScore(w, d.Spec.Image, score)
 	}
--- a/placement/steps/steps_test.go
+++ b/placement/steps/steps_test.go
@@ -166,6 +166,23 @@
 	is.Equal(Plan(list, []Demand{other}, NewInterference())[0].Worker, structs.WorkerID("w0"))
 }
 
+func TestFillingTaskStartsBesideAServiceOverItsTargetAfterAWait(t *testing.T) {
+	is := is.New(t)
+	list := workers(2)
+	list[0].LatencyRatio, list[1].LatencyRatio = 3, 3
+	d := demand("a", 1, structs.Step{Image: "match", Fills: true, Resources: structs.Resources{MilliCPU: 1800}})
+	is.Equal(len(Plan(list, []Demand{d}, NewInterference())), 0)
+	d.Waited = maxOverTargetWait
+	is.Equal(len(Plan(list, []Demand{d}, NewInterference())), 0) // other filling tasks have just started there
+	list[0].AllowsFillOverTarget = true
+	d.Tasks = []int32{0, 1}
+	is.Equal(len(Plan(list, []Demand{d}, NewInterference())), 1)
+	list[1].LatencyRatio = 0.5
+	list[1].Reserved.MilliCPU = 9000 // less idle
+	list[0].AllowsFillOverTarget = true
+	is.Equal(Plan(list, []Demand{d}, NewInterference())[0].Worker, structs.WorkerID("w1"))
+}
+
 func TestInterferenceIsAttributedToUnprovenNeighbour(t *testing.T) {
 	is := is.New(t)
 	i := NewInterference()
