Repeat a change of pace without an answer at once

What callers saw: services over their target beside batch work when pace calls get no answer.

Cause: an unanswered call was repeated at the reading after its timeout of 0.5 s, so each lost call delayed a pause by up to 0.9 s, and two of them used up the margin.

Change: the timeout is that of the first attempt of other calls (0.25 s), and the call is repeated at once, twice between two readings. Only the first unanswered call of a run is logged.

--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -55,6 +55,7 @@
 	// mayChange is set after a call without an answer. The runner may still
 	// execute that call, even after newer ones.
 	mayChange bool
+	repeats   int // calls repeated without an answer since the last reading
 }
 
 func newPacer(o Options, m *metrics, incarnation string) *pacer {
@@ -179,6 +180,7 @@
 	p.decideLocked(reading, fills)
 	p.violations.observe(ratios, fills, now)
 	for r, run := range p.runs {
+		run.repeats = 0
 		p.applyLocked(ctx, r, run)
 	}
 }
@@ -233,33 +235,45 @@
 	ctx = context.WithoutCancel(ctx)
 	go func() {
 		p.callSlots <- struct{}{}
-		call, cancel := context.WithTimeout(ctx, 2*p.o.Timing.RunnerCallTimeout)
+		call, cancel := context.WithTimeout(ctx, p.o.Timing.RunnerCallTimeout)
 		err := runner.SetPace(call, token, r, int(percent))
 		cancel()
 		<-p.callSlots
 		p.metrics.count(p.metrics.paceCalls, callOutcome(err))
-		if err != nil {
-			log.Warn("pace not set", zap.Stringer("run", r), zap.Int32("percent", percent), zap.Error(err))
-		}
-		p.finishCall(ctx, r, run, percent, err)
+		p.finishCall(ctx, r, run, percent, err, log)
 	}()
 }
 
-// finishCall records the result of a change of pace. If the wanted pace has
-// changed meanwhile, it sends the new one.
-func (p *pacer) finishCall(ctx context.Context, r structs.RunID, run *pacedRun, percent int32, err error) {
+// maxPaceRepeats limits the repetitions of a change of pace without an answer.
+// The next reading repeats it again.
+const maxPaceRepeats = 2
+
+// finishCall records the result of a change of pace. It sends the pace again
+// if there was no answer, or if the wanted pace has changed meanwhile.
+func (p *pacer) finishCall(ctx context.Context, r structs.RunID, run *pacedRun, percent int32, err error, log *zap.Logger) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	run.callInFlight = false
-	if err != nil {
-		if isUnknownOutcome(err) {
-			run.mayChange = true
-			p.violations.countUnansweredCall()
+	if err != nil && (!isUnknownOutcome(err) || !run.mayChange) {
+		log.Warn("pace not set", zap.Stringer("run", r), zap.Int32("percent", percent), zap.Error(err))
+	}
+	switch {
+	case isUnknownOutcome(err):
+		run.mayChange = true
+		p.violations.countUnansweredCall()
+		if run.repeats >= maxPaceRepeats {
+			return
 		}
+		run.repeats++
+	case err != nil:
 		return // the next reading repeats the call
+	default:
+		run.appliedPercent = percent
+		if p.targetPercent(run) == percent {
+			return
+		}
 	}
-	run.appliedPercent = percent
-	if p.targetPercent(run) != percent && p.runs[r] == run {
+	if p.runs[r] == run {
 		p.applyLocked(ctx, r, run)
 	}
 }
