--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -24,10 +24,9 @@
 
 // Latencies of the services in percent of their target.
 const (
-	lowLatency     = 40
-	bandLatency    = 85 // neither throttles nor raises
-	highLatency    = 500
-	latencyPercent = 100
+	lowLatency  = 40
+	bandLatency = 85 // neither throttles nor raises
+	highLatency = 500
 )
 
 // runInThrottledFleet runs a scenario on a fleet whose filling tasks have full
@@ -40,7 +39,7 @@
 		f.latency.Store(lowLatency)
 		f.longRunning = func(structs.RunID) bool { return true }
 		f.reading = func(*simulatedHost, structs.RunID) int64 {
-			return latencyTarget.Milliseconds() * f.latency.Load() / latencyPercent
+			return latencyTarget.Milliseconds() * f.latency.Load() / 100
 		}
 		f.entry = f.newEntry()
 		defer f.entry.Close()
