--- a/fleet/service_latency_test.go
+++ b/fleet/service_latency_test.go
@@ -34,8 +34,8 @@
 
 	mu       sync.Mutex
 	samples  map[structs.RunID][]latencySample // of the last reading window
-	spells   map[structs.RunID]*overTargetSpell
-	longest  time.Duration // longest spell of any service
+	periods  map[structs.RunID]*overTargetPeriod
+	longest  time.Duration // longest period of any service
 	overTime time.Duration // time over target because of filling tasks, of all services
 	work     time.Duration // work of the filling tasks, as time at full pace
 }
@@ -45,9 +45,9 @@
 	ratio float64
 }
 
-// overTargetSpell is a period in which a service is over its target because of
+// overTargetPeriod is a period in which a service is over its target because of
 // filling tasks, without a gap as long as a reading window.
-type overTargetSpell struct{ since, last time.Time }
+type overTargetPeriod struct{ since, last time.Time }
 
 const (
 	sampleInterval     = 20 * time.Millisecond
@@ -61,7 +61,6 @@
 	meanLoad   float64       // latency without filling tasks as a ratio to the target
 	loadSwing  float64       // amplitude of the load as a share of its mean
 	noisyRatio float64       // growth of the ratio by one noisy task at full pace
-	calmRatio  float64       // growth of the ratio by one calm task at full pace
 	width      int32         // number of tasks of each filling job
 	images     int           // number of images of the noisy tasks, and of the calm ones
 	pollDelay  time.Duration // longest delay of the answer with the readings
@@ -102,8 +101,6 @@
 			continue
 		case strings.HasPrefix(job, noisyPrefix):
 			interference += s.scenario.noisyRatio * float64(pace) / 100
-		default:
-			interference += s.scenario.calmRatio * float64(pace) / 100
 		}
 		working = working || pace > 0
 		s.work += sampleInterval * time.Duration(pace) / 100
@@ -120,19 +117,19 @@
 		}
 		s.samples[run] = append(kept, latencySample{at: now, ratio: ratio})
 		if ratio > 1 && load <= 1 && working {
-			s.extendSpell(run, now)
+			s.extendPeriod(run, now)
 		}
 	}
 }
 
-func (s *simulatedLatency) extendSpell(run structs.RunID, now time.Time) {
-	spell := s.spells[run]
-	if spell == nil || now.Sub(spell.last) > sampledWindow {
-		spell = &overTargetSpell{since: now}
-		s.spells[run] = spell
+func (s *simulatedLatency) extendPeriod(run structs.RunID, now time.Time) {
+	period := s.periods[run]
+	if period == nil || now.Sub(period.last) > sampledWindow {
+		period = &overTargetPeriod{since: now}
+		s.periods[run] = period
 	}
-	spell.last = now
-	s.longest = max(s.longest, now.Sub(spell.since))
+	period.last = now
+	s.longest = max(s.longest, now.Sub(period.since))
 	s.overTime += sampleInterval
 }
 
@@ -268,7 +265,7 @@
 		rng := rand.New(rand.NewPCG(seed, 1))
 		latency = &simulatedLatency{
 			fleet: f, rng: rand.New(rand.NewPCG(seed, 2)), scenario: scenario,
-			samples: map[structs.RunID][]latencySample{}, spells: map[structs.RunID]*overTargetSpell{},
+			samples: map[structs.RunID][]latencySample{}, periods: map[structs.RunID]*overTargetPeriod{},
 		}
 		f.reading = latency.reading
 		pollDelays := rand.New(rand.NewPCG(seed, 3))
@@ -296,7 +293,7 @@
 				scenario.everySecond(c, number/fillsPerSecond)
 			}
 			prefix := calmPrefix
-			if rng.IntN(2) == 0 && scenario.noisyRatio > 0 {
+			if rng.IntN(2) == 0 {
 				prefix = noisyPrefix
 			}
 			go func() { _ = c.submitFill(prefix, number, scenario) }() // refused while there is no leader
