--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -44,10 +44,7 @@
 		f.entry = f.newEntry()
 		defer f.entry.Close()
 		f.waitReady()
-		service := testJob(servicePrefix+"web", int32(hosts))
-		step := &service.Steps[0]
-		step.LongRunning, step.LatencyTarget, step.Image, step.MaxPerWorker = true, latencyTarget, "web", 1
-		if err := f.submit(f.entry, service); err != nil {
+		if err := f.submit(f.entry, serviceJob(hosts)); err != nil {
 			t.Fatal(err)
 		}
 		f.submitFillingTasks("fill", int32(hosts))
--- a/fleet/service_latency_test.go
+++ b/fleet/service_latency_test.go
@@ -163,10 +163,15 @@
 
 // submitServices submits one service task for each host.
 func (c *colocatedFleet) submitServices() error {
-	j := testJob(servicePrefix+"web", int32(len(c.hosts)))
+	return c.submit(c.entry, serviceJob(len(c.hosts)))
+}
+
+// serviceJob returns a job of one service task for each of the hosts.
+func serviceJob(hosts int) *structs.StepJob {
+	j := testJob(servicePrefix+"web", int32(hosts))
 	step := &j.Steps[0]
 	step.LongRunning, step.LatencyTarget, step.Image, step.MaxPerWorker = true, latencyTarget, "web", 1
-	return c.submit(c.entry, j)
+	return j
 }
 
 // submitLastingNoisyTasks submits one noisy task that runs until the end for
