Log and measure why a long-running task has no run

Callers saw a long-running task without a run for up to 26.6 s; no line of the log named it while it waited, none told when and why a worker was quarantined, and no metric had the time that a task is not at work. So the hypotheses of the incident (a quarantine, no room, sessions that are not ready) could not be told apart.

The leader logs once a second, for at most eight steps, on how many workers a pending long-running step can't be placed and why; the start and the end of each quarantine with its cause; and outages longer than the restart limit of 6 s. Metrics: outages, the longest open outage, quarantines by cause. An outage lasts until a run has been at work for a second, so that a loop of failing restarts is one outage. Placement decides as before: feasible is split into named checks that the reasons share.

Tests: steps.TestExclusionsNameTheReasonOfEachWorker (each reason agrees with Plan), fleet.TestPendingLongRunningTaskIsLoggedWithTheReasonOfEachWorker, fleet.TestLogOfPendingTasksIsBounded, fleet.TestOutageLastsUntilARunIsSteadilyAtWork.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -69,6 +69,7 @@
 	interferenceCheckedAt bootclock.Time // when the interference model was last compared with writtenInterference
 
 	stragglersCheckedAt bootclock.Time // when stragglers were last searched for
+	outagesReportedAt   bootclock.Time // when the tasks that are not at work were last logged
 
 	leaveOnce      sync.Once
 	leaveRequested chan struct{} // closed when the process stops
@@ -94,6 +95,10 @@
 	acceptedAt     bootclock.Time // when this leader accepted the job or read it from the store
 	criticalPath   time.Duration  // longest chain of declared run times
 	lastAssignedAt bootclock.Time // time of the last assignment of a task, acceptedAt until the first one
+	// outageSince holds, for each long-running task without a run that is
+	// steadily at work, when the last such run ended, acceptedAt before the
+	// first one.
+	outageSince map[structs.StepTaskID]bootclock.Time
 }
 
 func newLeader(o Options, m *metrics, row leaderRow) *leader {
@@ -142,6 +147,7 @@
 	j.lastAssignedAt = j.acceptedAt
 	j.criticalPath = j.CriticalPath()
 	j.failedOn = map[structs.StepTaskID][]structs.WorkerID{}
+	j.initOutages()
 	l.jobs[j.Spec.ID] = j
 	if !j.Final() {
 		l.openJobs = append(l.openJobs, j)
@@ -398,6 +404,7 @@
 		l.checkWorker(w, now)
 	}
 	l.stopStragglers(now)
+	l.reportOutages(now)
 }
 
 // requestTakeover requests a takeover from all nodes that have a session. This
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -17,6 +17,9 @@
 	startDelay                                                 metric.Float64Histogram
 	paceCalls                                                  metric.Int64Counter
 	violations, readingInterval                                metric.Float64Histogram
+	quarantines                                                metric.Int64Counter
+	outages                                                    metric.Float64Histogram
+	longestOutage                                              metric.Float64Gauge
 }
 
 func newMetrics(meters metric.MeterProvider) (*metrics, error) {
@@ -35,6 +38,7 @@
 	counter(&m.takeovers, "daisywall.fleet.takeovers", "Leaderships taken over")
 	counter(&m.refusedStarts, "daisywall.fleet.refused", "Starts refused by the runner by reason")
 	counter(&m.paceCalls, "daisywall.fleet.pace.calls", "Changes of pace sent to the runner by outcome")
+	counter(&m.quarantines, "daisywall.fleet.quarantines", "Quarantines of workers by cause")
 	counter(&m.commitJobs, "daisywall.fleet.commit.jobs", "Jobs written by commits")
 	seconds := func(into *metric.Float64Histogram, name, description string) {
 		if err == nil {
@@ -45,6 +49,11 @@
 	seconds(&m.startDelay, "daisywall.fleet.start.seconds", "Time of a start at the runner")
 	seconds(&m.violations, "daisywall.fleet.violation.seconds", "Time for which the readings of a service were over its latency target")
 	seconds(&m.readingInterval, "daisywall.fleet.reading.interval.seconds", "Time between two readings of the runner")
+	seconds(&m.outages, "daisywall.fleet.outage.seconds", "Time for which a long-running task was not at work")
+	if err == nil {
+		m.longestOutage, err = meter.Float64Gauge("daisywall.fleet.outage.longest.seconds", metric.WithUnit("s"),
+			metric.WithDescription("Longest time for which a long-running task has not been at work by now"))
+	}
 	if err != nil {
 		return nil, fmt.Errorf("fleet metrics: %w", err)
 	}
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -69,6 +69,7 @@
 	// ViolationLimit is the longest time for which a service may be over its
 	// latency target because of filling tasks on its host.
 	ViolationLimit time.Duration
+	RestartLimit   time.Duration // longest time for which a long-running task may have no run while there is room for it
 	PaceDelay      time.Duration // longest time until a change of pace that the runner has confirmed takes effect
 	MaxClockDrift  float64       // largest relative difference between the rates of two clocks
 }
@@ -85,6 +86,7 @@
 	DefaultRunnerCallTimeout = 250 * time.Millisecond
 	DefaultRetention         = 180 * time.Second // the platform requires 120 s
 	DefaultViolationLimit    = 4 * time.Second
+	DefaultRestartLimit      = 6 * time.Second // from the platform's rules for long-running tasks
 	DefaultPaceDelay         = 100 * time.Millisecond
 	DefaultMaxClockDrift     = 0.02 // from the platform's page on runners
 )
@@ -116,6 +118,7 @@
 	setDefault(&t.RunnerCallTimeout, DefaultRunnerCallTimeout)
 	setDefault(&t.Retention, DefaultRetention)
 	setDefault(&t.ViolationLimit, DefaultViolationLimit)
+	setDefault(&t.RestartLimit, DefaultRestartLimit)
 	setDefault(&t.PaceDelay, DefaultPaceDelay)
 	setDefault(&t.MaxClockDrift, DefaultMaxClockDrift)
 	return t
--- a/fleet/progress.go
+++ b/fleet/progress.go
@@ -36,9 +36,9 @@
 		if !r.isStuck(now) {
 			continue
 		}
-		w.health.recordSlowRun(now)
+		l.recordWorkerFailure(w, r.id, causeStuck)
 		r.job.failedOn[r.id.Task] = append(r.job.failedOn[r.id.Task], w.id)
-		l.stop(w, r, "stands still")
+		l.stop(w, r, causeStuck)
 	}
 }
 
@@ -74,9 +74,9 @@
 		}
 		for _, i := range steps.Stragglers(progress) {
 			w, r := runs[i].w, runs[i].r
-			w.health.recordSlowRun(now)
+			l.recordWorkerFailure(w, r.id, causeSlow)
 			r.job.failedOn[r.id.Task] = append(r.job.failedOn[r.id.Task], w.id)
-			l.stop(w, r, "far slower than its step")
+			l.stop(w, r, causeSlow)
 		}
 	}
 }
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -114,12 +114,12 @@
 		if !j.Finish(id) {
 			return false
 		}
-		w.health.recordSuccess(l.o.Clock())
+		l.recordWorkerSuccess(w, id)
 	case substrate.RunEndFailed:
 		if !j.Fail(id, e.GetCheckpoint()) {
 			return false
 		}
-		w.health.recordFailure(l.o.Clock())
+		l.recordWorkerFailure(w, id, causeFailed)
 		j.failedOn[id.Task] = append(j.failedOn[id.Task], w.id)
 	default:
 		checkpoint := e.GetCheckpoint()
@@ -130,6 +130,7 @@
 			return false
 		}
 	}
+	l.beginOutage(j, id.Task)
 	return true
 }
 
@@ -161,6 +162,7 @@
 		if assigned := w.runs[id]; assigned != nil {
 			l.moveToCurrentIncarnation(w, assigned)
 			assigned.update(a, now)
+			l.endOutage(assigned, now)
 			if reason := assigned.job.StopReason(id); reason != "" {
 				l.stop(w, assigned, reason)
 			}
@@ -232,6 +234,9 @@
 	if a.GetPercent() != r.percent || a.GetCheckpoint() != r.checkpoint {
 		r.progressAt = now
 	}
+	if r.workingSince == 0 && a.GetPercent() >= workingPercent {
+		r.workingSince = now
+	}
 	r.percent, r.reading, r.pace = a.GetPercent(), a.GetFigure(), a.GetPace()
 	if a.GetCheckpoint() != "" {
 		r.checkpoint = a.GetCheckpoint()
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -67,6 +67,7 @@
 	wasThrottled   bool           // its pace was reduced at least once
 	percent        int32          // share of the work done, in percent
 	progressAt     bootclock.Time // last change of percent or checkpoint
+	workingSince   bootclock.Time // when the run was first listed with all of its work done, as a long-running one is, 0 until then
 	// reading is the latency in milliseconds of a task with a latency target,
 	// else the thousandths of a processor in use.
 	reading    int64
@@ -128,6 +129,7 @@
 	w.rack, w.pool, w.labels = hello.GetRack(), structs.PoolID(hello.GetPool()), hello.GetLabels()
 	w.capacity = structs.Resources{MilliCPU: hello.GetMilliCpu(), MemoryMB: hello.GetMemoryMb(), Accelerators: hello.GetAccelerators()}
 	if w.incarnation != hello.GetIncarnation() {
+		l.logQuarantineEnd(w, "new incarnation")
 		w.health = workerHealth{}
 	}
 	w.incarnation = hello.GetIncarnation()
@@ -172,9 +174,27 @@
 }
 
 // usable reports whether the worker may get new tasks.
-func (l *leader) usable(w *worker, now bootclock.Time) bool {
-	return w.session != nil && w.ready && !w.draining && w.incarnation != "" &&
-		now.Sub(w.listedAt) < l.o.Timing.SessionTimeout && l.leaseDuration(now) > 0
+func (l *leader) usable(w *worker, now bootclock.Time) bool { return l.unusableReason(w, now) == "" }
+
+// unusableReason returns why the worker may not get new tasks, an empty text if
+// it may.
+func (l *leader) unusableReason(w *worker, now bootclock.Time) string {
+	switch {
+	case w.session == nil:
+		return "no session"
+	case !w.ready:
+		return "no list yet"
+	case w.incarnation == "":
+		return "no runner"
+	case w.draining:
+		return "draining"
+	case now.Sub(w.listedAt) >= l.o.Timing.SessionTimeout:
+		return "list too old"
+	case l.leaseDuration(now) <= 0:
+		return "no lease"
+	default:
+		return ""
+	}
 }
 
 // leaseDuration returns the length of a lease that is granted now.
@@ -191,6 +211,7 @@
 		}
 	}
 	l.stopStuckRuns(w, now)
+	l.endLapsedQuarantine(w, now)
 	if w.session != nil && now.Sub(w.reportedAt) > l.o.Timing.SessionTimeout*2 {
 		l.detachSession(w.session, &structs.UnavailableError{Dependency: "agent"})
 	}
@@ -247,6 +268,7 @@
 		zap.String("checkpoint", checkpoint), zap.Int32("percent", r.percent), zap.Bool("current", changed))
 	if changed {
 		l.metrics.count(l.metrics.released, reason)
+		l.beginOutage(r.job, r.id.Task)
 		l.markDirty(r.job, nil, nil)
 		l.stopGang(r.job, r.id)
 	}
--- /dev/null
+++ b/placement/steps/exclusion.go
@@ -0,0 +1,89 @@
+package steps
+
+import "slices"
+
+// Exclusion is the reason why a pending task is not placed on a worker. The
+// values are texts for log lines.
+type Exclusion string
+
+// Reasons of Exclusions.
+const (
+	ExcludedPool             Exclusion = "other pool"
+	ExcludedPermit           Exclusion = "no permit"
+	ExcludedLabel            Exclusion = "no label"
+	ExcludedCopies           Exclusion = "beside copies" // has MaxPerWorker tasks of the step and room for one more
+	ExcludedQuarantine       Exclusion = "quarantined"   // has room
+	ExcludedRoom             Exclusion = "no room"
+	ExcludedInterference     Exclusion = "interference" // has room for the filling task, but a service is or would be over its target
+	ExcludedFillingIdleShare Exclusion = "not idle"     // too few idle processors for a filling task
+)
+
+// Exclusions returns the number of workers on which the demand's tasks can't be
+// placed, by reason, and the largest number of unreserved processors, in
+// thousandths, of a worker that has only too little room.
+func (d *Demand) Exclusions(workers []*Worker, interference *Interference) (counts map[Exclusion]int, bestFreeMilliCPU int64) {
+	d.interference = interference
+	counts = map[Exclusion]int{}
+	for _, w := range workers {
+		reason := d.exclusion(w)
+		if reason == "" {
+			continue
+		}
+		counts[reason]++
+		if reason == ExcludedRoom {
+			bestFreeMilliCPU = max(bestFreeMilliCPU, w.Capacity.MilliCPU-w.Reserved.MilliCPU)
+		}
+	}
+	return counts, bestFreeMilliCPU
+}
+
+// exclusion returns the reason why no task of the demand can be placed on the
+// worker, an empty text if one can.
+func (d *Demand) exclusion(w *Worker) Exclusion {
+	switch {
+	case w.Pool != d.Pool:
+		return ExcludedPool
+	case d.Permitted != nil && !d.Permitted[w.ID]:
+		return ExcludedPermit
+	case !d.hasLabel(w):
+		return ExcludedLabel
+	case !d.hasRoom(w):
+		return ExcludedRoom
+	case !d.mayAddCopy(w):
+		return ExcludedCopies
+	case w.HealthPenalty >= 1:
+		return ExcludedQuarantine
+	case !d.Spec.Fills:
+		return ""
+	case w.idleMilliCPU() < minIdleShare*float64(d.Spec.Resources.MilliCPU):
+		return ExcludedFillingIdleShare
+	default:
+		if _, ok := d.score(w, d.Tasks[0]); !ok || !d.feasible(w) {
+			return ExcludedInterference
+		}
+		return ""
+	}
+}
+
+// hasRoom reports whether the resources that one more task reserves are free on
+// the worker.
+func (d *Demand) hasRoom(w *Worker) bool {
+	need, room := d.Spec.Resources, w.Capacity
+	if d.Spec.Fills {
+		need.MilliCPU = 0
+		room.MemoryMB = int64(maxFillMemoryShare * float64(room.MemoryMB))
+		room.MilliCPU = max(room.MilliCPU, w.Reserved.MilliCPU)
+	}
+	return w.Reserved.Add(need).Fits(room)
+}
+
+// hasLabel reports whether the worker has the label that the step requires.
+func (d *Demand) hasLabel(w *Worker) bool {
+	return d.Spec.Label == "" || slices.Contains(w.Labels, d.Spec.Label)
+}
+
+// mayAddCopy reports whether the worker has fewer than MaxPerWorker tasks of
+// the step.
+func (d *Demand) mayAddCopy(w *Worker) bool {
+	return d.Spec.MaxPerWorker <= 0 || d.Placed[w.ID] < d.Spec.MaxPerWorker
+}
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -282,27 +282,16 @@
 	if w.Pool != d.Pool || w.HealthPenalty >= 1 || d.Permitted != nil && !d.Permitted[w.ID] {
 		return false
 	}
-	if d.Spec.Label != "" && !slices.Contains(w.Labels, d.Spec.Label) {
+	if !d.hasLabel(w) || !d.mayAddCopy(w) || !d.hasRoom(w) {
 		return false
 	}
-	if d.Spec.MaxPerWorker > 0 && d.Placed[w.ID] >= d.Spec.MaxPerWorker {
-		return false
-	}
-	need := d.Spec.Resources
 	if !d.Spec.Fills {
-		return w.Reserved.Add(need).Fits(w.Capacity)
+		return true
 	}
 	if w.isOverTarget() && (d.Waited < maxOverTargetWait || !w.AllowsFillOverTarget) {
 		return false
 	}
-	if w.idleMilliCPU() < minIdleShare*float64(need.MilliCPU) {
-		return false
-	}
-	need.MilliCPU = 0
-	room := w.Capacity
-	room.MemoryMB = int64(maxFillMemoryShare * float64(room.MemoryMB))
-	room.MilliCPU = max(room.MilliCPU, w.Reserved.MilliCPU)
-	return w.Reserved.Add(need).Fits(room)
+	return w.idleMilliCPU() >= minIdleShare*float64(d.Spec.Resources.MilliCPU)
 }
 
 // maxOverTargetWait is how long a filling task waits for a worker whose services
