End the trial of a worker whose trial task is a service

Callers would see a sound worker that starts nothing for as long as a service runs on it. The trial at the end of a quarantine allows one task at a time and was settled only by an outcome. A service never finishes, and an evicted or lost attempt has no outcome, so a service as the trial task kept every other task off the worker for good. A batch task of some hours did so for hours.

Evidence: placement.TestTrialOfAServiceEndsWhileTheServiceRuns found nothing placed beside the service within an hour ("0s != 2m0s").

A trial task that has run for TrialRunTime (two minutes by default) now counts as a success. A released worker that fails tasks again is still quarantined for twice the term.

--- a/placement/options.go
+++ b/placement/options.go
@@ -44,10 +44,11 @@
 
 // QuarantineOptions configures the quarantine of workers.
 type QuarantineOptions struct {
-	Evidence float64       // log-likelihood ratio from which a worker is quarantined
-	Tasks    int           // minimum number of distinct failed tasks
-	Term     time.Duration // length of the first quarantine, doubled with each relapse
-	MaxTerm  time.Duration // maximum length of a quarantine
+	Evidence     float64       // log-likelihood ratio from which a worker is quarantined
+	Tasks        int           // minimum number of distinct failed tasks
+	Term         time.Duration // length of the first quarantine, doubled with each relapse
+	MaxTerm      time.Duration // maximum length of a quarantine
+	TrialRunTime time.Duration // run time after which a trial task counts as a success
 }
 
 // Default option values.
@@ -84,6 +85,7 @@
 	defaultFailedTasks              = 3
 	defaultTerm                     = 5 * time.Minute
 	defaultMaxTerm                  = 2 * time.Hour
+	defaultTrialRunTime             = 2 * time.Minute
 )
 
 func setDefault[T comparable](field *T, value T) {
@@ -136,4 +138,5 @@
 	setDefault(&o.Tasks, defaultFailedTasks)
 	setDefault(&o.Term, defaultTerm)
 	setDefault(&o.MaxTerm, defaultMaxTerm)
+	setDefault(&o.TrialRunTime, defaultTrialRunTime)
 }
--- a/placement/quarantine.go
+++ b/placement/quarantine.go
@@ -160,7 +160,8 @@
 
 // advanceQuarantine keeps the worker closed until the end of its term and then
 // starts the trial, in which one task at a time may run. A success readmits the
-// worker. A failure closes it again for twice the term.
+// worker, and so does a task that has run for TrialRunTime, since a service
+// never finishes. A failure closes the worker again for twice the term.
 func (r *cycle) advanceQuarantine(n *node, q Quarantine) {
 	now := r.snapshot.Now
 	if q.Stage == QuarantineClosed {
@@ -181,23 +182,38 @@
 			r.quarantine(n, min(2*q.Term, r.options.Quarantine.MaxTerm), "the trial task failed")
 			return
 		}
-		q = Quarantine{Since: now, Term: q.Term, Stage: QuarantineReleased}
-		n.onTrial = false
-		r.recordDecision(Decision{Action: ActionReadmit, Worker: n.worker.ID, Reason: ReasonRecovered, Detail: "the trial task finished"})
-		break
+		r.readmit(n, q, "the trial task finished")
+		return
+	}
+	longest, running := longestTrialRun(n.worker.Runs, now-q.Since)
+	if longest >= r.options.Quarantine.TrialRunTime {
+		r.readmit(n, q, fmt.Sprintf("the trial task has run for %s", longest.Round(time.Second)))
+		return
 	}
-	n.trialRunning = startedWithin(n.worker.Runs, now-q.Since)
+	n.trialRunning = running
 	r.plan.State.Quarantines[n.worker.ID] = q
 }
 
-// startedWithin reports whether any of the runs started less than age ago. The
-// caller passes the age of the trial, so that runs that started earlier don't
-// count.
-func startedWithin(runs []Run, age time.Duration) bool {
+// readmit opens the worker to all tasks.
+func (r *cycle) readmit(n *node, q Quarantine, detail string) {
+	n.onTrial = false
+	r.plan.State.Quarantines[n.worker.ID] = Quarantine{Since: r.snapshot.Now, Term: q.Term, Stage: QuarantineReleased}
+	r.recordDecision(Decision{Action: ActionReadmit, Worker: n.worker.ID, Reason: ReasonRecovered, Detail: detail})
+}
+
+// longestTrialRun returns the age of the oldest of the runs that started less
+// than age ago, and whether there is one. The caller passes the age of the
+// trial, so that runs that started earlier don't count. A run that is being
+// stopped is running, but its age is no sign of health.
+func longestTrialRun(runs []Run, age time.Duration) (longest time.Duration, running bool) {
 	for i := range runs {
-		if runs[i].Age < age {
-			return true
+		if runs[i].Age >= age {
+			continue
+		}
+		running = true
+		if !runs[i].Stopping {
+			longest = max(longest, runs[i].Age)
 		}
 	}
-	return false
+	return longest, running
 }
--- /dev/null
+++ b/placement/quarantine_test.go
@@ -0,0 +1,47 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// onTrial returns the state of a planner that has put the worker on trial at
+// the given time.
+func onTrial(worker structs.WorkerID, since time.Duration) PlannerState {
+	return PlannerState{Quarantines: map[structs.WorkerID]Quarantine{worker: {Since: since, Term: time.Minute, Stage: QuarantineTrial}}}
+}
+
+func TestTrialOfAServiceEndsWhileTheServiceRuns(t *testing.T) {
+	is := is.New(t)
+	p := New(Options{})
+	trial := task("slot-check", 0, cores(4))
+	trial.Kind = structs.WorkService
+	s := snapshot(workers(1), trial)
+	s.State = onTrial("w00", s.Now)
+	plan := p.Plan(s)
+	is.Equal(len(plan.Placements), 1)
+	s.State = plan.State
+
+	running := service("slot-check", 0, 0)
+	s.Workers[0].Runs = []Run{running}
+	s.Pending = []Task{task("pricing", 0, cores(1)), task("pricing", 1, cores(1))}
+	s.Now += 10 * time.Second
+	started := s.Now
+	placedAfter := time.Duration(0)
+	for s.Now < started+time.Hour && placedAfter == 0 {
+		s.Now += 10 * time.Second
+		s.Workers[0].Runs[0].Age = s.Now - started
+		plan = p.Plan(s)
+		s.State = plan.State
+		if len(plan.Placements) > 0 {
+			placedAfter = s.Now - started
+		}
+	}
+	is.Equal(placedAfter, defaultTrialRunTime)
+	is.Equal(len(plan.Placements), 2)
+	is.Equal(plan.State.Quarantines["w00"].Stage, QuarantineReleased)
+}
