Don't prolong a quarantine for a failure of the job's own

Callers would see a sound worker closed for up to two hours. Any failure during the trial closed the worker again for twice the term. The evidence that starts a quarantine compares a failure with the outcomes of the job on other workers, but the trial did not, so that the tasks of one job that fails everywhere doubled the quarantine of each worker that tried them.

Evidence: placement.TestFailureOfAJobThatFailsElsewhereDoesNotFailTheTrial saw the worker closed again ("closed != trial") by a job that had failed on both other workers.

A failure of a job that fails on other workers more often than it succeeds no longer settles the trial. The next task is the next trial. A failure of a job that succeeds elsewhere, or of which nothing is known, closes the worker as before.

--- a/placement/quarantine.go
+++ b/placement/quarantine.go
@@ -161,7 +161,8 @@
 // advanceQuarantine keeps the worker closed until the end of its term and then
 // starts the trial, in which one task at a time may run. A success readmits the
 // worker, and so does a task that has run for TrialRunTime, since a service
-// never finishes. A failure closes the worker again for twice the term.
+// never finishes. A failure closes the worker again for twice the term, unless the
+// job fails on other workers as well.
 func (r *cycle) advanceQuarantine(n *node, q Quarantine) {
 	now := r.snapshot.Now
 	if q.Stage == QuarantineClosed {
@@ -178,6 +179,9 @@
 		if o.At < q.Since {
 			continue
 		}
+		if o.Failed && r.failsElsewhere(o.Task.Job, n.worker.ID) {
+			continue
+		}
 		if o.Failed {
 			r.quarantine(n, min(2*q.Term, r.options.Quarantine.MaxTerm), "the trial task failed")
 			return
@@ -194,6 +198,13 @@
 	r.plan.State.Quarantines[n.worker.ID] = q
 }
 
+// failsElsewhere reports whether the job fails on other workers more often than
+// it succeeds, so that a failure on this worker says nothing about the worker.
+func (r *cycle) failsElsewhere(job structs.JobID, worker structs.WorkerID) bool {
+	rate, _ := r.outcomes.failureRateElsewhere(job, worker, r.isQuarantined)
+	return rate > 0.5
+}
+
 // readmit opens the worker to all tasks.
 func (r *cycle) readmit(n *node, q Quarantine, detail string) {
 	n.onTrial = false
--- a/placement/quarantine_test.go
+++ b/placement/quarantine_test.go
@@ -45,3 +45,16 @@
 	is.Equal(len(plan.Placements), 2)
 	is.Equal(plan.State.Quarantines["w00"].Stage, QuarantineReleased)
 }
+
+func TestFailureOfAJobThatFailsElsewhereDoesNotFailTheTrial(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(workers(3), task("pricing", 0, cores(1)))
+	s.State = onTrial("w00", s.Now-time.Minute)
+	for _, w := range []string{"w01", "w02", "w00"} {
+		s.Outcomes = append(s.Outcomes, outcome("broken", 0, w, true))
+	}
+	is.Equal(New(Options{}).Plan(s).State.Quarantines["w00"].Stage, QuarantineTrial)
+
+	s.Outcomes = []Outcome{outcome("sound", 0, "w01", false), outcome("sound", 1, "w00", true)}
+	is.Equal(New(Options{}).Plan(s).State.Quarantines["w00"].Stage, QuarantineClosed)
+}
