Don't quarantine a worker again for the failures of its last quarantine

Callers would see a sound worker closed again without a new failure, every two hours, in a cell with few outcomes. The time of a release bounds the outcomes that count as evidence. It was deleted with the doubled term after MaxTerm without a relapse, and the failures that had started the quarantine counted again if they were still among the recent outcomes. Only successes outweigh them, and a worker that runs services has none.

Evidence: placement.TestOutcomesBeforeAQuarantineAreNotCountedAgain saw a quarantine without any outcome after the release ("1 != 0").

The time of the release is kept as long as the worker is present. Only the term starts anew.

--- a/placement/quarantine.go
+++ b/placement/quarantine.go
@@ -135,13 +135,15 @@
 
 // quarantineIfBroken quarantines an open worker if there is enough evidence
 // that it is broken. previous is the quarantine from which the worker was
-// released, or the zero value. The released quarantine is deleted after MaxTerm
-// without a relapse.
+// released, or the zero value. After MaxTerm without a relapse, the term starts
+// anew. The time of the release is kept, so that earlier outcomes are not counted
+// again.
 func (r *cycle) quarantineIfBroken(n *node, previous Quarantine) {
 	ratio, tasks := r.outcomes.brokenEvidence(n.worker.ID, previous.Since, r.isQuarantined)
 	if ratio < r.options.Quarantine.Evidence || tasks < r.options.Quarantine.Tasks {
 		if previous.Term > 0 && r.snapshot.Now-previous.Since > r.options.Quarantine.MaxTerm {
-			delete(r.plan.State.Quarantines, n.worker.ID)
+			previous.Term = 0
+			r.plan.State.Quarantines[n.worker.ID] = previous
 		}
 		return
 	}
--- a/placement/quarantine_test.go
+++ b/placement/quarantine_test.go
@@ -58,3 +58,21 @@
 	s.Outcomes = []Outcome{outcome("sound", 0, "w01", false), outcome("sound", 1, "w00", true)}
 	is.Equal(New(Options{}).Plan(s).State.Quarantines["w00"].Stage, QuarantineClosed)
 }
+
+func TestOutcomesBeforeAQuarantineAreNotCountedAgain(t *testing.T) {
+	is := is.New(t)
+	p := New(Options{})
+	s := snapshot(workers(2))
+	for i := range int32(6) {
+		s.Outcomes = append(s.Outcomes, outcome("pricing", i, "w00", true), outcome("pricing", i, "w01", false))
+	}
+	released := time.Hour + time.Minute
+	s.State.Quarantines = map[structs.WorkerID]Quarantine{"w00": {Since: released, Term: 5 * time.Minute, Stage: QuarantineReleased}}
+	for range 10 {
+		s.Now += time.Hour
+		plan := p.Plan(s)
+		is.Equal(len(plan.Decisions), 0) // no quarantine without a new failure
+		s.State = plan.State
+	}
+	is.Equal(s.State.Quarantines["w00"].Term, time.Duration(0)) // a relapse starts with the first term again
+}
