Count a job that fails everywhere against one worker only

Callers would see all workers of a cell close one after another when several jobs fail everywhere and nothing else finishes, as in a cell of services. Each such job is weak evidence against the first worker. Outcomes on quarantined workers are left out of the comparison, so on the next worker the job again looked as if it had run nowhere else. Failures on a quarantined worker don't use up the attempts of a task, so the tasks went on.

Evidence: placement.TestFailingJobsDoNotQuarantineOneWorkerAfterAnother, twelve failing jobs on six workers in turn, saw all six quarantined ("6 != 1").

The failures of a job without outcomes on open workers count only if it has not failed on a quarantined worker. Once a task of the job has an outcome on an open worker, its failures count as before, so a second broken worker is still found.

--- a/placement/quarantine.go
+++ b/placement/quarantine.go
@@ -65,6 +65,17 @@
 	return failed / (priorTotal + float64(workers)), workers
 }
 
+// failedOnExcluded reports whether tasks of the job have failed on another worker
+// that is excluded.
+func (t *outcomeTable) failedOnExcluded(job structs.JobID, worker structs.WorkerID, excluded func(structs.WorkerID) bool) bool {
+	for _, w := range t.workersByJob[job] {
+		if w != worker && excluded(w) && t.counts[jobWorker{job, w}].failed > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // brokenFailureRate is the probability that a task fails on a broken worker.
 const brokenFailureRate = 0.97
 
@@ -72,14 +83,15 @@
 type jobEvidence struct {
 	rateElsewhere  float64 // failure rate of the job on other workers
 	otherWorkers   int     // number of other workers with outcomes of the job
-	failureCounted bool    // a failure of the job on the evaluated worker has been counted
+	failureCounted bool    // no further failure of the job counts if there are no other workers
 }
 
 // brokenEvidence returns the log-likelihood ratio of the worker being broken to
 // its tasks failing as often as on other workers, and the number of distinct
 // tasks that failed on it. Outcomes before since are ignored. All failures of a
 // job without outcomes on other workers count as one, since they may have one
-// cause.
+// cause. They don't count if the job has failed on an excluded worker, else a
+// job that fails everywhere would be evidence against one worker after another.
 func (t *outcomeTable) brokenEvidence(worker structs.WorkerID, since time.Duration, excluded func(structs.WorkerID) bool) (ratio float64, tasks int) {
 	jobs := map[structs.JobID]*jobEvidence{}
 	seen := map[structs.TaskID]bool{}
@@ -91,6 +103,7 @@
 		if job == nil {
 			job = &jobEvidence{}
 			job.rateElsewhere, job.otherWorkers = t.failureRateElsewhere(o.Task.Job, worker, excluded)
+			job.failureCounted = job.otherWorkers == 0 && t.failedOnExcluded(o.Task.Job, worker, excluded)
 			jobs[o.Task.Job] = job
 		}
 		if !o.Failed {
--- a/placement/quarantine_test.go
+++ b/placement/quarantine_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,3 +77,18 @@
 	}
 	is.Equal(s.State.Quarantines["w00"].Term, time.Duration(0)) // a relapse starts with the first term again
 }
+
+func TestFailingJobsDoNotQuarantineOneWorkerAfterAnother(t *testing.T) {
+	is := is.New(t)
+	p := New(Options{})
+	s := snapshot(workers(6))
+	const jobs = 12
+	for w := range s.Workers {
+		for job := range jobs {
+			s.Outcomes = append(s.Outcomes, Outcome{At: s.Now, Task: structs.TaskID{Job: structs.JobID(fmt.Sprintf("broken%d", job))}, Worker: s.Workers[w].ID, Failed: true})
+		}
+		s.Now += 10 * time.Second
+		s.State = p.Plan(s).State
+	}
+	is.Equal(len(s.State.Quarantines), 1)
+}
