Keep a reservation until its task has started

Callers would see a large task lose the room that a worker had been kept free for, again and again while smaller tasks with closer deadlines arrive. A reservation was dropped in the cycle in which its task could start, since the task then needed none. The tasks before it in the order took the room, and the next cycle reserved a worker anew.

Evidence: placement.TestUrgentTaskDoesNotTakeTheRoomKeptForAnother placed the small task on the reserved worker ("report/1 != matching/0").

The worker stays reserved in the cycle in which its task may start there. The placement ends the reservation as before.

--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -12,7 +12,9 @@
 
 // reserveWorkers reserves workers for critical tasks and for tasks that have
 // waited for ReserveAfter, if they fit nowhere. A reserved worker starts no
-// other task. For critical tasks it also preempts batch work with much slack.
+// other task, and it stays reserved in the cycle in which its task can start, so
+// that no task before it in the order takes the room. For critical tasks,
+// reserveWorkers also preempts batch work with much slack.
 func (r *cycle) reserveWorkers(list []candidate) {
 	previous := r.plan.State.Reserved
 	r.plan.State.Reserved = map[structs.TaskID]structs.WorkerID{}
@@ -27,35 +29,59 @@
 			continue
 		}
 		checks++
-		if r.needsNoReservation(c) {
+		if t, found := r.teams[c.task.Team]; found && !c.need.Fits(t.left) {
+			continue
+		}
+		if n := r.openNode(previous[c.task.ID]); n != nil && r.mayStart(c, n) {
+			r.reserve(c, n)
+			continue
+		}
+		if r.mayStartAnywhere(c) {
 			continue
 		}
 		n := r.reservableNode(c, previous[c.task.ID])
 		if n == nil {
 			continue
 		}
-		n.reservedFor = &c.task.ID
-		r.plan.State.Reserved[c.task.ID] = n.worker.ID
+		r.reserve(c, n)
 		if c.critical {
 			budget = r.preempt(c, n, budget)
 		}
 	}
 }
 
+// reserve reserves the worker for the task.
+func (r *cycle) reserve(c *candidate, n *node) {
+	n.reservedFor = &c.task.ID
+	r.plan.State.Reserved[c.task.ID] = n.worker.ID
+}
+
+// openNode returns the open node of the worker, or nil if there is none.
+func (r *cycle) openNode(w structs.WorkerID) *node {
+	for _, i := range r.openNodes {
+		if r.nodes[i].worker.ID == w {
+			return &r.nodes[i]
+		}
+	}
+	return nil
+}
+
 // hasReservation reports whether a worker is reserved for the task.
 func (r *cycle) hasReservation(c *candidate) bool {
 	_, found := r.plan.State.Reserved[c.task.ID]
 	return found
 }
 
-// needsNoReservation reports whether a reservation would not help the task,
-// because it can start on a worker now or because its team's quota is used up.
-func (r *cycle) needsNoReservation(c *candidate) bool {
-	if t, found := r.teams[c.task.Team]; found && !c.need.Fits(t.left) {
-		return true
-	}
+// mayStart reports whether the task may start on the node now.
+func (r *cycle) mayStart(c *candidate, n *node) bool {
+	f, _ := r.reject(c, n)
+	return f == nil
+}
+
+// mayStartAnywhere reports whether the task may start on any worker now.
+func (r *cycle) mayStartAnywhere(c *candidate) bool {
 	for _, i := range r.openNodes {
-		if f, _ := r.reject(c, &r.nodes[i]); f == nil {
+		if r.mayStart(c, &r.nodes[i]) {
 			return true
 		}
 	}
--- /dev/null
+++ b/placement/reserve_test.go
@@ -0,0 +1,36 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// waiting returns a batch task that has waited long enough for a reservation.
+func waiting(job string, size structs.Resources) Task {
+	t := task(job, 0, size)
+	t.Waited = defaultReserveAfter
+	return t
+}
+
+func TestUrgentTaskDoesNotTakeTheRoomKeptForAnother(t *testing.T) {
+	is := is.New(t)
+	large := waiting("matching", cores(14))
+	s := snapshot(workers(1), large)
+	s.Workers[0].Runs = []Run{run("report", 0, cores(8))}
+	p := New(Options{})
+	plan := p.Plan(s)
+	is.Equal(plan.State.Reserved[large.ID], structs.WorkerID("w00"))
+
+	s.State, s.Workers[0].Runs = plan.State, nil
+	s.Pending[0].Waited += 10 * time.Second
+	small := task("report", 1, cores(4))
+	small.HasDeadline, small.TimeLeft = true, 5*time.Minute
+	s.Pending = append(s.Pending, small)
+	plan = p.Plan(s)
+	is.Equal(len(plan.Placements), 1)
+	is.Equal(plan.Placements[0].Task, large.ID)
+}
