Don't move a reservation because another task needs one

Callers would see a large task wait longer than the runs on its reserved worker. A task that comes earlier in the order and needs a reservation was given the worker with the most free resources, which is the one that had been kept free. The reservation of the first task then moved to a fuller worker, where the wait began anew.

Evidence: placement.TestReservationStaysWithItsWorker saw the reservation move although the other worker served the second task as well ("w01 != w00").

A worker that the previous cycle reserved for another pending task is now the last choice. An earlier task still takes it if no other worker can hold the task.

--- a/placement/node.go
+++ b/placement/node.go
@@ -17,6 +17,7 @@
 	onTrial       bool              // the worker is quarantined and may run one trial task at a time
 	trialRunning  bool              // a trial task is running
 	reservedFor   *structs.TaskID   // the only task that may start here, nil for any task
+	keptFor       *structs.TaskID   // pending task for which the previous cycle reserved the worker
 	plannedStarts int               // starts planned in this cycle
 	uncertainRuns int               // batch runs with an uncertain harm estimate for a service here
 	domain        int               // number of the failure domain
--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -18,6 +18,7 @@
 func (r *cycle) reserveWorkers(list []candidate) {
 	previous := r.plan.State.Reserved
 	r.plan.State.Reserved = map[structs.TaskID]structs.WorkerID{}
+	r.markKeptNodes(list, previous)
 	budget := r.options.MaxPreemptions
 	checks := 0
 	for i := range list {
@@ -50,6 +51,19 @@
 	}
 }
 
+// markKeptNodes sets keptFor of the open nodes that the previous cycle reserved
+// for tasks that are still pending.
+func (r *cycle) markKeptNodes(list []candidate, previous map[structs.TaskID]structs.WorkerID) {
+	if len(previous) == 0 {
+		return
+	}
+	for i := range list {
+		if n := r.openNode(previous[list[i].task.ID]); n != nil {
+			n.keptFor = &list[i].task.ID
+		}
+	}
+}
+
 // reserve reserves the worker for the task.
 func (r *cycle) reserve(c *candidate, n *node) {
 	n.reservedFor = &c.task.ID
@@ -58,6 +72,9 @@
 
 // openNode returns the open node of the worker, or nil if there is none.
 func (r *cycle) openNode(w structs.WorkerID) *node {
+	if w == "" {
+		return nil
+	}
 	for _, i := range r.openNodes {
 		if r.nodes[i].worker.ID == w {
 			return &r.nodes[i]
@@ -91,7 +108,8 @@
 // reservableNode returns the worker to reserve for the task, nil if there is
 // none. It must have room for the task once its batch work is gone. The worker
 // that was reserved before is preferred, then the one with the most free
-// resources.
+// resources. A worker that was reserved for another pending task is the last
+// choice.
 func (r *cycle) reservableNode(c *candidate, previous structs.WorkerID) *node {
 	var best *node
 	bestFree := 0.0
@@ -107,6 +125,9 @@
 			return n
 		}
 		free := meanFreeShare(n.free.Add(n.stopping), n.worker.Capacity)
+		if n.keptFor != nil {
+			free-- // less than any free share
+		}
 		if best == nil || free > bestFree {
 			best, bestFree = n, free
 		}
--- a/placement/reserve_test.go
+++ b/placement/reserve_test.go
@@ -34,3 +34,20 @@
 	is.Equal(len(plan.Placements), 1)
 	is.Equal(plan.Placements[0].Task, large.ID)
 }
+
+func TestReservationStaysWithItsWorker(t *testing.T) {
+	is := is.New(t)
+	first, second := waiting("matching", cores(14)), waiting("pricing", cores(14))
+	s := snapshot(workers(2), first)
+	s.Workers[0].Runs = []Run{run("report", 0, cores(4))}
+	s.Workers[1].Runs = []Run{run("report", 1, cores(10))}
+	p := New(Options{})
+	plan := p.Plan(s)
+	is.Equal(plan.State.Reserved[first.ID], structs.WorkerID("w00"))
+
+	second.HasDeadline, second.TimeLeft = true, 10*time.Minute
+	s.State, s.Pending = plan.State, append(s.Pending, second)
+	plan = p.Plan(s)
+	is.Equal(plan.State.Reserved[first.ID], structs.WorkerID("w00"))
+	is.Equal(plan.State.Reserved[second.ID], structs.WorkerID("w01"))
+}
