Reserve for a service whose only free worker is kept for another task

Callers would see a service without a run for as long as a large batch task waits for its reserved worker. The service comes first in the order and needed no reservation, since it fitted on that worker when it was looked at. The worker was then reserved for the batch task again and refused the service. It had neither a reservation nor a right to preempt.

Evidence: placement.TestServiceIsReservedForBesideAnotherReservation saw no reservation and no eviction for the service (" != w01").

A worker that the previous cycle reserved for another pending task no longer counts as one on which a task can start, so the service gets its own reservation and preempts.

--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -95,10 +95,12 @@
 	return f == nil
 }
 
-// mayStartAnywhere reports whether the task may start on any worker now.
+// mayStartAnywhere reports whether the task may start now on any worker that is
+// not kept for another task.
 func (r *cycle) mayStartAnywhere(c *candidate) bool {
 	for _, i := range r.openNodes {
-		if r.mayStart(c, &r.nodes[i]) {
+		n := &r.nodes[i]
+		if (n.keptFor == nil || *n.keptFor == c.task.ID) && r.mayStart(c, n) {
 			return true
 		}
 	}
--- a/placement/reserve_test.go
+++ b/placement/reserve_test.go
@@ -35,6 +35,29 @@
 	is.Equal(plan.Placements[0].Task, large.ID)
 }
 
+func TestServiceIsReservedForBesideAnotherReservation(t *testing.T) {
+	is := is.New(t)
+	large := waiting("matching", cores(14))
+	s := snapshot(workers(2), large)
+	tight := run("pricing", 0, cores(10))
+	tight.HasDeadline, tight.TimeLeft, tight.RunTime = true, 2*time.Minute, time.Minute
+	s.Workers[0].Runs = []Run{tight}
+	s.Workers[1].Runs = []Run{run("report", 0, cores(16))}
+	p := New(Options{})
+	plan := p.Plan(s)
+	is.Equal(plan.State.Reserved[large.ID], structs.WorkerID("w00"))
+
+	s.State = plan.State
+	watcher := task("chip-watcher", 0, cores(4))
+	watcher.Kind = structs.WorkService
+	s.Pending = append(s.Pending, watcher)
+	plan = p.Plan(s)
+	is.Equal(plan.State.Reserved[large.ID], structs.WorkerID("w00"))
+	is.Equal(plan.State.Reserved[watcher.ID], structs.WorkerID("w01"))
+	is.Equal(len(plan.Evictions), 1)
+	is.Equal(plan.Evictions[0].Worker, structs.WorkerID("w01"))
+}
+
 func TestReservationStaysWithItsWorker(t *testing.T) {
 	is := is.New(t)
 	first, second := waiting("matching", cores(14)), waiting("pricing", cores(14))
