Don't reserve a worker on which the task can't start

Callers would see a task wait for good beside a worker that starts nothing. A reservation looked only at the committed resources without batch work. If the services of the worker use more than they have committed, the filter for expected usage rejects the task even on the empty worker, while the reservation keeps other tasks off it and is renewed in each cycle.

Evidence: placement.TestWorkerWhoseServicesUseTheRoomIsNotReserved saw the worker reserved whose service used 12 of 16 cores, for a task of 8 cores ("w00 != w01").

A worker is reserved only if the expected usage without its batch work leaves room as well.

--- a/placement/node.go
+++ b/placement/node.go
@@ -98,11 +98,7 @@
 
 // addRun adds a run to the totals of its node, team and job.
 func (r *cycle) addRun(n *node, run *Run, class int) {
-	usage := run.Usage
-	if usage == (structs.Resources{}) {
-		usage = r.classes.demand(class, run.Resources).usage
-	}
-	n.expectedUsage = n.expectedUsage.Add(usage)
+	n.expectedUsage = n.expectedUsage.Add(r.runUsage(run, class))
 	n.throttled = n.throttled || run.processorShare() < 1
 	if run.Stopping {
 		n.stopping = n.stopping.Add(run.Resources)
@@ -119,6 +115,15 @@
 	}
 }
 
+// runUsage returns the reported usage of the run, or the expected one before the
+// first report.
+func (r *cycle) runUsage(run *Run, class int) structs.Resources {
+	if run.Usage == (structs.Resources{}) {
+		return r.classes.demand(class, run.Resources).usage
+	}
+	return run.Usage
+}
+
 // sumHarm sums the predicted harm to each service from its neighbours, and
 // counts the batch runs with an uncertain estimate.
 func (r *cycle) sumHarm(n *node) {
--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -117,7 +117,7 @@
 	bestFree := 0.0
 	for _, i := range r.openNodes {
 		n := &r.nodes[i]
-		if n.reservedFor != nil || n.onTrial || !c.need.Fits(freeWithoutBatch(n)) {
+		if n.reservedFor != nil || n.onTrial || !r.fitsWithoutBatch(c, n) {
 			continue
 		}
 		if (historyFilter{}).filter(r, c, n) != "" || (harmFilter{}).filter(r, c, n) != "" {
@@ -137,16 +137,18 @@
 	return best
 }
 
-// freeWithoutBatch returns the free resources of the node without its batch
-// work.
-func freeWithoutBatch(n *node) structs.Resources {
-	room := n.free
+// fitsWithoutBatch reports whether the node has room for the task's commitment
+// and its expected usage once the batch work is gone.
+func (r *cycle) fitsWithoutBatch(c *candidate, n *node) bool {
+	room, usage := n.free, c.usage
 	for i := range n.worker.Runs {
 		if run := &n.worker.Runs[i]; run.Kind == structs.WorkBatch {
 			room = room.Add(run.Resources)
+		} else {
+			usage = usage.Add(r.runUsage(run, n.classes[i]))
 		}
 	}
-	return room
+	return c.need.Fits(room) && usage.Fits(n.worker.Capacity)
 }
 
 // victimSlackFactor is the minimum slack of a run that may be preempted, as a
--- a/placement/reserve_test.go
+++ b/placement/reserve_test.go
@@ -74,3 +74,15 @@
 	is.Equal(plan.State.Reserved[first.ID], structs.WorkerID("w00"))
 	is.Equal(plan.State.Reserved[second.ID], structs.WorkerID("w01"))
 }
+
+func TestWorkerWhoseServicesUseTheRoomIsNotReserved(t *testing.T) {
+	is := is.New(t)
+	large := waiting("matching", cores(8))
+	s := snapshot(workers(2), large)
+	busy := service("slot-check", 0, 0)
+	busy.Usage = cores(12)
+	s.Workers[0].Runs = []Run{busy}
+	s.Workers[1].Runs = []Run{run("report", 1, cores(14))}
+	plan := New(Options{}).Plan(s)
+	is.Equal(plan.State.Reserved[large.ID], structs.WorkerID("w01"))
+}
