Let a task return to the only worker that is large enough

Callers would see a task without a run for good after one failure, with its worker idle. A worker on which a task has failed is left out until the task has failed on as many workers as are open. Workers that are too small for the task counted, on which it can never fail.

Evidence: placement.TestTaskReturnsToTheOnlyWorkerThatIsLargeEnough, one large and two small workers, placed nothing ("0 != 1").

The filter now asks whether an open worker is left that is large enough and on which the task has not failed. Failures on workers that are closed no longer stand for workers not tried.

--- a/placement/filter.go
+++ b/placement/filter.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/daisywall/daisywall/structs"
+import (
+	"slices"
+
+	"github.com/daisywall/daisywall/structs"
+)
 
 // filter rejects workers on which a task must not start.
 type filter interface {
@@ -82,10 +86,16 @@
 	return ""
 }
 
-// failedEverywhere reports whether the task has failed on as many workers as
-// there are open ones, so that it can only run on a worker where it failed.
+// failedEverywhere reports whether the task has failed on every open worker that
+// is large enough, so that it can only run on a worker where it failed.
 func (r *cycle) failedEverywhere(c *candidate) bool {
-	return countDistinct(c.task.FailedOn) >= r.openNodeCount
+	for _, i := range r.openNodes {
+		w := r.nodes[i].worker
+		if c.need.Fits(w.Capacity) && !slices.Contains(c.task.FailedOn, w.ID) {
+			return false
+		}
+	}
+	return true
 }
 
 // harmFilter rejects workers on which the predicted harm to a service exceeds
--- a/placement/place.go
+++ b/placement/place.go
@@ -45,7 +45,6 @@
 			r.openNodes = append(r.openNodes, i)
 		}
 	}
-	r.openNodeCount = len(r.openNodes)
 }
 
 // placeTask refuses the task, leaves it waiting or places it, and records the
--- a/placement/place_test.go
+++ b/placement/place_test.go
@@ -176,3 +176,14 @@
 }
 
 func asRefused(err error, target **structs.RefusedError) bool { return errors.As(err, target) }
+
+func TestTaskReturnsToTheOnlyWorkerThatIsLargeEnough(t *testing.T) {
+	is := is.New(t)
+	large := task("matching", 0, cores(12))
+	large.FailedOn = []structs.WorkerID{"w01"}
+	s := snapshot(workers(3), large)
+	s.Workers[0].Capacity, s.Workers[2].Capacity = cores(8), cores(8)
+	plan := New(Options{}).Plan(s)
+	is.Equal(len(plan.Placements), 1)
+	is.Equal(plan.Placements[0].Worker, structs.WorkerID("w01"))
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -23,7 +23,6 @@
 	classes           *classTable
 	nodes             []node
 	openNodes         []int                           // indexes of the nodes on which tasks may start
-	openNodeCount     int                             // length of openNodes
 	domains           map[structs.FailureDomainID]int // numbers of the failure domains
 	racks             map[rackKey]int                 // numbers of the racks
 	teams             map[structs.TeamID]*teamBudget
