--- a/placement/filter.go
+++ b/placement/filter.go
@@ -68,17 +68,15 @@
 	return ""
 }
 
-// historyFilter rejects workers on which the task failed, and the worker that
-// recently evicted it.
+// historyFilter rejects workers on which the task failed, until the task has
+// waited for ReserveAfter, and the worker that recently evicted it.
 type historyFilter struct{}
 
 func (historyFilter) name() string { return "history" }
 
 func (historyFilter) filter(r *cycle, c *candidate, n *node) structs.Reason {
-	for _, w := range c.task.FailedOn {
-		if w == n.worker.ID && !r.failedEverywhere(c) {
-			return ReasonFailedHere
-		}
+	if c.task.Waited < r.options.ReserveAfter && slices.Contains(c.task.FailedOn, n.worker.ID) && !r.failedEverywhere(c) {
+		return ReasonFailedHere
 	}
 	if c.avoidedWorker == n.worker.ID {
 		return ReasonEvictedHere
--- a/placement/place_test.go
+++ b/placement/place_test.go
@@ -187,3 +187,20 @@
 	is.Equal(len(plan.Placements), 1)
 	is.Equal(plan.Placements[0].Worker, structs.WorkerID("w01"))
 }
+
+func TestTaskReturnsToAWorkerWhereItFailedIfOthersStayFull(t *testing.T) {
+	is := is.New(t)
+	watcher := task("chip-watcher", 0, cores(8))
+	watcher.Kind = structs.WorkService
+	watcher.FailedOn = []structs.WorkerID{"w00"}
+	s := snapshot(workers(2), watcher)
+	for i := range int32(3) {
+		s.Workers[1].Runs = append(s.Workers[1].Runs, service("slot-check", i, 0))
+	}
+	p := New(Options{})
+	is.Equal(len(p.Plan(s).Placements), 0)
+	s.Pending[0].Waited = defaultReserveAfter
+	plan := p.Plan(s)
+	is.Equal(len(plan.Placements), 1)
+	is.Equal(plan.Placements[0].Worker, structs.WorkerID("w00"))
+}
