Keep an abandoned start as long as it may take effect

Callers saw: a task runs twice at the same time, on a draining host and elsewhere, if the starts on the host got no answer and the stops failed fast (a connection that is reset, or an answer of 503).

Cause: the agent abandons a start when its host drains or the leader stops the run, and then stops the run so that a call without an answer starts nothing later. It treated the start as settled after 20 failed stops, which take 0.4 s if each fails at once, and after a stop that the runner refused as unhealthy, which has done nothing. The next list without the run released it.

Fix: an abandoned start with a call that got no answer is settled by an answer to the stop, or by a list that the runner made after the latest lease of these calls had ended on its own clock. It refuses such a start as too late. Until then the agent reports the run as starting, so that the leader keeps it.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -73,6 +73,18 @@
 type startOp struct {
 	cancel        context.CancelFunc
 	settledAtPoll int64 // value of pollCount when the start was settled, -1 until then
+	// mayStartUntil is set when the start is abandoned although a call without
+	// an answer may still start the run, see startOutcome.
+	mayStartUntil substrate.RuntimeClock
+}
+
+// isOver reports whether a list of runs settles the start: it contains the run,
+// or the run never starts. clock is the runner's clock in that list.
+func (op *startOp) isOver(pollNumber int64, clock substrate.RuntimeClock) bool {
+	if op.settledAtPoll >= 0 {
+		return op.settledAtPoll < pollNumber
+	}
+	return op.mayStartUntil > 0 && clock >= op.mayStartUntil
 }
 
 func newAgentSession(host *host, row leaderRow, info substrate.RunnerInfo, stream fleetpb.Fleet_AttendClient) *agentSession {
@@ -285,7 +297,7 @@
 	}
 	a.refusedPolls = 0
 	for r, op := range a.starting {
-		if op.settledAtPoll >= 0 && op.settledAtPoll < pollNumber {
+		if op.isOver(pollNumber, state.Clock) {
 			delete(a.starting, r)
 		}
 	}
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -31,15 +31,23 @@
 	begunAt := a.host.o.Clock()
 	go func() {
 		defer cancel()
-		attempts, err := a.startUntilSettled(call, start)
+		outcome := a.startUntilSettled(call, start)
 		took := a.host.o.Clock().Sub(begunAt)
-		if err == nil {
+		if outcome.err == nil {
 			a.pacer.setStarted(ctx, r)
 		}
 		a.host.metrics.startDelay.Record(ctx, took.Seconds())
-		a.log.Info("start settled", zap.Stringer("run", r), zap.Duration("took", took), zap.Duration("order_age", age), zap.Int("attempts", attempts), zap.Error(err))
-		if err != nil {
-			a.host.metrics.count(a.host.metrics.refusedStarts, refusalLabel(err))
+		a.log.Info("start settled", zap.Stringer("run", r), zap.Duration("took", took), zap.Duration("order_age", age), zap.Int("attempts", outcome.attempts),
+			zap.Bool("may_still_start", outcome.mayStartUntil > 0), zap.Error(outcome.err))
+		if outcome.err != nil {
+			a.host.metrics.count(a.host.metrics.refusedStarts, refusalLabel(outcome.err))
+		}
+		if outcome.mayStartUntil > 0 {
+			a.runInLoop(ctx, func() { op.mayStartUntil = outcome.mayStartUntil })
+			// The stop is also needed if the session or the process ends.
+			if !isStopSettled(a.stopUntilSettled(context.WithoutCancel(ctx), r)) {
+				return
+			}
 		}
 		a.runInLoop(ctx, func() { op.settledAtPoll = a.pollCount })
 	}()
@@ -53,16 +61,28 @@
 	return "other"
 }
 
+// startOutcome is the result of the calls to start a run.
+type startOutcome struct {
+	attempts int
+	err      error // nil if the run has started
+	// mayStartUntil is the latest end of a lease, on the runner's clock, of the
+	// calls without an answer. The runner may still carry out such a call until
+	// then, unless it has answered a stop of the run. It is 0 if no call can
+	// still start the run.
+	mayStartUntil substrate.RuntimeClock
+}
+
 // startUntilSettled repeats a start until the run has started or can no longer
 // start. After a call without an answer, a refusal is not final, because the
-// unanswered call may still start the run. The run is then stopped, which
-// prevents a later start.
-func (a *agentSession) startUntilSettled(ctx context.Context, start substrate.TaskStart) (attempts int, err error) {
-	mayStillStart := false
+// unanswered call may still start the run.
+func (a *agentSession) startUntilSettled(ctx context.Context, start substrate.TaskStart) startOutcome {
+	var o startOutcome
 	timeout := a.host.o.Timing.RunnerCallTimeout
-	for attempts = 1; ; attempts++ {
-		err = a.callRunner(ctx, timeout, func(call context.Context) error {
-			clock, err := a.runner.Start(call, a.fencingToken, start, a.runnerLease())
+	for o.attempts = 1; ; o.attempts++ {
+		var lease substrate.RuntimeClock
+		o.err = a.callRunner(ctx, timeout, func(call context.Context) error {
+			lease = a.runnerLease()
+			clock, err := a.runner.Start(call, a.fencingToken, start, lease)
 			if err == nil {
 				a.updateRunnerClock(clock)
 			}
@@ -72,27 +92,27 @@
 		var other *substrate.IncarnationError
 		var unknown *structs.UnknownOutcomeError
 		switch {
-		case err == nil, errors.As(err, &other):
-			return attempts, err
-		case errors.As(err, &refused) && refused.Refusal != substrate.RefusalUnhealthy:
-			return attempts, a.preventLateStart(ctx, mayStillStart, start.Run, err)
-		case errors.As(err, &unknown):
-			mayStillStart = true
+		case o.err == nil, errors.As(o.err, &other):
+			o.mayStartUntil = 0
+			return o
+		case errors.As(o.err, &refused) && refused.Refusal != substrate.RefusalUnhealthy:
+			return o
+		case errors.As(o.err, &unknown):
+			o.mayStartUntil = max(o.mayStartUntil, lease)
 		}
 		timeout = min(2*timeout, maxRunnerCallTimeout)
 		if ctx.Err() != nil || a.host.draining() || sleep(ctx, runnerRetryPause) != nil {
-			return attempts, a.preventLateStart(ctx, mayStillStart, start.Run, err)
+			return o
 		}
 	}
 }
 
-// preventLateStart stops a run whose start was abandoned with err, if an
-// unanswered call may still start it.
-func (a *agentSession) preventLateStart(ctx context.Context, mayStillStart bool, r structs.RunID, err error) error {
-	if !mayStillStart {
-		return err
-	}
-	return errors.Join(err, a.stopUntilSettled(context.WithoutCancel(ctx), r))
+// isStopSettled reports whether a stop with the given result prevents the run
+// from starting later.
+func isStopSettled(err error) bool {
+	var refused *substrate.StartRefusedError
+	var other *substrate.IncarnationError
+	return err == nil || errors.As(err, &refused) && refused.Refusal != substrate.RefusalUnhealthy || errors.As(err, &other)
 }
 
 // runnerRetryPause is the pause between two attempts of a call to the runner.
@@ -138,9 +158,7 @@
 	var err error
 	for range maxStopAttempts {
 		err = a.callRunner(ctx, timeout, func(call context.Context) error { return a.runner.Stop(call, a.fencingToken, r) })
-		var refused *substrate.StartRefusedError
-		var other *substrate.IncarnationError
-		if err == nil || errors.As(err, &refused) || errors.As(err, &other) {
+		if isStopSettled(err) {
 			return err
 		}
 		timeout = min(2*timeout, maxRunnerCallTimeout)
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -62,6 +62,35 @@
 	done        chan struct{}
 	partitioned bool // the host cannot reach the other hosts
 	silent      bool // the runner's reports don't reach the agent
+	// startFault and stopFault return the error of a start or a stop that does
+	// not reach the runner, or nil. They may be nil.
+	startFault, stopFault callFault
+}
+
+// callFault returns the error of a call that does not reach the runner, or nil
+// if it does.
+type callFault func(ctx context.Context) error
+
+// refuseAsUnhealthy is the answer of a runner that accepts no starts.
+func refuseAsUnhealthy(context.Context) error {
+	return &substrate.StartRefusedError{Refusal: substrate.RefusalUnhealthy}
+}
+
+// resetConnection fails at once without an answer.
+func resetConnection(context.Context) error {
+	return &structs.UnknownOutcomeError{Operation: "call", Err: syscall.ECONNRESET}
+}
+
+func (h *simulatedHost) setCallFaults(start, stop callFault) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.startFault, h.stopFault = start, stop
+}
+
+func (h *simulatedHost) callFaults() (start, stop callFault) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.startFault, h.stopFault
 }
 
 // fakeConfig is a ConfigSource with one queue and settable drained domains.
@@ -210,8 +239,8 @@
 }
 
 // interceptedRunner is the client of a host's runner. It calls beforeStart
-// before each start, and
-// beforePoll before each poll.
+// before each start and beforePoll before each poll, and applies the host's
+// faults of calls.
 type interceptedRunner struct {
 	substrate.Runner
 	h *simulatedHost
@@ -222,9 +251,24 @@
 	if r.h.fleet.beforeStart != nil {
 		r.h.fleet.beforeStart(r.h)
 	}
+	if fault, _ := r.h.callFaults(); fault != nil {
+		if err := fault(ctx); err != nil {
+			return 0, err
+		}
+	}
 	return r.Runner.Start(ctx, fence, start, lease)
 }
 
+// Stop implements substrate.Runner.
+func (r *interceptedRunner) Stop(ctx context.Context, fence int64, run structs.RunID) error {
+	if _, fault := r.h.callFaults(); fault != nil {
+		if err := fault(ctx); err != nil {
+			return err
+		}
+	}
+	return r.Runner.Stop(ctx, fence, run)
+}
+
 // PollRuns implements substrate.Runner.
 func (r *interceptedRunner) PollRuns(ctx context.Context, fence, acknowledged int64, lease substrate.RuntimeClock, maxWait time.Duration) (substrate.RunnerState, error) {
 	if r.h.fleet.beforePoll != nil {
