Bound the time that a task waits at a worker that does not start it

Callers saw: a task, long-running or short, has no run for as long as its worker refuses starts as unhealthy, resets their connections or never answers them, while other workers have room. Nothing counted against the worker, which got further tasks.

Cause: the agent repeats such a start without a bound and reports the run as starting, so that the leader keeps it. isStuck looks only at runs that the worker has listed.

Evidence: TestTasksOfAWorkerThatStartsNothingStartOnOtherWorkers, before, for each of the three faults and both kinds of task:

unstarted_test.go:28: not within 3s: all tasks run

and TestTaskThatStartsTooLateRunsOnce, before: 2 runs on the worker, started 3 s after the order.

The worker is quarantined with the cause "does not start", once for the runs that were ordered before the quarantine, and the task avoids the worker. The agent reports the run as starting until it cannot start any more, which releases it safely. A task that two workers in a row do not start has a run on a third within RestartLimit. Each session orders the starts again and begins the time anew.

--- a/fleet/outbox.go
+++ b/fleet/outbox.go
@@ -46,7 +46,7 @@
 	}
 	for _, start := range out.starts {
 		if r := w.runs[runFromProto(start.GetRun())]; r != nil {
-			r.startOrderNumber = s.lastOrderNumber
+			r.startOrderNumber, r.startOrderedAt = s.lastOrderNumber, now
 		}
 	}
 	w.outbox = outbox{}
--- a/fleet/progress.go
+++ b/fleet/progress.go
@@ -23,6 +23,28 @@
 	stragglerInterval = 200 * time.Millisecond // time between two searches for stragglers
 )
 
+// stopUnstartedRuns stops runs that the worker has not listed for too long, so
+// that they start on other workers. The agent repeats a start that the runner
+// refuses as unhealthy or does not answer. The run stays assigned until it
+// cannot start any more.
+func (l *leader) stopUnstartedRuns(w *worker, now bootclock.Time) {
+	if !w.ready || now.Sub(w.listedAt) > l.o.Timing.SessionTimeout {
+		return
+	}
+	for _, r := range w.sortedRuns() {
+		if r.startedAt != 0 || r.stopReason != "" || r.startOrderedAt == 0 ||
+			now.Sub(r.startOrderedAt) < l.o.Timing.startLimit() {
+			continue
+		}
+		// Starts that were ordered before the quarantine have the same cause.
+		if r.startOrderedAt >= w.health.quarantinedAt {
+			l.recordWorkerFailure(w, r.id, causeUnstarted)
+		}
+		r.job.failedOn[r.id.Task] = append(r.job.failedOn[r.id.Task], w.id)
+		l.stop(w, r, causeUnstarted)
+	}
+}
+
 // stopStuckRuns stops runs without progress, so that they start on other
 // workers. On some workers tasks hang although the runner answers.
 func (l *leader) stopStuckRuns(w *worker, now bootclock.Time) {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -175,7 +175,7 @@
 		Run: runToProto(r.id), Payload: r.job.Spec.Payload, Checkpoint: checkpoint,
 		Fills: step.Fills, LatencyTargetMs: step.LatencyTarget.Milliseconds(), Permit: permit,
 	})
-	r.startOrderNumber = pendingOrder
+	r.startOrderNumber, r.startOrderedAt = pendingOrder, 0
 }
 
 // pendingOrder is the startOrderNumber of a run whose start is in the outbox.
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -76,6 +76,12 @@
 	return &substrate.StartRefusedError{Refusal: substrate.RefusalUnhealthy}
 }
 
+// loseCall never answers.
+func loseCall(ctx context.Context) error {
+	<-ctx.Done()
+	return &structs.UnknownOutcomeError{Operation: "call", Err: ctx.Err()}
+}
+
 // resetConnection fails at once without an answer.
 func resetConnection(context.Context) error {
 	return &structs.UnknownOutcomeError{Operation: "call", Err: syscall.ECONNRESET}
--- a/fleet/unstarted_test.go
+++ b/fleet/unstarted_test.go
@@ -1,14 +1,83 @@
 package fleet
 
 import (
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/structs"
 )
 
+func TestTasksOfAWorkerThatStartsNothingStartOnOtherWorkers(t *testing.T) {
+	for name, fault := range map[string]callFault{"unhealthy": refuseAsUnhealthy, "no answer": loseCall, "reset": resetConnection} {
+		for kind, longRunning := range map[string]bool{"long-running": true, "short": false} {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				runInFleet(t, 3, func(f *simulatedFleet) {
+					is := is.New(f.t)
+					f.runTime = func(structs.RunID) time.Duration { return time.Hour }
+					f.longRunning = func(structs.RunID) bool { return longRunning }
+					f.waitReady()
+					e := f.newEntry()
+					defer e.Close()
+					broken := f.followerHost()
+					broken.setCallFaults(fault, nil)
+					j := testJob("a", 6)
+					j.Steps[0].LongRunning = longRunning
+					is.NoErr(f.submit(e, j))
+					f.waitUntil("all tasks run", f.timing.RestartLimit/2, func() bool { return f.checker.ActiveRuns() == 6 })
+					is.Equal(broken.runs(), 0)
+				})
+			})
+		}
+	}
+}
+
+func TestTaskThatTwoWorkersDoNotStartRunsOnAThirdInTime(t *testing.T) {
+	runInFleet(t, 3, func(f *simulatedFleet) {
+		is := is.New(f.t)
+		f.longRunning = func(structs.RunID) bool { return true }
+		f.waitReady()
+		e := f.newEntry()
+		defer e.Close()
+		var mu sync.Mutex
+		failing := map[*simulatedHost]bool{}
+		f.beforeStart = func(h *simulatedHost) {
+			mu.Lock()
+			defer mu.Unlock()
+			if !failing[h] && len(failing) < 2 {
+				failing[h] = true
+				h.setCallFaults(loseCall, nil)
+			}
+		}
+		j := testJob("a", 1)
+		j.Steps[0].LongRunning = true
+		is.NoErr(f.submit(e, j))
+		f.waitUntil("the task runs", f.timing.RestartLimit, func() bool { return f.checker.ActiveRuns() == 1 })
+		is.Equal(len(failing), 2)
+	})
+}
+
+// The starts take effect after the leader has given them up.
+func TestTaskThatStartsTooLateRunsOnce(t *testing.T) {
+	runInFleet(t, 3, func(f *simulatedFleet) {
+		is := is.New(f.t)
+		f.runTime = func(structs.RunID) time.Duration { return time.Hour }
+		f.waitReady()
+		e := f.newEntry()
+		defer e.Close()
+		broken := f.followerHost()
+		broken.runner.WithholdStartReplies(1 << 30)
+		is.NoErr(f.submit(e, testJob("a", 6)))
+		f.waitUntil("all tasks run", f.timing.RestartLimit/2, func() bool { return f.checker.ActiveRuns() == 6 })
+		time.Sleep(f.timing.RestartLimit)
+		is.Equal(broken.runs(), 0)
+		is.Equal(f.checker.StartsOfJob("a"), 6)
+	})
+}
+
 // The stops fail faster than the starts take effect.
 func TestAbandonedStartWhoseStopFailsRunsOnce(t *testing.T) {
 	for name, fault := range map[string]callFault{"reset": resetConnection, "unhealthy": refuseAsUnhealthy} {
@@ -32,3 +101,27 @@
 		})
 	}
 }
+
+func TestRunsThatOneFaultKeepsFromStartingLengthenTheQuarantineOnce(t *testing.T) {
+	is := is.New(t)
+	now := bootclock.Time(time.Hour)
+	l, _ := leaderWithWorkers(t, &now, 1)
+	w := l.workers["w0"]
+	w.leaseEndsAt = now.Add(time.Hour)
+	j := addService(l, "web", 4, 500)
+	ordered := now
+	for i := range int32(4) {
+		id, _ := j.Assign(structs.StepTaskID{Job: "web", Index: i}, w.id, "i")
+		w.assign(id, "i", j).startOrderedAt = ordered.Add(time.Duration(i) * 100 * time.Millisecond)
+	}
+	for range 10 {
+		now = now.Add(200 * time.Millisecond)
+		w.listedAt = now
+		l.checkWorker(w, now)
+	}
+	is.Equal(w.health.quarantineDuration, quarantineFirst)
+	for _, r := range w.runs {
+		is.Equal(r.stopReason, causeUnstarted)
+		is.Equal(j.failedOn[r.id.Task], []structs.WorkerID{w.id})
+	}
+}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -57,8 +57,9 @@
 	id               structs.RunID
 	incarnation      string
 	job              *job
-	stored           bool  // the assignment is stored, which is required before the run starts
-	startOrderNumber int64 // number of the orders that contain the start, 0 if no start was ordered
+	stored           bool           // the assignment is stored, which is required before the run starts
+	startOrderNumber int64          // number of the orders that contain the start, 0 if no start was ordered
+	startOrderedAt   bootclock.Time // when these orders were sent, 0 until then
 	// stopReason is empty unless the run was ordered to stop.
 	stopReason     string
 	stopSentAt     bootclock.Time // when the stop was last ordered
@@ -202,8 +203,9 @@
 	return max(0, min(l.o.Timing.Lease, l.lastCommitSentAt.Add(l.o.Timing.LeaseHorizon).Sub(now)))
 }
 
-// checkWorker repeats stops without effect, detects stuck runs and dead
-// sessions, and releases the runs of the worker once its lease has lapsed.
+// checkWorker repeats stops without effect, detects dead sessions and runs that
+// are stuck or do not start, and releases the runs of the worker once its lease
+// has lapsed.
 func (l *leader) checkWorker(w *worker, now bootclock.Time) {
 	for _, r := range w.sortedRuns() {
 		if r.stopReason != "" && now.Sub(r.stopSentAt) > stopRepeatInterval && w.ready {
@@ -211,6 +213,7 @@
 		}
 	}
 	l.stopStuckRuns(w, now)
+	l.stopUnstartedRuns(w, now)
 	l.endLapsedQuarantine(w, now)
 	if w.session != nil && now.Sub(w.reportedAt) > l.o.Timing.SessionTimeout*2 {
 		l.detachSession(w.session, &structs.UnavailableError{Dependency: "agent"})
--- a/fleet/worker_health.go
+++ b/fleet/worker_health.go
@@ -51,9 +51,10 @@
 
 // Causes of a quarantine, for logs and metrics.
 const (
-	causeFailed = "failed"
-	causeStuck  = "stands still"
-	causeSlow   = "far slower than its step"
+	causeFailed    = "failed"
+	causeStuck     = "stands still"
+	causeSlow      = "far slower than its step"
+	causeUnstarted = "does not start"
 )
 
 // recordWorkerFailure counts a run that failed, was stuck or was too slow
