--- a/fleet/gang_test.go
+++ b/fleet/gang_test.go
@@ -99,3 +99,21 @@
 		is.Equal(f.checker.StartsOfJob("gang-a"), int(testQueue.MaxAttempts)*gangTasks)
 	})
 }
+
+func TestGangCompletesBesideAWorkerThatStartsNothing(t *testing.T) {
+	for name, fault := range map[string]callFault{"unhealthy": refuseAsUnhealthy, "no answer": loseCall, "reset": resetConnection} {
+		t.Run(name, func(t *testing.T) {
+			runInFleet(t, 3, func(f *simulatedFleet) {
+				is := is.New(f.t)
+				f.waitReady()
+				e := f.newEntry()
+				defer e.Close()
+				broken := f.followerHost()
+				broken.setCallFaults(fault, nil)
+				is.NoErr(f.submit(e, gangJob("a", 1)))
+				f.waitUntil("completed", f.timing.RestartLimit, func() bool { return f.phase(e, "gang-a") == structs.JobCompleted })
+				is.Equal(f.checker.EndsOf(substrate.RunEndGangIncomplete), 0)
+			})
+		})
+	}
+}
