Avoid a worker whose runner has refused the start of a task

Callers saw: a long-running task has no run for as long as one runner refuses its starts for a lasting reason, such as no room, while other workers have room.

Cause: a start that the runner refused for another reason than its health is released, and nothing records where. The worker looks empty to the leader, so that the next placement is on the same worker again.

Evidence: TestTasksThatARunnerRefusesForLackOfRoomStartOnOtherWorkers, before:

unstarted_test.go:147: not within 3s: all tasks run

Fix: the task avoids the worker, as after a failure. This lowers the score of the worker for the task and does not count against the health of the worker, because a start is also dropped when its order was too old.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -89,8 +89,8 @@
 	committingOnStored []func()         // callbacks from onStored for the state in the commit in flight
 	committingOnLost   []func()         // callbacks from onLost for the state in the commit in flight
 	finishedAt         bootclock.Time
-	// failedOn holds the workers on which each task has failed, was stuck or
-	// was too slow.
+	// failedOn holds the workers on which each task has failed, was stuck, was
+	// too slow or did not start.
 	failedOn       map[structs.StepTaskID][]structs.WorkerID
 	acceptedAt     bootclock.Time // when this leader accepted the job or read it from the store
 	criticalPath   time.Duration  // longest chain of declared run times
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -210,6 +211,11 @@
 		l.repeatStart(w, assigned)
 	case assigned.startOrderNumber > 0 && assigned.startOrderNumber <= ordersSeen:
 		l.permits.removeWorker(assigned.id.Task.StepID(), w)
+		// A refusal may last. It is not counted as a failure of the worker,
+		// because a start is also dropped when its order was too old.
+		if failed := assigned.job.failedOn[assigned.id.Task]; !slices.Contains(failed, w.id) {
+			assigned.job.failedOn[assigned.id.Task] = append(failed, w.id)
+		}
 		l.release(w, assigned, "not started", "")
 	}
 }
--- a/fleet/unstarted_test.go
+++ b/fleet/unstarted_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 func TestTasksOfAWorkerThatStartsNothingStartOnOtherWorkers(t *testing.T) {
@@ -125,3 +127,21 @@
 		is.Equal(j.failedOn[r.id.Task], []structs.WorkerID{w.id})
 	}
 }
+
+func TestTasksThatARunnerRefusesForLackOfRoomStartOnOtherWorkers(t *testing.T) {
+	runInFleet(t, 3, func(f *simulatedFleet) {
+		is := is.New(f.t)
+		f.longRunning = func(structs.RunID) bool { return true }
+		f.waitReady()
+		e := f.newEntry()
+		defer e.Close()
+		broken := f.followerHost()
+		broken.setCallFaults(func(context.Context) error {
+			return &substrate.StartRefusedError{Refusal: substrate.RefusalCapacity}
+		}, nil)
+		j := testJob("a", 6)
+		j.Steps[0].LongRunning = true
+		is.NoErr(f.submit(e, j))
+		f.waitUntil("all tasks run", f.timing.RestartLimit/2, func() bool { return f.checker.ActiveRuns() == 6 })
+	})
+}
