Simulated runners that fail what they start, and tasks of different sizes

A regression test of the outages of long-running tasks needs runners that fail each new run while their other runs continue, single runs that fail by themselves, and tasks that request different shares of a worker; the stand-ins had none of these.

TaskRunner.SetFailingStarts ends runs that start from then on as failed after FailingStartDelay (40 ms), and the option FailsAfter gives single runs a failure. RunChecker adds up the requests of the active runs; RunChecker.TaskCPU gives each task its own. Without TaskCPU it reports the same violations as before.

--- a/standin/runchecker.go
+++ b/standin/runchecker.go
@@ -13,20 +13,24 @@
 // RunChecker observes task runners independently of the code under test. It
 // records each violation of the guarantees for their tasks: one run at a time,
 // no run after an acknowledged end, and no runner above its capacity. It
-// implements RunObserver. All tasks request the same share of processors, and
-// their memory is not checked.
+// implements RunObserver. The memory of the tasks is not checked.
 type RunChecker struct {
 	// AllowsRestartAfterDone is set for systems in which a task may run again
 	// after it has ended as done.
 	AllowsRestartAfterDone bool
+	// TaskCPU returns the request of a task, in thousandths of a processor. It
+	// returns the same value at each call. If it is nil, all tasks have the
+	// request that was given to NewRunChecker. Set it before the first run.
+	TaskCPU func(structs.StepTaskID) int64
 
 	mu               sync.Mutex
 	runnerCPU        int64 // capacity of each runner, in thousandths of a processor
-	taskCPU          int64 // request of each task, in thousandths of a processor
+	defaultTaskCPU   int64 // request of each task without TaskCPU, in thousandths of a processor
 	running          map[structs.StepTaskID]map[string]structs.RunID
 	acknowledgedDone map[structs.StepTaskID]bool // tasks with an acknowledged run end "done"
 	everDone         map[structs.StepTaskID]bool // tasks with a run end "done", acknowledged or not
 	activeRuns       map[string]int              // number of active runs, by runner
+	reservedCPU      map[string]int64            // requests of the active runs, by runner
 	starts           map[structs.StepTaskID]int
 	startsOn         map[runnerTask]int
 	ends             map[substrate.RunEnd]int
@@ -44,8 +48,8 @@
 // that request cpu, both in thousandths of a processor.
 func NewRunChecker(capacity, cpu int64) *RunChecker {
 	return &RunChecker{
-		runnerCPU: capacity, taskCPU: cpu, running: map[structs.StepTaskID]map[string]structs.RunID{},
-		acknowledgedDone: map[structs.StepTaskID]bool{}, everDone: map[structs.StepTaskID]bool{}, activeRuns: map[string]int{},
+		runnerCPU: capacity, defaultTaskCPU: cpu, running: map[structs.StepTaskID]map[string]structs.RunID{},
+		acknowledgedDone: map[structs.StepTaskID]bool{}, everDone: map[structs.StepTaskID]bool{}, activeRuns: map[string]int{}, reservedCPU: map[string]int64{},
 		starts: map[structs.StepTaskID]int{}, startsOn: map[runnerTask]int{}, ends: map[substrate.RunEnd]int{},
 	}
 }
@@ -54,6 +58,14 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
+// requestOf returns the request of the task, in thousandths of a processor.
+func (c *RunChecker) requestOf(id structs.StepTaskID) int64 {
+	if c.TaskCPU == nil {
+		return c.defaultTaskCPU
+	}
+	return c.TaskCPU(id)
+}
+
 // Started implements RunObserver.
 func (c *RunChecker) Started(runner string, r structs.RunID) {
 	c.mu.Lock()
@@ -72,7 +84,8 @@
 		c.addViolation("%s started on %s beside another run: %v", r, runner, c.running[r.Task])
 	}
 	c.activeRuns[runner]++
-	if int64(c.activeRuns[runner])*c.taskCPU > c.runnerCPU {
+	c.reservedCPU[runner] += c.requestOf(r.Task)
+	if c.reservedCPU[runner] > c.runnerCPU {
 		c.addViolation("%s brings %s over its capacity", r, runner)
 	}
 }
@@ -84,6 +97,7 @@
 	c.events = append(c.events, fmt.Sprintf("%s ended %s %s %s", time.Now().Format("05.000"), r, runner, end))
 	delete(c.running[r.Task], runner)
 	c.activeRuns[runner]--
+	c.reservedCPU[runner] -= c.requestOf(r.Task)
 	c.ends[end]++
 	if end == substrate.RunEndDone {
 		c.everDone[r.Task] = true
@@ -127,7 +141,7 @@
 	for _, byRunner := range c.running {
 		delete(byRunner, runner)
 	}
-	c.activeRuns[runner] = 0
+	c.activeRuns[runner], c.reservedCPU[runner] = 0, 0
 }
 
 // Violations returns the violations so far.
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -38,12 +38,19 @@
 	LongRunning       func(structs.RunID) bool  // runs that are at work until they are stopped, none if nil
 	PaceDelay         time.Duration             // time from a change of pace to its effect
 	Reading           func(structs.RunID) int64 // reading of an active run, 0 for every run if nil
+	// FailsAfter returns the time after which a run ends as failed, 0 for a run
+	// that does not. No run does if it is nil.
+	FailsAfter func(structs.RunID) time.Duration
 }
 
 // LateStartDelay is how long after its call a start or a change of pace takes
 // effect if its reply is withheld.
 const LateStartDelay = 3 * time.Second
 
+// FailingStartDelay is how long after its start a run ends as failed on a
+// runner whose starts fail.
+const FailingStartDelay = 40 * time.Millisecond
+
 // hungRunTime is the run time of a task that makes no progress.
 const hungRunTime = 1000 * time.Hour
 
@@ -70,6 +77,7 @@
 	refusing         bool                         // connections are refused
 	unresponsive     bool                         // calls get no reply
 	failRuns         bool                         // runs end as failed
+	failStarts       bool                         // new runs end as failed after FailingStartDelay
 	hangRuns         bool                         // new runs make no progress
 	slowdown         int                          // factor by which the run time of new runs is multiplied, 0 means 1
 	unansweredStarts int                          // number of further starts that get no reply
@@ -150,6 +158,14 @@
 	r.failRuns = failing
 }
 
+// SetFailingStarts sets whether runs that start from now on end as failed after
+// FailingStartDelay. Runs that are active continue.
+func (r *TaskRunner) SetFailingStarts(failing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failStarts = failing
+}
+
 // SetHanging sets whether runs that start from now on make no progress.
 func (r *TaskRunner) SetHanging(hanging bool) {
 	r.mu.Lock()
@@ -345,7 +361,10 @@
 	incarnation := r.info.Incarnation
 	run := &taskRun{startedAt: time.Now(), runTime: runTime, checkpoint: start.Checkpoint, pacePercent: 100}
 	timerDelay := runTime
+	failsAfter := r.failsAfterLocked(id)
 	switch {
+	case failsAfter > 0:
+		timerDelay = failsAfter
 	case r.isLongRunning(id):
 		timerDelay = hungRunTime
 	case r.inGang(id):
@@ -358,7 +377,7 @@
 		if r.info.Incarnation != incarnation || r.runs[id] != run {
 			return
 		}
-		if r.failRuns {
+		if r.failRuns || failsAfter > 0 {
 			r.endRunLocked(id, substrate.RunEndFailed)
 		} else {
 			r.endRunLocked(id, substrate.RunEndDone)
@@ -371,6 +390,19 @@
 	return nil
 }
 
+// failsAfterLocked returns the time after which a run that starts now ends as
+// failed, 0 if it does not. The caller holds the lock.
+func (r *TaskRunner) failsAfterLocked(id structs.RunID) time.Duration {
+	switch {
+	case r.failStarts:
+		return FailingStartDelay
+	case r.options.FailsAfter != nil:
+		return r.options.FailsAfter(id)
+	default:
+		return 0
+	}
+}
+
 // stateLocked returns the active runs and the ends that are not acknowledged.
 // The caller holds the lock.
 func (r *TaskRunner) stateLocked() substrate.RunnerState {
