--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -35,7 +35,10 @@
 	gangs   *standin.Gangs
 	// longRunning reports whether a run is at work until it is stopped.
 	longRunning func(structs.RunID) bool
-	permits     *standin.PermitIssuer // nil if the queue has no permit policy
+	// failsAfter returns the time after which a run fails, 0 for a run that
+	// doesn't.
+	failsAfter func(structs.RunID) time.Duration
+	permits    *standin.PermitIssuer // nil if the queue has no permit policy
 	// beforeStart is called before each start reaches the runner. It may be
 	// nil.
 	beforeStart func(h *simulatedHost)
@@ -143,6 +146,7 @@
 		config: &fakeConfig{changed: make(chan struct{}), queue: testQueue}, permits: permits,
 		runTime:     func(structs.RunID) time.Duration { return time.Second },
 		longRunning: func(structs.RunID) bool { return false },
+		failsAfter:  func(structs.RunID) time.Duration { return 0 },
 	}
 	if permits != nil {
 		f.config.queue.Permits = permits.Policy
@@ -160,6 +164,7 @@
 			MaxLease: f.timing.MaxLease, Observer: f.checker, Gangs: f.gangs, Permits: permits, AcceptsStaleCalls: true,
 			RunTime: func(r structs.RunID) time.Duration { return f.runTime(r) }, PaceDelay: f.timing.PaceDelay,
 			LongRunning: func(r structs.RunID) bool { return f.longRunning(r) },
+			FailsAfter:  func(r structs.RunID) time.Duration { return f.failsAfter(r) },
 			Reading: func(r structs.RunID) int64 {
 				if f.reading == nil {
 					return 0
