Hold room for long-running tasks that wait, and make it when they are overdue

Callers saw: a long-running task that is lost has no run for as long as short tasks arrive, on a fleet whose workers would have room beside their other long-running tasks.

Cause: a task that does not fit does not block later ones, so that smaller ones take each piece that becomes free. Jobs that are less than 30 s late go behind all jobs in time, and a long-running task that is lost belongs to a job that is late. The wait was counted for the job, and began anew with each assignment of another of its tasks.

Fix: Plan places long-running steps before others of their priority, by the time that a task has not been at work, and holds room for those that don't fit on the workers that lack the least for it. What is placed later does not take it. From half of the restart limit on (3 s) a task goes before all priorities, and the leader stops tasks on the held worker that end by themselves, those of the least urgent queues and with the least work to lose first. The log of pending tasks tells workers that short tasks fill from those that long-running tasks fill.

--- /dev/null
+++ b/fleet/make_room.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/daisywall/daisywall/placement/steps"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// makeRoom stops runs on a worker that holds room for overdue long-running
+// tasks, until what the tasks lack becomes free. Without it, they would wait for
+// as long as the slowest run of the worker takes.
+func (l *leader) makeRoom(v *steps.Worker) {
+	var missing structs.Resources
+	for _, h := range v.Holds {
+		if h.IsOverdue {
+			missing = h.Missing // includes what the holds before it lack
+		}
+	}
+	if missing == (structs.Resources{}) {
+		return
+	}
+	w := l.workers[v.ID]
+	for _, r := range w.sortedRuns() {
+		if r.stopReason != "" {
+			missing = missing.Sub(reservedBy(r))
+		}
+	}
+	for _, r := range l.runsByStopCost(w) {
+		if reserved := reservedBy(r); lacksAny(missing, reserved) {
+			l.stop(w, r, "makes room for a long-running task")
+			missing = missing.Sub(reserved)
+		}
+	}
+}
+
+// reservedBy returns the resources that become free when the run ends.
+func reservedBy(r *run) structs.Resources {
+	step := r.job.Step(r.id.Task)
+	reserved := step.Resources
+	if step.Fills {
+		reserved.MilliCPU = 0
+	}
+	return reserved
+}
+
+// lacksAny reports whether some of the missing resources are among those that
+// are reserved.
+func lacksAny(missing, reserved structs.Resources) bool {
+	return missing.MilliCPU > 0 && reserved.MilliCPU > 0 || missing.MemoryMB > 0 && reserved.MemoryMB > 0 ||
+		missing.Accelerators > 0 && reserved.Accelerators > 0
+}
+
+// runsByStopCost returns the runs of the worker that end by themselves and were
+// not told to stop, those of the least urgent queues first, gangs after single
+// tasks, and those that lose the least work first.
+func (l *leader) runsByStopCost(w *worker) []*run {
+	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
+		return r.stopReason != "" || r.job.Step(r.id.Task).LongRunning
+	})
+	slices.SortStableFunc(runs, func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(l.queueOf(b.job).Priority, l.queueOf(a.job).Priority),
+			cmp.Compare(a.gangSize(), b.gangSize()),
+			cmp.Compare(a.lostPercent(), b.lostPercent()),
+		)
+	})
+	return runs
+}
+
+// gangSize returns the number of runs that end with this one, besides it.
+func (r *run) gangSize() int32 {
+	if step := r.job.Step(r.id.Task); step.Gang {
+		return step.Tasks
+	}
+	return 0
+}
+
+// lostPercent returns the share of the work that a stop loses, in percent.
+func (r *run) lostPercent() int32 {
+	if r.job.Step(r.id.Task).Checkpoints {
+		return 0
+	}
+	return r.percent
+}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -40,6 +40,9 @@
 	for _, p := range steps.Plan(views, demands, l.interference) {
 		l.assignTask(p)
 	}
+	for _, v := range views {
+		l.makeRoom(v)
+	}
 }
 
 func compareWorkerIDs(a, b structs.WorkerID) int {
@@ -71,7 +74,7 @@
 		}
 		v.Reserved = v.Reserved.Add(need)
 		if step.LongRunning {
-			v.ServiceMilliCPU += need.MilliCPU
+			v.LongRunning = v.LongRunning.Add(need)
 		}
 		if step.LatencyTarget > 0 {
 			v.TasksByServiceImage[step.Image]++
@@ -92,10 +95,11 @@
 				Pool: queue.Pool, Priority: queue.Priority, Slack: l.slack(j, queue),
 			}
 			for i := range tasks {
+				id := structs.StepTaskID{Job: d.Job, Round: round, Step: step, Index: int32(i)}
 				switch tasks[i].State {
 				case workflow.Pending:
-					d.Tasks = append(d.Tasks, int32(i))
-					l.avoidFailedWorkers(&d, j, int32(i))
+					d.Tasks = append(d.Tasks, id.Index)
+					l.avoidFailedWorkers(&d, j, id.Index)
 				case workflow.Assigned:
 					if d.Placed == nil {
 						d.Placed = map[structs.WorkerID]int32{}
@@ -103,15 +107,39 @@
 					d.Placed[tasks[i].Worker]++
 				}
 			}
-			if len(d.Tasks) > 0 {
-				d.Waited = l.o.Clock().Sub(j.lastAssignedAt)
-				demands = append(demands, d)
+			if len(d.Tasks) == 0 {
+				return
+			}
+			d.Waited = l.o.Clock().Sub(j.lastAssignedAt)
+			if d.Spec.LongRunning {
+				d.Waited = l.longestOutage(j, d)
+				d.IsOverdue = d.Waited >= l.o.Timing.RestartLimit/overdueShare
 			}
+			demands = append(demands, d)
 		})
 	}
 	return demands
 }
 
+// overdueShare is the part of the restart limit after which a pending
+// long-running task goes before all other work. The rest is for stopping other
+// tasks and for starting this one.
+const overdueShare = 2
+
+// longestOutage returns the longest time for which one of the demand's pending
+// tasks has not been at work.
+func (l *leader) longestOutage(j *job, d steps.Demand) time.Duration {
+	now := l.o.Clock()
+	longest := time.Duration(0)
+	for _, index := range d.Tasks {
+		id := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
+		if since, found := j.outageSince[id]; found {
+			longest = max(longest, now.Sub(since))
+		}
+	}
+	return longest
+}
+
 // slack returns the time until the job is late. Declared run times are
 // inaccurate, but good enough to distinguish short jobs from long ones.
 func (l *leader) slack(j *job, queue structs.Queue) time.Duration {
--- a/placement/steps/exclusion.go
+++ b/placement/steps/exclusion.go
@@ -11,11 +11,12 @@
 	ExcludedPool             Exclusion = "other pool"
 	ExcludedPermit           Exclusion = "no permit"
 	ExcludedLabel            Exclusion = "no label"
-	ExcludedCopies           Exclusion = "beside copies" // has MaxPerWorker tasks of the step and room for one more
-	ExcludedQuarantine       Exclusion = "quarantined"   // has room
-	ExcludedRoom             Exclusion = "no room"
-	ExcludedInterference     Exclusion = "interference" // has room for the filling task, but a service is or would be over its target
-	ExcludedFillingIdleShare Exclusion = "not idle"     // too few idle processors for a filling task
+	ExcludedCopies           Exclusion = "beside copies" // has MaxPerWorker tasks of the step, and would have room for one more
+	ExcludedQuarantine       Exclusion = "quarantined"   // would have room without the tasks that end
+	ExcludedRoom             Exclusion = "no room"       // has too little room even without the tasks that end
+	ExcludedEndingTasks      Exclusion = "ending tasks"  // would have room without the tasks that end
+	ExcludedInterference     Exclusion = "interference"  // has room for the filling task, but a service is or would be over its target
+	ExcludedFillingIdleShare Exclusion = "not idle"      // too few idle processors for a filling task
 )
 
 // Exclusions returns the number of workers on which the demand's tasks can't be
@@ -30,7 +31,7 @@
 			continue
 		}
 		counts[reason]++
-		if reason == ExcludedRoom {
+		if reason == ExcludedRoom || reason == ExcludedEndingTasks {
 			bestFreeMilliCPU = max(bestFreeMilliCPU, w.Capacity.MilliCPU-w.Reserved.MilliCPU)
 		}
 	}
@@ -47,13 +48,15 @@
 		return ExcludedPermit
 	case !d.hasLabel(w):
 		return ExcludedLabel
-	case !d.hasRoom(w):
+	case !d.hasRoomBesideLongRunning(w):
 		return ExcludedRoom
 	case !d.mayAddCopy(w):
 		return ExcludedCopies
-	case w.HealthPenalty >= 1:
+	case w.isQuarantined():
 		return ExcludedQuarantine
-	case !d.Spec.Fills:
+	case !d.hasRoom(w):
+		return ExcludedEndingTasks
+	case !d.Spec.Fills || d.IsOverdue:
 		return ""
 	case w.idleMilliCPU() < minIdleShare*float64(d.Spec.Resources.MilliCPU):
 		return ExcludedFillingIdleShare
@@ -65,16 +68,21 @@
 	}
 }
 
-// hasRoom reports whether the resources that one more task reserves are free on
-// the worker.
+// hasRoom reports whether the resources that one more task reserves are neither
+// reserved nor held on the worker.
 func (d *Demand) hasRoom(w *Worker) bool {
-	need, room := d.Spec.Resources, w.Capacity
+	used, room := w.Reserved.Add(w.Held).Add(d.reservedResources()), w.Capacity
 	if d.Spec.Fills {
-		need.MilliCPU = 0
+		used.MilliCPU = 0
 		room.MemoryMB = int64(maxFillMemoryShare * float64(room.MemoryMB))
-		room.MilliCPU = max(room.MilliCPU, w.Reserved.MilliCPU)
 	}
-	return w.Reserved.Add(need).Fits(room)
+	return used.Fits(room)
+}
+
+// hasRoomBesideLongRunning reports whether one more task would fit on the worker
+// without the tasks that end.
+func (d *Demand) hasRoomBesideLongRunning(w *Worker) bool {
+	return w.LongRunning.Add(w.Held).Add(d.reservedResources()).Fits(w.Capacity)
 }
 
 // hasLabel reports whether the worker has the label that the step requires.
--- a/placement/steps/exclusion_test.go
+++ b/placement/steps/exclusion_test.go
@@ -19,10 +19,13 @@
 		{"other pool", func(w *Worker, _ *Demand) { w.Pool = "other" }, ExcludedPool},
 		{"not permitted", func(_ *Worker, d *Demand) { d.Permitted = map[structs.WorkerID]bool{} }, ExcludedPermit},
 		{"other label", func(w *Worker, _ *Demand) { w.Labels = nil }, ExcludedLabel},
-		{"full", func(w *Worker, _ *Demand) { w.Reserved.MilliCPU = 14000 }, ExcludedRoom},
+		{"full", func(w *Worker, _ *Demand) { w.Reserved.MilliCPU, w.LongRunning.MilliCPU = 14000, 13500 }, ExcludedRoom},
+		{"full of tasks that end", func(w *Worker, _ *Demand) { w.Reserved.MilliCPU, w.LongRunning.MilliCPU = 14000, 13000 }, ExcludedEndingTasks},
 		{"has a copy", func(w *Worker, d *Demand) { d.Placed = map[structs.WorkerID]int32{w.ID: 1} }, ExcludedCopies},
 		{"quarantined", func(w *Worker, _ *Demand) { w.HealthPenalty = 1 }, ExcludedQuarantine},
-		{"quarantined and full", func(w *Worker, _ *Demand) { w.HealthPenalty, w.Reserved.MilliCPU = 1, 14000 }, ExcludedRoom},
+		{"quarantined and full", func(w *Worker, _ *Demand) {
+			w.HealthPenalty, w.Reserved.MilliCPU, w.LongRunning.MilliCPU = 1, 14000, 14000
+		}, ExcludedRoom},
 		{"busy, for a filling task", func(w *Worker, d *Demand) { d.Spec.Fills, w.FillMilliCPU = true, 15000 }, ExcludedFillingIdleShare},
 		{"over target, for a filling task", func(w *Worker, d *Demand) { d.Spec.Fills, w.LatencyRatio = true, 2 }, ExcludedInterference},
 	}
@@ -35,7 +38,7 @@
 			counts, bestFree := d.Exclusions(list, NewInterference())
 			is.Equal(counts[c.want] == 1, c.want != "")
 			is.Equal(len(Plan(list, []Demand{d}, NewInterference())) == 1, c.want == "")
-			if c.want == ExcludedRoom {
+			if c.want == ExcludedRoom || c.want == ExcludedEndingTasks {
 				is.Equal(bestFree, int64(2000))
 			}
 		})
--- /dev/null
+++ b/placement/steps/hold.go
@@ -0,0 +1,112 @@
+package steps
+
+import (
+	"math"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Hold keeps room on a worker for a pending task. Tasks that are
+// placed later don't take the room, so the task fits once enough other tasks of
+// the worker have ended.
+type Hold struct {
+	Task      structs.StepTaskID
+	Missing   structs.Resources // what has to become free on the worker for this task and those held before it
+	IsOverdue bool              // tasks that end by themselves may be stopped for it
+}
+
+// holdRoom holds room for each task of the step that was not placed, on the
+// worker that lacks the least for it, as far as there are workers on which it
+// would fit beside the long-running tasks.
+//
+// Holds are computed anew in each cycle. What a held worker lacks only shrinks,
+// so the choice is stable unless another worker lacks even less.
+func (d *Demand) holdRoom(workers []*Worker, placed []Placement) {
+	for _, index := range d.unplaced(placed) {
+		w := d.bestHeldWorker(workers, index)
+		switch {
+		case w != nil:
+			d.hold(w, index)
+		case len(d.FailedOn[index]) == 0:
+			return // the remaining tasks need the same resources
+		}
+	}
+}
+
+// hold keeps room for one task on the worker.
+func (d *Demand) hold(w *Worker, index int32) {
+	task := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
+	w.Holds = append(w.Holds, Hold{Task: task, Missing: d.missing(w), IsOverdue: d.IsOverdue})
+	w.Held = w.Held.Add(d.reservedResources())
+	if d.Placed == nil {
+		d.Placed = map[structs.WorkerID]int32{}
+	}
+	d.Placed[w.ID]++
+}
+
+// unplaced returns the indexes of the pending tasks that are not in placed.
+func (d *Demand) unplaced(placed []Placement) []int32 {
+	if len(placed) == len(d.Tasks) {
+		return nil
+	}
+	isPlaced := make(map[int32]bool, len(placed))
+	for _, p := range placed {
+		isPlaced[p.Task.Index] = true
+	}
+	var indexes []int32
+	for _, index := range d.Tasks {
+		if !isPlaced[index] {
+			indexes = append(indexes, index)
+		}
+	}
+	return indexes
+}
+
+// bestHeldWorker returns the worker that lacks the smallest share of its
+// capacity for the task, nil if the task would fit on no worker even without
+// the tasks that end. Quarantined workers are left out.
+func (d *Demand) bestHeldWorker(workers []*Worker, index int32) *Worker {
+	var best *Worker
+	var lowest float64
+	for _, w := range workers {
+		if !d.isEligible(w) || w.isQuarantined() || !d.hasRoomBesideLongRunning(w) {
+			continue
+		}
+		cost := missingShare(d.missing(w), w.Capacity) + healthPenaltyWeight*w.HealthPenalty
+		if d.hasFailedOn(w, index) {
+			cost += failedBeforeWeight
+		}
+		if best == nil || cost < lowest {
+			best, lowest = w, cost
+		}
+	}
+	return best
+}
+
+// reservedResources returns the resources that one task reserves on a worker.
+func (d *Demand) reservedResources() structs.Resources {
+	need := d.Spec.Resources
+	if d.Spec.Fills {
+		need.MilliCPU = 0
+	}
+	return need
+}
+
+// missing returns the resources that have to become free on the worker before
+// one more task fits.
+func (d *Demand) missing(w *Worker) structs.Resources {
+	used := w.Reserved.Add(w.Held).Add(d.reservedResources())
+	return structs.Resources{
+		MilliCPU:     max(0, used.MilliCPU-w.Capacity.MilliCPU),
+		MemoryMB:     max(0, used.MemoryMB-w.Capacity.MemoryMB),
+		Accelerators: max(0, used.Accelerators-w.Capacity.Accelerators),
+	}
+}
+
+// missingShare returns the largest of the missing resources as a share of the
+// capacity.
+func missingShare(missing, capacity structs.Resources) float64 {
+	share := func(part, whole int64) float64 { return float64(part) / math.Max(1, float64(whole)) }
+	return max(share(missing.MilliCPU, capacity.MilliCPU), share(missing.MemoryMB, capacity.MemoryMB),
+		share(missing.Accelerators, capacity.Accelerators))
+}
--- /dev/null
+++ b/placement/steps/hold_test.go
@@ -0,0 +1,97 @@
+package steps
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+func longRunning(milliCPU int64) structs.Step {
+	return structs.Step{LongRunning: true, Resources: structs.Resources{MilliCPU: milliCPU, MemoryMB: 1000}}
+}
+
+func short(milliCPU int64) structs.Step {
+	return structs.Step{Resources: structs.Resources{MilliCPU: milliCPU, MemoryMB: 100}}
+}
+
+func TestShortTasksDontTakeTheRoomThatALongRunningTaskWaitsFor(t *testing.T) {
+	is := is.New(t)
+	list := workers(2)
+	list[0].Reserved.MilliCPU = 14000
+	list[1].Reserved.MilliCPU = 15900
+	demands := []Demand{demand("short", 9, short(500)), demand("service", 1, longRunning(3000))}
+	demands[1].Slack = -10 * time.Second
+	for _, p := range Plan(list, demands, NewInterference()) {
+		is.Equal(p.Task.Job, structs.JobID("short"))
+		is.Equal(p.Worker, structs.WorkerID("w1")) // w0 lacks the least
+	}
+	is.Equal(len(list[0].Holds), 1)
+	is.Equal(list[0].Holds[0].Missing, structs.Resources{MilliCPU: 1000})
+}
+
+func TestFillingTasksDontTakeTheMemoryThatALongRunningTaskWaitsFor(t *testing.T) {
+	is := is.New(t)
+	list := workers(1)
+	list[0].Reserved.MemoryMB = 50000
+	step := longRunning(100)
+	step.Resources.MemoryMB = 20000
+	fill := structs.Step{Fills: true, Resources: structs.Resources{MilliCPU: 100, MemoryMB: 1000}}
+	is.Equal(len(Plan(list, []Demand{demand("service", 1, step), demand("fill", 1, fill)}, NewInterference())), 0)
+	is.Equal(list[0].Holds[0].Missing, structs.Resources{MemoryMB: 6000})
+}
+
+func TestNoRoomIsHeldWhereLongRunningTasksLeaveNone(t *testing.T) {
+	is := is.New(t)
+	list := workers(1)
+	list[0].Reserved.MilliCPU, list[0].LongRunning.MilliCPU = 15000, 15000
+	plan := Plan(list, []Demand{demand("service", 1, longRunning(3000)), demand("short", 1, short(500))}, NewInterference())
+	is.Equal(len(list[0].Holds), 0)
+	is.Equal(plan[0].Task.Job, structs.JobID("short"))
+}
+
+func TestEachLongRunningTaskHoldsRoomOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	list := workers(2)
+	for _, w := range list {
+		w.Reserved.MilliCPU = 14000
+	}
+	step := longRunning(3000)
+	step.MaxPerWorker = 1
+	Plan(list, []Demand{demand("service", 3, step)}, NewInterference())
+	is.Equal(len(list[0].Holds), 1)
+	is.Equal(len(list[1].Holds), 1)
+}
+
+func TestOverdueLongRunningTaskComesBeforeUrgentWork(t *testing.T) {
+	is := is.New(t)
+	urgent, service := demand("urgent", 1, short(3000)), demand("service", 1, longRunning(3000))
+	service.Priority = 2
+	place := func() structs.JobID {
+		list := workers(1)
+		list[0].Reserved.MilliCPU = 13000
+		return Plan(list, []Demand{urgent, service}, NewInterference())[0].Task.Job
+	}
+	is.Equal(place(), structs.JobID("urgent"))
+	service.IsOverdue = true
+	is.Equal(place(), structs.JobID("service"))
+}
+
+func TestLongRunningTasksAreOrderedByTheirWait(t *testing.T) {
+	is := is.New(t)
+	demands := []Demand{demand("short", 1, short(1)), demand("new", 1, longRunning(1)), demand("lost", 1, longRunning(1))}
+	demands[1].Slack, demands[2].Slack = time.Second, -20*time.Second
+	demands[1].Waited, demands[2].Waited = time.Second, 2*time.Second
+	Sort(demands)
+	order := slices.Collect(func(yield func(structs.JobID) bool) {
+		for i := range demands {
+			if !yield(demands[i].Job) {
+				return
+			}
+		}
+	})
+	is.Equal(order, []structs.JobID{"lost", "new", "short"})
+}
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -40,7 +40,9 @@
 	Labels               []string
 	Capacity             structs.Resources
 	Reserved             structs.Resources // resources of tasks that don't fill, and memory of filling tasks
-	ServiceMilliCPU      int64             // thousandths of a processor declared by long-running tasks, included in Reserved
+	LongRunning          structs.Resources // resources of long-running tasks, included in Reserved
+	Holds                []Hold            // pending tasks for which room is kept
+	Held                 structs.Resources // resources of the tasks in Holds, not included in Reserved
 	FillMilliCPU         int64             // thousandths of a processor declared by filling tasks, not included in Reserved
 	TasksByServiceImage  map[string]int    // number of tasks with a latency target, by image
 	HealthPenalty        float64           // 0 for a healthy worker, no placements from 1 on
@@ -51,7 +53,7 @@
 // idleMilliCPU returns the processors that are expected to stay unused, in
 // thousandths.
 func (w *Worker) idleMilliCPU() float64 {
-	return float64(w.Capacity.MilliCPU-w.Reserved.MilliCPU-w.FillMilliCPU) + (1-expectedServiceUse)*float64(w.ServiceMilliCPU)
+	return float64(w.Capacity.MilliCPU-w.Reserved.MilliCPU-w.FillMilliCPU) + (1-expectedServiceUse)*float64(w.LongRunning.MilliCPU)
 }
 
 // Demand is a step with pending tasks.
@@ -72,8 +74,12 @@
 	FailedOn map[int32][]structs.WorkerID
 	// Waited is the time since the job's last placement, or since its
 	// acceptance before the first one. The accepted probability of
-	// interference grows with it.
+	// interference grows with it. For a long-running step it is the longest
+	// time that one of its pending tasks has not been at work.
 	Waited time.Duration
+	// IsOverdue is set for a long-running step whose wait comes close to the
+	// restart limit. It is placed before the work of all priorities.
+	IsOverdue bool
 
 	interference *Interference
 }
@@ -95,26 +101,63 @@
 	return cmp.Or(cmp.Compare(slackRank(a), slackRank(b)), cmp.Compare(a, b))
 }
 
-// slackRank returns the rank of a slack: 0 for starved jobs, 1 for jobs in
-// time, 2 for late jobs.
+// Ranks of slacks. Lower ranks go first.
+const (
+	starvedRank = iota
+	inTimeRank
+	lateRank
+)
+
 func slackRank(slack time.Duration) int {
 	switch {
 	case slack < -starvationLateness:
-		return 0
+		return starvedRank
 	case slack >= 0:
-		return 1
+		return inTimeRank
 	default:
-		return 2
+		return lateRank
 	}
 }
 
-// Sort orders demands by priority, then by slack.
+// Sort orders demands by priority, with overdue ones before all others. Within
+// a priority, long-running steps come first, by the longest wait, and then the
+// other steps by slack. A long-running task has no end by which to be in time:
+// the slack of its job says nothing about how long it may be absent.
 func Sort(demands []Demand) {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareSlack(a.Slack, b.Slack))
+		order := cmp.Or(cmp.Compare(a.effectivePriority(), b.effectivePriority()), compareFirst(a.Spec.LongRunning, b.Spec.LongRunning))
+		switch {
+		case order != 0:
+			return order
+		case a.Spec.LongRunning:
+			return cmp.Compare(b.Waited, a.Waited)
+		default:
+			return compareSlack(a.Slack, b.Slack)
+		}
 	})
 }
 
+// effectivePriority returns the priority, or a higher one than all queues have
+// for an overdue demand.
+func (d *Demand) effectivePriority() int {
+	if d.IsOverdue {
+		return -1
+	}
+	return d.Priority
+}
+
+// compareFirst orders true before false.
+func compareFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // Candidates returns the workers on which the demand fits now, the best first,
 // at most limit of them. It ignores Permitted.
 func Candidates(workers []*Worker, d Demand, interference *Interference, limit int) []structs.WorkerID {
@@ -134,15 +177,21 @@
 	return fitting[:min(limit, len(fitting))]
 }
 
-// Plan places as many pending tasks as fit, in the order of Sort. A demand that
-// does not fit does not block later ones. Plan sorts demands in place and adds
-// the placed tasks to the workers' reservations.
+// Plan places as many pending tasks as fit, in the order of Sort. It holds room
+// for long-running tasks that do not fit. Other demands that do not fit do not
+// block later ones. Plan sorts demands in place and adds the placed tasks and
+// the holds to the workers.
 func Plan(workers []*Worker, demands []Demand, interference *Interference) []Placement {
 	Sort(demands)
 	var placements []Placement
 	for i := range demands {
-		demands[i].interference = interference
-		placements = demands[i].place(workers, placements)
+		d := &demands[i]
+		d.interference = interference
+		first := len(placements)
+		placements = d.place(workers, placements)
+		if d.Spec.LongRunning {
+			d.holdRoom(workers, placements[first:])
+		}
 	}
 	return placements
 }
@@ -241,13 +290,13 @@
 // removes them.
 func (d *Demand) addReservations(w *Worker, n int64) {
 	need := d.Spec.Resources.Scale(n)
-	switch {
-	case d.Spec.Fills:
+	if d.Spec.Fills {
 		w.FillMilliCPU += need.MilliCPU
 		w.AllowsFillOverTarget = false
 		need.MilliCPU = 0
-	case d.Spec.LongRunning:
-		w.ServiceMilliCPU += need.MilliCPU
+	}
+	if d.Spec.LongRunning {
+		w.LongRunning = w.LongRunning.Add(need)
 	}
 	if d.Spec.LatencyTarget > 0 {
 		w.TasksByServiceImage[d.Spec.Image] += int(n)
@@ -279,13 +328,10 @@
 }
 
 func (d *Demand) feasible(w *Worker) bool {
-	if w.Pool != d.Pool || w.HealthPenalty >= 1 || d.Permitted != nil && !d.Permitted[w.ID] {
+	if !d.isEligible(w) || w.isQuarantined() || !d.hasRoom(w) {
 		return false
 	}
-	if !d.hasLabel(w) || !d.mayAddCopy(w) || !d.hasRoom(w) {
-		return false
-	}
-	if !d.Spec.Fills {
+	if !d.Spec.Fills || d.IsOverdue {
 		return true
 	}
 	if w.isOverTarget() && (d.Waited < maxOverTargetWait || !w.AllowsFillOverTarget) {
@@ -294,6 +340,20 @@
 	return w.idleMilliCPU() >= minIdleShare*float64(d.Spec.Resources.MilliCPU)
 }
 
+// isEligible reports whether the step may run on the worker at all, apart from
+// the worker's health and room.
+func (d *Demand) isEligible(w *Worker) bool {
+	return w.Pool == d.Pool && (d.Permitted == nil || d.Permitted[w.ID]) && d.hasLabel(w) && d.mayAddCopy(w)
+}
+
+// hasFailedOn reports whether the task has failed on the worker.
+func (d *Demand) hasFailedOn(w *Worker, index int32) bool {
+	return slices.Contains(d.FailedOn[index], w.ID)
+}
+
+// isQuarantined reports whether the worker gets no tasks.
+func (w *Worker) isQuarantined() bool { return w.HealthPenalty >= 1 }
+
 // maxOverTargetWait is how long a filling task waits for a worker whose services
 // are within their targets. Services may be over their targets for reasons of
 // their own, so a longer wait could have no end.
@@ -357,7 +417,7 @@
 	switch {
 	case d.Spec.Fills:
 		probability := w.InterferenceProbability(d.interference, d.Spec.Image)
-		if probability > maxInterferenceProbability+maxInterferencePerWaitSecond*d.Waited.Seconds() {
+		if !d.IsOverdue && probability > maxInterferenceProbability+maxInterferencePerWaitSecond*d.Waited.Seconds() {
 			return 0, false
 		}
 		score = w.idleMilliCPU()/capacity - interferenceWeight*probability - nonInterferingShareWeight*w.nonInterferingImageShare(d.interference)
@@ -368,7 +428,7 @@
 		score = serviceScore(w, d.Spec.Image, score)
 	}
 	score -= healthPenaltyWeight * w.HealthPenalty
-	if slices.Contains(d.FailedOn[index], w.ID) {
+	if d.hasFailedOn(w, index) {
 		score -= failedBeforeWeight
 	}
 	if d.Spec.Rack != "" && d.Spec.Rack == w.Rack {
