Let quarantined workers show with single tasks that they have recovered

Cause: a quarantined worker gets no task, and only a task that ends done can end the quarantine before its time, which a long-running task never does and a worker without tasks cannot. What counted was wrong in both directions: a run that had been assigned before the quarantine ended it, so that the next tasks failed; each failure of a batch doubled its time; and tasks that fail on every worker, or long-running ones that had been at work, counted like failures of the worker.

Fix: a quarantined worker gets single tasks as trials, as the last resort and with pauses of at most a third of the restart limit: long-running ones, which have no limit of attempts, and others that have not failed yet, so that a task loses at most one attempt. A run that is steadily at work counts as a success. During a quarantine only runs that were assigned since then end it; failures start its time anew and don't double it. A task that fails on a second worker counts against neither.

--- a/fleet/outages.go
+++ b/fleet/outages.go
@@ -48,11 +48,12 @@
 }
 
 // endOutage ends the outage of the run's task once the run is steadily at work.
-func (l *leader) endOutage(r *run, now bootclock.Time) {
+func (l *leader) endOutage(w *worker, r *run, now bootclock.Time) {
 	since, found := r.job.outageSince[r.id.Task]
-	if !found || r.workingSince == 0 || now.Sub(r.workingSince) < steadyAfter {
+	if !found || !r.isSteady(now) {
 		return
 	}
+	l.recordWorkerSuccess(w, r)
 	delete(r.job.outageSince, r.id.Task)
 	lasted := r.workingSince.Sub(since)
 	l.metrics.outages.Record(context.Background(), lasted.Seconds())
@@ -61,6 +62,12 @@
 	}
 }
 
+// isSteady reports whether the run belongs to a long-running task and has been
+// at work for steadyAfter. r may be nil.
+func (r *run) isSteady(now bootclock.Time) bool {
+	return r != nil && r.job.Step(r.id.Task).LongRunning && r.workingSince != 0 && now.Sub(r.workingSince) >= steadyAfter
+}
+
 // outage describes a long-running step with tasks that are not at work.
 type outage struct {
 	job   *job
--- a/fleet/outages_test.go
+++ b/fleet/outages_test.go
@@ -55,13 +55,13 @@
 	l.workers["w1"].draining = true
 	full := addService(l, "full", 1, 3500)
 	l.workers["w2"].assign(structs.RunID{Task: structs.StepTaskID{Job: "full"}, Number: 1}, "i", full)
+	delete(full.outageSince, structs.StepTaskID{Job: "full"})
+	l.openJobs = []*job{j}
+	now = now.Add(1500 * time.Millisecond)
 	for range quarantineAfterFailures {
 		l.recordWorkerFailure(l.workers["w3"], structs.RunID{}, causeFailed)
 	}
 	is.Equal(lines.TakeAll()[0].ContextMap()["cause"], causeFailed)
-	delete(full.outageSince, structs.StepTaskID{Job: "full"})
-	l.openJobs = []*job{j}
-	now = now.Add(1500 * time.Millisecond)
 	for _, w := range l.workers {
 		w.listedAt = now
 	}
@@ -98,7 +98,7 @@
 		r := l.workers["w0"].assign(structs.RunID{Task: task}, "i", j)
 		r.workingSince = started
 		now = now.Add(after)
-		l.endOutage(r, now)
+		l.endOutage(l.workers["w0"], r, now)
 		_, out := j.outageSince[task]
 		return !out
 	}
--- a/fleet/progress.go
+++ b/fleet/progress.go
@@ -36,11 +36,8 @@
 			now.Sub(r.startOrderedAt) < l.o.Timing.startLimit() {
 			continue
 		}
-		// Starts that were ordered before the quarantine have the same cause.
-		if r.startOrderedAt >= w.health.quarantinedAt {
-			l.recordWorkerFailure(w, r.id, causeUnstarted)
-		}
-		r.job.failedOn[r.id.Task] = append(r.job.failedOn[r.id.Task], w.id)
+		l.recordWorkerFailure(w, r.id, causeUnstarted)
+		r.job.avoidWorker(r.id.Task, w.id)
 		l.stop(w, r, causeUnstarted)
 	}
 }
@@ -59,7 +56,7 @@
 			continue
 		}
 		l.recordWorkerFailure(w, r.id, causeStuck)
-		r.job.failedOn[r.id.Task] = append(r.job.failedOn[r.id.Task], w.id)
+		r.job.avoidWorker(r.id.Task, w.id)
 		l.stop(w, r, causeStuck)
 	}
 }
@@ -97,7 +94,7 @@
 		for _, i := range steps.Stragglers(progress) {
 			w, r := runs[i].w, runs[i].r
 			l.recordWorkerFailure(w, r.id, causeSlow)
-			r.job.failedOn[r.id.Task] = append(r.job.failedOn[r.id.Task], w.id)
+			r.job.avoidWorker(r.id.Task, w.id)
 			l.stop(w, r, causeSlow)
 		}
 	}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -115,13 +114,14 @@
 		if !j.Finish(id) {
 			return false
 		}
-		l.recordWorkerSuccess(w, id)
+		l.recordWorkerSuccess(w, r)
 	case substrate.RunEndFailed:
 		if !j.Fail(id, e.GetCheckpoint()) {
 			return false
 		}
-		l.recordWorkerFailure(w, id, causeFailed)
-		j.failedOn[id.Task] = append(j.failedOn[id.Task], w.id)
+		if !r.isSteady(l.o.Clock()) {
+			l.recordFailedRun(w, j, id)
+		}
 	default:
 		checkpoint := e.GetCheckpoint()
 		if checkpoint == "" && r != nil {
@@ -163,7 +163,7 @@
 		if assigned := w.runs[id]; assigned != nil {
 			l.moveToCurrentIncarnation(w, assigned)
 			assigned.update(a, now)
-			l.endOutage(assigned, now)
+			l.endOutage(w, assigned, now)
 			if reason := assigned.job.StopReason(id); reason != "" {
 				l.stop(w, assigned, reason)
 			}
@@ -213,9 +213,7 @@
 		l.permits.removeWorker(assigned.id.Task.StepID(), w)
 		// A refusal may last. It is not counted as a failure of the worker,
 		// because a start is also dropped when its order was too old.
-		if failed := assigned.job.failedOn[assigned.id.Task]; !slices.Contains(failed, w.id) {
-			assigned.job.failedOn[assigned.id.Task] = append(failed, w.id)
-		}
+		assigned.job.avoidWorker(assigned.id.Task, w.id)
 		l.release(w, assigned, "not started", "")
 	}
 }
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -59,7 +59,7 @@
 func (l *leader) placementView(w *worker) *steps.Worker {
 	v := &steps.Worker{
 		ID: w.id, FailureDomain: w.domain, Rack: w.rack, Pool: w.pool, Labels: w.labels,
-		Capacity: w.capacity, HealthPenalty: w.health.healthPenalty(l.o.Clock()), LatencyRatio: w.latencyRatio,
+		Capacity: w.capacity, HealthPenalty: w.health.healthPenalty(l.o.Clock()), AllowsTrial: w.allowsTrial(l.o.Clock()), LatencyRatio: w.latencyRatio,
 		TasksByServiceImage: map[string]int{},
 		// A task starts at full pace, so frequent starts would keep a service
 		// over its target.
@@ -147,6 +147,13 @@
 	return objective - l.o.Clock().Sub(j.acceptedAt)
 }
 
+// avoidWorker lowers the score of a worker for a task.
+func (j *job) avoidWorker(id structs.StepTaskID, w structs.WorkerID) {
+	if !slices.Contains(j.failedOn[id], w) {
+		j.failedOn[id] = append(j.failedOn[id], w)
+	}
+}
+
 // avoidFailedWorkers adds the workers on which the task has failed to the
 // demand, which gives them a lower score.
 func (l *leader) avoidFailedWorkers(d *steps.Demand, j *job, index int32) {
@@ -173,6 +180,10 @@
 		w.fillAssignedAt = j.lastAssignedAt
 	}
 	r := w.assign(id, w.incarnation, j)
+	r.assignedAt = j.lastAssignedAt
+	if w.health.quarantinedAt != 0 {
+		w.health.trial = id
+	}
 	l.markDirty(j, func() {
 		r.stored = true
 		l.orderStart(w, r)
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -57,6 +57,7 @@
 	id               structs.RunID
 	incarnation      string
 	job              *job
+	assignedAt       bootclock.Time // 0 for a run that an earlier leader assigned
 	stored           bool           // the assignment is stored, which is required before the run starts
 	startOrderNumber int64          // number of the orders that contain the start, 0 if no start was ordered
 	startOrderedAt   bootclock.Time // when these orders were sent, 0 until then
--- a/fleet/worker_health.go
+++ b/fleet/worker_health.go
@@ -16,37 +16,82 @@
 	quarantineMax           = 20 * time.Second
 )
 
+// Limits of the trials of a quarantined worker. The longest pause is a third of
+// the default of Timing.RestartLimit, so that a long-running task whose only room
+// is on such a worker runs there in time after the worker has recovered.
+const (
+	trialPauseFirst = 250 * time.Millisecond
+	trialPauseMax   = DefaultRestartLimit / 3
+	trialTime       = DefaultRestartLimit / 3 // time after which a trial that has not ended does not delay the next one
+)
+
 // workerHealth records recent failures of a worker. A worker whose runs fail
-// without a success in between is quarantined, each time for longer.
+// without a success in between is quarantined, each time for longer. A
+// quarantined worker gets single tasks as trials: without any task, it could not
+// show that it has recovered.
 type workerHealth struct {
 	consecutiveFailures     int
-	quarantinedAt           bootclock.Time // start of the quarantine, 0 outside of one
+	failedTasks             map[structs.StepTaskID]int // number of the consecutive failures, by task
+	quarantinedAt           bootclock.Time             // start of the quarantine, 0 outside of one
 	quarantineEndsAt        bootclock.Time
 	quarantineDuration      time.Duration
-	quarantinesSinceSuccess int // quarantines since the last success
+	quarantinesSinceSuccess int            // quarantines since the last success
+	hasSlowRuns             bool           // a run was stuck, too slow or did not start since the last success
+	trial                   structs.RunID  // last trial of the quarantine, zero before the first
+	nextTrialAt             bootclock.Time // earliest time of the next trial
+	trialPause              time.Duration  // pause after the last failure until the next trial
 }
 
-// recordFailure counts a failed run. It returns true if a quarantine begins.
-func (h *workerHealth) recordFailure(now bootclock.Time) bool {
+// recordFailure counts a failed run. It returns true if a quarantine begins. A
+// failure during a quarantine starts its time anew.
+func (h *workerHealth) recordFailure(id structs.RunID, now bootclock.Time) (quarantineBegins bool) {
 	h.consecutiveFailures++
-	if h.consecutiveFailures < quarantineAfterFailures {
+	switch {
+	case h.consecutiveFailures < quarantineAfterFailures:
 		return false
-	}
-	begins := h.quarantinedAt == 0
-	if begins {
+	case h.quarantinedAt == 0:
+		quarantineBegins = true
 		h.quarantinedAt = now
 		h.quarantinesSinceSuccess++
+		h.quarantineDuration = min(quarantineMax, max(quarantineFirst, 2*h.quarantineDuration))
+		h.trialPause = trialPauseFirst
+	case id == h.trial:
+		h.trialPause = min(trialPauseMax, 2*h.trialPause)
 	}
-	h.quarantineDuration = min(quarantineMax, max(quarantineFirst, 2*h.quarantineDuration))
 	h.quarantineEndsAt = now.Add(h.quarantineDuration)
-	return begins
+	h.nextTrialAt = now.Add(h.trialPause)
+	return quarantineBegins
 }
 
 // recordSlowRun counts a run that was stuck or far slower than others. It
 // quarantines the worker at once, and returns true if the quarantine begins.
-func (h *workerHealth) recordSlowRun(now bootclock.Time) bool {
+func (h *workerHealth) recordSlowRun(id structs.RunID, now bootclock.Time) (quarantineBegins bool) {
+	h.hasSlowRuns = true
 	h.consecutiveFailures = max(h.consecutiveFailures, quarantineAfterFailures-1)
-	return h.recordFailure(now)
+	return h.recordFailure(id, now)
+}
+
+// countFailure remembers which task has failed.
+func (h *workerHealth) countFailure(id structs.StepTaskID) {
+	if h.failedTasks == nil {
+		h.failedTasks = map[structs.StepTaskID]int{}
+	}
+	h.failedTasks[id]++
+}
+
+// forgetFailures removes the failures of a task. It returns true if the
+// quarantine ends, since too few other failures are left.
+func (h *workerHealth) forgetFailures(id structs.StepTaskID) (quarantineEnds bool) {
+	h.consecutiveFailures -= h.failedTasks[id]
+	delete(h.failedTasks, id)
+	return h.quarantinedAt != 0 && !h.hasSlowRuns && h.consecutiveFailures < quarantineAfterFailures
+}
+
+// allowsTrial reports whether a task may start on the quarantined worker as a
+// trial.
+func (w *worker) allowsTrial(now bootclock.Time) bool {
+	trial, isRunning := w.runs[w.health.trial]
+	return now >= w.health.nextTrialAt && (!isRunning || now.Sub(trial.assignedAt) >= trialTime)
 }
 
 // Causes of a quarantine, for logs and metrics.
@@ -57,6 +102,30 @@
 	causeUnstarted = "does not start"
 )
 
+// recordFailedRun counts a run that failed against its worker, unless the task
+// has failed on another worker as well: a task that fails on several workers
+// says nothing about them, and no longer counts against the others either.
+func (l *leader) recordFailedRun(w *worker, j *job, id structs.RunID) {
+	failedElsewhere := false
+	for _, other := range j.failedOn[id.Task] {
+		if other != w.id {
+			failedElsewhere = true
+			l.forgetFailures(l.workers[other], id.Task)
+		}
+	}
+	j.avoidWorker(id.Task, w.id)
+	if !failedElsewhere || id == w.health.trial {
+		l.recordWorkerFailure(w, id, causeFailed)
+	}
+}
+
+func (l *leader) forgetFailures(w *worker, id structs.StepTaskID) {
+	if w != nil && w.health.forgetFailures(id) {
+		l.logQuarantineEnd(w, "tasks failed elsewhere")
+		w.health = workerHealth{}
+	}
+}
+
 // recordWorkerFailure counts a run that failed, was stuck or was too slow
 // against the health of its worker.
 func (l *leader) recordWorkerFailure(w *worker, id structs.RunID, cause string) {
@@ -64,8 +133,9 @@
 	record := w.health.recordSlowRun
 	if cause == causeFailed {
 		record = w.health.recordFailure
+		w.health.countFailure(id.Task)
 	}
-	if !record(now) {
+	if !record(id, now) {
 		return
 	}
 	l.metrics.count(l.metrics.quarantines, cause)
@@ -74,10 +144,15 @@
 		zap.Int("quarantines_since_success", w.health.quarantinesSinceSuccess))
 }
 
-// recordWorkerSuccess records a run that succeeded. It resets the failures of its
-// worker and ends the quarantine.
-func (l *leader) recordWorkerSuccess(w *worker, id structs.RunID) {
-	l.logQuarantineEnd(w, "success", zap.Stringer("run", id))
+// recordWorkerSuccess records a run that has succeeded, or is steadily at work
+// as a long-running one. It resets the failures of its worker and ends the
+// quarantine. During a quarantine it ignores runs that were assigned before: a
+// worker that fails what it starts may complete what it has started before.
+func (l *leader) recordWorkerSuccess(w *worker, r *run) {
+	if w.health.quarantinedAt != 0 && (r == nil || r.assignedAt < w.health.quarantinedAt) {
+		return
+	}
+	l.logQuarantineEnd(w, "success")
 	w.health = workerHealth{}
 }
 
@@ -90,12 +165,13 @@
 	w.health.quarantinedAt = 0
 }
 
-func (l *leader) logQuarantineEnd(w *worker, reason string, fields ...zap.Field) {
+func (l *leader) logQuarantineEnd(w *worker, reason string) {
 	if w.health.quarantinedAt == 0 {
 		return
 	}
-	l.log.Info("quarantine ended", append(fields, zap.String("worker", string(w.id)), zap.String("reason", reason),
-		zap.Duration("lasted", l.o.Clock().Sub(w.health.quarantinedAt)), zap.Int("failures", w.health.consecutiveFailures))...)
+	l.log.Info("quarantine ended", zap.String("worker", string(w.id)), zap.String("reason", reason),
+		zap.Duration("lasted", l.o.Clock().Sub(w.health.quarantinedAt)), zap.Int("failures", w.health.consecutiveFailures),
+		zap.Stringer("trial", w.health.trial))
 }
 
 // healthPenalty returns 1 during a quarantine, 0 if no run has failed since the
--- a/placement/steps/exclusion.go
+++ b/placement/steps/exclusion.go
@@ -52,7 +52,7 @@
 		return ExcludedRoom
 	case !d.mayAddCopy(w):
 		return ExcludedCopies
-	case w.isQuarantined():
+	case w.isQuarantined() && !d.mayTry(w):
 		return ExcludedQuarantine
 	case !d.hasRoom(w):
 		return ExcludedEndingTasks
--- a/placement/steps/hold_test.go
+++ b/placement/steps/hold_test.go
@@ -80,6 +80,45 @@
 	is.Equal(place(), structs.JobID("service"))
 }
 
+func TestTaskIsTriedOnAQuarantinedWorkerOnlyIfNoOtherHasRoom(t *testing.T) {
+	is := is.New(t)
+	list := workers(2)
+	list[0].HealthPenalty, list[0].AllowsTrial = 1, true
+	list[1].Reserved.MilliCPU = 12000
+	d := demand("service", 3, longRunning(3000))
+	d.FailedOn = map[int32][]structs.WorkerID{0: {"w1"}}
+	var used []structs.WorkerID
+	for _, p := range Plan(list, []Demand{d}, NewInterference()) {
+		used = append(used, p.Worker)
+	}
+	is.Equal(used, []structs.WorkerID{"w1", "w0"}) // one trial at a time
+}
+
+func TestTrialsDontUseUpTheAttemptsOfATask(t *testing.T) {
+	gang := short(100)
+	gang.Gang = true
+	cases := []struct {
+		name     string
+		step     structs.Step
+		failedOn []structs.WorkerID
+		want     int
+	}{
+		{"task without a failure", short(100), nil, 1},
+		{"task that has failed", short(100), []structs.WorkerID{"w9"}, 0},
+		{"long-running task that has failed", longRunning(100), []structs.WorkerID{"w9"}, 1},
+		{"gang", gang, nil, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			list := workers(1)
+			list[0].HealthPenalty, list[0].AllowsTrial = 1, true
+			d := demand("a", 1, c.step)
+			d.FailedOn = map[int32][]structs.WorkerID{0: c.failedOn}
+			is.New(t).Equal(len(Plan(list, []Demand{d}, NewInterference())), c.want)
+		})
+	}
+}
+
 func TestLongRunningTasksAreOrderedByTheirWait(t *testing.T) {
 	is := is.New(t)
 	demands := []Demand{demand("short", 1, short(1)), demand("new", 1, longRunning(1)), demand("lost", 1, longRunning(1))}
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -45,7 +45,8 @@
 	Held                 structs.Resources // resources of the tasks in Holds, not included in Reserved
 	FillMilliCPU         int64             // thousandths of a processor declared by filling tasks, not included in Reserved
 	TasksByServiceImage  map[string]int    // number of tasks with a latency target, by image
-	HealthPenalty        float64           // 0 for a healthy worker, no placements from 1 on
+	HealthPenalty        float64           // 0 for a healthy worker; from 1 on, the worker is quarantined and gets only trials
+	AllowsTrial          bool              // a quarantined worker may start one task as a trial
 	LatencyRatio         float64           // last highest ratio of a service's tail latency to its target
 	AllowsFillOverTarget bool              // a filling task may start although a service is over its target, since none has started for a while
 }
@@ -298,6 +299,7 @@
 	if d.Spec.LongRunning {
 		w.LongRunning = w.LongRunning.Add(need)
 	}
+	w.AllowsTrial = false
 	if d.Spec.LatencyTarget > 0 {
 		w.TasksByServiceImage[d.Spec.Image] += int(n)
 		if w.TasksByServiceImage[d.Spec.Image] == 0 {
@@ -313,7 +315,7 @@
 	var best *Worker
 	var bestScore float64
 	for _, w := range workers {
-		if !d.feasible(w) {
+		if !d.feasible(w) || w.isQuarantined() && !d.mayFailTrial(index) {
 			continue
 		}
 		score, ok := d.score(w, index)
@@ -328,7 +330,7 @@
 }
 
 func (d *Demand) feasible(w *Worker) bool {
-	if !d.isEligible(w) || w.isQuarantined() || !d.hasRoom(w) {
+	if !d.isEligible(w) || w.isQuarantined() && !d.mayTry(w) || !d.hasRoom(w) {
 		return false
 	}
 	if !d.Spec.Fills || d.IsOverdue {
@@ -351,9 +353,19 @@
 	return slices.Contains(d.FailedOn[index], w.ID)
 }
 
-// isQuarantined reports whether the worker gets no tasks.
+// isQuarantined reports whether the worker gets no tasks but trials.
 func (w *Worker) isQuarantined() bool { return w.HealthPenalty >= 1 }
 
+// mayTry reports whether a task of the step may start on the quarantined worker
+// as a trial, apart from the task's own failures.
+func (d *Demand) mayTry(w *Worker) bool { return w.AllowsTrial && !d.Spec.Gang }
+
+// mayFailTrial reports whether the task can afford a failed trial. Long-running
+// tasks have unlimited attempts. Other tasks lose at most one attempt by trials.
+func (d *Demand) mayFailTrial(index int32) bool {
+	return d.Spec.LongRunning || len(d.FailedOn[index]) == 0
+}
+
 // maxOverTargetWait is how long a filling task waits for a worker whose services
 // are within their targets. Services may be over their targets for reasons of
 // their own, so a longer wait could have no end.
@@ -368,9 +380,10 @@
 	interferenceWeight        = 4.0
 	nonInterferingShareWeight = 0.4 // keeps workers on which many images may run for images that may run on few
 	healthPenaltyWeight       = 1.0
-	overTargetWeight          = 8.0 // penalty of a filling task for a worker with a service over its target
-	failedBeforeWeight        = 4.0 // penalty for a worker on which the task failed before
-	inputRackWeight           = 1.0 // bonus for the rack of the input; elsewhere a task takes 1.5 to 3 times as long
+	quarantineWeight          = 16.0 // penalty of a trial, so that it is the last resort
+	overTargetWeight          = 8.0  // penalty of a filling task for a worker with a service over its target
+	failedBeforeWeight        = 4.0  // penalty for a worker on which the task failed before
+	inputRackWeight           = 1.0  // bonus for the rack of the input; elsewhere a task takes 1.5 to 3 times as long
 )
 
 // Scores of a worker for a service. They concentrate the tasks of an image on
@@ -428,6 +441,9 @@
 		score = serviceScore(w, d.Spec.Image, score)
 	}
 	score -= healthPenaltyWeight * w.HealthPenalty
+	if w.isQuarantined() {
+		score -= quarantineWeight
+	}
 	if d.hasFailedOn(w, index) {
 		score -= failedBeforeWeight
 	}
