Don't restart a long-running task at once where it has just failed

Cause: a worker on which a task has failed only has a lower score, by less than what the score gives to a worker that serves the task's image already, so that a service returned to it before all others. Nothing delayed the next start of a task that fails wherever it runs.

Evidence: steps.TestServiceDoesNotReturnToTheWorkerThatFailedItForTheSakeOfItsImage failed before (`w0 != w1`).

Fix: the penalty is above all scores of a worker for a service.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -95,6 +95,9 @@
 	acceptedAt     bootclock.Time // when this leader accepted the job or read it from the store
 	criticalPath   time.Duration  // longest chain of declared run times
 	lastAssignedAt bootclock.Time // time of the last assignment of a task, acceptedAt until the first one
+	// restartDelays holds the delays of long-running tasks that fail soon after
+	// their start, until a run is steadily at work.
+	restartDelays map[structs.StepTaskID]restartDelay
 	// outageSince holds, for each long-running task without a run that is
 	// steadily at work, when the last such run ended, acceptedAt before the
 	// first one.
@@ -147,6 +150,7 @@
 	j.lastAssignedAt = j.acceptedAt
 	j.criticalPath = j.CriticalPath()
 	j.failedOn = map[structs.StepTaskID][]structs.WorkerID{}
+	j.restartDelays = map[structs.StepTaskID]restartDelay{}
 	j.initOutages()
 	l.jobs[j.Spec.ID] = j
 	if !j.Final() {
--- a/fleet/outages.go
+++ b/fleet/outages.go
@@ -55,6 +55,7 @@
 	}
 	l.recordWorkerSuccess(w, r)
 	delete(r.job.outageSince, r.id.Task)
+	delete(r.job.restartDelays, r.id.Task)
 	lasted := r.workingSince.Sub(since)
 	l.metrics.outages.Record(context.Background(), lasted.Seconds())
 	if lasted >= l.o.Timing.RestartLimit {
@@ -152,7 +153,7 @@
 		}
 	}
 	l.log.Info("long-running tasks are pending", zap.String("job", string(d.Job)), zap.Int32("step", d.Step), zap.Int("pending", len(d.Tasks)),
-		zap.Int("not_at_work", o.tasks), zap.Duration("for", now.Sub(o.since)), zap.Int("priority", d.Priority),
+		zap.Int("delayed", len(d.Delayed)), zap.Int("not_at_work", o.tasks), zap.Duration("for", now.Sub(o.since)), zap.Int("priority", d.Priority),
 		zap.Int64("milli_cpu", d.Spec.Resources.MilliCPU), zap.Int64("memory_mb", d.Spec.Resources.MemoryMB),
 		zap.Any("excluded", excluded), zap.Int64("best_free_milli_cpu", bestFree), zap.Int("workers", len(l.workers)),
 		zap.Bool("commit_in_flight", l.commitInFlight))
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -100,6 +100,9 @@
 				case workflow.Pending:
 					d.Tasks = append(d.Tasks, id.Index)
 					l.avoidFailedWorkers(&d, j, id.Index)
+					if j.isRestartDelayed(id, l.o.Clock()) {
+						d.Delay(id.Index)
+					}
 				case workflow.Assigned:
 					if d.Placed == nil {
 						d.Placed = map[structs.WorkerID]int32{}
--- a/fleet/worker_health_test.go
+++ b/fleet/worker_health_test.go
@@ -77,6 +77,19 @@
 	is.Equal(penalty("w2"), 1.0) // a stuck run counts on its own
 }
 
+func TestRestartsOfALongRunningTaskThatAlwaysFailsAreDelayed(t *testing.T) {
+	is := is.New(t)
+	now := bootclock.Time(time.Hour)
+	l, _ := leaderWithWorkers(t, &now, 1)
+	j := addService(l, "web", 1, 100)
+	id := structs.StepTaskID{Job: "web"}
+	for _, want := range []time.Duration{0, restartDelayFirst, 2 * restartDelayFirst, 4 * restartDelayFirst, restartDelayMax, restartDelayMax} {
+		j.delayRestart(id, now)
+		is.True(want == 0 || j.isRestartDelayed(id, now.Add(want-1)))
+		is.True(!j.isRestartDelayed(id, now.Add(want)))
+	}
+}
+
 func TestTrialsOfAQuarantinedWorkerFollowEachOtherWithGrowingPauses(t *testing.T) {
 	is := is.New(t)
 	now := bootclock.Time(time.Hour)
--- a/placement/steps/hold_test.go
+++ b/placement/steps/hold_test.go
@@ -66,6 +66,16 @@
 	is.Equal(len(list[1].Holds), 1)
 }
 
+func TestRoomIsHeldForATaskWhoseRestartIsDelayed(t *testing.T) {
+	is := is.New(t)
+	list := workers(1)
+	list[0].Reserved.MilliCPU = 13000
+	service := demand("service", 1, longRunning(3000))
+	service.Delay(0)
+	is.Equal(len(Plan(list, []Demand{service, demand("short", 1, short(500))}, NewInterference())), 0)
+	is.Equal(list[0].Holds[0].Missing, structs.Resources{})
+}
+
 func TestOverdueLongRunningTaskComesBeforeUrgentWork(t *testing.T) {
 	is := is.New(t)
 	urgent, service := demand("urgent", 1, short(3000)), demand("service", 1, longRunning(3000))
@@ -119,6 +129,18 @@
 	}
 }
 
+func TestServiceDoesNotReturnToTheWorkerThatFailedItForTheSakeOfItsImage(t *testing.T) {
+	is := is.New(t)
+	list := workers(2)
+	list[0].TasksByServiceImage["web"], list[0].Reserved.MilliCPU = 1, 14000
+	list[1].Reserved.MilliCPU = 10000
+	step := longRunning(1000)
+	step.Image, step.LatencyTarget = "web", time.Millisecond
+	d := demand("service", 1, step)
+	d.FailedOn = map[int32][]structs.WorkerID{0: {"w0"}}
+	is.Equal(Plan(list, []Demand{d}, NewInterference())[0].Worker, structs.WorkerID("w1"))
+}
+
 func TestLongRunningTasksAreOrderedByTheirWait(t *testing.T) {
 	is := is.New(t)
 	demands := []Demand{demand("short", 1, short(1)), demand("new", 1, longRunning(1)), demand("lost", 1, longRunning(1))}
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -73,6 +73,9 @@
 	Permitted map[structs.WorkerID]bool
 	// FailedOn holds the workers on which a task failed before, by task index.
 	FailedOn map[int32][]structs.WorkerID
+	// Delayed holds the indexes of pending tasks that must not start yet. Room
+	// is held for them.
+	Delayed map[int32]bool
 	// Waited is the time since the job's last placement, or since its
 	// acceptance before the first one. The accepted probability of
 	// interference grows with it. For a long-running step it is the longest
@@ -85,6 +88,14 @@
 	interference *Interference
 }
 
+// Delay marks a pending task that must not start yet.
+func (d *Demand) Delay(index int32) {
+	if d.Delayed == nil {
+		d.Delayed = map[int32]bool{}
+	}
+	d.Delayed[index] = true
+}
+
 // Placement assigns a task to a worker.
 type Placement struct {
 	Task   structs.StepTaskID
@@ -250,6 +261,9 @@
 	first := len(placements)
 	var chosen []*Worker
 	for _, index := range d.Tasks {
+		if d.Delayed[index] {
+			continue
+		}
 		w := d.bestWorker(workers, index)
 		if w == nil {
 			if d.Spec.Gang {
@@ -382,7 +396,7 @@
 	healthPenaltyWeight       = 1.0
 	quarantineWeight          = 16.0 // penalty of a trial, so that it is the last resort
 	overTargetWeight          = 8.0  // penalty of a filling task for a worker with a service over its target
-	failedBeforeWeight        = 4.0  // penalty for a worker on which the task failed before
+	failedBeforeWeight        = 8.0  // penalty for a worker on which the task failed before, above all scores of a worker for a service
 	inputRackWeight           = 1.0  // bonus for the rack of the input; elsewhere a task takes 1.5 to 3 times as long
 )
 
