Hold the room of a gang that is starved

Callers would see a gang wait for good beside short tasks: it is placed completely or not at all, and short tasks take each piece that becomes free, although the gang goes first from 30 s of lateness on. The same class as the fault of long-running tasks; no deployment that we run has gangs.

Fix: room is held for all tasks of a starved gang or for none, as for long-running tasks. Nothing is stopped for it.

--- a/placement/steps/hold.go
+++ b/placement/steps/hold.go
@@ -15,18 +15,31 @@
 	IsOverdue bool              // tasks that end by themselves may be stopped for it
 }
 
+// needsHold reports whether room is held for the tasks of the step that don't
+// fit. A gang needs the room of all its tasks at once, which short tasks would
+// never leave to it.
+func (d *Demand) needsHold() bool {
+	return d.Spec.LongRunning || d.Spec.Gang && slackRank(d.Slack) == starvedRank
+}
+
 // holdRoom holds room for each task of the step that was not placed, on the
 // worker that lacks the least for it, as far as there are workers on which it
-// would fit beside the long-running tasks.
+// would fit beside the long-running tasks. Room for a gang is held for all of
+// its tasks or for none.
 //
 // Holds are computed anew in each cycle. What a held worker lacks only shrinks,
 // so the choice is stable unless another worker lacks even less.
 func (d *Demand) holdRoom(workers []*Worker, placed []Placement) {
+	var holding []*Worker
 	for _, index := range d.unplaced(placed) {
 		w := d.bestHeldWorker(workers, index)
 		switch {
 		case w != nil:
 			d.hold(w, index)
+			holding = append(holding, w)
+		case d.Spec.Gang:
+			d.removeLastHolds(holding)
+			return
 		case len(d.FailedOn[index]) == 0:
 			return // the remaining tasks need the same resources
 		}
@@ -44,6 +57,16 @@
 	d.Placed[w.ID]++
 }
 
+// removeLastHolds removes the last hold of a worker for each of its occurrences
+// in holding.
+func (d *Demand) removeLastHolds(holding []*Worker) {
+	for _, w := range holding {
+		w.Holds = w.Holds[:len(w.Holds)-1]
+		w.Held = w.Held.Sub(d.reservedResources())
+		d.Placed[w.ID]--
+	}
+}
+
 // unplaced returns the indexes of the pending tasks that are not in placed.
 func (d *Demand) unplaced(placed []Placement) []int32 {
 	if len(placed) == len(d.Tasks) {
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -190,7 +190,7 @@
 }
 
 // Plan places as many pending tasks as fit, in the order of Sort. It holds room
-// for long-running tasks that do not fit. Other demands that do not fit do not
+// for long-running tasks and starved gangs that do not fit. Other demands that do not fit do not
 // block later ones. Plan sorts demands in place and adds the placed tasks and
 // the holds to the workers.
 func Plan(workers []*Worker, demands []Demand, interference *Interference) []Placement {
@@ -201,7 +201,7 @@
 		d.interference = interference
 		first := len(placements)
 		placements = d.place(workers, placements)
-		if d.Spec.LongRunning {
+		if d.needsHold() {
 			d.holdRoom(workers, placements[first:])
 		}
 	}
