Let a lowered concurrency limit recover when requests take longer than before

Callers would see requests queue and be refused at a target with idle slots, until its agent or the target restarts. Failures lower the limit of a target, and it grows only while the service time is near the lowest mean so far. That baseline rose only after a probe of a lower limit. At limit 1 there is nothing lower to probe, so a target whose work had become slower kept limit 1 for good. Between 1.25 and 1.6 times the baseline the limit never grew either: a probe that cost throughput restored the limit and left the baseline.

A window in which no request ended beside another one sets the baseline, since such requests don't queue at the target. A probe that cost throughput raises the baseline whenever the service time kept the limit from growing. The convergence of the limit to targets of fewer or more slots than declared is tested as before (TestConcurrencyLimiterConvergesToTheActualSlots).

--- a/request/admission_test.go
+++ b/request/admission_test.go
@@ -148,10 +148,9 @@
 }
 
 // simulateTarget drives a limiter with a target of the given number of slots,
-// always at the limit. It returns the mean limit over the second half of the
+// always at the limit, whose requests take work without queueing. It returns the mean limit over the second half of the
 // requests and the highest limit.
-func simulateTarget(l *concurrencyLimiter, slots, requests int) (mean, highest int) {
-	const work = 10 * time.Millisecond
+func simulateTarget(l *concurrencyLimiter, work time.Duration, slots, requests int) (mean, highest int) {
 	now := time.Time{}.Add(time.Hour)
 	sum := 0
 	for i := range requests {
@@ -176,7 +175,7 @@
 		{2, 16, 12, 22},
 	} {
 		t.Run(fmt.Sprintf("declared %d real %d", test.declared, test.real), func(t *testing.T) {
-			got, _ := simulateTarget(newConcurrencyLimiter(test.declared, 60), test.real, 20_000)
+			got, _ := simulateTarget(newConcurrencyLimiter(test.declared, 60), 10*time.Millisecond, test.real, 20_000)
 			if got < test.minLimit || got > test.maxLimit {
 				t.Fatalf("limit %d, want %d to %d", got, test.minLimit, test.maxLimit)
 			}
@@ -185,10 +184,28 @@
 }
 
 func TestConcurrencyLimiterNeverExceedsConnections(t *testing.T) {
-	_, highest := simulateTarget(newConcurrencyLimiter(8, 10), 100, 10_000)
+	_, highest := simulateTarget(newConcurrencyLimiter(8, 10), 10*time.Millisecond, 100, 10_000)
 	is.New(t).Equal(highest, 10)
 }
 
+func TestConcurrencyLimitRecoversFromFailuresWhenRequestsTakeLonger(t *testing.T) {
+	for _, test := range []struct {
+		work     time.Duration
+		failures int
+	}{{10 * time.Millisecond, 40}, {16 * time.Millisecond, 5}, {16 * time.Millisecond, 40}, {30 * time.Millisecond, 5}, {30 * time.Millisecond, 40}} {
+		t.Run(fmt.Sprintf("%v after %d failures", test.work, test.failures), func(t *testing.T) {
+			l := newConcurrencyLimiter(8, 8)
+			simulateTarget(l, 10*time.Millisecond, 8, 640)
+			for range test.failures {
+				l.recordFailure()
+			}
+			if got, _ := simulateTarget(l, test.work, 8, 20_000); got < 6 {
+				t.Fatalf("limit %d, want at least 6", got)
+			}
+		})
+	}
+}
+
 // candidates returns n targets in two failure domains.
 func candidates(n int) []membership.Candidate {
 	var list []membership.Candidate
--- a/request/concurrency_limiter.go
+++ b/request/concurrency_limiter.go
@@ -40,9 +40,10 @@
 // more concurrency does not slow requests down. Periodically, and when requests
 // have become slow, it probes a lower limit for one window. If the throughput
 // does not drop, it keeps the lower limit. If the throughput drops, it restores
-// the former limit. If the probe was made because requests had become slow, it
-// also raises the baseline, because the work itself takes longer. It is not
-// safe for concurrent use.
+// the former limit. If requests had become too slow for the limit to grow, it
+// also raises the baseline, because the work itself takes longer. Requests that
+// don't run beside others set the baseline, since no lower limit can be probed.
+// It is not safe for concurrent use.
 type concurrencyLimiter struct {
 	limit           float64
 	maxLimit        float64 // number of connections that the target accepts
@@ -53,6 +54,7 @@
 	windowSeconds   float64   // sum of service times
 	windowStart     time.Time // first completion
 	windowSaturated bool      // whether the limit was reached
+	windowShared    bool      // whether a request ended beside another one
 
 	windowsSinceProbe int             // saturated windows since the last probe
 	beforeProbe       *preProbeSample // nil unless a lower limit is being probed
@@ -82,6 +84,7 @@
 	l.windowCount++
 	l.windowSeconds += took.Seconds()
 	l.windowSaturated = l.windowSaturated || inUse >= l.current()
+	l.windowShared = l.windowShared || inUse > 1
 	if l.windowCount >= max(limiterMinWindow, limiterWindowFactor*l.current()) {
 		l.endWindow(now)
 	}
@@ -100,12 +103,12 @@
 	if elapsed := now.Sub(l.windowStart).Seconds(); elapsed > 0 {
 		throughput = float64(l.windowCount-1) / elapsed
 	}
-	if l.baselineSeconds == 0 {
+	if l.baselineSeconds == 0 || !l.windowShared {
 		l.baselineSeconds = mean
 	}
 	l.baselineSeconds = min(l.baselineSeconds, mean)
 	saturated := l.windowSaturated
-	l.windowCount, l.windowSeconds, l.windowSaturated = 0, 0, false
+	l.windowCount, l.windowSeconds, l.windowSaturated, l.windowShared = 0, 0, false, false
 	switch {
 	case l.beforeProbe != nil:
 		l.endProbe(throughput)
@@ -140,7 +143,7 @@
 	}
 	l.windowsSinceProbe = 0
 	l.limit = sample.limit
-	if sample.meanSeconds/(l.baselineSeconds+limiterJitterSeconds) >= limiterProbeRatio {
+	if sample.meanSeconds/(l.baselineSeconds+limiterJitterSeconds) > limiterGrowRatio {
 		l.baselineSeconds = sample.meanSeconds
 	}
 }
