Let deferred requests queue again after a time of slow starts

Callers would see deferred requests refused for good whenever no slot is free, after an overload that has long passed. The expected wait of a deferred request is the mean time between the starts of queued deferred requests. Only such starts change the mean. If it had grown above the time to the deadline, every request was refused at arrival, so the mean stayed, even with an empty queue and short service times.

Evidence: request.TestSlowStartsOfDeferredRequestsDoNotKeepLaterOnesOut, where three requests had each started after 50 s, saw a request with 5 s to its deadline refused a minute later, behind one request of 10 ms ("not true: holdSlot(...) == nil").

The first request of the queue is now expected to start one mean gap after the last start, so that an empty queue accepts one request after that time, whose start is measured. Requests behind it are estimated as before.

--- a/request/admission_queue.go
+++ b/request/admission_queue.go
@@ -240,13 +240,15 @@
 
 // estimateDeferredWait estimates how long a deferred request waits behind the
 // given number of queued deferred requests, from the rate at which such
-// requests have started. The caller holds the lock.
+// requests have started. The first in the queue is expected to start one gap
+// after the last start. Only queued requests measure the gap, so an empty queue
+// accepts a request after that time. The caller holds the lock.
 func (q *admissionQueue) estimateDeferredWait(ahead int, now time.Time) time.Duration {
-	gap := q.startGap
-	if ahead > 0 {
-		gap = max(gap, now.Sub(q.lastDeferredStart))
+	sinceStart := now.Sub(q.lastDeferredStart)
+	if ahead == 0 {
+		return max(0, q.startGap-sinceStart)
 	}
-	return time.Duration(ahead+1) * gap
+	return time.Duration(ahead+1) * max(q.startGap, sinceStart)
 }
 
 // recordDeferredStart updates the start rate of queued deferred requests and
--- a/request/admission_test.go
+++ b/request/admission_test.go
@@ -92,6 +92,28 @@
 	return nil
 }
 
+func TestSlowStartsOfDeferredRequestsDoNotKeepLaterOnesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFixedQueue(1, 8)
+		var all sync.WaitGroup
+		defer all.Wait()
+		// Each deferred request waits 50 s behind a request that keeps the only slot.
+		for range 3 {
+			all.Go(func() { is.True(holdSlot(q, true, 50*time.Second, time.Hour) == nil) })
+			time.Sleep(time.Millisecond)
+			is.True(holdSlot(q, false, 10*time.Millisecond, time.Hour) == nil)
+		}
+		for range 100 { // the service time is short again
+			is.True(holdSlot(q, true, 10*time.Millisecond, time.Hour) == nil)
+		}
+		time.Sleep(time.Minute)
+		all.Go(func() { is.True(holdSlot(q, true, 10*time.Millisecond, time.Hour) == nil) })
+		time.Sleep(time.Millisecond)
+		is.True(holdSlot(q, false, 10*time.Millisecond, 5*time.Second) == nil)
+	})
+}
+
 // TestAdmissionQueueKeepsItsLimitAndFreesEverySlot runs random requests,
 // deadlines and callers that cancel while they wait. A race between
 // cancellation and admission could leak a slot or exceed the limit.
