Keep the wait of a task whose start was rejected

Callers would see a task wait for good whose starts are rejected by the agents, for example by a worker that runs attempts of an earlier leader. The wait of a task decides when the planner reserves a worker for it, when it accepts more harm, and the order of the tasks. The leader dropped the wait with each start and counted from zero after an attempt that had not started, so such a task never waited long.

Evidence: cell.TestRejectedStartDoesNotRestartTheWaitOfATask, one host that rejects every start for 60 s, found no wait above 50 s ("not true: longest > 50").

The record of a committed start now holds since when the task had been pending. The end of an attempt that did not start restores it. Any other end still starts a new wait.

--- a/cell/backlog_test.go
+++ b/cell/backlog_test.go
@@ -75,3 +75,26 @@
 		}
 	})
 }
+
+func TestRejectedStartDoesNotRestartTheWaitOfATask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newSimulatedCluster(t, Timing{})
+		defer w.close()
+		w.addHosts("a", "north", 1)
+		only := w.members[0]
+		only.host.mu.Lock()
+		only.host.rejectStarts = true
+		only.host.mu.Unlock()
+		id := w.submitJob("rejected", structs.WorkBatch, 1)
+		time.Sleep(time.Minute)
+		longest := 0.0
+		for range 100 {
+			report, err := w.nodeOf(only).leader("a").explain(subjectTask, structs.TaskID{Job: id}.String(), time.Now())
+			is.NoErr(err)
+			longest = max(longest, report.Waiting)
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(longest > 50)
+	})
+}
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -126,7 +126,7 @@
 		}
 	}
 	for _, s := range txn.batch.Starts {
-		l.committedAt[s.attempt()] = now
+		l.starts[s.attempt()] = startRecord{committedAt: now, pendingSince: l.pendingSince[s.attempt().Task]}
 		delete(l.pendingSince, s.attempt().Task)
 		delete(l.unschedulable, s.attempt().Task)
 		delete(l.retryAt, s.attempt().Task)
@@ -142,7 +142,10 @@
 func (l *leader) removeEndedAttempt(e End) {
 	id := e.attempt()
 	delete(l.queue.ends, id)
-	delete(l.committedAt, id)
+	if start := l.starts[id]; e.Cause == structs.EndNotStarted && !start.pendingSince.IsZero() {
+		l.pendingSince[id.Task] = start.pendingSince // the task has waited all the time
+	}
+	delete(l.starts, id)
 	l.metrics.countEnd(e.Cause)
 	t := l.state.Task(id.Task)
 	if t == nil {
--- a/cell/heartbeat.go
+++ b/cell/heartbeat.go
@@ -208,7 +208,7 @@
 		if _, reported := session.runs[attempt]; reported || t.Incarnation != session.incarnation {
 			continue
 		}
-		if session.ackedResponseSentAt.After(l.leaseExpiry.startDeadline(l.committedAt[attempt])) {
+		if session.ackedResponseSentAt.After(l.leaseExpiry.startDeadline(l.starts[attempt].committedAt)) {
 			l.queueEnd(structs.AttemptEnd{Attempt: attempt, Cause: structs.EndNotStarted, Detail: "not in the worker's list"})
 		}
 	}
@@ -222,7 +222,7 @@
 	}
 	for id, t := range l.state.byWorker[session.worker.ID] {
 		attempt := structs.AttemptID{Task: id, Number: t.Number}
-		if _, reported := session.runs[attempt]; !reported && now.After(l.leaseExpiry.startDeadline(l.committedAt[attempt])) {
+		if _, reported := session.runs[attempt]; !reported && now.After(l.leaseExpiry.startDeadline(l.starts[attempt].committedAt)) {
 			return true
 		}
 	}
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -46,9 +46,9 @@
 	sessions              map[structs.WorkerID]*workerSession
 	lastResponse          int64 // number of the last heartbeat response
 	queue                 changeQueue
-	committedAt           map[structs.AttemptID]time.Time // when this leader committed the attempt, missing for attempts of earlier leaders
-	pendingSince          map[structs.TaskID]time.Time    // when this leader first saw the task pending
-	retryAt               map[structs.TaskID]time.Time    // earliest time of the task's next attempt, set after a failed attempt
+	starts                map[structs.AttemptID]startRecord // attempts that this leader committed
+	pendingSince          map[structs.TaskID]time.Time      // when this leader first saw the task pending
+	retryAt               map[structs.TaskID]time.Time      // earliest time of the task's next attempt, set after a failed attempt
 	unschedulable         map[structs.TaskID]Unschedulable
 	outcomes              []Outcome              // recent outcomes for the planner, oldest first
 	quotas                quotas                 // division of the teams' quotas
@@ -65,6 +65,12 @@
 	foreignWorkerReported bool      // a worker of a foreign cell has sent a heartbeat
 }
 
+// startRecord holds the times of an attempt that this leader committed.
+type startRecord struct {
+	committedAt  time.Time
+	pendingSince time.Time // when this leader first saw the task pending before the attempt, zero if it didn't
+}
+
 // changeQueue holds the changes that wait for the next log row.
 type changeQueue struct {
 	ends         map[structs.AttemptID]structs.AttemptEnd
@@ -96,7 +102,7 @@
 		state:           NewState(),
 		sessions:        map[structs.WorkerID]*workerSession{},
 		queue:           newChangeQueue(),
-		committedAt:     map[structs.AttemptID]time.Time{},
+		starts:          map[structs.AttemptID]startRecord{},
 		pendingSince:    map[structs.TaskID]time.Time{},
 		retryAt:         map[structs.TaskID]time.Time{},
 		unschedulable:   map[structs.TaskID]Unschedulable{},
--- a/cell/simhost_test.go
+++ b/cell/simhost_test.go
@@ -52,6 +52,7 @@
 	ackedResponseEpoch int64
 	runs               map[structs.AttemptID]*fakeRun
 	failPrograms       bool // every program fails
+	rejectStarts       bool // the agent rejects every start for lack of capacity
 }
 
 func newSimulatedHost(w *simulatedCluster, id structs.WorkerID, cell structs.CellID, domain structs.FailureDomainID) *simulatedHost {
@@ -219,7 +220,7 @@
 		return structs.ReasonStaleGrant
 	case !h.leaseUntil(kind).After(now):
 		return structs.ReasonStaleGrant
-	case !used.Fits(h.capacity):
+	case h.rejectStarts || !used.Fits(h.capacity):
 		return structs.ReasonCapacity
 	}
 	r := &fakeRun{
--- a/cell/transaction.go
+++ b/cell/transaction.go
@@ -123,7 +123,7 @@
 			if session != nil {
 				granted = session.leaseGrantedAt
 			}
-			if now.After(l.leaseExpiry.forJob(&t.job.Job).expiresAt(t.job.Job.Kind, granted, l.committedAt[attempt])) {
+			if now.After(l.leaseExpiry.forJob(&t.job.Job).expiresAt(t.job.Job.Kind, granted, l.starts[attempt].committedAt)) {
 				l.queueEnd(structs.AttemptEnd{Attempt: attempt, Cause: structs.EndLost, Detail: "worker is silent"})
 			}
 		}
