Leave room in a team's share to a task that has waited long for it

Callers would see a large task wait for as long as its team submits small ones, although workers have room.

Evidence: cell.TestLargeTaskStartsBesideLaterSmallTasksOfItsTeam, a quota of four cores, a task of three and a stream of tasks of one core, had not started the large task after 266 s ("0 != 1").

After two minutes (shareWaitLimit) batch tasks of the team that became pending later don't start until the waiting task fits. Earlier tasks and services go on. A task that cannot use the share, since it does not fit beside the team's services or on any worker, holds back nothing (cell.TestOnlyATaskThatCanUseTheShareHoldsBackItsTeam).

--- a/cell/backlog.go
+++ b/cell/backlog.go
@@ -16,6 +16,10 @@
 	minPendingPerTeam = 4
 )
 
+// shareWaitLimit is how long a task waits for room in its team's share before
+// batch tasks of the team that became pending later leave the room to it.
+const shareWaitLimit = 2 * time.Minute
+
 // selectPending selects the pending tasks for a planner snapshot. Every team
 // with room in its share gets an equal number of selected tasks, which are the
 // team's most urgent ones. A large backlog of one team, or a backlog held back
@@ -89,3 +93,57 @@
 	}
 	return list
 }
+
+// leaveRoomInShares removes the batch tasks that must not start, because a task
+// of their team has waited longer and for more than shareWaitLimit for room in
+// the team's share. Otherwise small tasks would take each part of the share that
+// becomes free. A task for which the share is too small, apart from what
+// services occupy, or every worker is too small holds back no other task.
+func (l *leader) leaveRoomInShares(eligible []*Task, budget *shareBudget, now time.Time) []*Task {
+	if !budget.limited {
+		return eligible
+	}
+	var shares map[structs.TeamID]structs.Resources // without what services occupy
+	waitingSince := map[structs.TeamID]time.Time{}  // of the task that has waited longest for room, by team
+	for _, t := range eligible {
+		job, since := &t.job.Job, l.pendingSince[t.ID()]
+		if budget.fits(job) || now.Sub(since) < shareWaitLimit {
+			continue
+		}
+		if shares == nil {
+			shares = l.sharesWithoutServices()
+		}
+		if !job.Resources.Fits(shares[job.Team]) || !l.fitsAnyWorker(job.Resources) {
+			continue
+		}
+		if earliest, found := waitingSince[job.Team]; !found || since.Before(earliest) {
+			waitingSince[job.Team] = since
+		}
+	}
+	return slices.DeleteFunc(eligible, func(t *Task) bool {
+		earliest, found := waitingSince[t.job.Job.Team]
+		return found && t.job.Job.Kind == structs.WorkBatch && l.pendingSince[t.ID()].After(earliest)
+	})
+}
+
+// fitsAnyWorker reports whether a task of the size fits on an empty worker.
+func (l *leader) fitsAnyWorker(size structs.Resources) bool {
+	for _, session := range l.sessions {
+		if size.Fits(session.worker.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
+// sharesWithoutServices returns the teams' shares less the size of their
+// assigned services.
+func (l *leader) sharesWithoutServices() map[structs.TeamID]structs.Resources {
+	shares := l.teamShares()
+	for _, t := range l.state.assigned {
+		if job := &t.job.Job; job.Kind == structs.WorkService {
+			shares[job.Team] = shares[job.Team].Sub(job.Resources)
+		}
+	}
+	return shares
+}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -143,7 +143,8 @@
 	}
 	s := &Snapshot{Cell: l.cell, Now: now, MaxStarts: l.recordLimit(maxStarts), Outcomes: slices.Clone(l.outcomes), Shares: l.teamShares()}
 	budget := l.remainingShares()
-	for _, t := range selectPending(l.eligibleTasks(ending, now), budget.fits, maxPending) {
+	eligible := l.leaveRoomInShares(l.eligibleTasks(ending, now), budget, now)
+	for _, t := range selectPending(eligible, budget.fits, maxPending) {
 		id := t.ID()
 		s.Pending = append(s.Pending, PendingTask{
 			Task: id, Job: t.Job(), Attempts: t.Number, Checkpoint: t.Checkpoint,
