Give starts more time on a worker that goes on starting runs

Callers would see tasks stopped and started again elsewhere, and sound workers quarantined, when many tasks start at once on a host whose calls to the runner are slow: the limit of 1.5 s for a start counted the time that it waits for one of the agent's six call slots.

Fix: on a worker that has started another run within the limit, a start may take twice as long, which is half of the restart limit.

--- a/fleet/options.go
+++ b/fleet/options.go
@@ -130,14 +130,14 @@
 	return time.Duration(t.MaxClockDrift*float64(t.MaxLease)) + leaseMargin
 }
 
-// startLimitShare divides RestartLimit into the time that a start may take. A
+// startLimitDivisor divides RestartLimit into the time that a start may take. A
 // stopped run is released after up to two further lists of its worker, so that a
 // task whose first two workers do not start it has a run on a third one in time.
-const startLimitShare = 4
+const startLimitDivisor = 4
 
 // startLimit returns the time after which a run whose start was ordered, and
 // that its worker does not list, is stopped.
-func (t Timing) startLimit() time.Duration { return t.RestartLimit / startLimitShare }
+func (t Timing) startLimit() time.Duration { return t.RestartLimit / startLimitDivisor }
 
 // complete checks the required options and fills in the defaults.
 func (o Options) complete() (Options, error) {
--- a/fleet/progress.go
+++ b/fleet/progress.go
@@ -32,8 +32,7 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		if r.startedAt != 0 || r.stopReason != "" || r.startOrderedAt == 0 ||
-			now.Sub(r.startOrderedAt) < l.o.Timing.startLimit() {
+		if r.startedAt != 0 || r.stopReason != "" || r.startOrderedAt == 0 || !l.isStartOverdue(w, r, now) {
 			continue
 		}
 		l.recordWorkerFailure(w, r.id, causeUnstarted)
@@ -42,6 +41,17 @@
 	}
 }
 
+// isStartOverdue reports whether the start of a run takes too long. On a worker
+// that goes on starting other runs it may take twice as long, since the agent
+// limits the starts in progress.
+func (l *leader) isStartOverdue(w *worker, r *run, now bootclock.Time) bool {
+	limit := l.o.Timing.startLimit()
+	if now.Sub(w.runStartedAt) < limit {
+		limit *= 2
+	}
+	return now.Sub(r.startOrderedAt) >= limit
+}
+
 // stopStuckRuns stops runs without progress, so that they start on other
 // workers. On some workers tasks hang although the runner answers.
 func (l *leader) stopStuckRuns(w *worker, now bootclock.Time) {
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -163,6 +163,9 @@
 		listed[id] = true
 		if assigned := w.runs[id]; assigned != nil {
 			l.moveToCurrentIncarnation(w, assigned)
+			if assigned.startedAt == 0 {
+				w.runStartedAt = now
+			}
 			assigned.update(a, now)
 			l.endOutage(w, assigned, now)
 			if reason := assigned.job.StopReason(id); reason != "" {
--- a/fleet/unstarted_test.go
+++ b/fleet/unstarted_test.go
@@ -145,3 +145,25 @@
 		f.waitUntil("all tasks run", f.timing.RestartLimit/2, func() bool { return f.checker.ActiveRuns() == 6 })
 	})
 }
+
+func TestStartsOnAWorkerThatGoesOnStartingRunsMayTakeLonger(t *testing.T) {
+	now := bootclock.Time(time.Hour)
+	l, _ := leaderWithWorkers(t, &now, 1)
+	limit := l.o.Timing.startLimit()
+	cases := []struct {
+		name       string
+		orderedFor time.Duration // time since the start of the run was ordered
+		otherFor   time.Duration // time since another run was started
+		want       bool
+	}{
+		{"nothing starts", limit, limit, true},
+		{"other runs start", limit, limit / 2, false},
+		{"other runs start, but not this one", 2 * limit, limit / 2, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := &worker{runStartedAt: now.Add(-c.otherFor)}
+			is.New(t).Equal(l.isStartOverdue(w, &run{startOrderedAt: now.Add(-c.orderedFor)}, now), c.want)
+		})
+	}
+}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -33,6 +33,7 @@
 	reportedAt     bootclock.Time // time of the last report
 	listedAt       bootclock.Time // time of the last complete list
 	leaseEndsAt    bootclock.Time // latest end of any lease of the worker, without an allowance for clock drift
+	runStartedAt   bootclock.Time // when a run was last listed for the first time
 	listSentAt     int64          // sent_at of the last report with a complete list
 	leaseLapsed    bool           // the lease has lapsed and the runs were released
 
