Bound what the holds, trials and stops for long-running tasks take from others

Callers would see other work wait for good beside a long-running task that always fails, or a long-running task wait where its room can't become free.

- A long-running task that always fails was overdue for ever, since it is never steadily at work, and its room was held while its restart was delayed: a sound service and a short task had no run for 120 s.
It also took each trial of a sound quarantined worker and renewed the quarantine.
No room is held for a delayed task, a task that fails elsewhere as well no longer counts against a worker that tries it, trials follow each other faster than its restarts, and with the longest delay it stops nothing.
- Tasks that had never run, and later steps, stopped urgent tasks as lost ones do.
What is overdue is now a task, by the end of its last run, not a step.
A new leader, which does not know that time, treats tasks that have run as overdue.
- A hold stayed on a worker whose stopped runs don't end, and one for a long-running filling task on a worker where it never fits.
The resources of runs that were stopped a second ago don't count as room, and the memory that is left to other tasks is not denied to long-running ones that fill.
- For queues with permits only workers on which a task fits at once were permitted, so that no room was held.
Workers on which it may be held are candidates too.
- A starved gang held its room for as long as one other run of a worker took.
It now holds it for 10 s at a time.
- A trial of the quarantine before prevented those of the next one.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -102,6 +102,9 @@
 	// steadily at work, when the last such run ended, acceptedAt before the
 	// first one.
 	outageSince map[structs.StepTaskID]bootclock.Time
+	// runEndedAt holds, for each long-running task that has run, when its last
+	// run ended.
+	runEndedAt map[structs.StepTaskID]bootclock.Time
 }
 
 func newLeader(o Options, m *metrics, row leaderRow) *leader {
@@ -151,7 +154,7 @@
 	j.criticalPath = j.CriticalPath()
 	j.failedOn = map[structs.StepTaskID][]structs.WorkerID{}
 	j.restartDelays = map[structs.StepTaskID]restartDelay{}
-	j.initOutages()
+	j.initOutages(l.o.Timing.overdueAfter())
 	l.jobs[j.Spec.ID] = j
 	if !j.Final() {
 		l.openJobs = append(l.openJobs, j)
--- a/fleet/make_room.go
+++ b/fleet/make_room.go
@@ -27,6 +27,9 @@
 			missing = missing.Sub(reservedBy(r))
 		}
 	}
+	if !lacksAny(missing, v.Reserved) {
+		return // the stops in progress free enough
+	}
 	for _, r := range l.runsByStopCost(w) {
 		if reserved := reservedBy(r); lacksAny(missing, reserved) {
 			l.stop(w, r, "makes room for a long-running task")
@@ -59,9 +62,13 @@
 	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
 		return r.stopReason != "" || r.job.Step(r.id.Task).LongRunning
 	})
+	priorities := map[*job]int{}
+	for _, r := range runs {
+		priorities[r.job] = l.queueOf(r.job).Priority
+	}
 	slices.SortStableFunc(runs, func(a, b *run) int {
 		return cmp.Or(
-			cmp.Compare(l.queueOf(b.job).Priority, l.queueOf(a.job).Priority),
+			cmp.Compare(priorities[b.job], priorities[a.job]),
 			cmp.Compare(a.gangSize(), b.gangSize()),
 			cmp.Compare(a.lostPercent(), b.lostPercent()),
 		)
--- a/fleet/outages.go
+++ b/fleet/outages.go
@@ -26,14 +26,22 @@
 
 // initOutages begins an outage of every long-running task of a job that was
 // accepted or restored.
-func (j *job) initOutages() {
+//
+// A new leader does not know how long a pending task has had no run. Tasks that
+// have run are overdue at once.
+func (j *job) initOutages(overdueAfter time.Duration) {
 	j.outageSince = map[structs.StepTaskID]bootclock.Time{}
+	j.runEndedAt = map[structs.StepTaskID]bootclock.Time{}
 	if j.Final() || !j.Spec.LongRunning() {
 		return
 	}
-	j.Tasks(func(id structs.StepTaskID, _ *workflow.Task) {
-		if j.Step(id).LongRunning {
-			j.outageSince[id] = j.acceptedAt
+	j.Tasks(func(id structs.StepTaskID, t *workflow.Task) {
+		if !j.Step(id).LongRunning {
+			return
+		}
+		j.outageSince[id] = j.acceptedAt
+		if t.State == workflow.Pending && t.Run > 0 {
+			j.runEndedAt[id] = j.acceptedAt.Add(-overdueAfter)
 		}
 	})
 }
@@ -41,10 +49,14 @@
 // beginOutage records that a long-running task has no run any more. The outage
 // of a task whose run was not at work goes on.
 func (l *leader) beginOutage(j *job, id structs.StepTaskID) {
-	if _, found := j.outageSince[id]; found || !j.Step(id).LongRunning || j.Final() {
+	if !j.Step(id).LongRunning || j.Final() {
 		return
 	}
-	j.outageSince[id] = l.o.Clock()
+	now := l.o.Clock()
+	j.runEndedAt[id] = now
+	if _, found := j.outageSince[id]; !found {
+		j.outageSince[id] = now
+	}
 }
 
 // endOutage ends the outage of the run's task once the run is steadily at work.
--- a/fleet/restart_delay.go
+++ b/fleet/restart_delay.go
@@ -41,3 +41,9 @@
 func (j *job) isRestartDelayed(id structs.StepTaskID, now bootclock.Time) bool {
 	return now < j.restartDelays[id].until
 }
+
+// isCrashLooping reports whether the task has failed so often that its restarts
+// have the longest delay.
+func (j *job) isCrashLooping(id structs.StepTaskID) bool {
+	return j.restartDelays[id].delay >= restartDelayMax
+}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/api/fleetpb"
+	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/placement/steps"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/workflow"
@@ -57,13 +58,14 @@
 
 // placementView summarises the worker and its runs for the placement policy.
 func (l *leader) placementView(w *worker) *steps.Worker {
+	now := l.o.Clock()
 	v := &steps.Worker{
 		ID: w.id, FailureDomain: w.domain, Rack: w.rack, Pool: w.pool, Labels: w.labels,
-		Capacity: w.capacity, HealthPenalty: w.health.healthPenalty(l.o.Clock()), AllowsTrial: w.allowsTrial(l.o.Clock()), LatencyRatio: w.latencyRatio,
+		Capacity: w.capacity, HealthPenalty: w.health.healthPenalty(now), AllowsTrial: w.allowsTrial(now), LatencyRatio: w.latencyRatio,
 		TasksByServiceImage: map[string]int{},
 		// A task starts at full pace, so frequent starts would keep a service
 		// over its target.
-		AllowsFillOverTarget: l.o.Clock().Sub(w.fillAssignedAt) >= l.o.Timing.ViolationLimit,
+		AllowsFillOverTarget: now.Sub(w.fillAssignedAt) >= l.o.Timing.ViolationLimit,
 	}
 	for _, r := range w.runs {
 		step := r.job.Step(r.id.Task)
@@ -73,8 +75,11 @@
 			need.MilliCPU = 0
 		}
 		v.Reserved = v.Reserved.Add(need)
-		if step.LongRunning {
+		switch {
+		case step.LongRunning:
 			v.LongRunning = v.LongRunning.Add(need)
+		case r.stopReason != "" && now.Sub(r.stoppedAt) >= stopTimeout:
+			v.Stalled = v.Stalled.Add(need)
 		}
 		if step.LatencyTarget > 0 {
 			v.TasksByServiceImage[step.Image]++
@@ -85,7 +90,7 @@
 
 // pendingDemands returns the steps that may run now and have pending tasks.
 func (l *leader) pendingDemands() []steps.Demand {
-	wall := l.o.WallClock()
+	wall, now := l.o.WallClock(), l.o.Clock()
 	var demands []steps.Demand
 	for _, j := range l.openJobs {
 		queue := l.queueOf(j)
@@ -100,8 +105,8 @@
 				case workflow.Pending:
 					d.Tasks = append(d.Tasks, id.Index)
 					l.avoidFailedWorkers(&d, j, id.Index)
-					if j.isRestartDelayed(id, l.o.Clock()) {
-						d.Delay(id.Index)
+					if j.isRestartDelayed(id, now) {
+						d.MarkDelayed(id.Index)
 					}
 				case workflow.Assigned:
 					if d.Placed == nil {
@@ -113,10 +118,10 @@
 			if len(d.Tasks) == 0 {
 				return
 			}
-			d.Waited = l.o.Clock().Sub(j.lastAssignedAt)
+			d.Waited = now.Sub(j.lastAssignedAt)
 			if d.Spec.LongRunning {
-				d.Waited = l.longestOutage(j, d)
-				d.IsOverdue = d.Waited >= l.o.Timing.RestartLimit/overdueShare
+				d.Waited = j.longestOutage(&d, now)
+				l.markOverdue(&d, j, now)
 			}
 			demands = append(demands, d)
 		})
@@ -124,15 +129,18 @@
 	return demands
 }
 
-// overdueShare is the part of the restart limit after which a pending
-// long-running task goes before all other work. The rest is for stopping other
-// tasks and for starting this one.
-const overdueShare = 2
+// overdueDivisor divides the restart limit into the time after which a
+// long-running task without a run goes before all other work. The rest is for
+// stopping other tasks and for starting this one.
+const overdueDivisor = 2
+
+// overdueAfter returns the time since its last run after which a long-running
+// task is overdue.
+func (t Timing) overdueAfter() time.Duration { return t.RestartLimit / overdueDivisor }
 
 // longestOutage returns the longest time for which one of the demand's pending
 // tasks has not been at work.
-func (l *leader) longestOutage(j *job, d steps.Demand) time.Duration {
-	now := l.o.Clock()
+func (j *job) longestOutage(d *steps.Demand, now bootclock.Time) time.Duration {
 	longest := time.Duration(0)
 	for _, index := range d.Tasks {
 		id := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
@@ -143,6 +151,18 @@
 	return longest
 }
 
+// markOverdue marks the pending tasks whose last run ended too long ago. A task
+// that has not run yet, or that always fails, waits for room without stopping
+// others.
+func (l *leader) markOverdue(d *steps.Demand, j *job, now bootclock.Time) {
+	for _, index := range d.Tasks {
+		id := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
+		if ended, found := j.runEndedAt[id]; found && !j.isCrashLooping(id) && now.Sub(ended) >= l.o.Timing.overdueAfter() {
+			d.MarkOverdue(index)
+		}
+	}
+}
+
 // slack returns the time until the job is late. Declared run times are
 // inaccurate, but good enough to distinguish short jobs from long ones.
 func (l *leader) slack(j *job, queue structs.Queue) time.Duration {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -64,6 +64,7 @@
 	startOrderedAt   bootclock.Time // when these orders were sent, 0 until then
 	// stopReason is empty unless the run was ordered to stop.
 	stopReason     string
+	stoppedAt      bootclock.Time // when the stop was first ordered
 	stopSentAt     bootclock.Time // when the stop was last ordered
 	startedAt      bootclock.Time // when the run was first listed, 0 until then
 	initialPercent int32          // progress when the run was first listed
@@ -243,6 +244,10 @@
 // again.
 const stopRepeatInterval = 500 * time.Millisecond
 
+// stopTimeout is the time after which a run that was stopped is not expected to
+// end soon. The runner takes 0.2 s for a stop.
+const stopTimeout = time.Second
+
 // stop orders the worker to end a run. The run is over when the worker reports
 // its end.
 func (l *leader) stop(w *worker, r *run, reason string) {
@@ -251,7 +256,8 @@
 	}
 	r.stopReason = reason
 	l.log.Info("stop", zap.Stringer("run", r.id), zap.String("worker", string(w.id)), zap.String("reason", reason), zap.Int32("percent", r.percent))
-	l.sendStop(w, r, l.o.Clock())
+	r.stoppedAt = l.o.Clock()
+	l.sendStop(w, r, r.stoppedAt)
 }
 
 func (l *leader) sendStop(w *worker, r *run, now bootclock.Time) {
--- a/fleet/worker_health.go
+++ b/fleet/worker_health.go
@@ -16,12 +16,12 @@
 	quarantineMax           = 20 * time.Second
 )
 
-// Limits of the trials of a quarantined worker. The longest pause is a third of
+// Limits of the trials of a quarantined worker. The longest pause is a sixth of
 // the default of Timing.RestartLimit, so that a long-running task whose only room
 // is on such a worker runs there in time after the worker has recovered.
 const (
 	trialPauseFirst = 250 * time.Millisecond
-	trialPauseMax   = DefaultRestartLimit / 3
+	trialPauseMax   = DefaultRestartLimit / 6
 	trialTime       = DefaultRestartLimit / 3 // time after which a trial that has not ended does not delay the next one
 )
 
@@ -54,7 +54,7 @@
 		h.quarantinedAt = now
 		h.quarantinesSinceSuccess++
 		h.quarantineDuration = min(quarantineMax, max(quarantineFirst, 2*h.quarantineDuration))
-		h.trialPause = trialPauseFirst
+		h.trial, h.trialPause = structs.RunID{}, trialPauseFirst
 	case id == h.trial:
 		h.trialPause = min(trialPauseMax, 2*h.trialPause)
 	}
@@ -114,7 +114,7 @@
 		}
 	}
 	j.avoidWorker(id.Task, w.id)
-	if !failedElsewhere || id == w.health.trial {
+	if !failedElsewhere {
 		l.recordWorkerFailure(w, id, causeFailed)
 	}
 }
--- a/placement/steps/exclusion.go
+++ b/placement/steps/exclusion.go
@@ -56,7 +56,7 @@
 		return ExcludedQuarantine
 	case !d.hasRoom(w):
 		return ExcludedEndingTasks
-	case !d.Spec.Fills || d.IsOverdue:
+	case !d.Spec.Fills || len(d.Overdue) > 0:
 		return ""
 	case w.idleMilliCPU() < minIdleShare*float64(d.Spec.Resources.MilliCPU):
 		return ExcludedFillingIdleShare
@@ -74,15 +74,17 @@
 	used, room := w.Reserved.Add(w.Held).Add(d.reservedResources()), w.Capacity
 	if d.Spec.Fills {
 		used.MilliCPU = 0
+	}
+	if d.Spec.Fills && !d.Spec.LongRunning {
 		room.MemoryMB = int64(maxFillMemoryShare * float64(room.MemoryMB))
 	}
 	return used.Fits(room)
 }
 
 // hasRoomBesideLongRunning reports whether one more task would fit on the worker
-// without the tasks that end.
+// without the tasks that end by themselves.
 func (d *Demand) hasRoomBesideLongRunning(w *Worker) bool {
-	return w.LongRunning.Add(w.Held).Add(d.reservedResources()).Fits(w.Capacity)
+	return w.LongRunning.Add(w.Stalled).Add(w.Held).Add(d.reservedResources()).Fits(w.Capacity)
 }
 
 // hasLabel reports whether the worker has the label that the step requires.
--- a/placement/steps/hold.go
+++ b/placement/steps/hold.go
@@ -1,25 +1,36 @@
 package steps
 
 import (
+	"cmp"
 	"math"
+	"slices"
+	"time"
 
 	"github.com/daisywall/daisywall/structs"
 )
 
-// Hold keeps room on a worker for a pending task. Tasks that are
-// placed later don't take the room, so the task fits once enough other tasks of
-// the worker have ended.
+// Hold keeps room on a worker for a pending task. Tasks that are placed later
+// don't take it, so the task fits once enough other tasks of the worker have
+// ended.
 type Hold struct {
 	Task      structs.StepTaskID
-	Missing   structs.Resources // what has to become free on the worker for this task and those held before it
+	Missing   structs.Resources // what has to become free on the worker for this task and those of its earlier holds
 	IsOverdue bool              // tasks that end by themselves may be stopped for it
 }
 
+// gangHoldTime is how long room is held for a starved gang. It is then released
+// for as long, since a gang may wait for a task that takes very long.
+const gangHoldTime = 10 * time.Second
+
 // needsHold reports whether room is held for the tasks of the step that don't
 // fit. A gang needs the room of all its tasks at once, which short tasks would
 // never leave to it.
 func (d *Demand) needsHold() bool {
-	return d.Spec.LongRunning || d.Spec.Gang && slackRank(d.Slack) == starvedRank
+	if d.Spec.LongRunning || !d.Spec.Gang {
+		return d.Spec.LongRunning
+	}
+	starvedFor := -d.Slack - starvationLateness
+	return starvedFor > 0 && starvedFor/gangHoldTime%2 == 0
 }
 
 // holdRoom holds room for each task of the step that was not placed, on the
@@ -27,8 +38,8 @@
 // would fit beside the long-running tasks. Room for a gang is held for all of
 // its tasks or for none.
 //
-// Holds are computed anew in each cycle. What a held worker lacks only shrinks,
-// so the choice is stable unless another worker lacks even less.
+// Holds are computed anew in each cycle. While the tasks of a held worker end,
+// it lacks less and less, so that it is chosen again.
 func (d *Demand) holdRoom(workers []*Worker, placed []Placement) {
 	var holding []*Worker
 	for _, index := range d.unplaced(placed) {
@@ -49,7 +60,7 @@
 // hold keeps room for one task on the worker.
 func (d *Demand) hold(w *Worker, index int32) {
 	task := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
-	w.Holds = append(w.Holds, Hold{Task: task, Missing: d.missing(w), IsOverdue: d.IsOverdue})
+	w.Holds = append(w.Holds, Hold{Task: task, Missing: d.missing(w), IsOverdue: d.Overdue[index]})
 	w.Held = w.Held.Add(d.reservedResources())
 	if d.Placed == nil {
 		d.Placed = map[structs.WorkerID]int32{}
@@ -67,7 +78,8 @@
 	}
 }
 
-// unplaced returns the indexes of the pending tasks that are not in placed.
+// unplaced returns the indexes of the pending tasks that are neither in placed
+// nor delayed, the overdue ones first.
 func (d *Demand) unplaced(placed []Placement) []int32 {
 	if len(placed) == len(d.Tasks) {
 		return nil
@@ -76,13 +88,38 @@
 	for _, p := range placed {
 		isPlaced[p.Task.Index] = true
 	}
-	var indexes []int32
+	var overdue, others []int32
 	for _, index := range d.Tasks {
-		if !isPlaced[index] {
-			indexes = append(indexes, index)
+		switch {
+		case isPlaced[index] || d.Delayed[index]:
+		case d.Overdue[index]:
+			overdue = append(overdue, index)
+		default:
+			others = append(others, index)
 		}
 	}
-	return indexes
+	return append(overdue, others...)
+}
+
+// holdCandidates returns the workers on which room may be held for the step,
+// apart from those in fitting, in the order of what they lack for a task.
+func (d *Demand) holdCandidates(workers []*Worker, fitting map[structs.WorkerID]float64) []structs.WorkerID {
+	lacks := map[structs.WorkerID]float64{}
+	var ids []structs.WorkerID
+	for _, w := range workers {
+		if _, fits := fitting[w.ID]; fits || !d.mayHoldOn(w) {
+			continue
+		}
+		lacks[w.ID] = missingShare(d.missing(w), w.Capacity)
+		ids = append(ids, w.ID)
+	}
+	slices.SortStableFunc(ids, func(a, b structs.WorkerID) int { return cmp.Compare(lacks[a], lacks[b]) })
+	return ids
+}
+
+// mayHoldOn reports whether room for a task may be held on the worker.
+func (d *Demand) mayHoldOn(w *Worker) bool {
+	return d.isEligible(w) && !w.isQuarantined() && d.hasRoomBesideLongRunning(w)
 }
 
 // bestHeldWorker returns the worker that lacks the smallest share of its
@@ -92,7 +129,7 @@
 	var best *Worker
 	var lowest float64
 	for _, w := range workers {
-		if !d.isEligible(w) || w.isQuarantined() || !d.hasRoomBesideLongRunning(w) {
+		if !d.mayHoldOn(w) {
 			continue
 		}
 		cost := missingShare(d.missing(w), w.Capacity) + healthPenaltyWeight*w.HealthPenalty
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -41,6 +41,7 @@
 	Capacity             structs.Resources
 	Reserved             structs.Resources // resources of tasks that don't fill, and memory of filling tasks
 	LongRunning          structs.Resources // resources of long-running tasks, included in Reserved
+	Stalled              structs.Resources // resources of tasks that were stopped and don't end, included in Reserved
 	Holds                []Hold            // pending tasks for which room is kept
 	Held                 structs.Resources // resources of the tasks in Holds, not included in Reserved
 	FillMilliCPU         int64             // thousandths of a processor declared by filling tasks, not included in Reserved
@@ -73,27 +74,33 @@
 	Permitted map[structs.WorkerID]bool
 	// FailedOn holds the workers on which a task failed before, by task index.
 	FailedOn map[int32][]structs.WorkerID
-	// Delayed holds the indexes of pending tasks that must not start yet. Room
-	// is held for them.
+	// Delayed holds the indexes of pending tasks that must not start yet. No room
+	// is held for them, since a task that always fails would hold it for good.
 	Delayed map[int32]bool
 	// Waited is the time since the job's last placement, or since its
 	// acceptance before the first one. The accepted probability of
 	// interference grows with it. For a long-running step it is the longest
 	// time that one of its pending tasks has not been at work.
 	Waited time.Duration
-	// IsOverdue is set for a long-running step whose wait comes close to the
-	// restart limit. It is placed before the work of all priorities.
-	IsOverdue bool
+	// Overdue holds the indexes of pending long-running tasks whose last run
+	// ended so long ago that the restart limit comes close. Their step is placed
+	// before the work of all priorities.
+	Overdue map[int32]bool
 
 	interference *Interference
 }
 
-// Delay marks a pending task that must not start yet.
-func (d *Demand) Delay(index int32) {
-	if d.Delayed == nil {
-		d.Delayed = map[int32]bool{}
+// MarkDelayed adds a task to Delayed.
+func (d *Demand) MarkDelayed(index int32) { addIndex(&d.Delayed, index) }
+
+// MarkOverdue adds a task to Overdue.
+func (d *Demand) MarkOverdue(index int32) { addIndex(&d.Overdue, index) }
+
+func addIndex(set *map[int32]bool, index int32) {
+	if *set == nil {
+		*set = map[int32]bool{}
 	}
-	d.Delayed[index] = true
+	(*set)[index] = true
 }
 
 // Placement assigns a task to a worker.
@@ -152,7 +159,7 @@
 // effectivePriority returns the priority, or a higher one than all queues have
 // for an overdue demand.
 func (d *Demand) effectivePriority() int {
-	if d.IsOverdue {
+	if len(d.Overdue) > 0 {
 		return -1
 	}
 	return d.Priority
@@ -171,7 +178,8 @@
 }
 
 // Candidates returns the workers on which the demand fits now, the best first,
-// at most limit of them. It ignores Permitted.
+// and for a long-running step then the workers on which room may be held for
+// it, at most limit of them. It ignores Permitted.
 func Candidates(workers []*Worker, d Demand, interference *Interference, limit int) []structs.WorkerID {
 	d.Permitted, d.interference = nil, interference
 	scores := map[structs.WorkerID]float64{}
@@ -186,6 +194,9 @@
 		}
 	}
 	slices.SortStableFunc(fitting, func(a, b structs.WorkerID) int { return cmp.Compare(scores[b], scores[a]) })
+	if d.Spec.LongRunning {
+		fitting = append(fitting, d.holdCandidates(workers, scores)...)
+	}
 	return fitting[:min(limit, len(fitting))]
 }
 
@@ -347,7 +358,7 @@
 	if !d.isEligible(w) || w.isQuarantined() && !d.mayTry(w) || !d.hasRoom(w) {
 		return false
 	}
-	if !d.Spec.Fills || d.IsOverdue {
+	if !d.Spec.Fills || len(d.Overdue) > 0 {
 		return true
 	}
 	if w.isOverTarget() && (d.Waited < maxOverTargetWait || !w.AllowsFillOverTarget) {
@@ -444,7 +455,7 @@
 	switch {
 	case d.Spec.Fills:
 		probability := w.InterferenceProbability(d.interference, d.Spec.Image)
-		if !d.IsOverdue && probability > maxInterferenceProbability+maxInterferencePerWaitSecond*d.Waited.Seconds() {
+		if len(d.Overdue) == 0 && probability > maxInterferenceProbability+maxInterferencePerWaitSecond*d.Waited.Seconds() {
 			return 0, false
 		}
 		score = w.idleMilliCPU()/capacity - interferenceWeight*probability - nonInterferingShareWeight*w.nonInterferingImageShare(d.interference)
