--- a/placement/steps/hold.go
+++ b/placement/steps/hold.go
@@ -134,7 +134,7 @@
 		}
 		cost := missingShare(d.missing(w), w.Capacity) + healthPenaltyWeight*w.HealthPenalty
 		if d.hasFailedOn(w, index) {
-			cost += failedBeforeWeight
+			cost += d.failedBeforePenalty()
 		}
 		if best == nil || cost < lowest {
 			best, lowest = w, cost
--- a/placement/steps/hold_test.go
+++ b/placement/steps/hold_test.go
@@ -142,7 +142,7 @@
 	is.Equal(place(), structs.JobID("service"))
 }
 
-func TestTaskIsTriedOnAQuarantinedWorkerOnlyIfNoOtherHasRoom(t *testing.T) {
+func TestLongRunningTaskIsTriedOnAQuarantinedWorkerOnlyIfNoOtherHasRoom(t *testing.T) {
 	is := is.New(t)
 	list := workers(2)
 	list[0].HealthPenalty, list[0].AllowsTrial = 1, true
@@ -156,6 +156,20 @@
 	is.Equal(used, []structs.WorkerID{"w1", "w0"}) // one trial at a time
 }
 
+func TestFillingTaskIsTriedOnAQuarantinedWorkerBeforeOneWhereItInterferes(t *testing.T) {
+	is := is.New(t)
+	i := NewInterference()
+	for range 3 {
+		i.Learn("web", 8, []Neighbour{{Image: "match", MinPace: 1, MaxPace: 1}})
+	}
+	list := workers(2)
+	list[0].HealthPenalty, list[0].AllowsTrial = 1, true
+	list[1].TasksByServiceImage["web"] = 1
+	d := demand("a", 1, structs.Step{Image: "match", Fills: true, Resources: structs.Resources{MilliCPU: 1800}})
+	d.Waited = time.Minute
+	is.Equal(Plan(list, []Demand{d}, i)[0].Worker, structs.WorkerID("w0"))
+}
+
 func TestTrialsDontUseUpTheAttemptsOfATask(t *testing.T) {
 	gang := short(100)
 	gang.Gang = true
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -373,6 +373,15 @@
 	return w.Pool == d.Pool && (d.Permitted == nil || d.Permitted[w.ID]) && d.hasLabel(w) && d.mayAddCopy(w)
 }
 
+// failedBeforePenalty returns the penalty of a worker on which the task has
+// failed. A service would otherwise return there for the sake of its image.
+func (d *Demand) failedBeforePenalty() float64 {
+	if d.Spec.LatencyTarget > 0 {
+		return serviceFailedBeforeWeight
+	}
+	return failedBeforeWeight
+}
+
 // hasFailedOn reports whether the task has failed on the worker.
 func (d *Demand) hasFailedOn(w *Worker, index int32) bool {
 	return slices.Contains(d.FailedOn[index], w.ID)
@@ -405,9 +414,10 @@
 	interferenceWeight        = 4.0
 	nonInterferingShareWeight = 0.4 // keeps workers on which many images may run for images that may run on few
 	healthPenaltyWeight       = 1.0
-	quarantineWeight          = 16.0 // penalty of a trial, so that it is the last resort
+	longRunningTrialWeight    = 16.0 // penalty of a trial for a long-running task, so that it is the last resort
 	overTargetWeight          = 8.0  // penalty of a filling task for a worker with a service over its target
-	failedBeforeWeight        = 8.0  // penalty for a worker on which the task failed before, above all scores of a worker for a service
+	failedBeforeWeight        = 4.0  // penalty for a worker on which the task failed before
+	serviceFailedBeforeWeight = 8.0  // the same for a service, above all scores of serviceScore
 	inputRackWeight           = 1.0  // bonus for the rack of the input; elsewhere a task takes 1.5 to 3 times as long
 )
 
@@ -466,11 +476,11 @@
 		score = serviceScore(w, d.Spec.Image, score)
 	}
 	score -= healthPenaltyWeight * w.HealthPenalty
-	if w.isQuarantined() {
-		score -= quarantineWeight
+	if w.isQuarantined() && d.Spec.LongRunning {
+		score -= longRunningTrialWeight
 	}
 	if d.hasFailedOn(w, index) {
-		score -= failedBeforeWeight
+		score -= d.failedBeforePenalty()
 	}
 	if d.Spec.Rack != "" && d.Spec.Rack == w.Rack {
 		score += inputRackWeight
