--- a/fleet/outages.go
+++ b/fleet/outages.go
@@ -46,8 +46,8 @@
 	})
 }
 
-// beginOutage records that a long-running task has no run any more. The outage
-// of a task whose run was not at work goes on.
+// beginOutage records that the run of a long-running task has ended. The outage
+// of a task whose run was not steadily at work goes on.
 func (l *leader) beginOutage(j *job, id structs.StepTaskID) {
 	if !j.Step(id).LongRunning || j.Final() {
 		return
@@ -60,6 +60,7 @@
 }
 
 // endOutage ends the outage of the run's task once the run is steadily at work.
+// This is also a success of the worker.
 func (l *leader) endOutage(w *worker, r *run, now bootclock.Time) {
 	since, found := r.job.outageSince[r.id.Task]
 	if !found || !r.isSteady(now) {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -71,7 +71,7 @@
 	wasThrottled   bool           // its pace was reduced at least once
 	percent        int32          // share of the work done, in percent
 	progressAt     bootclock.Time // last change of percent or checkpoint
-	workingSince   bootclock.Time // when the run was first listed with all of its work done, as a long-running one is, 0 until then
+	workingSince   bootclock.Time // when the run was first listed at work, for a long-running task; 0 until then
 	// reading is the latency in milliseconds of a task with a latency target,
 	// else the thousandths of a processor in use.
 	reading    int64
