Keep the runs of an incarnation that a stale start has reached for the longest lease

Cause: a start states the lease on the runner's clock. The clock of the earlier incarnation is ahead of that of the next one, which starts anew, so that the next one accepted the lease up to the longest that it allows (10 s). The leader counted 4.5 s from its last order and released the runs while they went on.

Evidence: fleet.TestRunThatReachedTheNextIncarnationRunsOnceIfItsHostIsCutOffThen, before:

a/0/0/0#2 started on host-1 beside another run: map[host-0:a/0/0/0#1 host-1:a/0/0/0#2]

Fix: when a run is found, or has ended, in an incarnation that it was not assigned to, the leader treats the lease of the worker as the longest one from then on.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -451,6 +451,32 @@
 	})
 }
 
+// The host must not lead, and time passes before, so that the clock of the first incarnation is ahead.
+func TestRunThatReachedTheNextIncarnationRunsOnceIfItsHostIsCutOffThen(t *testing.T) {
+	runInFleet(t, 3, func(f *simulatedFleet) {
+		is := is.New(t)
+		f.runTime = func(structs.RunID) time.Duration { return time.Hour }
+		f.waitReady()
+		time.Sleep(f.timing.MaxLease)
+		restarted := f.followerHost()
+		var once sync.Once
+		f.beforeStart = func(h *simulatedHost) {
+			if h == restarted {
+				once.Do(h.runner.Restart)
+			}
+		}
+		e := f.newEntry()
+		defer e.Close()
+		is.NoErr(f.submit(e, testJob("a", 12)))
+		f.waitUntil("tasks run", 3*time.Second, func() bool { return f.checker.ActiveRuns() == 12 })
+		time.Sleep(time.Second)
+		restarted.setPartitioned(true)
+		f.waitUntil("tasks run elsewhere", 2*f.timing.MaxLease, func() bool { return restarted.runs() == 0 && f.checker.ActiveRuns() == 12 })
+		restarted.setPartitioned(false)
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // The acknowledgements of a session must not reach the runner's next incarnation.
 func TestEndInTheNextIncarnationIsNotAcknowledgedUnread(t *testing.T) {
 	runInFleet(t, 3, func(f *simulatedFleet) {
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -61,6 +61,9 @@
 	id := runFromProto(e.GetRun())
 	r, found := w.runs[id]
 	delete(w.runs, id)
+	if found && r.incarnation != w.incarnation {
+		l.extendToMaxLease(w) // its start reached the next incarnation
+	}
 	j := l.jobs[id.Task.Job]
 	if j == nil || !l.applyEnd(w, r, j, id, e) {
 		l.log.Info("end of a run that is not current", zap.Stringer("run", id), zap.String("worker", string(w.id)),
@@ -200,6 +203,14 @@
 	l.log.Info("run found in the next incarnation", zap.Stringer("run", r.id), zap.String("worker", string(w.id)),
 		zap.String("assigned_to", r.incarnation), zap.String("incarnation", w.incarnation))
 	r.incarnation = w.incarnation
+	l.extendToMaxLease(w)
+}
+
+// extendToMaxLease treats the lease of the worker as the longest that a runner
+// accepts. A call for an earlier incarnation states the lease on that one's
+// clock, which may be far ahead of the clock of the incarnation that it reached.
+func (l *leader) extendToMaxLease(w *worker) {
+	w.leaseEndsAt = max(w.leaseEndsAt, l.o.Clock().Add(l.o.Timing.MaxLease))
 }
 
 // handleUnlistedRun handles an assigned run that the report does not list as
