Count the outage of a lost run from its last list

Cause: the time after which such a task goes before other work began when the leader released the run.

Evidence: fleet.TestOutageOfALostRunBeginsWithItsLastList does not compile before, since the time was not a parameter.

Fix: the run is taken as lost since the last list that the leader had of its worker, so that the task is overdue when its lease has lapsed.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -103,7 +103,7 @@
 	// first one.
 	outageSince map[structs.StepTaskID]bootclock.Time
 	// runEndedAt holds, for each long-running task that has run, when its last
-	// run ended.
+	// run ended, or was last listed if it was lost.
 	runEndedAt map[structs.StepTaskID]bootclock.Time
 }
 
--- a/fleet/outages.go
+++ b/fleet/outages.go
@@ -46,16 +46,16 @@
 	})
 }
 
-// beginOutage records that the run of a long-running task has ended. The outage
-// of a task whose run was not steadily at work goes on.
-func (l *leader) beginOutage(j *job, id structs.StepTaskID) {
+// beginOutage records that the run of a long-running task ended at a time, or
+// was lost after it. The outage of a task whose run was not steadily at work goes
+// on.
+func (j *job) beginOutage(id structs.StepTaskID, endedAt bootclock.Time) {
 	if !j.Step(id).LongRunning || j.Final() {
 		return
 	}
-	now := l.o.Clock()
-	j.runEndedAt[id] = now
+	j.runEndedAt[id] = endedAt
 	if _, found := j.outageSince[id]; !found {
-		j.outageSince[id] = now
+		j.outageSince[id] = endedAt
 	}
 }
 
--- a/fleet/outages_test.go
+++ b/fleet/outages_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/daisywall/daisywall/bootclock"
+	"github.com/daisywall/daisywall/placement/steps"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/workflow"
 )
@@ -103,12 +104,29 @@
 		return !out
 	}
 	is.True(!isAtWork(steadyAfter / 2)) // a run that fails soon
-	l.beginOutage(j, task)
+	j.beginOutage(task, now)
 	now = now.Add(l.o.Timing.RestartLimit)
 	is.True(isAtWork(steadyAfter))
 	is.Equal(lines.Len(), 1)
 	is.Equal(lines.All()[0].ContextMap()["after"], l.o.Timing.RestartLimit+steadyAfter/2)
 	is.Equal(len(l.openOutages()), 0)
-	l.beginOutage(j, task)
+	j.beginOutage(task, now)
 	is.Equal(l.openOutages()[0].since, now)
 }
+
+func TestOutageOfALostRunBeginsWithItsLastList(t *testing.T) {
+	is := is.New(t)
+	now := bootclock.Time(time.Hour)
+	l, _ := leaderWithWorkers(t, &now, 1)
+	j := addService(l, "web", 1, 1000)
+	task := structs.StepTaskID{Job: "web"}
+	l.assignTask(steps.Placement{Task: task, Worker: "w0"})
+	delete(j.outageSince, task)
+	listed := now.Add(time.Second)
+	w := l.workers["w0"]
+	w.listedAt = listed
+	now = listed.Add(l.o.Timing.Lease)
+	l.release(w, w.sortedRuns()[0], "lease lapsed", "")
+	is.Equal(j.outageSince[task], listed)
+	is.Equal(len(l.pendingDemands()[0].Overdue), 1) // it goes before other work at once
+}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -135,7 +135,7 @@
 			return false
 		}
 	}
-	l.beginOutage(j, id.Task)
+	j.beginOutage(id.Task, l.o.Clock())
 	return true
 }
 
