Place long-running tasks that have run before those that have not

Callers saw: a large long-running task that failed once has no run for 13 to 24 s although it had a place: smaller services that had waited longer for their first start took it.

Cause: long-running steps were ordered by their wait alone.

Fix: within a priority, steps with lost tasks go before new ones, and within a step lost tasks first, so that a task that fails by itself gets back the room that it has just left.

--- a/fleet/crash_loop_test.go
+++ b/fleet/crash_loop_test.go
@@ -170,3 +170,19 @@
 	is.Equal(s.stops, 0)
 	is.True(s.startsWithin("new", 10*time.Second)) // when the short tasks are done
 }
+
+func TestLostLongRunningTaskGetsItsRoomBackBeforeANewOneThatWaits(t *testing.T) {
+	is := is.New(t)
+	s := newScheduleLoop(t, 1)
+	addService(s.l, "lost", 2, 2000)
+	s.run(3 * time.Second)
+	addService(s.l, "new", 2, 1000)
+	s.run(5 * time.Second)
+	w := s.l.workers["w0"]
+	r := w.sortedRuns()[1]
+	delete(w.runs, r.id)
+	is.True(s.l.applyEnd(w, r, r.job, r.id, &fleetpb.Ended{End: string(substrate.RunEndFailed)}))
+	s.run(time.Second)
+	is.Equal(s.starts["lost"], 3)
+	is.Equal(s.starts["new"], 0)
+}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -121,6 +121,7 @@
 			d.Waited = now.Sub(j.lastAssignedAt)
 			if d.Spec.LongRunning {
 				d.Waited = j.longestOutage(&d, now)
+				j.putLostTasksFirst(&d)
 				l.markOverdue(&d, j, now)
 			}
 			demands = append(demands, d)
@@ -151,6 +152,20 @@
 	return longest
 }
 
+// putLostTasksFirst orders the pending tasks that have run before the others.
+func (j *job) putLostTasksFirst(d *steps.Demand) {
+	var lost, others []int32
+	for _, index := range d.Tasks {
+		id := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
+		if _, hasRun := j.runEndedAt[id]; hasRun {
+			lost = append(lost, index)
+		} else {
+			others = append(others, index)
+		}
+	}
+	d.Tasks, d.HasLostTasks = append(lost, others...), len(lost) > 0
+}
+
 // markOverdue marks the pending tasks whose last run ended too long ago. A task
 // that has not run yet, or that always fails, waits for room without stopping
 // others.
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -82,6 +82,9 @@
 	// interference grows with it. For a long-running step it is the longest
 	// time that one of its pending tasks has not been at work.
 	Waited time.Duration
+	// HasLostTasks is set for a long-running step with pending tasks that have
+	// run before. It goes before steps whose tasks have not.
+	HasLostTasks bool
 	// Overdue holds the indexes of pending long-running tasks whose last run
 	// ended so long ago that the restart limit comes close. Their step is placed
 	// before the work of all priorities.
@@ -139,12 +142,16 @@
 }
 
 // Sort orders demands by priority, with overdue ones before all others. Within
-// a priority, long-running steps come first, by the longest wait, and then the
-// other steps by slack. A long-running task has no end by which to be in time:
+// a priority, long-running steps come first, those that have lost tasks before
+// new ones and then by the longest wait, and then the other steps by slack. A long-running task has no end by which to be in time:
 // the slack of its job says nothing about how long it may be absent.
 func Sort(demands []Demand) {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
-		order := cmp.Or(cmp.Compare(a.effectivePriority(), b.effectivePriority()), compareFirst(a.Spec.LongRunning, b.Spec.LongRunning))
+		order := cmp.Or(
+			cmp.Compare(a.effectivePriority(), b.effectivePriority()),
+			compareFirst(a.Spec.LongRunning, b.Spec.LongRunning),
+			compareFirst(a.HasLostTasks, b.HasLostTasks),
+		)
 		switch {
 		case order != 0:
 			return order
