--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -163,7 +163,8 @@
 			others = append(others, index)
 		}
 	}
-	d.Tasks, d.HasLostTasks = append(lost, others...), len(lost) > 0
+	d.HasLostTasks = len(lost) > 0
+	d.Tasks = slices.Concat(lost, others)
 }
 
 // markOverdue marks the pending tasks whose last run ended too long ago. A task
