--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -78,9 +78,9 @@
 	mayStartUntil substrate.RuntimeClock
 }
 
-// isOver reports whether a list of runs settles the start: it contains the run,
-// or the run never starts. clock is the runner's clock in that list.
-func (op *startOp) isOver(pollNumber int64, clock substrate.RuntimeClock) bool {
+// isSettledBy reports whether a list of runs settles the start: it contains the
+// run, or the run never starts. clock is the runner's clock in that list.
+func (op *startOp) isSettledBy(pollNumber int64, clock substrate.RuntimeClock) bool {
 	if op.settledAtPoll >= 0 {
 		return op.settledAtPoll < pollNumber
 	}
@@ -297,7 +297,7 @@
 	}
 	a.refusedPolls = 0
 	for r, op := range a.starting {
-		if op.isOver(pollNumber, state.Clock) {
+		if op.isSettledBy(pollNumber, state.Clock) {
 			delete(a.starting, r)
 		}
 	}
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -139,6 +139,15 @@
 // that its worker does not list, is stopped.
 func (t Timing) startLimit() time.Duration { return t.RestartLimit / startLimitDivisor }
 
+// overdueDivisor divides the restart limit into the time after which a
+// long-running task without a run goes before all other work. The rest is for
+// stopping other tasks and for starting this one.
+const overdueDivisor = 2
+
+// overdueAfter returns the time since its last run after which a long-running
+// task is overdue.
+func (t Timing) overdueAfter() time.Duration { return t.RestartLimit / overdueDivisor }
+
 // complete checks the required options and fills in the defaults.
 func (o Options) complete() (Options, error) {
 	var faults []structs.Fault
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -130,15 +130,6 @@
 	return demands
 }
 
-// overdueDivisor divides the restart limit into the time after which a
-// long-running task without a run goes before all other work. The rest is for
-// stopping other tasks and for starting this one.
-const overdueDivisor = 2
-
-// overdueAfter returns the time since its last run after which a long-running
-// task is overdue.
-func (t Timing) overdueAfter() time.Duration { return t.RestartLimit / overdueDivisor }
-
 // longestOutage returns the longest time for which one of the demand's pending
 // tasks has not been at work.
 func (j *job) longestOutage(d *steps.Demand, now bootclock.Time) time.Duration {
--- a/fleet/worker_health.go
+++ b/fleet/worker_health.go
@@ -63,8 +63,8 @@
 	return quarantineBegins
 }
 
-// recordSlowRun counts a run that was stuck or far slower than others. It
-// quarantines the worker at once, and returns true if the quarantine begins.
+// recordSlowRun counts a run that was stuck, far slower than others or did not
+// start. It quarantines the worker at once, and returns true if the quarantine begins.
 func (h *workerHealth) recordSlowRun(id structs.RunID, now bootclock.Time) (quarantineBegins bool) {
 	h.hasSlowRuns = true
 	h.consecutiveFailures = max(h.consecutiveFailures, quarantineAfterFailures-1)
@@ -126,8 +126,8 @@
 	}
 }
 
-// recordWorkerFailure counts a run that failed, was stuck or was too slow
-// against the health of its worker.
+// recordWorkerFailure counts a run that failed, was stuck, was too slow or did
+// not start against the health of its worker.
 func (l *leader) recordWorkerFailure(w *worker, id structs.RunID, cause string) {
 	now := l.o.Clock()
 	record := w.health.recordSlowRun
