--- a/fleet/long_running_restart_test.go
+++ b/fleet/long_running_restart_test.go
@@ -95,10 +95,6 @@
 		{name: "hosts are partitioned", shortBacklog: denseBacklog, faults: []func(*mixedFleet){partitionHosts}},
 		{name: "services fail", shortBacklog: denseBacklog, servicesFail: true},
 		{name: "jobs fail on every worker", shortBacklog: lightBacklog, servicesFail: true, withPoison: true},
-		{
-			name: "all faults", shortBacklog: denseBacklog, faults: []func(*mixedFleet){failStarts, restartRunners, partitionHosts},
-			servicesFail: true, withPoison: true,
-		},
 	}
 	for _, c := range cases {
 		for seed := range uint64(restartSeeds) {
@@ -107,6 +103,16 @@
 	}
 }
 
+func TestLongRunningTasksRunAgainWithinTheRestartLimitAfterOverlappingFaults(t *testing.T) {
+	scenario := restartScenario{
+		name: "all faults", shortBacklog: denseBacklog, faults: []func(*mixedFleet){failStarts, restartRunners, partitionHosts},
+		servicesFail: true, withPoison: true,
+	}
+	for seed := range uint64(restartSeeds) {
+		t.Run(fmt.Sprintf("%s/%d", scenario.name, seed), func(t *testing.T) { playRestartScenario(t, scenario, seed) })
+	}
+}
+
 func playRestartScenario(t *testing.T, scenario restartScenario, seed uint64) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMixedFleet(t, restartHosts, seed)
