Bound the wait of a request for newer routes; refuse it with a retry delay

What callers saw: an entry that had lost the store answered a request on an unknown route by the configuration that it read when the store returned, up to 0.9 of the deadline later, while requests sent meanwhile were answered by the one in memory. Without an answer of the store, the request was held for 2.7 s and then got 404 although the route might have been added.

The wait is now half of the slack that the platform's settings allow (rollback_slack_ms), so that the route of a request is decided before a later one beyond the slack arrives. If the rows could not be read by then, or the process was paused meanwhile, the answer is 503 with Retry-After 1: nothing has run. Known routes are served as before. Each "refused" line names the version of the configuration in force and its age.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -230,7 +230,7 @@
 	log := b.telemetry.Log
 	operator := platform.NewOperatorConfig(b.store, log)
 	jobs := fleet.NewEntry(b.store, nil, log)
-	jobHandler := platform.NewJobHandler(jobs, operator, log)
+	jobHandler := platform.NewJobHandler(jobs, operator, settings.OrderSlack, log)
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET /v1/ready", jobHandler.Ready)
 	drain := func(ctx context.Context) {
--- a/structs/errors.go
+++ b/structs/errors.go
@@ -79,12 +79,27 @@
 }
 
 func (e *UnavailableError) Error() string {
+	if e.Err == nil {
+		return e.Dependency + " unavailable"
+	}
 	return fmt.Sprintf("%s unavailable: %v", e.Dependency, e.Err)
 }
 
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Err }
 
+// StaleError reports that the copy of stored data in memory is too old to
+// decide on.
+type StaleError struct {
+	Subject string        // what was read, such as "operators' rows"
+	Version int64         // version of the copy
+	Age     time.Duration // time since the last successful read
+}
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("%s at version %d were last read %s ago", e.Subject, e.Version, e.Age)
+}
+
 // NotFoundError reports that a named object does not exist.
 type NotFoundError struct {
 	Subject string // what was looked for, such as "job" or "row"
