Leave the silence of a worker out of the judgement of its runs

The leader measured the time without progress, the rate of a run and the time of a start from its own clock, so that 3 s of silence counted as 3 s without progress: the runs were stopped as "stands still", "far slower than its step" or "does not start", and the worker was quarantined, although its lease had not lapsed and the work went on. The same held for all workers at once after a pause of the leader itself.

Time without a list no longer counts, and a run is judged by the time of the last list instead of the present.

--- a/fleet/progress.go
+++ b/fleet/progress.go
@@ -23,6 +23,19 @@
 	stragglerInterval = 200 * time.Millisecond // time between two searches for stragglers
 )
 
+// discountSilence leaves the time in which the worker has listed no runs out of
+// the times from which the leader judges them. A host that was paused did no work
+// meanwhile, and its work goes on as long as the lease has not lapsed.
+func (w *worker) discountSilence(silent time.Duration, now bootclock.Time) {
+	for _, r := range w.runs {
+		r.progressAt = min(now, r.progressAt.Add(silent))
+		r.ratedSince = min(now, r.ratedSince.Add(silent))
+		if r.startOrderedAt != 0 {
+			r.startOrderedAt = min(now, r.startOrderedAt.Add(silent))
+		}
+	}
+}
+
 // stopUnstartedRuns stops runs that the worker has not listed for too long, so
 // that they start on other workers. The agent repeats a start that the runner
 // refuses as unhealthy or does not answer. The run stays assigned until it
@@ -32,7 +45,7 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		if r.startedAt != 0 || r.stopReason != "" || r.startOrderedAt == 0 || !l.isStartOverdue(w, r, now) {
+		if r.startedAt != 0 || r.stopReason != "" || r.startOrderedAt == 0 || !l.isStartOverdue(w, r) {
 			continue
 		}
 		l.recordWorkerFailure(w, r.id, causeUnstarted)
@@ -43,13 +56,13 @@
 
 // isStartOverdue reports whether the start of a run takes too long. On a worker
 // that goes on starting other runs it may take twice as long, since the agent
-// limits the starts in progress.
-func (l *leader) isStartOverdue(w *worker, r *run, now bootclock.Time) bool {
+// limits the starts in progress. Only time up to the last list counts.
+func (l *leader) isStartOverdue(w *worker, r *run) bool {
 	limit := l.o.Timing.startLimit()
-	if now.Sub(w.runStartedAt) < limit {
+	if w.listedAt.Sub(w.runStartedAt) < limit {
 		limit *= 2
 	}
-	return now.Sub(r.startOrderedAt) >= limit
+	return w.listedAt.Sub(r.startOrderedAt) >= limit
 }
 
 // stopStuckRuns stops runs without progress, so that they start on other
@@ -62,7 +75,7 @@
 		if r.startedAt == 0 || r.stopReason != "" || r.pace < stuckMinPacePercent {
 			continue
 		}
-		if !r.isStuck(now) {
+		if !r.isStuck(w.listedAt) {
 			continue
 		}
 		l.recordWorkerFailure(w, r.id, causeStuck)
@@ -71,16 +84,16 @@
 	}
 }
 
-// isStuck reports whether the run has made no progress for too long. A task
-// without a declared run time is never stuck, because it may take any time for
-// the next percent.
-func (r *run) isStuck(now bootclock.Time) bool {
+// isStuck reports whether the run had made no progress for too long when it was
+// last listed. A task without a declared run time is never stuck, because it may
+// take any time for the next percent.
+func (r *run) isStuck(listedAt bootclock.Time) bool {
 	step := r.job.Step(r.id.Task)
 	if step.LongRunning {
-		return r.percent < workingPercent && now.Sub(r.progressAt) >= stuckAfter
+		return r.percent < workingPercent && listedAt.Sub(r.progressAt) >= stuckAfter
 	}
 	limit := max(stuckAfter, time.Duration(stuckEstimateShare*float64(step.Estimate)))
-	return step.Estimate > 0 && now.Sub(r.progressAt) >= limit*100/time.Duration(r.pace)
+	return step.Estimate > 0 && listedAt.Sub(r.progressAt) >= limit*100/time.Duration(r.pace)
 }
 
 // stepRun is a run whose progress is compared with other runs of its step.
@@ -122,7 +135,7 @@
 		for _, r := range w.runs {
 			step := r.job.Step(r.id.Task)
 			if r.startedAt == 0 || r.stopReason != "" || r.wasThrottled || step.LongRunning || step.Gang ||
-				step.Rack != "" && step.Rack != w.rack || w.listedAt.Sub(r.startedAt) < rateWindow {
+				step.Rack != "" && step.Rack != w.rack || w.listedAt.Sub(r.ratedSince) < rateWindow {
 				continue
 			}
 			id := r.id.Task.StepID()
@@ -135,7 +148,7 @@
 // progress returns the progress of the run since it was first listed.
 func (s stepRun) progress() steps.Progress {
 	p := steps.Progress{
-		Observed: s.w.listedAt.Sub(s.r.startedAt),
+		Observed: s.w.listedAt.Sub(s.r.ratedSince),
 		Done:     float64(s.r.percent-s.r.initialPercent) / 100,
 		Left:     1 - float64(s.r.percent)/100,
 	}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -24,6 +24,9 @@
 	if !r.GetListed() || w.incarnation == "" {
 		return
 	}
+	if silent := now.Sub(w.listedAt); w.listedAt > 0 && silent >= l.o.Timing.SessionTimeout {
+		w.discountSilence(silent, now)
+	}
 	w.listedAt = now
 	w.listSentAt = r.GetSentAt()
 	w.leaseLapsed = false
@@ -247,7 +250,7 @@
 // update records the state of a run that the runner has reported.
 func (r *run) update(a *fleetpb.Active, now bootclock.Time) {
 	if r.startedAt == 0 {
-		r.startedAt, r.progressAt, r.initialPercent = now, now, a.GetPercent()
+		r.startedAt, r.progressAt, r.ratedSince, r.initialPercent = now, now, now, a.GetPercent()
 	}
 	r.wasThrottled = r.wasThrottled || a.GetPace() < fullPacePercent
 	if a.GetPercent() != r.percent || a.GetCheckpoint() != r.checkpoint {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -67,6 +67,7 @@
 	stoppedAt      bootclock.Time // when the stop was first ordered
 	stopSentAt     bootclock.Time // when the stop was last ordered
 	startedAt      bootclock.Time // when the run was first listed, 0 until then
+	ratedSince     bootclock.Time // startedAt, later by the time in which the worker was silent
 	initialPercent int32          // progress when the run was first listed
 	wasThrottled   bool           // its pace was reduced at least once
 	percent        int32          // share of the work done, in percent
