Contain panics: end the leadership, the session or the call, not the process

A panic in the loop now ends the leadership with a PanicError; the next leader reads the state from the store. One in a session ends the session, one in a handler fails the call with the code Internal. Each is logged with its stack.

Ruled out: malformed reports of workers.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -209,7 +209,7 @@
 // agent deregisters from the entries, finishes its requests, moves its tasks to
 // other hosts and releases its leadership.
 func (a *agent) register() error {
-	server := &grpcServer{address: a.settings.PeerAddress, options: request.AgentServerOptions(), register: func(g *grpc.Server) {
+	server := &grpcServer{address: a.settings.PeerAddress, log: a.telemetry.Log, options: request.AgentServerOptions(), register: func(g *grpc.Server) {
 		daisywallpb.RegisterAgentServer(g, &agentServer{requests: a.requests, tasks: a.tasks})
 		daisywallpb.RegisterCellServer(g, a.node)
 		configpb.RegisterConfigServer(g, config.NewServer(a.holder))
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -166,7 +166,7 @@
 // health check fails first, then the calls in flight finish, and then the other
 // services stop.
 func (e *entry) register() error {
-	server := &grpcServer{address: e.settings.PeerAddress, register: func(g *grpc.Server) {
+	server := &grpcServer{address: e.settings.PeerAddress, log: e.telemetry.Log, register: func(g *grpc.Server) {
 		daisywallpb.RegisterEntryServer(g, e.registry)
 		configpb.RegisterConfigServer(g, config.NewServer(e.holder))
 	}}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -189,7 +189,7 @@
 		}
 		return nil
 	}}
-	peers := &grpcServer{address: b.address(fleetPortOffset), register: func(s *grpc.Server) { fleetpb.RegisterFleetServer(s, node) }}
+	peers := &grpcServer{address: b.address(fleetPortOffset), log: log, register: func(s *grpc.Server) { fleetpb.RegisterFleetServer(s, node) }}
 	err = b.register([]namedService{
 		{"peers", immediateStopServer{peers}, nil},
 		{"reports", &httpServer{address: settings.ReportAddress, handler: platform.NewReportHandler(node, log), shutdownTimeout: localShutdownTimeout}, nil},
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"github.com/daisywall/daisywall/kernel"
@@ -149,6 +150,7 @@
 	options        []grpc.ServerOption // server options in addition to the default ones
 	register       func(*grpc.Server)
 	beforeShutdown func(ctx context.Context) // runs before the listener closes, may be nil
+	log            *zap.Logger               // logs panics of the handlers, may be nil
 	server         *grpc.Server
 }
 
@@ -158,7 +160,8 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", s.address, err)
 	}
-	options := append([]grpc.ServerOption{grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes)}, s.options...)
+	options := append([]grpc.ServerOption{grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes)}, recoveryOptions(s.log)...)
+	options = append(options, s.options...)
 	s.server = grpc.NewServer(options...)
 	s.register(s.server)
 	services.Go(func(context.Context) error {
--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -103,8 +103,9 @@
 
 // run executes the leader's orders, reports the runner's lists of runs and runs
 // queued calls until the session ends.
-func (a *agentSession) run(ctx context.Context, cancel context.CancelFunc, first *fleetpb.WorkerOrders) (sessionEnd, error) {
+func (a *agentSession) run(ctx context.Context, cancel context.CancelFunc, first *fleetpb.WorkerOrders) (end sessionEnd, err error) {
 	defer cancel()
+	defer recoverAs(&err, "session with the leader", a.log) // end is endLost then
 	if !a.host.admitEpoch(first.GetEpoch()) {
 		return endLost, &structs.FencedError{Cell: fleetPart, Epoch: first.GetEpoch()}
 	}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -183,14 +184,17 @@
 // requestLeave makes the loop request a takeover because the process stops.
 func (l *leader) requestLeave() { l.leaveOnce.Do(func() { close(l.leaveRequested) }) }
 
-// run leads until the leadership is lost or ctx ends.
-func (l *leader) run(ctx context.Context) error {
+// run leads until the leadership is lost or ctx ends. After a panic, the state in
+// memory may be inconsistent: the leadership ends with *structs.PanicError, and
+// the next leader reads the state from the store.
+func (l *leader) run(ctx context.Context) (err error) {
 	source, stop := l.o.Config()
 	l.config = source
 	defer stop()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer l.shutDown()
+	defer recoverAs(&err, "leader's loop", l.log)
 	tick := time.NewTicker(leaderTick)
 	defer tick.Stop()
 	leaving := l.leaveRequested
@@ -218,6 +222,18 @@
 	}
 }
 
+// recoverAs turns a panic of the calling function into a *structs.PanicError in
+// err. It must be deferred.
+func recoverAs(err *error, operation string, log *zap.Logger) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	stack := debug.Stack()
+	log.Error("panic", zap.String("operation", operation), zap.Any("value", v), zap.ByteString("stack", stack))
+	*err = &structs.PanicError{Operation: operation, Value: v, Stack: stack}
+}
+
 // drainCalls runs all waiting calls, so that one commit contains their changes.
 func (l *leader) drainCalls() {
 	for range callQueueSize {
--- a/structs/errors.go
+++ b/structs/errors.go
@@ -88,6 +88,17 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Err }
 
+// PanicError reports that a panic ended an operation.
+type PanicError struct {
+	Operation string
+	Value     any    // value of the panic
+	Stack     []byte // stack of the goroutine
+}
+
+func (e *PanicError) Error() string {
+	return fmt.Sprintf("%s: panic: %v", e.Operation, e.Value)
+}
+
 // StaleError reports that the copy of stored data in memory is too old to
 // decide on.
 type StaleError struct {
