Start one filling task of an idle job; don't place where it is known to disturb

Each host had a service that the job's image interferes with, so the job waited until the accepted probability had grown to 1 after 8 s.

- A job without a run for 2.3 s may start one filling task on the worker that it disturbs least, if its pool is at most 0.6 in use.
The agent throttles it there; it is stopped only if it would not interfere elsewhere.
- Pairs of images without readings get a prior from the other pairs of their two images.

--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -101,7 +101,8 @@
 // updateSuspects finds the filling tasks of a worker that probably interfere
 // with the worker's services. A throttled suspect keeps other tasks from the
 // worker. It is stopped if it can continue elsewhere from a checkpoint or has
-// little work to lose.
+// little work to lose. A run of a job that had been idle is stopped only if there
+// is a worker where the task would not interfere: the job would else be idle again.
 func (l *leader) updateSuspects(w *worker, runs []*run, overTarget bool) {
 	view := l.placementView(w)
 	var suspects []structs.RunID
@@ -115,7 +116,7 @@
 		// Long-running tasks are only throttled, because a stop would use up
 		// the disruption budget of their step.
 		movable := !step.LongRunning && (step.Checkpoints || r.percent <= restartMaxPercent)
-		if r.stopReason == "" && r.startedAt != 0 && throttled && movable {
+		if r.stopReason == "" && r.startedAt != 0 && throttled && movable && (!r.endedIdleness || l.hasQuieterWorker(w, r)) {
 			l.stop(w, r, "disturbs a service")
 		}
 	}
@@ -126,6 +127,16 @@
 	}
 }
 
+// hasQuieterWorker reports whether the run could continue on another worker
+// without interfering with a service there.
+func (l *leader) hasQuieterWorker(w *worker, r *run) bool {
+	id, queue := r.id.Task, l.queueOf(r.job)
+	d := steps.Demand{
+		Job: id.Job, Round: id.Round, Step: id.Step, Spec: r.job.Step(id), Pool: queue.Pool, Priority: queue.Priority, Tasks: []int32{id.Index},
+	}
+	return steps.HasQuieterWorker(l.usableWorkerViews(l.o.Clock()), d, w.id, l.interference)
+}
+
 // usableWorkerViews returns the workers that may get new tasks, sorted by ID.
 func (l *leader) usableWorkerViews(now bootclock.Time) []*steps.Worker {
 	var views []*steps.Worker
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -96,6 +96,7 @@
 	acceptedAt     bootclock.Time // when this leader accepted the job or read it from the store
 	criticalPath   time.Duration  // longest chain of declared run times
 	lastAssignedAt bootclock.Time // time of the last assignment of a task, acceptedAt until the first one
+	idleSince      bootclock.Time // since when a task may run and none is assigned, 0 if one is or none may
 	// restartDelays holds the delays of long-running tasks that fail soon after
 	// their start, until a run is steadily at work.
 	restartDelays map[structs.StepTaskID]restartDelay
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -70,6 +70,7 @@
 	// latency target because of filling tasks on its host.
 	ViolationLimit time.Duration
 	RestartLimit   time.Duration // longest time for which a long-running task may have no run while there is room for it
+	IdleLimit      time.Duration // longest time for which a job may have no run while most of its pool is free
 	PaceDelay      time.Duration // longest time until a change of pace that the runner has confirmed takes effect
 	MaxClockDrift  float64       // largest relative difference between the rates of two clocks
 }
@@ -87,6 +88,7 @@
 	DefaultRetention         = 180 * time.Second // the platform requires 120 s
 	DefaultViolationLimit    = 4 * time.Second
 	DefaultRestartLimit      = 6 * time.Second // from the platform's rules for long-running tasks
+	DefaultIdleLimit         = 3 * time.Second // from the platform's rules for jobs
 	DefaultPaceDelay         = 100 * time.Millisecond
 	DefaultMaxClockDrift     = 0.02 // from the platform's page on runners
 )
@@ -119,6 +121,7 @@
 	setDefault(&t.Retention, DefaultRetention)
 	setDefault(&t.ViolationLimit, DefaultViolationLimit)
 	setDefault(&t.RestartLimit, DefaultRestartLimit)
+	setDefault(&t.IdleLimit, DefaultIdleLimit)
 	setDefault(&t.PaceDelay, DefaultPaceDelay)
 	setDefault(&t.MaxClockDrift, DefaultMaxClockDrift)
 	return t
@@ -148,6 +151,14 @@
 // task is overdue.
 func (t Timing) overdueAfter() time.Duration { return t.RestartLimit / overdueDivisor }
 
+// idleStartTime is the part of the limit for idle jobs that is left for a commit
+// and a start.
+const idleStartTime = 700 * time.Millisecond
+
+// idleAfter returns the time without a run after which one of the filling tasks
+// of a job may start beside services that it disturbs.
+func (t Timing) idleAfter() time.Duration { return max(0, t.IdleLimit-idleStartTime) }
+
 // complete checks the required options and fills in the defaults.
 func (o Options) complete() (Options, error) {
 	var faults []structs.Fault
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -37,6 +37,7 @@
 	if len(views) == 0 {
 		return
 	}
+	steps.KeepIdleWherePoolIsFree(views, demands)
 	l.requestMissingPermits(ctx, views, demands)
 	for _, p := range steps.Plan(views, demands, l.interference) {
 		l.assignTask(p)
@@ -94,6 +95,7 @@
 	var demands []steps.Demand
 	for _, j := range l.openJobs {
 		queue := l.queueOf(j)
+		first, hasRun := len(demands), false
 		j.ReadySteps(wall, func(round, step int32, tasks []workflow.Task) {
 			d := steps.Demand{
 				Job: j.Spec.ID, Round: round, Step: step, Spec: &j.Spec.Steps[step],
@@ -109,6 +111,7 @@
 						d.MarkDelayed(id.Index)
 					}
 				case workflow.Assigned:
+					hasRun = true
 					if d.Placed == nil {
 						d.Placed = map[structs.WorkerID]int32{}
 					}
@@ -126,10 +129,27 @@
 			}
 			demands = append(demands, d)
 		})
+		isIdle := j.updateIdle(hasRun || len(demands) == first, now) >= l.o.Timing.idleAfter()
+		for i := range demands[first:] {
+			demands[first+i].IsIdle = isIdle
+		}
 	}
 	return demands
 }
 
+// updateIdle records whether the job has a run or no task that may run, and
+// returns for how long it has had tasks that may run and no run.
+func (j *job) updateIdle(isBusy bool, now bootclock.Time) time.Duration {
+	switch {
+	case isBusy:
+		j.idleSince = 0
+		return 0
+	case j.idleSince == 0:
+		j.idleSince = now
+	}
+	return now.Sub(j.idleSince)
+}
+
 // longestOutage returns the longest time for which one of the demand's pending
 // tasks has not been at work.
 func (j *job) longestOutage(d *steps.Demand, now bootclock.Time) time.Duration {
@@ -210,7 +230,7 @@
 		w.fillAssignedAt = j.lastAssignedAt
 	}
 	r := w.assign(id, w.incarnation, j)
-	r.assignedAt = j.lastAssignedAt
+	r.assignedAt, r.endedIdleness = j.lastAssignedAt, p.IsIdle
 	if w.health.quarantinedAt != 0 {
 		w.health.trial = id
 	}
--- a/placement/steps/interference.go
+++ b/placement/steps/interference.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"github.com/daisywall/daisywall/structs"
 )
 
 // Interference estimates which filling tasks interfere with which services, by
@@ -11,10 +13,12 @@
 // interferes or doesn't: interference raises the latency to a multiple of the
 // target, so a few readings suffice. It keeps the log odds of each pair and
 // combines the neighbours of one reading as a noisy OR, in which any single
-// cause is enough. It is not safe for concurrent use.
+// cause is enough. Pairs without readings get a prior from the other pairs of
+// their images, see imageEffects. It is not safe for concurrent use.
 type Interference struct {
-	pairs      map[imagePair]float64 // log odds that the pair interferes
+	pairs      map[imagePair]float64 // log odds that the pair interferes, by its own readings and priorProbability
 	fillImages map[string]struct{}   // filling images in pairs
+	effects    *imageEffects         // effects of the images, nil if they are not up to date
 }
 
 type imagePair struct{ service, fill string }
@@ -52,6 +56,7 @@
 		i.fillImages[p.Fill] = struct{}{}
 		i.pairs[imagePair{p.Service, p.Fill}] = max(-maxLogOdds, min(maxLogOdds, p.LogOdds))
 	}
+	i.effects = nil
 }
 
 // Probabilities of the model.
@@ -77,11 +82,21 @@
 	MaxPace float64 // highest pace of its tasks during the reading, 0 to 1
 }
 
+// logOdds returns the log odds of the pair by its own readings and by those of
+// the other pairs of its images.
 func (i *Interference) logOdds(service, fill string) float64 {
+	if i.effects == nil {
+		i.effects = newImageEffects(i.pairs)
+	}
+	return max(-maxLogOdds, min(maxLogOdds, i.pairLogOdds(service, fill)+i.effects.of(service, fill)))
+}
+
+// pairLogOdds returns the log odds of the pair by its own readings.
+func (i *Interference) pairLogOdds(service, fill string) float64 {
 	if odds, stored := i.pairs[imagePair{service, fill}]; stored {
 		return odds
 	}
-	return math.Log(priorProbability / (1 - priorProbability))
+	return priorLogOdds
 }
 
 // Probability returns the probability that tasks of the filling image interfere
@@ -127,9 +142,10 @@
 }
 
 func (i *Interference) addLogOdds(service, fill string, change float64) {
-	odds := i.logOdds(service, fill) + change
+	odds := i.pairLogOdds(service, fill) + change
 	i.fillImages[fill] = struct{}{}
 	i.pairs[imagePair{service, fill}] = max(-maxLogOdds, min(maxLogOdds, odds))
+	i.effects = nil
 }
 
 // suspectThreshold is the probability above which a pair counts as interfering.
@@ -156,6 +172,16 @@
 	return false
 }
 
+// HasQuieterWorker reports whether a filling task of the demand would find room
+// on a worker other than the current one without counting as interfering with a
+// service there. The first of d.Tasks is the task.
+func HasQuieterWorker(workers []*Worker, d Demand, current structs.WorkerID, interference *Interference) bool {
+	d.interference = interference
+	return slices.ContainsFunc(workers, func(w *Worker) bool {
+		return w.ID != current && !w.isQuarantined() && !w.Suspect(interference, d.Spec.Image) && d.feasible(w)
+	})
+}
+
 // nonInterferingImageShare returns the share of the observed filling images
 // that don't count as interfering with any service on the worker, 1 without
 // observations.
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -85,6 +85,11 @@
 	// HasLostTasks is set for a long-running step with pending tasks that have
 	// run before. It goes before steps whose tasks have not.
 	HasLostTasks bool
+	// IsIdle is set if no task of the job has run for so long that the limit for
+	// idle jobs comes close, and most of the pool is free. One of its filling
+	// tasks may then start beside services that it disturbs, where the agent
+	// throttles it.
+	IsIdle bool
 	// Overdue holds the indexes of pending long-running tasks whose last run
 	// ended so long ago that the restart limit comes close. Their step is placed
 	// before the work of all priorities.
@@ -110,6 +115,7 @@
 type Placement struct {
 	Task   structs.StepTaskID
 	Worker structs.WorkerID
+	IsIdle bool // the job had been idle, see Demand.IsIdle
 }
 
 // starvationLateness is the lateness from which a job goes before all others.
@@ -296,7 +302,8 @@
 		d.reserveTask(w)
 		chosen = append(chosen, w)
 		id := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
-		placements = append(placements, Placement{Task: id, Worker: w.ID})
+		placements = append(placements, Placement{Task: id, Worker: w.ID, IsIdle: d.IsIdle})
+		d.IsIdle = d.IsIdle && d.Spec.Gang // one task is enough, and a gang starts as a whole
 	}
 	return placements
 }
@@ -368,7 +375,7 @@
 	if !d.Spec.Fills || len(d.Overdue) > 0 {
 		return true
 	}
-	if w.isOverTarget() && (d.Waited < maxOverTargetWait || !w.AllowsFillOverTarget) {
+	if w.isOverTarget() && !d.IsIdle && (d.Waited < maxOverTargetWait || !w.AllowsFillOverTarget) {
 		return false
 	}
 	return w.idleMilliCPU() >= minIdleShare*float64(d.Spec.Resources.MilliCPU)
@@ -462,6 +469,20 @@
 	maxInterferencePerWaitSecond = 0.05
 )
 
+// acceptsInterference reports whether a filling task may start on a worker where
+// it interferes with a service with the probability.
+func (d *Demand) acceptsInterference(w *Worker, probability float64) bool {
+	accepted := maxInterferenceProbability + maxInterferencePerWaitSecond*d.Waited.Seconds()
+	switch {
+	case len(d.Overdue) > 0 || d.IsIdle || accepted >= 1:
+		return true
+	case w.Suspect(d.interference, d.Spec.Image):
+		return false // the task would be throttled as soon as it has started
+	default:
+		return probability <= accepted
+	}
+}
+
 // score rates a feasible worker for a task, higher is better. It prefers idle
 // processors, a low probability of interference, healthy workers and workers
 // on which the task has not failed. It returns false if a filling task is too
@@ -472,7 +493,7 @@
 	switch {
 	case d.Spec.Fills:
 		probability := w.InterferenceProbability(d.interference, d.Spec.Image)
-		if len(d.Overdue) == 0 && probability > maxInterferenceProbability+maxInterferencePerWaitSecond*d.Waited.Seconds() {
+		if !d.acceptsInterference(w, probability) {
 			return 0, false
 		}
 		score = w.idleMilliCPU()/capacity - interferenceWeight*probability - nonInterferingShareWeight*w.nonInterferingImageShare(d.interference)
