Keep the estimate of an image on a worker for the whole plan

Cause: the leader is short of processor time on the large site. For each task of each demand it looked at every worker, and for each of those at the estimates of every filling image beside every service image there.

The estimate of an image on a worker is now kept until the worker's services change, and the effects of images are derived anew after 100 changes of pairs in place of each. What is decided is the same but for effects that are older by that.

--- a/placement/steps/interference.go
+++ b/placement/steps/interference.go
@@ -18,9 +18,14 @@
 type Interference struct {
 	pairs      map[imagePair]float64 // log odds that the pair interferes, by its own readings and priorProbability
 	fillImages map[string]struct{}   // filling images in pairs
-	effects    *imageEffects         // effects of the images, nil if they are not up to date
+	effects    *imageEffects         // effects of the images, nil before their first use
+	changes    int                   // changes of pairs since the effects were derived
 }
 
+// maxEffectChanges is the number of changes of pairs after which the effects are
+// derived anew. A large fleet changes hundreds of pairs a second.
+const maxEffectChanges = 100
+
 type imagePair struct{ service, fill string }
 
 // NewInterference returns a model without observations.
@@ -85,8 +90,8 @@
 // logOdds returns the log odds of the pair by its own readings and by those of
 // the other pairs of its images.
 func (i *Interference) logOdds(service, fill string) float64 {
-	if i.effects == nil {
-		i.effects = newImageEffects(i.pairs)
+	if i.effects == nil || i.changes > maxEffectChanges {
+		i.effects, i.changes = newImageEffects(i.pairs), 0
 	}
 	return max(-maxLogOdds, min(maxLogOdds, i.pairLogOdds(service, fill)+i.effects.of(service, fill)))
 }
@@ -145,31 +150,48 @@
 	odds := i.pairLogOdds(service, fill) + change
 	i.fillImages[fill] = struct{}{}
 	i.pairs[imagePair{service, fill}] = max(-maxLogOdds, min(maxLogOdds, odds))
-	i.effects = nil
+	i.changes++
 }
 
 // suspectThreshold is the probability above which a pair counts as interfering.
 const suspectThreshold = 0.5
 
+// imageEstimate is what the model says of a filling image on a worker.
+type imageEstimate struct {
+	probability float64 // that its tasks interfere with at least one service
+	suspect     bool    // it counts as interfering with a service
+}
+
+// estimateOf returns the estimate for the image. It is kept until the services of
+// the worker change, since a plan needs it for each task of each demand.
+func (w *Worker) estimateOf(i *Interference, image string) imageEstimate {
+	if e, found := w.estimates[image]; found {
+		return e
+	}
+	e, unaffected := imageEstimate{}, 1.0
+	for service := range w.TasksByServiceImage {
+		p := i.Probability(service, image)
+		unaffected *= 1 - p
+		e.suspect = e.suspect || p > suspectThreshold
+	}
+	e.probability = 1 - unaffected
+	if w.estimates == nil {
+		w.estimates = map[string]imageEstimate{}
+	}
+	w.estimates[image] = e
+	return e
+}
+
 // InterferenceProbability returns the probability that a task of the image
 // interferes with at least one service on the worker.
 func (w *Worker) InterferenceProbability(i *Interference, image string) float64 {
-	unaffected := 1.0
-	for service := range w.TasksByServiceImage {
-		unaffected *= 1 - i.Probability(service, image)
-	}
-	return 1 - unaffected
+	return w.estimateOf(i, image).probability
 }
 
 // Suspect reports whether the image counts as interfering with a service on
 // the worker.
 func (w *Worker) Suspect(i *Interference, image string) bool {
-	for service := range w.TasksByServiceImage {
-		if i.Probability(service, image) > suspectThreshold {
-			return true
-		}
-	}
-	return false
+	return w.estimateOf(i, image).suspect
 }
 
 // HasQuieterWorker reports whether a filling task of the demand would find room
@@ -186,18 +208,18 @@
 // that don't count as interfering with any service on the worker, 1 without
 // observations.
 func (w *Worker) nonInterferingImageShare(i *Interference) float64 {
-	if len(w.TasksByServiceImage) == 0 {
+	if len(w.TasksByServiceImage) == 0 || len(i.fillImages) == 0 {
 		return 1
 	}
-	images, nonInterfering := 0, 0
-	for image := range i.fillImages {
-		images++
-		if !w.Suspect(i, image) {
-			nonInterfering++
+	if w.nonInterferingShare == nil {
+		nonInterfering := 0
+		for image := range i.fillImages {
+			if !w.Suspect(i, image) {
+				nonInterfering++
+			}
 		}
+		share := float64(nonInterfering) / float64(len(i.fillImages))
+		w.nonInterferingShare = &share
 	}
-	if images == 0 {
-		return 1
-	}
-	return float64(nonInterfering) / float64(images)
+	return *w.nonInterferingShare
 }
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -50,6 +50,9 @@
 	AllowsTrial          bool              // a quarantined worker may start one task as a trial
 	LatencyRatio         float64           // last highest ratio of a service's tail latency to its target
 	AllowsFillOverTarget bool              // a filling task may start although a service is over its target, since none has started for a while
+
+	estimates           map[string]imageEstimate // by filling image, see estimateOf
+	nonInterferingShare *float64                 // see nonInterferingImageShare, nil until it is needed
 }
 
 // idleMilliCPU returns the processors that are expected to stay unused, in
@@ -340,6 +343,7 @@
 	}
 	w.AllowsTrial = false
 	if d.Spec.LatencyTarget > 0 {
+		w.estimates, w.nonInterferingShare = nil, nil
 		w.TasksByServiceImage[d.Spec.Image] += int(n)
 		if w.TasksByServiceImage[d.Spec.Image] == 0 {
 			delete(w.TasksByServiceImage, d.Spec.Image)
