Order filling jobs in time by the work that is left of them

Cause: with more filling jobs than find room where they disturb no service, the order by slack divided the room among all of them, and most were late.

Within a priority and a rank of slack, filling demands are ordered by the declared work of their jobs' unfinished tasks. Urgent work, services and the other batch work keep their order; jobs 30 s late go first as before.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -99,7 +99,7 @@
 		j.ReadySteps(wall, func(round, step int32, tasks []workflow.Task) {
 			d := steps.Demand{
 				Job: j.Spec.ID, Round: round, Step: step, Spec: &j.Spec.Steps[step],
-				Pool: queue.Pool, Priority: queue.Priority, Slack: l.slack(j, queue),
+				Pool: queue.Pool, Priority: queue.Priority, Slack: l.slack(j, queue), RemainingWork: j.RemainingWork(),
 			}
 			for i := range tasks {
 				id := structs.StepTaskID{Job: d.Job, Round: round, Step: step, Index: int32(i)}
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -71,6 +71,9 @@
 	Priority int           // 0 is the highest priority
 	Slack    time.Duration // time until the job is late, negative if it is late
 	Tasks    []int32       // indexes of the pending tasks
+	// RemainingWork is the declared work of the job's tasks that are not done, in
+	// processor seconds. It orders filling demands.
+	RemainingWork float64
 	// Placed counts the tasks of the step on each worker.
 	Placed map[structs.WorkerID]int32
 	// Permitted holds the workers that may run the step. Nil permits all.
@@ -124,15 +127,9 @@
 // starvationLateness is the lateness from which a job goes before all others.
 const starvationLateness = 30 * time.Second
 
-// compareSlack orders jobs by least slack within three ranks: jobs later than
-// starvationLateness, so that none starves, then jobs that can still be in
-// time, then late jobs. Under overload, first come, first served would make
-// every job late.
-func compareSlack(a, b time.Duration) int {
-	return cmp.Or(cmp.Compare(slackRank(a), slackRank(b)), cmp.Compare(a, b))
-}
-
-// Ranks of slacks. Lower ranks go first.
+// Ranks of slacks. Lower ranks go first: jobs later than starvationLateness, so
+// that none starves, then jobs that can still be in time, then late jobs. Under
+// overload, first come, first served would make every job late.
 const (
 	starvedRank = iota
 	inTimeRank
@@ -152,8 +149,10 @@
 
 // Sort orders demands by priority, with overdue ones before all others. Within
 // a priority, long-running steps come first, those that have lost tasks before
-// new ones and then by the longest wait, and then the other steps by slack. A long-running task has no end by which to be in time:
-// the slack of its job says nothing about how long it may be absent.
+// new ones and then by the longest wait. A long-running task has no end by which
+// to be in time: the slack of its job says nothing about how long it may be absent.
+// The other steps follow by the rank of their slack, filling ones within a rank by
+// the work that is left of their jobs, and then by slack.
 func Sort(demands []Demand) {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
 		order := cmp.Or(
@@ -167,11 +166,21 @@
 		case a.Spec.LongRunning:
 			return cmp.Compare(b.Waited, a.Waited)
 		default:
-			return compareSlack(a.Slack, b.Slack)
+			return cmp.Or(cmp.Compare(slackRank(a.Slack), slackRank(b.Slack)), compareWork(&a, &b), cmp.Compare(a.Slack, b.Slack))
 		}
 	})
 }
 
+// compareWork orders filling demands by the work that is left of their jobs. It
+// answers the load of more filling jobs than find undisturbed room: by slack
+// alone, the room is divided among all jobs, and most are late.
+func compareWork(a, b *Demand) int {
+	if !a.Spec.Fills || !b.Spec.Fills {
+		return 0
+	}
+	return cmp.Compare(a.RemainingWork, b.RemainingWork)
+}
+
 // effectivePriority returns the priority, or a higher one than all queues have
 // for an overdue demand.
 func (d *Demand) effectivePriority() int {
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -102,6 +102,19 @@
 	return longest
 }
 
+// RemainingWork returns the declared work of the tasks that are not done, in
+// processor seconds.
+func (j *Job) RemainingWork() float64 {
+	work := 0.0
+	for _, steps := range j.rounds {
+		for s := range steps {
+			spec := &j.Spec.Steps[s]
+			work += float64(steps[s].unfinished) * float64(spec.Resources.MilliCPU) / 1000 * spec.Estimate.Seconds()
+		}
+	}
+	return work
+}
+
 // Final reports whether the job is cancelled, failed or completed, so that none
 // of its tasks may start.
 func (j *Job) Final() bool { return j.Cancelled || j.Failed || j.unfinished == 0 }
