Let the filling job that is late by most objectives go first

One filling job at a time, the one that is late by most objectives and at least by one, goes before the others of its priority.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -99,7 +99,7 @@
 		j.ReadySteps(wall, func(round, step int32, tasks []workflow.Task) {
 			d := steps.Demand{
 				Job: j.Spec.ID, Round: round, Step: step, Spec: &j.Spec.Steps[step],
-				Pool: queue.Pool, Priority: queue.Priority, Slack: l.slack(j, queue), RemainingWork: j.RemainingWork(),
+				Pool: queue.Pool, Priority: queue.Priority, Slack: l.slack(j, queue), Objective: j.objective(queue), RemainingWork: j.RemainingWork(),
 			}
 			for i := range tasks {
 				id := structs.StepTaskID{Job: d.Job, Round: round, Step: step, Index: int32(i)}
@@ -193,8 +193,12 @@
 // slack returns the time until the job is late. Declared run times are
 // inaccurate, but good enough to distinguish short jobs from long ones.
 func (l *leader) slack(j *job, queue structs.Queue) time.Duration {
-	objective := time.Duration(queue.Stretch*float64(j.criticalPath)) + queue.Aim
-	return objective - l.o.Clock().Sub(j.acceptedAt)
+	return j.objective(queue) - l.o.Clock().Sub(j.acceptedAt)
+}
+
+// objective returns the time that the job may take.
+func (j *job) objective(queue structs.Queue) time.Duration {
+	return time.Duration(queue.Stretch*float64(j.criticalPath)) + queue.Aim
 }
 
 // avoidWorker lowers the score of a worker for a task.
--- a/placement/steps/overload_test.go
+++ b/placement/steps/overload_test.go
@@ -69,6 +69,7 @@
 			d := j.demand
 			d.Slack = overloadAim - (now - j.arrivedAt)
 			if !bySlackAlone {
+				d.Objective = overloadAim
 				d.RemainingWork = float64(j.left) * 1.8 * overloadRunTime.Seconds()
 			}
 			demands, byID[d.Job] = append(demands, d), j
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -70,7 +70,9 @@
 	Pool     structs.PoolID
 	Priority int           // 0 is the highest priority
 	Slack    time.Duration // time until the job is late, negative if it is late
-	Tasks    []int32       // indexes of the pending tasks
+	// Objective is the time that the job may take, 0 if it has none.
+	Objective time.Duration
+	Tasks     []int32 // indexes of the pending tasks
 	// RemainingWork is the declared work of the job's tasks that are not done, in
 	// processor seconds. It orders filling demands.
 	RemainingWork float64
@@ -102,6 +104,7 @@
 	Overdue map[int32]bool
 
 	interference *Interference
+	goesFirst    bool // the filling demand goes before the others of its priority, see promoteStarvedFill
 }
 
 // MarkDelayed adds a task to Delayed.
@@ -154,11 +157,13 @@
 // The other steps follow by the rank of their slack, filling ones within a rank by
 // the work that is left of their jobs, and then by slack.
 func Sort(demands []Demand) {
+	promoteStarvedFill(demands)
 	slices.SortStableFunc(demands, func(a, b Demand) int {
 		order := cmp.Or(
 			cmp.Compare(a.effectivePriority(), b.effectivePriority()),
 			compareFirst(a.Spec.LongRunning, b.Spec.LongRunning),
 			compareFirst(a.HasLostTasks, b.HasLostTasks),
+			compareFirst(a.goesFirst, b.goesFirst),
 		)
 		switch {
 		case order != 0:
@@ -171,6 +176,32 @@
 	})
 }
 
+// promoteStarvedFill lets the filling job that is late by most objectives, at
+// least one, go first. The order by remaining work would otherwise never reach
+// wide jobs under overload; more than one at a time would make all others late.
+func promoteStarvedFill(demands []Demand) {
+	var first *Demand
+	for i := range demands {
+		d := &demands[i]
+		d.goesFirst = false
+		if d.Spec.Fills && d.objectivesLate() >= 1 && (first == nil || d.objectivesLate() > first.objectivesLate()) {
+			first = d
+		}
+	}
+	if first != nil {
+		first.goesFirst = true
+	}
+}
+
+// objectivesLate returns the lateness of the job in multiples of its objective, 0
+// if it has none.
+func (d *Demand) objectivesLate() float64 {
+	if d.Objective <= 0 {
+		return 0
+	}
+	return -d.Slack.Seconds() / d.Objective.Seconds()
+}
+
 // compareWork orders filling demands by the work that is left of their jobs. It
 // answers the load of more filling jobs than find undisturbed room: by slack
 // alone, the room is divided among all jobs, and most are late.
