--- a/fleet/options.go
+++ b/fleet/options.go
@@ -64,6 +64,7 @@
 	// one without the runs is sent.
 	ReportInterval    time.Duration
 	MaxOrderAge       time.Duration // age above which an order starts nothing
+	MaxConfigAge      time.Duration // time since the last read of the configuration above which nothing starts
 	RunnerCallTimeout time.Duration // timeout of the first attempt of a call to the runner
 	Retention         time.Duration // how long the state of a finished job is kept
 	// ViolationLimit is the longest time for which a service may be over its
@@ -84,6 +85,7 @@
 	DefaultSessionTimeout    = 1200 * time.Millisecond
 	DefaultReportInterval    = 400 * time.Millisecond
 	DefaultMaxOrderAge       = 1500 * time.Millisecond
+	DefaultMaxConfigAge      = 4 * time.Second // the platform allows 5 s from a drain to the last start
 	DefaultRunnerCallTimeout = 250 * time.Millisecond
 	DefaultRetention         = 180 * time.Second // the platform requires 120 s
 	DefaultViolationLimit    = 4 * time.Second
@@ -117,6 +119,7 @@
 	setDefault(&t.SessionTimeout, DefaultSessionTimeout)
 	setDefault(&t.ReportInterval, DefaultReportInterval)
 	setDefault(&t.MaxOrderAge, DefaultMaxOrderAge)
+	setDefault(&t.MaxConfigAge, DefaultMaxConfigAge)
 	setDefault(&t.RunnerCallTimeout, DefaultRunnerCallTimeout)
 	setDefault(&t.Retention, DefaultRetention)
 	setDefault(&t.ViolationLimit, DefaultViolationLimit)
--- a/fleet/outages.go
+++ b/fleet/outages.go
@@ -161,6 +161,8 @@
 		switch reason := l.unusableReason(w, now); {
 		case reason != "":
 			excluded[reason]++
+		case !l.isConfigCurrent():
+			excluded["configuration too old"]++
 		case l.drained(w.domain):
 			excluded["domain drained"]++
 		}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -14,13 +14,21 @@
 	"github.com/daisywall/daisywall/workflow"
 )
 
-// drained reports whether operators have drained the failure domain. Without a
-// configuration it returns true, so that nothing starts.
+// isConfigCurrent reports whether the configuration is new enough to show the
+// drain of a failure domain in time.
+func (l *leader) isConfigCurrent() bool {
+	c, age := l.config.Current()
+	return c != nil && age <= l.o.Timing.MaxConfigAge
+}
+
+// drained reports whether operators may have drained the failure domain. Without
+// a current configuration it returns true, so that nothing starts: the process
+// may have been paused, or have lost the store.
 func (l *leader) drained(domain structs.FailureDomainID) bool {
-	c, _ := l.config.Current()
-	if c == nil {
+	if !l.isConfigCurrent() {
 		return true
 	}
+	c, _ := l.config.Current()
 	_, out := c.Drained[domain]
 	return out
 }
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -107,13 +107,25 @@
 	queue   structs.Queue
 	mu      sync.Mutex
 	drained map[structs.FailureDomainID]struct{}
+	readAt  time.Time // last read, zero if the configuration is always current
 	changed chan struct{}
 }
 
 func (c *fakeConfig) Current() (*structs.FleetConfig, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &structs.FleetConfig{Version: 1, Queues: map[structs.QueueID]structs.Queue{"q": c.queue}, Drained: c.drained}, 0
+	age := time.Duration(0)
+	if !c.readAt.IsZero() {
+		age = time.Since(c.readAt)
+	}
+	return &structs.FleetConfig{Version: 1, Queues: map[structs.QueueID]structs.Queue{"q": c.queue}, Drained: c.drained}, age
+}
+
+// setReadAt sets when the configuration was last read.
+func (c *fakeConfig) setReadAt(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAt = at
 }
 
 func (c *fakeConfig) Changed() <-chan struct{} { return c.changed }
