--- a/fleet/restart_state_test.go
+++ b/fleet/restart_state_test.go
@@ -23,7 +23,7 @@
 		f.config.setReadAt(time.Now().Add(-f.timing.MaxConfigAge))
 		is.NoErr(f.submit(e, testJob("a", 6)))
 		time.Sleep(2 * time.Second)
-		is.Equal(f.checker.ActiveRuns(), 0)
+		is.Equal(f.checker.StartsOf(structs.StepTaskID{Job: "a"}), 0)
 		f.config.setReadAt(time.Now())
 		f.waitUntil("completed", 4*time.Second, func() bool { return f.phase(e, "a") == structs.JobCompleted })
 	})
