Refuse a repeated submission with the first

Cause: while the store did not answer, the leader refused a job that no commit had contained, but answered only its first submission. A repeated one, whose caller had lost the answer, waited until its deadline and got 504 although the job had certainly not run. All submissions of the job are answered now. fleet.TestRepeatedSubmissionIsRefusedWithTheFirst failed before.

--- a/fleet/server.go
+++ b/fleet/server.go
@@ -153,7 +153,7 @@
 }
 
 // submit accepts a job and answers once the job is stored. A repeated
-// submission of an accepted job does not change it.
+// submission of an accepted job does not change it, and gets the same answer.
 func (l *leader) submit(spec structs.StepJob, queue structs.Queue, answer func(fleetpb.Outcome)) {
 	answerStored := func() { answer(fleetpb.Outcome_DONE) }
 	answerUnknown := func() { answer(fleetpb.Outcome_UNKNOWN) }
@@ -162,6 +162,9 @@
 		case j.stored:
 			answerStored()
 		default:
+			if refuseOthers := j.refuse; refuseOthers != nil {
+				j.refuse = func() { refuseOthers(); answer(fleetpb.Outcome_REFUSED) }
+			}
 			l.markDirty(j, answerStored, answerUnknown)
 		}
 		return
