--- a/fleet/progress.go
+++ b/fleet/progress.go
@@ -40,11 +40,11 @@
 // that they start on other workers. The agent repeats a start that the runner
 // refuses as unhealthy or does not answer. The run stays assigned until it
 // cannot start any more.
-func (l *leader) stopUnstartedRuns(w *worker, now bootclock.Time) {
+func (l *leader) stopUnstartedRuns(w *worker, runs []*run, now bootclock.Time) {
 	if !w.ready || now.Sub(w.listedAt) > l.o.Timing.SessionTimeout {
 		return
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range runs {
 		if r.startedAt != 0 || r.stopReason != "" || r.startOrderedAt == 0 || !l.isStartOverdue(w, r) {
 			continue
 		}
@@ -67,11 +67,11 @@
 
 // stopStuckRuns stops runs without progress, so that they start on other
 // workers. On some workers tasks hang although the runner answers.
-func (l *leader) stopStuckRuns(w *worker, now bootclock.Time) {
+func (l *leader) stopStuckRuns(w *worker, runs []*run, now bootclock.Time) {
 	if !w.ready || now.Sub(w.listedAt) > l.o.Timing.SessionTimeout {
 		return
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range runs {
 		if r.startedAt == 0 || r.stopReason != "" || r.pace < stuckMinPacePercent {
 			continue
 		}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -212,13 +212,14 @@
 // are stuck or do not start, and releases the runs of the worker once its lease
 // has lapsed.
 func (l *leader) checkWorker(w *worker, now bootclock.Time) {
-	for _, r := range w.sortedRuns() {
+	runs := w.sortedRuns()
+	for _, r := range runs {
 		if r.stopReason != "" && now.Sub(r.stopSentAt) > stopRepeatInterval && w.ready {
 			l.sendStop(w, r, now)
 		}
 	}
-	l.stopStuckRuns(w, now)
-	l.stopUnstartedRuns(w, now)
+	l.stopStuckRuns(w, runs, now)
+	l.stopUnstartedRuns(w, runs, now)
 	l.endLapsedQuarantine(w, now)
 	if w.session != nil && now.Sub(w.reportedAt) > l.o.Timing.SessionTimeout*2 {
 		l.detachSession(w.session, &structs.UnavailableError{Dependency: "agent"})
