--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -116,7 +116,7 @@
 		// Long-running tasks are only throttled, because a stop would use up
 		// the disruption budget of their step.
 		movable := !step.LongRunning && (step.Checkpoints || r.percent <= restartMaxPercent)
-		if r.stopReason == "" && r.startedAt != 0 && throttled && movable && (!r.endedIdleness || l.hasQuieterWorker(w, r)) {
+		if r.stopReason == "" && r.startedAt != 0 && throttled && movable && (!r.startedForIdleJob || l.canRunElsewhere(w, r)) {
 			l.stop(w, r, "disturbs a service")
 		}
 	}
@@ -127,14 +127,14 @@
 	}
 }
 
-// hasQuieterWorker reports whether the run could continue on another worker
+// canRunElsewhere reports whether the run's task could continue on another worker
 // without interfering with a service there.
-func (l *leader) hasQuieterWorker(w *worker, r *run) bool {
+func (l *leader) canRunElsewhere(w *worker, r *run) bool {
 	id, queue := r.id.Task, l.queueOf(r.job)
 	d := steps.Demand{
 		Job: id.Job, Round: id.Round, Step: id.Step, Spec: r.job.Step(id), Pool: queue.Pool, Priority: queue.Priority, Tasks: []int32{id.Index},
 	}
-	return steps.HasQuieterWorker(l.usableWorkerViews(l.o.Clock()), d, w.id, l.interference)
+	return steps.CanRunWithoutInterference(l.usableWorkerViews(l.o.Clock()), d, w.id, l.interference)
 }
 
 // usableWorkerViews returns the workers that may get new tasks, sorted by ID.
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -106,7 +106,7 @@
 		queue := j.queueIn(config)
 		first, hasRun := len(demands), false
 		j.ReadySteps(wall, func(round, step int32, tasks []workflow.Task) {
-			if !slices.ContainsFunc(tasks, isPending) { // as for most steps of a busy fleet
+			if !slices.ContainsFunc(tasks, isPending) {
 				hasRun = hasRun || slices.ContainsFunc(tasks, isAssigned)
 				return
 			}
@@ -247,7 +247,7 @@
 		w.fillAssignedAt = j.lastAssignedAt
 	}
 	r := w.assign(id, w.incarnation, j)
-	r.assignedAt, r.endedIdleness = j.lastAssignedAt, p.IsIdle
+	r.assignedAt, r.startedForIdleJob = j.lastAssignedAt, p.IsIdle
 	if w.health.quarantinedAt != 0 {
 		w.health.trial = id
 	}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -55,14 +55,14 @@
 
 // run is a run that is assigned to a worker.
 type run struct {
-	id               structs.RunID
-	incarnation      string
-	job              *job
-	assignedAt       bootclock.Time // 0 for a run that an earlier leader assigned
-	endedIdleness    bool           // its job had been idle, so that it may disturb services
-	stored           bool           // the assignment is stored, which is required before the run starts
-	startOrderNumber int64          // number of the orders that contain the start, 0 if no start was ordered
-	startOrderedAt   bootclock.Time // when these orders were sent, 0 until then
+	id                structs.RunID
+	incarnation       string
+	job               *job
+	assignedAt        bootclock.Time // 0 for a run that an earlier leader assigned
+	startedForIdleJob bool           // its job had been idle, so that it may disturb services
+	stored            bool           // the assignment is stored, which is required before the run starts
+	startOrderNumber  int64          // number of the orders that contain the start, 0 if no start was ordered
+	startOrderedAt    bootclock.Time // when these orders were sent, 0 until then
 	// stopReason is empty unless the run was ordered to stop.
 	stopReason     string
 	stoppedAt      bootclock.Time // when the stop was first ordered
--- a/placement/steps/interference.go
+++ b/placement/steps/interference.go
@@ -194,10 +194,10 @@
 	return w.estimateOf(i, image).suspect
 }
 
-// HasQuieterWorker reports whether a filling task of the demand would find room
-// on a worker other than the current one without counting as interfering with a
-// service there. The first of d.Tasks is the task.
-func HasQuieterWorker(workers []*Worker, d Demand, current structs.WorkerID, interference *Interference) bool {
+// CanRunWithoutInterference reports whether a filling task of the demand has room
+// on a worker other than the current one, where it doesn't count as interfering
+// with a service. The first of d.Tasks is the task.
+func CanRunWithoutInterference(workers []*Worker, d Demand, current structs.WorkerID, interference *Interference) bool {
 	d.interference = interference
 	return slices.ContainsFunc(workers, func(w *Worker) bool {
 		return w.ID != current && !w.isQuarantined() && !w.Suspect(interference, d.Spec.Image) && d.feasible(w)
