Follow the next leader while waiting for the time of a takeover

Cause: the first call of an agent reaches the former leader's restarted process, which does not lead. The agent then slept for the second by which a takeover is delayed and read the leadership row only afterwards.

It reads the row every 250 ms meanwhile and ends the wait when the epoch has changed. When it takes over itself is unchanged. fleet.TestWorkersFollowTheNextLeaderSoonAfterAllAgentsHaveRestarted failed before (not within 600 ms).

--- a/fleet/node.go
+++ b/fleet/node.go
@@ -99,6 +99,7 @@
 	contendJitter  = 120 * time.Millisecond // random delay that keeps candidates from committing at the same time
 	drainingDelay  = 400 * time.Millisecond // extra delay of a draining host, so that any other candidate wins
 	searchTimeout  = time.Second            // timeout of one call to the store
+	nextLeaderPoll = 250 * time.Millisecond // pause between two reads of the leadership row before a takeover
 )
 
 // Run keeps sessions with leaders, and leads when there is none, until ctx
@@ -164,7 +165,7 @@
 	if n.host.draining() {
 		wait += drainingDelay
 	}
-	if err := sleep(ctx, wait); err != nil {
+	if changed, err := n.waitForNextLeader(ctx, row, wait); changed || err != nil {
 		return err
 	}
 	current, err := n.readLeaderRow(ctx)
@@ -182,6 +183,24 @@
 	return n.becomeLeader(ctx, group, current, readAt)
 }
 
+// waitForNextLeader waits for d, or until the leadership row has another epoch, and
+// reports whether it has. After a loss of all hosts, the node at the address in the
+// row may answer that it does not lead, and then another one leads soon.
+func (n *Node) waitForNextLeader(ctx context.Context, row leaderRow, d time.Duration) (bool, error) {
+	for end := n.o.Clock().Add(d); ; {
+		left := end.Sub(n.o.Clock())
+		if left <= nextLeaderPoll {
+			return false, sleep(ctx, max(0, left))
+		}
+		if err := sleep(ctx, nextLeaderPoll); err != nil {
+			return false, err
+		}
+		if current, err := n.readLeaderRow(ctx); err == nil && current.Epoch != row.Epoch {
+			return true, nil
+		}
+	}
+}
+
 // handleTakeoverRequests tries to replace each leader that requests a takeover.
 // The session with that leader continues meanwhile, because the leader may
 // still renew leases and this node may not reach the store either.
--- a/fleet/restart_state_test.go
+++ b/fleet/restart_state_test.go
@@ -104,3 +104,19 @@
 		}
 	})
 }
+
+// TestWorkersFollowTheNextLeaderSoonAfterAllAgentsHaveRestarted guards against
+// agents that wait for the time of a takeover although another node leads
+// already. The first agents reach the former leader's restarted process, which
+// does not lead.
+func TestWorkersFollowTheNextLeaderSoonAfterAllAgentsHaveRestarted(t *testing.T) {
+	runInFleet(t, 6, func(f *simulatedFleet) {
+		f.waitReady()
+		for range 5 {
+			f.restartAgents()
+			f.waitUntil("a leader", 4*time.Second, func() bool { return f.leaderHost() != nil })
+			f.waitUntil("all workers are ready", 2*nextLeaderPoll+100*time.Millisecond, func() bool { return f.readyWorkers() == len(f.hosts) })
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
