--- a/placement/steps/order_test.go
+++ b/placement/steps/order_test.go
@@ -11,10 +11,10 @@
 func someDemands() []*Demand {
 	var list []*Demand
 	for _, step := range []structs.Step{{}, {Fills: true}, {LongRunning: true}} {
-		for _, slack := range []time.Duration{-40, -1, 1, 2, 3} {
+		for _, slack := range []time.Duration{-40 * time.Second, -time.Second, time.Second, 2 * time.Second, 3 * time.Second} {
 			for work := range 3 {
 				d := demand("a", 1, step)
-				d.Slack, d.RemainingWork = slack*time.Second, float64(work)
+				d.Slack, d.RemainingWork = slack, float64(work)
 				list = append(list, &d)
 			}
 		}
