--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -433,21 +433,3 @@
 		l.log.Info("configuration changed", zap.Int64("version", c.Version), zap.Int("drained_domains", len(c.Drained)), zap.Duration("age", age))
 	}
 }
-
-// queueOf returns the current configuration of the job's queue, or the one at
-// its acceptance if the queue was removed.
-func (l *leader) queueOf(j *job) structs.Queue {
-	c, _ := l.config.Current()
-	return j.queueIn(c)
-}
-
-// queueIn returns the configuration of the job's queue in c, or the one at its
-// acceptance if c is nil or lacks the queue.
-func (j *job) queueIn(c *structs.FleetConfig) structs.Queue {
-	if c != nil {
-		if q, found := c.Queues[j.Spec.Queue]; found {
-			return q
-		}
-	}
-	return j.Queue
-}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -33,6 +33,24 @@
 	return out
 }
 
+// queueOf returns the current configuration of the job's queue, or the one at
+// its acceptance if the queue was removed.
+func (l *leader) queueOf(j *job) structs.Queue {
+	c, _ := l.config.Current()
+	return j.queueIn(c)
+}
+
+// queueIn returns the configuration of the job's queue in c, or the one at its
+// acceptance if c is nil or lacks the queue.
+func (j *job) queueIn(c *structs.FleetConfig) structs.Queue {
+	if c != nil {
+		if q, found := c.Queues[j.Spec.Queue]; found {
+			return q
+		}
+	}
+	return j.Queue
+}
+
 // schedule assigns pending tasks to workers. The workers get the orders once
 // the next commit has stored the assignments.
 func (l *leader) schedule(ctx context.Context) {
