Task runners of the stand-in that a run crashes

TaskRunnerOptions.Crashes and CrashDowntime: a run crashes its runner some time after its start, the runner takes its other runs with it, refuses connections and is back as a new incarnation. The simulated fleet gets the same switch.

--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -38,7 +38,10 @@
 	// failsAfter returns the time after which a run fails, 0 for a run that
 	// doesn't.
 	failsAfter func(structs.RunID) time.Duration
-	permits    *standin.PermitIssuer // nil if the queue has no permit policy
+	// crashes returns the time after which a run crashes its runner, 0 for a run
+	// that doesn't. The runner restarts after crashDowntime.
+	crashes func(structs.RunID) time.Duration
+	permits *standin.PermitIssuer // nil if the queue has no permit policy
 	// beforeStart is called before each start reaches the runner. It may be
 	// nil.
 	beforeStart func(h *simulatedHost)
@@ -146,6 +149,10 @@
 
 var testCapacity = structs.Resources{MilliCPU: 4000, MemoryMB: 8000}
 
+// crashDowntime is the time after which a runner that a run has crashed
+// restarts.
+const crashDowntime = 3200 * time.Millisecond
+
 func newSimulatedFleet(t *testing.T, hosts int) *simulatedFleet {
 	return newSimulatedFleetWithPermits(t, hosts, nil)
 }
@@ -159,6 +166,7 @@
 		runTime:     func(structs.RunID) time.Duration { return time.Second },
 		longRunning: func(structs.RunID) bool { return false },
 		failsAfter:  func(structs.RunID) time.Duration { return 0 },
+		crashes:     func(structs.RunID) time.Duration { return 0 },
 	}
 	if permits != nil {
 		f.config.queue.Permits = permits.Policy
@@ -177,6 +185,7 @@
 			RunTime: func(r structs.RunID) time.Duration { return f.runTime(r) }, PaceDelay: f.timing.PaceDelay,
 			LongRunning: func(r structs.RunID) bool { return f.longRunning(r) },
 			FailsAfter:  func(r structs.RunID) time.Duration { return f.failsAfter(r) },
+			Crashes:     func(r structs.RunID) time.Duration { return f.crashes(r) }, CrashDowntime: crashDowntime,
 			Reading: func(r structs.RunID) int64 {
 				if f.reading == nil {
 					return 0
--- a/standin/runchecker.go
+++ b/standin/runchecker.go
@@ -12,8 +12,9 @@
 
 // RunChecker observes task runners independently of the code under test. It
 // records each violation of the guarantees for their tasks: one run at a time,
-// no run after an acknowledged end, and no runner above its capacity. It
-// implements RunObserver. The memory of the tasks is not checked.
+// no run after an acknowledged end, no runner above its capacity, and few
+// starts of a task that has crashed its runners. It implements RunObserver. The
+// memory of the tasks is not checked.
 type RunChecker struct {
 	// AllowsRestartAfterDone is set for systems in which a task may run again
 	// after it has ended as done.
@@ -33,11 +34,19 @@
 	reservedCPU      map[string]int64            // requests of the active runs, by runner
 	starts           map[structs.StepTaskID]int
 	startsOn         map[runnerTask]int
+	startsAtCrash    map[structs.StepTaskID][]int // number of starts of the task at each of the crashes that it caused
 	ends             map[substrate.RunEnd]int
 	violations       []string
 	events           []string // every event, one line each
 }
 
+// A task may be started fewer than excessiveStarts times after it has crashed
+// its runners crashLimit times.
+const (
+	crashLimit      = 3
+	excessiveStarts = 3
+)
+
 // runnerTask identifies a task on a runner.
 type runnerTask struct {
 	runner string
@@ -50,7 +59,7 @@
 	return &RunChecker{
 		runnerCPU: capacity, defaultTaskCPU: cpu, running: map[structs.StepTaskID]map[string]structs.RunID{},
 		acknowledgedDone: map[structs.StepTaskID]bool{}, everDone: map[structs.StepTaskID]bool{}, activeRuns: map[string]int{}, reservedCPU: map[string]int64{},
-		starts: map[structs.StepTaskID]int{}, startsOn: map[runnerTask]int{}, ends: map[substrate.RunEnd]int{},
+		starts: map[structs.StepTaskID]int{}, startsOn: map[runnerTask]int{}, startsAtCrash: map[structs.StepTaskID][]int{}, ends: map[substrate.RunEnd]int{},
 	}
 }
 
@@ -83,6 +92,9 @@
 	if len(c.running[r.Task]) > 1 {
 		c.addViolation("%s started on %s beside another run: %v", r, runner, c.running[r.Task])
 	}
+	if c.startsAfterCrash(r.Task, crashLimit) == excessiveStarts {
+		c.addViolation("%s started on %s, start %d after crash %d by its task", r, runner, excessiveStarts, crashLimit)
+	}
 	c.activeRuns[runner]++
 	c.reservedCPU[runner] += c.requestOf(r.Task)
 	if c.reservedCPU[runner] > c.runnerCPU {
@@ -134,6 +146,37 @@
 	return n
 }
 
+// Crashed implements RunObserver.
+func (c *RunChecker) Crashed(runner string, r structs.RunID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, fmt.Sprintf("%s crashed by %s %s", time.Now().Format("05.000"), r, runner))
+	c.startsAtCrash[r.Task] = append(c.startsAtCrash[r.Task], c.starts[r.Task])
+}
+
+// CrashesUnder returns the number of crashes of runners that the task caused.
+func (c *RunChecker) CrashesUnder(id structs.StepTaskID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.startsAtCrash[id])
+}
+
+// StartsAfterCrash returns the number of starts of the task after the nth crash
+// that it caused, n counted from 1.
+func (c *RunChecker) StartsAfterCrash(id structs.StepTaskID, n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.startsAfterCrash(id, n)
+}
+
+// startsAfterCrash implements StartsAfterCrash. The caller holds the lock.
+func (c *RunChecker) startsAfterCrash(id structs.StepTaskID, n int) int {
+	if crashes := c.startsAtCrash[id]; len(crashes) >= n {
+		return c.starts[id] - crashes[n-1]
+	}
+	return 0
+}
+
 // Reset implements RunObserver.
 func (c *RunChecker) Reset(runner string) {
 	c.mu.Lock()
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -18,6 +18,8 @@
 	// It is not called for runs that ended up to the latest expiry of the
 	// runner's lease, since these ends do not count as known to any caller.
 	Acknowledged(runner string, run structs.RunID, end substrate.RunEnd)
+	// Crashed is called before Reset when a run has crashed its runner.
+	Crashed(runner string, run structs.RunID)
 	// Reset is called when a runner has dropped all of its runs.
 	Reset(runner string)
 }
@@ -41,6 +43,12 @@
 	// FailsAfter returns the time after which a run ends as failed, 0 for a run
 	// that does not. No run does if it is nil.
 	FailsAfter func(structs.RunID) time.Duration
+	// Crashes returns the time after which a run crashes the runner, 0 for a run
+	// that does not. No run does if it is nil.
+	Crashes func(structs.RunID) time.Duration
+	// CrashDowntime is the time after which a runner that a run has crashed
+	// restarts by itself. If it is 0, the runner stays down.
+	CrashDowntime time.Duration
 }
 
 // LateStartDelay is how long after its call a start or a change of pace takes
@@ -74,6 +82,7 @@
 	unacknowledged   []substrate.EndedRun         // ended runs that no caller has acknowledged, oldest first
 	endCount         int64                        // number of runs that ended in this incarnation
 	lastLapsedEnd    int64                        // value of endCount at the latest lease expiry, 0 without an expiry
+	selfRestart      *time.Timer                  // restart after a crash by a run, nil if none is due
 	refusing         bool                         // connections are refused
 	unresponsive     bool                         // calls get no reply
 	failRuns         bool                         // runs end as failed
@@ -105,6 +114,11 @@
 func (r *TaskRunner) Restart() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.restartLocked()
+}
+
+// restartLocked begins a new incarnation. The caller holds the lock.
+func (r *TaskRunner) restartLocked() {
 	r.dropRunsLocked()
 	r.incarnationStart = time.Now()
 	r.info.StartedAt = r.incarnationStart
@@ -116,8 +130,13 @@
 	r.refusing, r.unresponsive = false, false
 }
 
-// dropRunsLocked drops every run. The caller holds the lock.
+// dropRunsLocked drops every run and the restart that is due. The caller holds
+// the lock.
 func (r *TaskRunner) dropRunsLocked() {
+	if r.selfRestart != nil {
+		r.selfRestart.Stop()
+		r.selfRestart = nil
+	}
 	for id, run := range r.runs {
 		run.timer.Stop()
 		r.leaveGang(id)
@@ -137,6 +156,32 @@
 	r.refusing, r.unresponsive = !unresponsive, unresponsive
 }
 
+// crashBy ends the incarnation because of a run, unless the run has ended
+// before. The runner refuses connections until it restarts after CrashDowntime.
+func (r *TaskRunner) crashBy(id structs.RunID, run *taskRun) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs[id] != run {
+		return
+	}
+	if r.options.Observer != nil {
+		r.options.Observer.Crashed(r.info.ID, id)
+	}
+	r.dropRunsLocked()
+	r.refusing = true
+	if r.options.CrashDowntime > 0 {
+		var restart *time.Timer
+		restart = time.AfterFunc(r.options.CrashDowntime, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if r.selfRestart == restart {
+				r.restartLocked()
+			}
+		})
+		r.selfRestart = restart
+	}
+}
+
 // IsCrashed reports whether the runner has crashed.
 func (r *TaskRunner) IsCrashed() bool {
 	r.mu.Lock()
@@ -384,6 +429,11 @@
 		}
 	})
 	r.runs[id] = run
+	if r.options.Crashes != nil {
+		if after := r.options.Crashes(id); after > 0 {
+			time.AfterFunc(after, func() { r.crashBy(id, run) })
+		}
+	}
 	if r.options.Observer != nil {
 		r.options.Observer.Started(r.info.ID, id)
 	}
--- a/standin/taskrunner_test.go
+++ b/standin/taskrunner_test.go
@@ -58,6 +58,45 @@
 	})
 }
 
+func TestRunCrashesItsRunnerWhichRestartsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		checker := standin.NewRunChecker(3000, 1000)
+		r := standin.NewTaskRunner(standin.TaskRunnerOptions{
+			Info: substrate.RunnerInfo{ID: "r"}, MaxLease: 10 * time.Second, Observer: checker, CrashDowntime: 3 * time.Second,
+			RunTime: func(structs.RunID) time.Duration { return time.Second },
+			Crashes: func(id structs.RunID) time.Duration {
+				return map[structs.JobID]time.Duration{"deadly": 10 * time.Millisecond, "ends before": 2 * time.Second}[id.Task.Job]
+			},
+		})
+		defer r.Crash(false)
+		deadly := firstRunOf("deadly").Task
+		startRun(t, r, "ends before")
+		time.Sleep(2 * time.Second)
+		for crash := 1; crash <= 6; crash++ {
+			startRun(t, r, "sound")
+			startRun(t, r, "deadly")
+			time.Sleep(10 * time.Millisecond)
+			synctest.Wait()
+			is.True(r.IsCrashed())
+			is.Equal(checker.ActiveRuns(), 0)
+			is.Equal(checker.CrashesUnder(deadly), crash)
+			is.Equal(checker.StartsAfterCrash(deadly, 3), max(0, crash-3))
+			is.Equal(len(checker.Violations()), max(0, crash-5))
+			time.Sleep(3 * time.Second)
+			synctest.Wait()
+			is.True(!r.IsCrashed())
+		}
+		startRun(t, r, "deadly")
+		time.Sleep(20 * time.Millisecond)
+		r.Crash(false) // replaces the crash by the run
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		is.True(r.IsCrashed())
+		is.Equal(checker.CrashesUnder(firstRunOf("ends before").Task), 0)
+	})
+}
+
 func TestRunCheckerAddsTheRequestsOfTasksOfDifferentSizes(t *testing.T) {
 	is := is.New(t)
 	requests := map[structs.JobID]int64{"large": 700, "small": 300, "free": 0, "tiny": 1}
