Failing tests of tasks that crash the runners that start them

No deadly job is failed after 30 s; its task crashes 4 to 39 runners and is started 3 to 36 times after the third crash. In some subtests a service is without a run 6 s after the last crash, since the crashes go on.

Deadly jobs stay running, and other jobs beside them are not completed 40 s after the faults.

--- a/fleet/mixed_fleet_test.go
+++ b/fleet/mixed_fleet_test.go
@@ -25,9 +25,10 @@
 	works     map[structs.JobID]mixedWork
 	jobCounts map[string]int // number of jobs, by prefix
 	failing   map[*simulatedHost]bool
-	backlog   []openTask    // short tasks that are not done
-	overdue   []openTask    // short tasks that left the backlog without being done
-	shortWork time.Duration // run time of the short tasks that are done, as time on a whole processor
+	unsure    map[structs.JobID]bool // jobs that were not accepted, or whose submission got no answer
+	backlog   []openTask             // short tasks that are not done
+	overdue   []openTask             // short tasks that left the backlog without being done
+	shortWork time.Duration          // run time of the short tasks that are done, as time on a whole processor
 	stop      chan struct{}
 	streams   sync.WaitGroup
 }
@@ -57,7 +58,7 @@
 func newMixedFleet(t *testing.T, hosts int, seed uint64) *mixedFleet {
 	m := &mixedFleet{
 		simulatedFleet: newSimulatedFleet(t, hosts), rng: rand.New(rand.NewPCG(seed, 1)),
-		works: map[structs.JobID]mixedWork{}, jobCounts: map[string]int{}, failing: map[*simulatedHost]bool{},
+		works: map[structs.JobID]mixedWork{}, jobCounts: map[string]int{}, failing: map[*simulatedHost]bool{}, unsure: map[structs.JobID]bool{},
 		stop: make(chan struct{}),
 	}
 	m.checker.TaskCPU = func(id structs.StepTaskID) int64 {
@@ -246,6 +247,9 @@
 func (m *mixedFleet) submitInBackground(job *structs.StepJob, onError func()) {
 	m.streams.Go(func() {
 		if m.submit(m.entry, job) != nil {
+			m.mu.Lock()
+			m.unsure[job.ID] = true
+			m.mu.Unlock()
 			onError()
 		}
 	})
--- a/fleet/random_faults_test.go
+++ b/fleet/random_faults_test.go
@@ -32,6 +32,7 @@
 	// cancellation succeeded.
 	accepted, refused, cancelled map[string]bool
 	jobCount                     int
+	withDeadly                   bool     // some jobs have a task that crashes its runners
 	trace                        []string // steps so far, one line each
 }
 
@@ -81,8 +82,12 @@
 	}
 }
 
-// jobID returns the ID of the nth job. Every fourth job consists of gangs.
+// jobID returns the ID of the nth job. Every fourth job consists of gangs, and
+// every fifth may be deadly.
 func (h *randomFaults) jobID(n int) string {
+	if h.withDeadly && n%5 == 2 {
+		return fmt.Sprintf("%s%d", deadlyPrefix, n)
+	}
 	if n%4 == 0 {
 		return fmt.Sprintf("%s%d", gangPrefix, n)
 	}
@@ -137,14 +142,14 @@
 	}
 }
 
-// checkOutcomes checks that all accepted jobs finish, that no task of a refused
+// checkOutcomes checks that all accepted jobs finish, deadly ones as failed, that no task of a refused
 // job has started, and that the run checker has found no violation.
 func (h *randomFaults) checkOutcomes(t *testing.T) {
 	limit := 40 * time.Second
 	for id := range h.accepted {
 		for begun := time.Now(); ; time.Sleep(50 * time.Millisecond) {
 			phase := h.fleet.phase(h.entry, id)
-			if phase == structs.JobCompleted || (phase == structs.JobCancelled && h.cancelled[id]) || phase == structs.JobCancelled && h.mayBeCancelled(id) {
+			if phase == finalPhase(id) || (phase == structs.JobCancelled && h.cancelled[id]) || phase == structs.JobCancelled && h.mayBeCancelled(id) {
 				break
 			}
 			if time.Since(begun) > limit {
@@ -172,6 +177,14 @@
 	}
 }
 
+// finalPhase returns the phase in which a job ends that is not cancelled.
+func finalPhase(id string) structs.JobPhase {
+	if strings.HasPrefix(id, deadlyPrefix) {
+		return structs.JobFailed
+	}
+	return structs.JobCompleted
+}
+
 // mayBeCancelled reports whether a cancellation of the job was sent, even if it
 // returned an error.
 func (h *randomFaults) mayBeCancelled(id string) bool {
@@ -185,7 +198,7 @@
 	return false
 }
 
-func runRandomFaults(t *testing.T, seed uint64) {
+func runRandomFaults(t *testing.T, seed uint64, withDeadly bool) {
 	synctest.Test(t, func(t *testing.T) {
 		var issuer *standin.PermitIssuer
 		if seed%4 == 3 {
@@ -195,9 +208,15 @@
 		}
 		f := newSimulatedFleetWithPermits(t, 4, issuer)
 		defer f.close()
+		f.crashes = func(r structs.RunID) time.Duration {
+			if strings.HasPrefix(string(r.Task.Job), deadlyPrefix) && r.Task.Step == 0 && r.Task.Index == 0 {
+				return deadlyAfter
+			}
+			return 0
+		}
 		f.waitReady()
 		h := &randomFaults{
-			fleet: f, rng: rand.New(rand.NewPCG(seed, 1)), entry: f.newEntry(),
+			withDeadly: withDeadly, fleet: f, rng: rand.New(rand.NewPCG(seed, 1)), entry: f.newEntry(),
 			accepted: map[string]bool{}, refused: map[string]bool{}, cancelled: map[string]bool{},
 		}
 		defer h.entry.Close()
@@ -218,7 +237,14 @@
 // refused job may run.
 func TestRandomFaultsKeepInvariants(t *testing.T) {
 	for seed := range uint64(randomSeedCount) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, false) })
+	}
+}
+
+// The same faults beside tasks that crash the runners that start them.
+func TestRandomFaultsBesideDeadlyTasksKeepInvariants(t *testing.T) {
+	for seed := range uint64(randomSeedCount) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, true) })
 	}
 }
 
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -41,7 +41,10 @@
 	// crashes returns the time after which a run crashes its runner, 0 for a run
 	// that doesn't. The runner restarts after crashDowntime.
 	crashes func(structs.RunID) time.Duration
-	permits *standin.PermitIssuer // nil if the queue has no permit policy
+	// afterCrash is called after a run has crashed the host's runner. It may be
+	// nil.
+	afterCrash func(h *simulatedHost)
+	permits    *standin.PermitIssuer // nil if the queue has no permit policy
 	// beforeStart is called before each start reaches the runner. It may be
 	// nil.
 	beforeStart func(h *simulatedHost)
@@ -181,7 +184,7 @@
 			Info: substrate.RunnerInfo{
 				ID: string(name), Pool: "pool", FailureDomain: domain, Capacity: testCapacity, Address: string(name),
 			},
-			MaxLease: f.timing.MaxLease, Observer: f.checker, Gangs: f.gangs, Permits: permits, AcceptsStaleCalls: true,
+			MaxLease: f.timing.MaxLease, Observer: &crashObserver{RunChecker: f.checker, host: h}, Gangs: f.gangs, Permits: permits, AcceptsStaleCalls: true,
 			RunTime: func(r structs.RunID) time.Duration { return f.runTime(r) }, PaceDelay: f.timing.PaceDelay,
 			LongRunning: func(r structs.RunID) bool { return f.longRunning(r) },
 			FailsAfter:  func(r structs.RunID) time.Duration { return f.failsAfter(r) },
@@ -199,6 +202,20 @@
 	return f
 }
 
+// crashObserver is the observer of one host's runner.
+type crashObserver struct {
+	*standin.RunChecker
+	host *simulatedHost
+}
+
+// Crashed implements standin.RunObserver.
+func (o *crashObserver) Crashed(runner string, run structs.RunID) {
+	o.RunChecker.Crashed(runner, run)
+	if o.host.fleet.afterCrash != nil {
+		go o.host.fleet.afterCrash(o.host)
+	}
+}
+
 func (f *simulatedFleet) clock() bootclock.Time {
 	return bootclock.Time(time.Since(f.start) + time.Hour)
 }
