Soak with jobs whose tasks crash the runners that start them

TestSeedsWithDeadlyJobs: three callers submit a job with one such task. The runner refuses connections and is back after 1 to 3 s. A deadly job must be failed in the end, and only after a crash by its task; no other job may be failed. Deadly tasks may crash three runners after the faults, and none after the end of their jobs. The seeds of the other tests keep their jobs.

The link to a runner has a reserved port, since it is closed and opened again.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -26,6 +26,7 @@
 	id           structs.JobID
 	tasksPerStep []int // number of tasks of each step
 	isGang       bool
+	isDeadly     bool // the first task of the last step crashes the runners that start it
 
 	mu        sync.Mutex
 	accepted  bool // an attempt to submit the job was answered with success
@@ -34,6 +35,11 @@
 	completed bool
 }
 
+// deadlyTask returns the task of a deadly job that crashes its runners.
+func (j *submittedJob) deadlyTask() structs.StepTaskID {
+	return structs.StepTaskID{Job: j.id, Step: int32(len(j.tasksPerStep) - 1)}
+}
+
 func (j *submittedJob) body() string {
 	var steps []string
 	for i, n := range j.tasksPerStep {
@@ -92,10 +98,11 @@
 	c.answersByStatus[status]++
 }
 
-// run submits jobs and reads the state of jobs until ctx ends.
-func (c *callers) run(ctx context.Context, rng *rand.Rand) {
-	for ctx.Err() == nil {
-		j := &submittedJob{id: structs.JobID(fmt.Sprintf("%016x", rng.Uint64())), isGang: rng.IntN(4) == 0}
+// run submits jobs and reads the state of jobs until ctx ends. The job with the
+// number deadlyJob, counted from 0, is deadly, none if it is negative.
+func (c *callers) run(ctx context.Context, rng *rand.Rand, deadlyJob int) {
+	for number := 0; ctx.Err() == nil; number++ {
+		j := &submittedJob{id: structs.JobID(fmt.Sprintf("%016x", rng.Uint64())), isGang: rng.IntN(4) == 0, isDeadly: number == deadlyJob}
 		for range 1 + rng.IntN(2) {
 			j.tasksPerStep = append(j.tasksPerStep, 1+rng.IntN(3))
 		}
@@ -167,7 +174,7 @@
 	switch {
 	case status == http.StatusGone && accepted:
 		c.system.checker.reportViolation("%s was accepted, but is reported as unknown at %s", j.id, time.Now().Format("05.000"))
-	case answer.State == structs.JobFailed, answer.State == structs.JobCancelled && !j.cancelled:
+	case answer.State == structs.JobFailed && c.system.checker.CrashesUnder(j.deadlyTask()) == 0, answer.State == structs.JobCancelled && !j.cancelled:
 		c.system.checker.reportViolation("%s is reported as %s without cause", j.id, answer.State)
 	case answer.State == structs.JobCompleted && !c.system.checker.allFinished(j):
 		c.system.checker.reportViolation("%s is reported as completed before all its tasks have finished", j.id)
--- a/soak/job_checker_test.go
+++ b/soak/job_checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
@@ -18,6 +19,7 @@
 	mu            sync.Mutex
 	jobs          map[structs.JobID]*submittedJob
 	jobViolations []string
+	onCrash       func(runner string) // called after a run has crashed its runner, may be nil
 }
 
 func newJobChecker() *jobChecker {
@@ -63,6 +65,23 @@
 	}
 }
 
+// Crashed implements standin.RunObserver.
+func (c *jobChecker) Crashed(runner string, run structs.RunID) {
+	c.RunChecker.Crashed(runner, run)
+	if c.onCrash != nil {
+		go c.onCrash(runner)
+	}
+}
+
+// crashesAfter returns the time after which a run crashes its runner, 0 for a
+// run that does not.
+func (c *jobChecker) crashesAfter(run structs.RunID) time.Duration {
+	if j := c.job(run.Task.Job); j != nil && j.isDeadly && run.Task == j.deadlyTask() {
+		return deadlyAfter
+	}
+	return 0
+}
+
 // stepFinished reports whether the tasks of a step have finished. A gang
 // finishes as a whole, so one of its finished tasks is enough.
 func (c *jobChecker) stepFinished(j *submittedJob, step int32) bool {
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -25,11 +25,11 @@
 // link is a loopback proxy in front of an address. A connection that has lost
 // bytes stays silent until it is closed, also after the fault has ended.
 type link struct {
-	listener  net.Listener
-	upstream  string
-	isBlocked func() bool // reports whether a host at either end of the link is isolated
+	listenAddress, upstream string
+	isBlocked               func() bool // reports whether a host at either end of the link is isolated
 
 	mu          sync.Mutex
+	listener    net.Listener // nil while the link refuses connections
 	fault       linkFault
 	connections map[*linkConnection]struct{}
 }
@@ -43,20 +43,52 @@
 }
 
 func newLink(upstream string, isBlocked func() bool) (*link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	return newLinkAt("127.0.0.1:0", upstream, isBlocked)
+}
+
+// newLinkAt returns a link that listens at the address. A link that refuses
+// connections for some time needs a reserved port.
+func newLinkAt(address, upstream string, isBlocked func() bool) (*link, error) {
+	l := &link{listenAddress: address, upstream: upstream, isBlocked: isBlocked, connections: map[*linkConnection]struct{}{}}
+	if err := l.listen(); err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, upstream: upstream, isBlocked: isBlocked, connections: map[*linkConnection]struct{}{}}
-	go l.accept()
+	l.listenAddress = l.listener.Addr().String()
 	return l, nil
 }
 
-func (l *link) address() string { return l.listener.Addr().String() }
+func (l *link) address() string { return l.listenAddress }
+
+// listen accepts connections from now on.
+func (l *link) listen() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.listenAddress)
+	if err != nil {
+		return err
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
+}
+
+// refuse ends the open connections and refuses new ones until the next listen.
+func (l *link) refuse() {
+	l.mu.Lock()
+	if l.listener != nil {
+		l.listener.Close()
+		l.listener = nil
+	}
+	l.mu.Unlock()
+	l.resetAll()
+}
 
-func (l *link) accept() {
+func (l *link) accept(listener net.Listener) {
 	for {
-		downstream, err := l.listener.Accept()
+		downstream, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -160,7 +192,4 @@
 	return connections
 }
 
-func (l *link) close() {
-	l.listener.Close()
-	l.resetAll()
-}
+func (l *link) close() { l.refuse() }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,11 +21,18 @@
 	logDir    = flag.String("soak.logs", "", "folder that keeps the logs of failed seeds; empty to drop them")
 )
 
+// Deadly jobs of one seed.
+const (
+	deadlyCount   = 3
+	crashesInCalm = 3 // runners that a deadly task may crash after the end of the faults
+)
+
 // Durations of one seed.
 const (
 	faultPeriod      = 9 * time.Second
 	maxFaultDuration = 4500 * time.Millisecond
 	completionLimit  = 45 * time.Second // limit from the end of the faults until all accepted jobs are completed
+	calmTime         = 3 * time.Second  // time after the end of all accepted jobs in which no deadly task may run
 	firstJobLimit    = 20 * time.Second // limit from the start of the programs until the first job is accepted
 )
 
@@ -64,12 +71,27 @@
 		seed := *firstSeed + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed)
+			runSeed(t, seed, 0)
+		})
+	}
+}
+
+// TestSeedsWithDeadlyJobs checks the same invariants while a few jobs have a
+// task that crashes the runners that start it. These jobs are failed in the
+// end, and no others are. No task crashes many runners.
+func TestSeedsWithDeadlyJobs(t *testing.T) {
+	for i := range uint64(*seedCount) {
+		seed := *firstSeed + i
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, seed, deadlyCount)
 		})
 	}
 }
 
-func runSeed(t *testing.T, seed uint64) {
+// runSeed injects random faults into a system. The given number of callers
+// submit a deadly job each.
+func runSeed(t *testing.T, seed uint64, deadlyJobs int) {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("daisywall-soak-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
@@ -96,16 +118,51 @@
 	var callersDone sync.WaitGroup
 	for i := range callerCount {
 		callerRNG := rand.New(rand.NewPCG(seed, uint64(100+i)))
-		callersDone.Go(func() { c.run(ctx, callerRNG) })
+		deadlyJob := -1
+		if i < deadlyJobs {
+			deadlyJob = 1 + 2*i
+		}
+		callersDone.Go(func() { c.run(ctx, callerRNG, deadlyJob) })
 	}
 	injector.run(faultPeriod)
 	cancel()
 	callersDone.Wait()
 	injector.heal()
+	crashesAtHeal := c.crashesByJob()
 	c.waitForCompletion(t)
+	c.checkCrashes(t, crashesAtHeal)
 	reportViolations(t, s, c, injector)
 }
 
+// crashesByJob returns the number of crashes of runners by each deadly job.
+func (c *callers) crashesByJob() map[*submittedJob]int {
+	crashes := map[*submittedJob]int{}
+	for _, j := range c.jobs {
+		if j.isDeadly {
+			crashes[j] = c.system.checker.CrashesUnder(j.deadlyTask())
+		}
+	}
+	return crashes
+}
+
+// checkCrashes checks that deadly jobs have crashed few runners since the
+// faults ended, given their crashes until then, and no more after their end.
+func (c *callers) checkCrashes(t *testing.T, before map[*submittedJob]int) {
+	t.Helper()
+	if len(before) == 0 {
+		return
+	}
+	atEnd := c.crashesByJob()
+	time.Sleep(calmTime)
+	for j, crashes := range c.crashesByJob() {
+		t.Logf("deadly %s: accepted %v, %d crashes, %d of them after the faults", j.id, j.accepted, crashes, crashes-before[j])
+		if crashes-before[j] > crashesInCalm || j.accepted && crashes > atEnd[j] {
+			t.Errorf("%s has crashed %d runners in calm, %d of them after its end; want at most %d, 0",
+				j.id, crashes-before[j], crashes-atEnd[j], crashesInCalm)
+		}
+	}
+}
+
 // waitForFirstAccepted submits a job until it is accepted.
 func (c *callers) waitForFirstAccepted(limit time.Duration) bool {
 	j := &submittedJob{id: "00000000000000aa", tasksPerStep: []int{1}}
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -30,6 +30,7 @@
 	terminationGrace = 6 * time.Second // time from SIGTERM to SIGKILL
 	gangStartTimeout = 3 * time.Second
 	domainCount      = 3
+	deadlyAfter      = 10 * time.Millisecond // time from the start of a task to the crash of its runner
 )
 
 // host runs one program. If the program is an agent, the host also has a
@@ -40,6 +41,7 @@
 	process      *process
 	storeClient  *standin.PartStoreClient
 	runner       *standin.TaskRunner // nil for an entry
+	runnerLink   *link               // link of the agent to the runner, nil for an entry
 	callerLink   *link               // link of callers to the entry, nil for a worker
 	settings     map[string]any
 
@@ -79,6 +81,7 @@
 func newSystem(dir string, maxLease time.Duration) (*testSystem, error) {
 	s := &testSystem{dir: dir, maxLease: maxLease, store: standin.NewPartStore(), agentLinks: map[[2]string]*link{}, reportClient: &http.Client{Timeout: time.Second}}
 	s.checker = newJobChecker()
+	s.checker.onCrash = s.refuseRunner
 	s.gangs = standin.NewGangs(gangStartTimeout, s.checker.gangSize)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
@@ -172,13 +175,19 @@
 	if err != nil {
 		return err
 	}
-	runnerLink, err := s.addLink(address, nil, nil)
+	linkAddress, err := ports.Address()
 	if err != nil {
 		return err
 	}
+	runnerLink, err := s.addLinkAt(linkAddress, address, nil, nil)
+	if err != nil {
+		return err
+	}
+	h.runnerLink = runnerLink
 	info.Address = runnerLink.address()
 	h.runner = standin.NewTaskRunner(standin.TaskRunnerOptions{
 		Info: info, MaxLease: s.maxLease, RunTime: runTime, Observer: s.checker, Gangs: s.gangs,
+		Crashes: s.checker.crashesAfter, CrashDowntime: time.Duration(1+len(s.hosts)%3) * time.Second,
 	})
 	handler.set(site.Runner(h.runner))
 	agentLink, err := s.addLink(reportAddress, nil, nil)
@@ -192,6 +201,9 @@
 			select {
 			case <-tick.C:
 				if !h.runner.IsCrashed() {
+					if err := runnerLink.listen(); err != nil {
+						s.checker.reportViolation("%v", err)
+					}
 					// An agent that cannot be reached receives the next report.
 					_ = site.Report(ctx, s.reportClient, agentLink.address(), h.runner)
 				}
@@ -203,6 +215,16 @@
 	return nil
 }
 
+// refuseRunner lets the host of a crashed runner refuse connections to it. The
+// runner accepts connections again before its next report.
+func (s *testSystem) refuseRunner(runner string) {
+	for _, h := range s.hosts {
+		if h.runner != nil && h.runner.Info().ID == runner {
+			h.runnerLink.refuse()
+		}
+	}
+}
+
 // deferredHandler passes requests to a handler that is set after its server has
 // got an address.
 type deferredHandler struct {
@@ -246,7 +268,12 @@
 // addLink puts a link in front of an address. The link is blocked while either
 // of the two hosts is isolated.
 func (s *testSystem) addLink(address string, connecting, upstream *host) (*link, error) {
-	l, err := newLink(address, func() bool {
+	return s.addLinkAt("127.0.0.1:0", address, connecting, upstream)
+}
+
+// addLinkAt adds a link that listens at the given address.
+func (s *testSystem) addLinkAt(listenAddress, address string, connecting, upstream *host) (*link, error) {
+	l, err := newLinkAt(listenAddress, address, func() bool {
 		return connecting != nil && connecting.isIsolated() || upstream != nil && upstream.isIsolated()
 	})
 	if err != nil {
