--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -38,6 +38,12 @@
 	// failsAfter returns the time after which a run fails, 0 for a run that
 	// doesn't.
 	failsAfter func(structs.RunID) time.Duration
+	// crashes returns the time after which a run crashes its runner, 0 for a run
+	// that doesn't. The runner restarts after crashDowntime.
+	crashes func(structs.RunID) time.Duration
+	// afterCrash is called after a run has crashed the host's runner. It may be
+	// nil.
+	afterCrash func(h *simulatedHost)
 	permits    *standin.PermitIssuer // nil if the queue has no permit policy
 	// beforeStart is called before each start reaches the runner. It may be
 	// nil.
@@ -146,6 +152,10 @@
 
 var testCapacity = structs.Resources{MilliCPU: 4000, MemoryMB: 8000}
 
+// crashDowntime is the time after which a runner that a run has crashed
+// restarts.
+const crashDowntime = 3200 * time.Millisecond
+
 func newSimulatedFleet(t *testing.T, hosts int) *simulatedFleet {
 	return newSimulatedFleetWithPermits(t, hosts, nil)
 }
@@ -159,6 +169,7 @@
 		runTime:     func(structs.RunID) time.Duration { return time.Second },
 		longRunning: func(structs.RunID) bool { return false },
 		failsAfter:  func(structs.RunID) time.Duration { return 0 },
+		crashes:     func(structs.RunID) time.Duration { return 0 },
 	}
 	if permits != nil {
 		f.config.queue.Permits = permits.Policy
@@ -173,10 +184,11 @@
 			Info: substrate.RunnerInfo{
 				ID: string(name), Pool: "pool", FailureDomain: domain, Capacity: testCapacity, Address: string(name),
 			},
-			MaxLease: f.timing.MaxLease, Observer: f.checker, Gangs: f.gangs, Permits: permits, AcceptsStaleCalls: true,
+			MaxLease: f.timing.MaxLease, Observer: &crashObserver{RunChecker: f.checker, host: h}, Gangs: f.gangs, Permits: permits, AcceptsStaleCalls: true,
 			RunTime: func(r structs.RunID) time.Duration { return f.runTime(r) }, PaceDelay: f.timing.PaceDelay,
 			LongRunning: func(r structs.RunID) bool { return f.longRunning(r) },
 			FailsAfter:  func(r structs.RunID) time.Duration { return f.failsAfter(r) },
+			Crashes:     func(r structs.RunID) time.Duration { return f.crashes(r) }, CrashDowntime: crashDowntime,
 			Reading: func(r structs.RunID) int64 {
 				if f.reading == nil {
 					return 0
@@ -190,6 +202,20 @@
 	return f
 }
 
+// crashObserver is the observer of one host's runner.
+type crashObserver struct {
+	*standin.RunChecker
+	host *simulatedHost
+}
+
+// Crashed implements standin.RunObserver.
+func (o *crashObserver) Crashed(runner string, run structs.RunID) {
+	o.RunChecker.Crashed(runner, run)
+	if o.host.fleet.afterCrash != nil {
+		go o.host.fleet.afterCrash(o.host)
+	}
+}
+
 func (f *simulatedFleet) clock() bootclock.Time {
 	return bootclock.Time(time.Since(f.start) + time.Hour)
 }
