Agents report which runs a runner had when it crashed, and their ages

What today's logs could not tell: whether a runner crashed or its host lost power, left or was drained, and how old its other runs were. The agent records when it sends each start and which runs each list has, and adds the last crash that its process has outlived to the first report of a session. A failed poll marks the moment of the crash, since a poll always waits at the runner. No decision depends on it yet.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -321,12 +321,14 @@
 		a.nextPollAt = now.Add(pollPause)
 	}
 	a.pendingList = list
+	a.host.recordList(a.info.Incarnation, state.Active, a.starting)
 	a.pacer.forgetRuns(state.Active, a.starting)
 	a.pacer.update(ctx, state.Active, now)
 }
 
 func (a *agentSession) handlePollError(now bootclock.Time, err error) {
 	a.nextPollAt = now.Add(pollPause)
+	a.host.recordFailedPoll(a.info.Incarnation)
 	a.log.Warn("poll of the runner failed", zap.String("runner", a.info.ID), zap.Int64("holds", a.pollCount), zap.Error(err))
 	var refused *substrate.ConnectionRefusedError
 	var other *substrate.IncarnationError
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/api/fleetpb"
+	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/substrate"
 )
 
@@ -25,6 +26,9 @@
 	changed          chan struct{}        // signalled after a change that the leader must be informed of
 	pacer            *pacer               // nil before the first session with a runner
 	highestEpoch     int64                // highest epoch of the leaders that have sent orders
+	runs             runRegister          // runs of the current incarnation
+	crash            *fleetpb.Crash       // last crash of a runner of this host, nil if this process has seen none
+	crashedAt        bootclock.Time       // time of crash
 
 	takeoverRequests chan leaderRow // leaders that request to be replaced
 	replacedEpochs   chan int64     // epochs of leaders that were replaced
@@ -50,7 +54,10 @@
 	}
 	relevantChange := !same || info.Draining != h.info.Draining || h.runnerGone
 	if h.endedIncarnation == info.Incarnation {
-		h.endedIncarnation = "" // the incarnation has not ended
+		h.endedIncarnation, h.crash = "", nil // the incarnation has not ended
+	}
+	if !same && h.info.Incarnation != "" && !h.runnerGone {
+		h.recordCrash()
 	}
 	h.info = info
 	h.runnerGone = false
@@ -109,8 +116,9 @@
 	if !replaced {
 		h.endedIncarnation = incarnation
 	}
-	if h.info.Incarnation == incarnation {
+	if h.info.Incarnation == incarnation && !h.runnerGone {
 		h.runnerGone = true
+		h.recordCrash()
 	}
 	h.signalChange()
 }
@@ -242,5 +250,6 @@
 		Worker: string(h.o.Worker), FailureDomain: string(h.o.FailureDomain), Address: h.o.Address, Gone: h.endedIncarnation,
 		Incarnation: info.Incarnation, Runner: info.ID, Pool: string(info.Pool), Rack: info.Rack, Labels: info.Labels,
 		MilliCpu: info.Capacity.MilliCPU, MemoryMb: info.Capacity.MemoryMB, Accelerators: info.Capacity.Accelerators,
+		Crash: h.crashReport(),
 	}
 }
--- /dev/null
+++ b/fleet/run_register.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/daisywall/daisywall/api/fleetpb"
+	"github.com/daisywall/daisywall/bootclock"
+	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
+)
+
+// establishedAge is the age given to a run that the agent has not started.
+const establishedAge = time.Second
+
+// runRegister holds the runs of one incarnation of the host's runner with the
+// times at which they began, so that the agent can report what ran when the
+// incarnation crashed.
+type runRegister struct {
+	incarnation string
+	begunAt     map[structs.RunID]bootclock.Time
+	failingFrom bootclock.Time // first failed poll since the last list, 0 if there is none
+}
+
+// register returns the register of the incarnation. The caller holds mu.
+func (h *host) register(incarnation string) *runRegister {
+	if h.runs.begunAt == nil || h.runs.incarnation != incarnation {
+		h.runs = runRegister{incarnation: incarnation, begunAt: map[structs.RunID]bootclock.Time{}}
+	}
+	return &h.runs
+}
+
+// recordStart records that the agent is about to send a start to the
+// incarnation.
+func (h *host) recordStart(incarnation string, run structs.RunID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.register(incarnation).begunAt[run] = h.o.Clock()
+}
+
+// recordList records the runs that the incarnation has listed. It keeps runs
+// whose start is in progress. A listed run that this process has not started may
+// be of any age and gets establishedAge.
+func (h *host) recordList(incarnation string, active []substrate.ActiveRun, starting map[structs.RunID]*startOp) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.register(incarnation)
+	r.failingFrom = 0
+	listed := make(map[structs.RunID]bootclock.Time, len(active)+len(starting))
+	for _, a := range active {
+		begunAt, found := r.begunAt[a.Run]
+		if !found {
+			begunAt = h.o.Clock().Add(-establishedAge)
+		}
+		listed[a.Run] = begunAt
+	}
+	for id := range starting {
+		if begunAt, found := r.begunAt[id]; found {
+			listed[id] = begunAt
+		}
+	}
+	r.begunAt = listed
+}
+
+// recordFailedPoll records that the incarnation did not answer a poll.
+func (h *host) recordFailedPoll(incarnation string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r := h.register(incarnation); r.failingFrom == 0 {
+		r.failingFrom = h.o.Clock()
+	}
+}
+
+// recordCrash records the runs of the current incarnation, which has ended, for
+// the next session with a leader. The end of a runner that was draining or
+// leaving is no crash. The caller holds mu.
+func (h *host) recordCrash() {
+	if h.info.Draining || h.leaving {
+		return
+	}
+	r := h.register(h.info.Incarnation)
+	crashedAt := r.failingFrom
+	if crashedAt == 0 {
+		crashedAt = h.o.Clock()
+	}
+	h.crash, h.crashedAt = &fleetpb.Crash{Incarnation: r.incarnation}, crashedAt
+	for id, begunAt := range r.begunAt {
+		// A start that was sent later did not reach the incarnation.
+		if age := crashedAt.Sub(begunAt); age >= 0 {
+			h.crash.Runs = append(h.crash.Runs, &fleetpb.CrashedRun{Run: runToProto(id), AgeMs: int64(age / time.Millisecond)})
+		}
+	}
+}
+
+// crashReport returns the last crash of a runner of the host, nil if this process
+// has seen none. The caller holds mu.
+func (h *host) crashReport() *fleetpb.Crash {
+	if h.crash == nil {
+		return nil
+	}
+	ago := h.o.Clock().Sub(h.crashedAt)
+	return &fleetpb.Crash{Incarnation: h.crash.Incarnation, Runs: h.crash.Runs, AgoMs: int64(ago / time.Millisecond)}
+}
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -24,6 +24,7 @@
 		return
 	}
 	a.pacer.addStart(r, s.GetFills(), s.GetLatencyTargetMs())
+	a.host.recordStart(a.info.Incarnation, r)
 	call, cancel := context.WithCancel(ctx)
 	op := &startOp{cancel: cancel, settledAtPoll: -1}
 	a.starting[r] = op
