Count storms by task, and on all workers

A worker whose runner is gone reports no pool, so that two such workers made a storm, and a task that crashed runner after runner made one of its own.

--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -48,7 +48,7 @@
 	for _, r := range c.GetRuns() {
 		w.crash.ages[runFromProto(r.GetRun())] = time.Duration(r.GetAgeMs()) * time.Millisecond
 	}
-	l.metrics.count(l.metrics.crashes, string(w.pool))
+	l.metrics.count(l.metrics.crashes, string(w.domain))
 }
 
 // isUnstable reports whether the worker's runner has crashed shortly before the
@@ -57,19 +57,16 @@
 	return c.at != 0 && at.Sub(c.at) < unstableFor && !c.isExplained
 }
 
-// isStorm reports whether half of the other workers of the pool are unstable.
-func (l *leader) isStorm(w *worker) bool {
-	unstable, others := 0, 0
+// isStorm reports whether half of the other workers are unstable without a run of
+// the task.
+func (l *leader) isStorm(w *worker, id structs.StepTaskID) bool {
+	unstable := 0
 	for _, other := range l.workers {
-		if other == w || other.pool != w.pool {
-			continue
-		}
-		others++
-		if other.crash.isUnstable(w.crash.at) {
+		if other != w && other.crash.isUnstable(w.crash.at) && !other.crash.hadTask(id) {
 			unstable++
 		}
 	}
-	return unstable > 1 && 2*unstable >= others
+	return unstable > 1 && 2*unstable >= len(l.workers)-1
 }
 
 // hadTask reports whether a run of the task was there.
@@ -108,7 +105,7 @@
 			Job: r.job.Job, Run: r.id, Age: w.crash.ages[r.id],
 			Discount: 1,
 		}
-		if l.isStorm(w) {
+		if l.isStorm(w, r.id.Task) {
 			runs[i].Discount = stormDiscount
 		} else if isUnstable && !w.earlierCrash.hadTask(r.id.Task) {
 			runs[i].Discount = unstableDiscount
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -39,7 +39,7 @@
 	counter(&m.refusedStarts, "daisywall.fleet.refused", "Starts refused by the runner by reason")
 	counter(&m.paceCalls, "daisywall.fleet.pace.calls", "Changes of pace sent to the runner by outcome")
 	counter(&m.quarantines, "daisywall.fleet.quarantines", "Quarantines of workers by cause")
-	counter(&m.crashes, "daisywall.fleet.crashes", "Crashes of runners by pool")
+	counter(&m.crashes, "daisywall.fleet.crashes", "Crashes of runners by failure domain")
 	counter(&m.givenUp, "daisywall.fleet.given_up", "Jobs failed since a task crashed its runners by queue")
 	counter(&m.commitJobs, "daisywall.fleet.commit.jobs", "Jobs written by commits")
 	seconds := func(into *metric.Float64Histogram, name, description string) {
