Let a long-running task that some workers fail start on the others without delay

Three parts are:

The delay of a restart applied to all workers, and a delayed task held no room, so that short tasks kept the sound worker. As soon as the delay was over, the task went to the free worker that had failed it. 2. Each failed run of 40 ms began the 3 s anew after which other tasks are stopped for the task. With a run every 2 s that moment never came. 3. After the fifth failure the task counted as crash looping, and stopped no tasks anywhere, although only one or two workers had failed it.

The delay is now one for the workers that have failed the task and for quarantined ones; on the others the task starts, holds room and has room made at once. The 3 s count from the last run that was steadily at work. An overdue task does not return to a worker that has failed it, nor to a quarantined one, while room can be made on another. Once three workers that fail no other tasks have failed the task, it is at fault itself, and all is as before: a task that fails everywhere starts at the same rate after three starts, and stops nothing where it has failed.

delayRestart has a further argument in TestRestartsOfALongRunningTaskThatAlwaysFailsAreDelayed; MarkDelayed is MarkRestarted in TestTaskThatAlwaysFailsDoesNotKeepItsRoomFromOthers. What they check is unchanged.

--- a/fleet/crash_loop_test.go
+++ b/fleet/crash_loop_test.go
@@ -21,18 +21,21 @@
 	now        *bootclock.Time
 	failsAfter map[structs.JobID]time.Duration // time after which each run of a job fails
 	runTime    map[structs.JobID]time.Duration // time after which each run of a job is done
+	failing    map[structs.WorkerID]bool       // workers that fail all that starts on them
 	starts     map[structs.JobID]int
 	stops      int
 }
 
-// crashTime is the time after which a run of a task that always fails ends.
+// crashTime is the time after which a run of a task that always fails, or on a
+// worker that fails all, ends.
 const crashTime = 40 * time.Millisecond
 
 func newScheduleLoop(t *testing.T, workers int) *scheduleLoop {
 	now := bootclock.Time(time.Hour)
 	l, _ := leaderWithWorkers(t, &now, workers)
 	return &scheduleLoop{
-		l: l, now: &now, failsAfter: map[structs.JobID]time.Duration{}, runTime: map[structs.JobID]time.Duration{}, starts: map[structs.JobID]int{},
+		l: l, now: &now, failsAfter: map[structs.JobID]time.Duration{}, runTime: map[structs.JobID]time.Duration{},
+		failing: map[structs.WorkerID]bool{}, starts: map[structs.JobID]int{},
 	}
 }
 
@@ -67,7 +70,7 @@
 	case r.stopReason != "":
 		s.stops++
 		end = substrate.RunEndStopped
-	case s.failsAfter[job] > 0 && age >= s.failsAfter[job]:
+	case s.failsAfter[job] > 0 && age >= s.failsAfter[job], s.failing[w.id] && age >= crashTime:
 		end = substrate.RunEndFailed
 	case s.runTime[job] > 0 && age >= s.runTime[job]:
 		end = substrate.RunEndDone
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -103,8 +103,9 @@
 	// steadily at work, when the last such run ended, acceptedAt before the
 	// first one.
 	outageSince map[structs.StepTaskID]bootclock.Time
-	// runEndedAt holds, for each long-running task that has run, when its last
-	// run ended, or was last listed if it was lost.
+	// runEndedAt holds, for each long-running task that has run, when its last run
+	// ended, or was last listed if it was lost. A run that ends before it is
+	// steadily at work does not move it.
 	runEndedAt map[structs.StepTaskID]bootclock.Time
 }
 
--- a/fleet/outages.go
+++ b/fleet/outages.go
@@ -53,10 +53,13 @@
 	if !j.Step(id).LongRunning || j.Final() {
 		return
 	}
-	j.runEndedAt[id] = endedAt
-	if _, found := j.outageSince[id]; !found {
+	_, isOut := j.outageSince[id]
+	if !isOut {
 		j.outageSince[id] = endedAt
 	}
+	if _, hasRun := j.runEndedAt[id]; !hasRun || !isOut {
+		j.runEndedAt[id] = endedAt
+	}
 }
 
 // endOutage ends the outage of the run's task once the run is steadily at work.
@@ -168,7 +171,7 @@
 		}
 	}
 	l.log.Info("long-running tasks are pending", zap.String("job", string(d.Job)), zap.Int32("step", d.Step), zap.Int("pending", len(d.Tasks)),
-		zap.Int("delayed", len(d.Delayed)), zap.Int("not_at_work", o.tasks), zap.Duration("for", now.Sub(o.since)), zap.Int("priority", d.Priority),
+		zap.Int("delayed", d.DelayedTasks()), zap.Int("not_at_work", o.tasks), zap.Duration("for", now.Sub(o.since)), zap.Int("priority", d.Priority),
 		zap.Int64("milli_cpu", d.Spec.Resources.MilliCPU), zap.Int64("memory_mb", d.Spec.Resources.MemoryMB),
 		zap.Any("excluded", excluded), zap.Int64("best_free_milli_cpu", bestFree), zap.Int("workers", len(l.workers)),
 		zap.Bool("commit_in_flight", l.commitInFlight))
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -127,7 +127,7 @@
 		}
 		if !r.isSteady(l.o.Clock()) {
 			l.recordFailedRun(w, j, id)
-			j.delayRestart(id.Task, l.o.Clock())
+			j.delayRestart(id.Task, w.id, l.o.Clock())
 		}
 	default:
 		checkpoint := e.GetCheckpoint()
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -138,9 +138,7 @@
 				case workflow.Pending:
 					d.Tasks = append(d.Tasks, id.Index)
 					l.avoidFailedWorkers(&d, j, id.Index)
-					if j.isRestartDelayed(id, now) {
-						d.MarkDelayed(id.Index)
-					}
+					l.delayTask(&d, j, id, now)
 				case workflow.Assigned:
 					hasRun = true
 					if d.Placed == nil {
@@ -209,13 +207,26 @@
 	d.Tasks = slices.Concat(lost, others)
 }
 
+// delayTask adds the delay of a pending task to the demand.
+func (l *leader) delayTask(d *steps.Demand, j *job, id structs.StepTaskID, now bootclock.Time) {
+	l.blameWorkers(j, id)
+	restart, found := j.restartDelays[id]
+	if !found {
+		return
+	}
+	d.MarkRestarted(id.Index, steps.Restart{
+		FailedOn: restart.failedOn, IsDelayed: j.isRestartDelayed(id, now), IsAtFault: restart.isAtFault(), IsCrashLooping: j.isCrashLooping(id),
+	})
+}
+
 // markOverdue marks the pending tasks whose last run ended too long ago. A task
-// that has not run yet, or that always fails, waits for room without stopping
-// others.
+// that has not run yet, or that fails wherever it runs, waits for room without
+// stopping others.
 func (l *leader) markOverdue(d *steps.Demand, j *job, now bootclock.Time) {
 	for _, index := range d.Tasks {
 		id := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
-		if ended, found := j.runEndedAt[id]; found && !j.isCrashLooping(id) && now.Sub(ended) >= l.o.Timing.overdueAfter() {
+		if ended, found := j.runEndedAt[id]; found && now.Sub(ended) >= l.o.Timing.overdueAfter() &&
+			(!j.isCrashLooping(id) || l.mayRunElsewhere(j, id, d.Pool, now)) {
 			d.MarkOverdue(index)
 		}
 	}
--- a/fleet/worker_health.go
+++ b/fleet/worker_health.go
@@ -87,6 +87,16 @@
 	return h.quarantinedAt != 0 && !h.hasSlowRuns && h.consecutiveFailures < quarantineAfterFailures
 }
 
+// isQuarantinedWithout reports whether the worker is quarantined for failures of
+// other tasks than this one.
+func (h *workerHealth) isQuarantinedWithout(id structs.StepTaskID) bool {
+	others := len(h.failedTasks)
+	if h.failedTasks[id] > 0 {
+		others--
+	}
+	return h.quarantinedAt != 0 && (h.hasSlowRuns || others > 0)
+}
+
 // allowsTrial reports whether a task may start on the quarantined worker as a
 // trial.
 func (w *worker) allowsTrial(now bootclock.Time) bool {
--- a/fleet/worker_health_test.go
+++ b/fleet/worker_health_test.go
@@ -84,7 +84,7 @@
 	j := addService(l, "web", 1, 100)
 	id := structs.StepTaskID{Job: "web"}
 	for _, want := range []time.Duration{0, restartDelayFirst, 2 * restartDelayFirst, 4 * restartDelayFirst, restartDelayMax, restartDelayMax} {
-		j.delayRestart(id, now)
+		j.delayRestart(id, "w0", now)
 		is.True(want == 0 || j.isRestartDelayed(id, now.Add(want-1)))
 		is.True(!j.isRestartDelayed(id, now.Add(want)))
 	}
--- a/placement/steps/hold.go
+++ b/placement/steps/hold.go
@@ -51,7 +51,7 @@
 		case d.Spec.Gang:
 			d.removeLastHolds(holding)
 			return
-		case len(d.FailedOn[index]) == 0:
+		case !d.hasOwnWorkers(index):
 			return // the remaining tasks need the same resources
 		}
 	}
@@ -60,7 +60,7 @@
 // hold keeps room for one task on the worker.
 func (d *Demand) hold(w *Worker, index int32) {
 	task := structs.StepTaskID{Job: d.Job, Round: d.Round, Step: d.Step, Index: index}
-	w.Holds = append(w.Holds, Hold{Task: task, Missing: d.missing(w), IsOverdue: d.Overdue[index]})
+	w.Holds = append(w.Holds, Hold{Task: task, Missing: d.missing(w), IsOverdue: d.Overdue[index] && !d.crashLoopsOn(w, index)})
 	w.Held = w.Held.Add(d.reservedResources())
 	if d.Placed == nil {
 		d.Placed = map[structs.WorkerID]int32{}
@@ -91,7 +91,7 @@
 	var overdue, others []int32
 	for _, index := range d.Tasks {
 		switch {
-		case isPlaced[index] || d.Delayed[index]:
+		case isPlaced[index]:
 		case d.Overdue[index]:
 			overdue = append(overdue, index)
 		default:
@@ -129,7 +129,7 @@
 	var best *Worker
 	var lowest float64
 	for _, w := range workers {
-		if !d.mayHoldOn(w) {
+		if !d.mayHoldOn(w) || d.isDelayedOn(w, index) {
 			continue
 		}
 		cost := missingShare(d.missing(w), w.Capacity) + healthPenaltyWeight*w.HealthPenalty
--- a/placement/steps/hold_test.go
+++ b/placement/steps/hold_test.go
@@ -71,7 +71,7 @@
 	list := workers(1)
 	list[0].Reserved.MilliCPU = 13000
 	failing := demand("failing", 1, longRunning(3000))
-	failing.MarkDelayed(0)
+	failing.MarkRestarted(0, Restart{IsDelayed: true, IsAtFault: true})
 	is.Equal(Plan(list, []Demand{failing, demand("short", 1, short(500))}, NewInterference())[0].Task.Job, structs.JobID("short"))
 	is.Equal(len(list[0].Holds), 0)
 }
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -82,9 +82,9 @@
 	Permitted map[structs.WorkerID]bool
 	// FailedOn holds the workers on which a task failed before, by task index.
 	FailedOn map[int32][]structs.WorkerID
-	// Delayed holds the indexes of pending tasks that must not start yet. No room
-	// is held for them, since a task that always fails would hold it for good.
-	Delayed map[int32]bool
+	// Restarts holds the failures of pending long-running tasks since they were
+	// last steadily at work.
+	Restarts map[int32]Restart
 	// Waited is the time since the job's last placement, or since its
 	// acceptance before the first one. The accepted probability of
 	// interference grows with it. For a long-running step it is the longest
@@ -107,17 +107,12 @@
 	goesFirst    bool // the filling demand goes before the others of its priority, see promoteStarvedFill
 }
 
-// MarkDelayed adds a task to Delayed.
-func (d *Demand) MarkDelayed(index int32) { addIndex(&d.Delayed, index) }
-
 // MarkOverdue adds a task to Overdue.
-func (d *Demand) MarkOverdue(index int32) { addIndex(&d.Overdue, index) }
-
-func addIndex(set *map[int32]bool, index int32) {
-	if *set == nil {
-		*set = map[int32]bool{}
+func (d *Demand) MarkOverdue(index int32) {
+	if d.Overdue == nil {
+		d.Overdue = map[int32]bool{}
 	}
-	(*set)[index] = true
+	d.Overdue[index] = true
 }
 
 // Placement assigns a task to a worker.
@@ -222,16 +217,13 @@
 	first := len(placements)
 	var chosen []*Worker
 	for _, index := range d.Tasks {
-		if d.Delayed[index] {
-			continue
-		}
 		w := d.bestWorker(workers, index)
 		if w == nil {
 			if d.Spec.Gang {
 				d.releaseTasks(chosen)
 				return placements[:first]
 			}
-			if len(d.FailedOn[index]) == 0 {
+			if !d.hasOwnWorkers(index) {
 				break // the remaining tasks need the same resources
 			}
 			continue
@@ -291,8 +283,9 @@
 func (d *Demand) bestWorker(workers []*Worker, index int32) *Worker {
 	var best *Worker
 	var bestScore float64
+	avoidsDoubtful := d.Overdue[index] && slices.ContainsFunc(workers, func(w *Worker) bool { return !d.isDoubtful(w, index) && d.mayHoldOn(w) })
 	for _, w := range workers {
-		if !d.feasible(w) || w.isQuarantined() && !d.mayFailTrial(index) {
+		if !d.feasible(w) || w.isQuarantined() && !d.mayFailTrial(index) || d.isDelayedOn(w, index) || avoidsDoubtful && d.isDoubtful(w, index) {
 			continue
 		}
 		score, ok := d.score(w, index)
