Let an overdue long-running task start on a quarantined worker without waiting for other trials

Cause: a quarantined worker has one trial at a time, for up to 2 s, and a pause of up to 1 s after a failure.

An overdue task (3 s after its last run) that has not failed on the worker, and for which no room can be made elsewhere, takes no part in that: it starts at once. This costs one failed start a task and worker at most, since after it the worker has failed the task and the delays of restarts apply.

--- a/fleet/restart_bound_test.go
+++ b/fleet/restart_bound_test.go
@@ -99,6 +99,20 @@
 	s.checkBound()
 }
 
+// Another trial is in progress on the only worker with room.
+func TestLongRunningTaskRunsInTimeOnAQuarantinedWorkerAfterALapsedLease(t *testing.T) {
+	s := newLostTask(t, 2)
+	s.lapse()
+	w := s.others()[0]
+	s.quarantine(w.id)
+	runs := w.sortedRuns()
+	runs[0].assignedAt, w.health.trial = *s.now, runs[0].id
+	for _, r := range runs[1:] {
+		s.l.release(w, r, "runner restarted", "")
+	}
+	s.checkBound()
+}
+
 // The failing workers fail other tasks only after they have failed this one.
 func TestLongRunningTaskIsNotAtFaultWhereOtherTasksFailToo(t *testing.T) {
 	is := is.New(t)
--- a/placement/steps/exclusion.go
+++ b/placement/steps/exclusion.go
@@ -52,7 +52,7 @@
 		return ExcludedRoom
 	case !d.mayAddCopy(w):
 		return ExcludedCopies
-	case w.isQuarantined() && !d.mayTry(w):
+	case w.isQuarantined() && !d.mayTry(w, d.Tasks[0]):
 		return ExcludedQuarantine
 	case !d.hasRoom(w):
 		return ExcludedEndingTasks
@@ -61,7 +61,7 @@
 	case w.idleMilliCPU() < minIdleShare*float64(d.Spec.Resources.MilliCPU):
 		return ExcludedFillingIdleShare
 	default:
-		if _, ok := d.score(w, d.Tasks[0]); !ok || !d.feasible(w) {
+		if _, ok := d.score(w, d.Tasks[0]); !ok || !d.feasible(w, d.Tasks[0]) {
 			return ExcludedInterference
 		}
 		return ""
--- a/placement/steps/interference.go
+++ b/placement/steps/interference.go
@@ -200,7 +200,7 @@
 func CanRunWithoutInterference(workers []*Worker, d Demand, current structs.WorkerID, interference *Interference) bool {
 	d.interference = interference
 	return slices.ContainsFunc(workers, func(w *Worker) bool {
-		return w.ID != current && !w.isQuarantined() && !w.Suspect(interference, d.Spec.Image) && d.feasible(w)
+		return w.ID != current && !w.isQuarantined() && !w.Suspect(interference, d.Spec.Image) && d.feasible(w, d.Tasks[0])
 	})
 }
 
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -130,7 +130,7 @@
 	scores := map[structs.WorkerID]float64{}
 	var fitting []structs.WorkerID
 	for _, w := range workers {
-		if !d.feasible(w) {
+		if !d.feasible(w, d.Tasks[0]) {
 			continue
 		}
 		if score, ok := d.score(w, d.Tasks[0]); ok {
@@ -285,7 +285,7 @@
 	var bestScore float64
 	avoidsDoubtful := d.Overdue[index] && slices.ContainsFunc(workers, func(w *Worker) bool { return !d.isDoubtful(w, index) && d.mayHoldOn(w) })
 	for _, w := range workers {
-		if !d.feasible(w) || w.isQuarantined() && !d.mayFailTrial(index) || d.isDelayedOn(w, index) || avoidsDoubtful && d.isDoubtful(w, index) {
+		if !d.feasible(w, index) || w.isQuarantined() && !d.mayFailTrial(index) || d.isDelayedOn(w, index) || avoidsDoubtful && d.isDoubtful(w, index) {
 			continue
 		}
 		score, ok := d.score(w, index)
@@ -299,8 +299,8 @@
 	return best
 }
 
-func (d *Demand) feasible(w *Worker) bool {
-	if !d.isEligible(w) || w.isQuarantined() && !d.mayTry(w) || !d.hasRoom(w) {
+func (d *Demand) feasible(w *Worker, index int32) bool {
+	if !d.isEligible(w) || w.isQuarantined() && !d.mayTry(w, index) || !d.hasRoom(w) {
 		return false
 	}
 	if !d.Spec.Fills || len(d.Overdue) > 0 {
@@ -335,9 +335,11 @@
 // isQuarantined reports whether the worker gets no tasks but trials.
 func (w *Worker) isQuarantined() bool { return w.HealthPenalty >= 1 }
 
-// mayTry reports whether a task of the step may start on the quarantined worker
-// as a trial, apart from the task's own failures.
-func (d *Demand) mayTry(w *Worker) bool { return w.AllowsTrial && !d.Spec.Gang }
+// mayTry reports whether the task may start on the quarantined worker as a trial.
+// An overdue task does not wait for the trials of others where it has not failed.
+func (d *Demand) mayTry(w *Worker, index int32) bool {
+	return !d.Spec.Gang && (w.AllowsTrial || d.Overdue[index] && !slices.Contains(d.Restarts[index].FailedOn, w.ID))
+}
 
 // mayFailTrial reports whether the task can afford a failed trial. Long-running
 // tasks have unlimited attempts. Other tasks lose at most one attempt by trials.
