Log what a long-running task that is at work late has met; test that starts without effect don't postpone its room

It now has the number of workers that have failed the task, whether it counts as at fault, and how long its last start took.

--- a/fleet/outages.go
+++ b/fleet/outages.go
@@ -70,12 +70,14 @@
 		return
 	}
 	l.recordWorkerSuccess(w, r)
+	restart := r.job.restartDelays[r.id.Task]
 	delete(r.job.outageSince, r.id.Task)
 	delete(r.job.restartDelays, r.id.Task)
 	lasted := r.workingSince.Sub(since)
 	l.metrics.outages.Record(context.Background(), lasted.Seconds())
 	if lasted >= l.o.Timing.RestartLimit {
-		l.log.Warn("long-running task is at work late", zap.Stringer("run", r.id), zap.Duration("after", lasted))
+		l.log.Warn("long-running task is at work late", zap.Stringer("run", r.id), zap.Duration("after", lasted),
+			zap.Int("failed_on", len(restart.failedOn)), zap.Bool("at_fault", restart.isAtFault()), zap.Duration("started_in", r.workingSince.Sub(r.assignedAt)))
 	}
 }
 
--- a/fleet/restart_bound_test.go
+++ b/fleet/restart_bound_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/daisywall/daisywall/bootclock"
+	"github.com/daisywall/daisywall/placement/steps"
 	"github.com/daisywall/daisywall/structs"
 )
 
@@ -113,6 +114,26 @@
 	s.checkBound()
 }
 
+func TestStartsWithoutEffectDontPostponeThatRoomIsMade(t *testing.T) {
+	is := is.New(t)
+	now := bootclock.Time(time.Hour)
+	l, _ := leaderWithWorkers(t, &now, 1)
+	j := addService(l, "web", 1, 1000)
+	task := structs.StepTaskID{Job: "web"}
+	w := l.workers["w0"]
+	start := func(reason string) {
+		l.assignTask(steps.Placement{Task: task, Worker: w.id})
+		l.release(w, w.sortedRuns()[0], reason, "")
+	}
+	start("runner restarted")
+	delete(j.outageSince, task) // the run was steadily at work
+	start("runner gone")
+	is.Equal(len(l.pendingDemands()[0].Overdue), 0)
+	now = now.Add(l.o.Timing.overdueAfter())
+	start("not started")
+	is.Equal(len(l.pendingDemands()[0].Overdue), 1)
+}
+
 // The failing workers fail other tasks only after they have failed this one.
 func TestLongRunningTaskIsNotAtFaultWhereOtherTasksFailToo(t *testing.T) {
 	is := is.New(t)
