--- a/placement/steps/isolation.go
+++ b/placement/steps/isolation.go
@@ -34,7 +34,12 @@
 const besideTrialWeight = 32.0
 
 // MarkIsolated adds a task to Isolated.
-func (d *Demand) MarkIsolated(index int32) { addIndex(&d.Isolated, index) }
+func (d *Demand) MarkIsolated(index int32) {
+	if d.Isolated == nil {
+		d.Isolated = map[int32]bool{}
+	}
+	d.Isolated[index] = true
+}
 
 // reserveTrialWorkers chooses a worker for each pending isolated task, as far as
 // the limits allow, and keeps the others' tasks away from it. The same worker is
@@ -50,10 +55,10 @@
 			free = freeTrialWorkers(workers)
 		}
 		for _, index := range d.Tasks {
-			if !d.Isolated[index] || d.Delayed[index] || free[d.Pool] <= 0 {
+			if !d.Isolated[index] || free[d.Pool] <= 0 {
 				continue
 			}
-			if w := d.bestTrialWorker(workers); w != nil {
+			if w := d.bestTrialWorker(workers, index); w != nil {
 				w.Trial = d.stepID()
 				d.setTrialWorker(index, w)
 				free[d.Pool]--
@@ -78,13 +83,13 @@
 	return free
 }
 
-// bestTrialWorker returns the worker that costs least for a trial of the step, nil
+// bestTrialWorker returns the worker that costs least for a trial of the task, nil
 // if none has room for it.
-func (d *Demand) bestTrialWorker(workers []*Worker) *Worker {
+func (d *Demand) bestTrialWorker(workers []*Worker, index int32) *Worker {
 	var best *Worker
 	var lowest float64
 	for _, w := range workers {
-		if w.isOnTrial() || !d.isEligible(w) || w.isQuarantined() || !d.hasRoom(w) {
+		if w.isOnTrial() || !d.isEligible(w) || w.isQuarantined() || d.isDelayedOn(w, index) || !d.hasRoom(w) {
 			continue
 		}
 		if cost := w.trialCost(); best == nil || cost < lowest {
