--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -20,6 +20,8 @@
 	Acknowledged(runner string, run structs.RunID, end substrate.RunEnd)
 	// Reset is called when a runner has dropped all of its runs.
 	Reset(runner string)
+	// CapacityChanged is called when the capacity of a runner has changed.
+	CapacityChanged(runner string, before, after structs.Resources)
 }
 
 // TaskRunnerOptions configure a TaskRunner.
@@ -151,6 +153,18 @@
 	r.info.Draining = draining
 }
 
+// SetCapacity changes the capacity of the runner, which keeps its runs and
+// accepts starts beyond its capacity.
+func (r *TaskRunner) SetCapacity(capacity structs.Resources) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.info.Capacity
+	r.info.Capacity = capacity
+	if r.options.Observer != nil {
+		r.options.Observer.CapacityChanged(r.info.ID, before, capacity)
+	}
+}
+
 // SetFailing sets whether runs that complete from now on end as failed.
 func (r *TaskRunner) SetFailing(failing bool) {
 	r.mu.Lock()
--- a/standin/taskrunner_test.go
+++ b/standin/taskrunner_test.go
@@ -76,3 +76,25 @@
 	c.Started("r", structs.RunID{Task: structs.StepTaskID{Job: "large"}, Number: 2})
 	is.Equal(len(c.Violations()), 2)
 }
+
+func TestStartsAreCheckedAgainstTheCapacityOfTheMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := standin.NewRunChecker(1000, 1000)
+		need := structs.Resources{MemoryMB: 100}
+		c.TaskResources = func(structs.StepTaskID) structs.Resources { return need }
+		start := func(job string) {
+			c.Started("r", structs.RunID{Task: structs.StepTaskID{Job: structs.JobID(job)}, Number: 1})
+		}
+		c.CapacityChanged("r", structs.Resources{MemoryMB: 200}, structs.Resources{MemoryMB: 100})
+		start("a")
+		start("b")
+		is.Equal(len(c.Violations()), 0) // the room that has shrunk still counts
+		time.Sleep(standin.DefaultCapacityGrace + time.Millisecond)
+		start("c")
+		is.Equal(len(c.Violations()), 1)
+		c.CapacityChanged("r", structs.Resources{MemoryMB: 100}, structs.Resources{MemoryMB: 400})
+		start("d")
+		is.Equal(len(c.Violations()), 1)
+	})
+}
