LIMIT: a runner whose capacity changes while it runs is filled to its new size

What callers would see: a host that has shrunk is filled to its old size, so that its tasks and services are starved, or a host that has grown stays half empty.

Cause: the agent told the leader the capacity with the first report of a session, and did not count a new figure as a change. The same held for labels and rack. Starts that were assigned before the change were ordered after it, and the agent repeated refused ones without looking again. A filling task was placed by its memory alone, also on a worker whose services no longer fit.

Fix: the agent sends a changed description at once as the Hello of a report. The leader takes it over before it reconciles the list, checks each assigned start again before it is ordered, beside all runs that may have started, those that are being stopped included, and places nothing on a worker that is over its capacity. The agent gives up starts whose order is based on a list from before a shrink or a new incarnation, between the attempts too, since only it can see a change that crosses the order.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -179,8 +179,9 @@
 // sendReport fills in the fields that all reports have, and sends the report to
 // the leader.
 func (a *agentSession) sendReport(r *fleetpb.WorkerReport) error {
+	a.lastReportAt = a.host.o.Clock() // before info is read, so that the report shows all changes up to this time
 	info := a.host.current()
-	a.lastReportAt = a.host.o.Clock()
+	a.addDescription(r, info)
 	r.SentAt = int64(a.lastReportAt)
 	r.OrdersSeen = a.lastOrderNumber
 	r.Draining = info.Draining
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/api/fleetpb"
+	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/substrate"
 )
 
@@ -19,6 +20,7 @@
 
 	mu               sync.Mutex
 	info             substrate.RunnerInfo // last announcement of the runner, zero before the first
+	shrankAt         bootclock.Time       // when a new incarnation or a smaller capacity was last announced
 	runnerGone       bool                 // the incarnation in info has ended
 	endedIncarnation string               // last incarnation that ended and was not replaced, empty if it was announced again
 	leaving          bool                 // the runner announced that it ends
@@ -48,7 +50,10 @@
 			zap.Time("born", info.StartedAt), zap.Time("current", h.info.StartedAt))
 		return false
 	}
-	relevantChange := !same || info.Draining != h.info.Draining || h.runnerGone
+	relevantChange := !same || info.Draining != h.info.Draining || h.runnerGone || !isDescribedAlike(info, h.info)
+	if !same || !h.info.Capacity.Fits(info.Capacity) {
+		h.shrankAt = h.o.Clock()
+	}
 	if h.endedIncarnation == info.Incarnation {
 		h.endedIncarnation = "" // the incarnation has not ended
 	}
@@ -59,7 +64,7 @@
 	}
 	if relevantChange {
 		h.o.Log.Info("runner", zap.String("runner", info.ID), zap.String("incarnation", info.Incarnation), zap.String("pool", string(info.Pool)),
-			zap.Bool("draining", info.Draining), zap.Duration("remaining", info.DrainRemaining), zap.Int64("sequence", info.Sequence))
+			zap.Bool("draining", info.Draining), zap.Duration("remaining", info.DrainRemaining), zap.Int64("sequence", info.Sequence), zap.Any("capacity", info.Capacity))
 		h.signalChange()
 	}
 	return true
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -21,6 +21,7 @@
 	w.reportedAt = now
 	w.outbox.replyDue = true
 	l.setDraining(w, r)
+	l.updateDescription(w, r.GetHello())
 	if !r.GetListed() || w.incarnation == "" {
 		return
 	}
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/api/fleetpb"
+	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
 )
@@ -23,6 +24,7 @@
 		a.log.Warn("start dropped: order too old", zap.Stringer("run", r), zap.Duration("age", age))
 		return
 	}
+	basis := a.lastOrdersAt.Add(-age)
 	a.pacer.addStart(r, s.GetFills(), s.GetLatencyTargetMs())
 	call, cancel := context.WithCancel(ctx)
 	op := &startOp{cancel: cancel, settledAtPoll: -1}
@@ -31,7 +33,7 @@
 	begunAt := a.host.o.Clock()
 	go func() {
 		defer cancel()
-		outcome := a.startUntilSettled(call, start)
+		outcome := a.startUntilSettled(call, start, basis)
 		took := a.host.o.Clock().Sub(begunAt)
 		if outcome.err == nil {
 			a.pacer.setStarted(ctx, r)
@@ -74,13 +76,18 @@
 
 // startUntilSettled repeats a start until the run has started or can no longer
 // start. After a call without an answer, a refusal is not final, because the
-// unanswered call may still start the run.
-func (a *agentSession) startUntilSettled(ctx context.Context, start substrate.TaskStart) startOutcome {
+// unanswered call may still start the run. basis is when the list was sent on
+// which the order is based. Once the capacity has shrunk after it, the start may
+// not fit, and is given up.
+func (a *agentSession) startUntilSettled(ctx context.Context, start substrate.TaskStart, basis bootclock.Time) startOutcome {
 	var o startOutcome
 	timeout := a.host.o.Timing.RunnerCallTimeout
 	for o.attempts = 1; ; o.attempts++ {
 		var lease substrate.RuntimeClock
 		o.err = a.callRunner(ctx, timeout, func(call context.Context) error {
+			if a.host.shrankAfter(basis) {
+				return &substrate.StartRefusedError{Refusal: substrate.RefusalCapacity}
+			}
 			lease = a.runnerLease()
 			clock, err := a.runner.Start(call, a.fencingToken, start, lease)
 			if err == nil {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -285,6 +285,10 @@
 		l.release(w, r, "not started", "")
 		return
 	}
+	if !w.stillFits(r) {
+		l.release(w, r, "capacity shrank", "")
+		return
+	}
 	permit, permitted := l.permitFor(w, r)
 	if !permitted {
 		l.release(w, r, "no permit", "")
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -132,8 +132,7 @@
 	w.attachedAt = w.reportedAt
 	w.domain = structs.FailureDomainID(hello.GetFailureDomain())
 	w.runner = hello.GetRunner()
-	w.rack, w.pool, w.labels = hello.GetRack(), structs.PoolID(hello.GetPool()), hello.GetLabels()
-	w.capacity = structs.Resources{MilliCPU: hello.GetMilliCpu(), MemoryMB: hello.GetMemoryMb(), Accelerators: hello.GetAccelerators()}
+	w.describe(hello)
 	if w.incarnation != hello.GetIncarnation() {
 		l.logQuarantineEnd(w, "new incarnation")
 		w.health = workerHealth{}
--- a/placement/steps/exclusion.go
+++ b/placement/steps/exclusion.go
@@ -69,8 +69,12 @@
 }
 
 // hasRoom reports whether the resources that one more task reserves are neither
-// reserved nor held on the worker.
+// reserved nor held on the worker. A worker whose capacity has shrunk below what
+// is reserved has no room for anything.
 func (d *Demand) hasRoom(w *Worker) bool {
+	if !w.Reserved.Fits(w.Capacity) {
+		return false
+	}
 	used, room := w.Reserved.Add(w.Held).Add(d.reservedResources()), w.Capacity
 	if d.Spec.Fills {
 		used.MilliCPU = 0
--- a/placement/steps/exclusion_test.go
+++ b/placement/steps/exclusion_test.go
@@ -44,3 +44,14 @@
 		})
 	}
 }
+
+func TestNothingStartsOnAWorkerThatHasShrunkBelowItsReservations(t *testing.T) {
+	services := structs.Resources{MilliCPU: 1100, MemoryMB: 100}
+	w := &Worker{ID: "w", Pool: "p", Capacity: structs.Resources{MilliCPU: 1000, MemoryMB: 1000}, Reserved: services, LongRunning: services}
+	for _, fills := range []bool{false, true} {
+		d := Demand{Pool: "p", Tasks: []int32{0}, Spec: &structs.Step{Tasks: 1, Fills: fills, Resources: structs.Resources{MilliCPU: 100, MemoryMB: 10}}}
+		if placed := Plan([]*Worker{w}, []Demand{d}, NewInterference()); len(placed) != 0 {
+			t.Errorf("filling %v: %v", fills, placed)
+		}
+	}
+}
