Tasks with checkpoints leave a worker that has shrunk below what runs on it

What callers would see: after a shrink, tasks that could go on elsewhere from their checkpoint stay on a host that has too little for them, beside services.

After a second, so that a brief dip stops nothing, tasks with a checkpoint are stopped until the rest fits, the filling ones first, then in the order in which room is made for overdue tasks. Tasks without a checkpoint end by themselves: stopping them throws work away, and the rule forbids only starts. Gangs and long-running tasks stay.

Log lines for the begin and the end of the state, and daisywall.fleet.overcommits by resource.

Test: fleet.TestTasksWithCheckpointsLeaveAWorkerThatHasShrunk.

--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -11,15 +11,15 @@
 
 // metrics are the instruments of a node.
 type metrics struct {
-	accepted, starts, ends, released, takeovers, refusedStarts metric.Int64Counter
-	commits                                                    metric.Float64Histogram
-	commitJobs                                                 metric.Int64Counter
-	startDelay                                                 metric.Float64Histogram
-	paceCalls                                                  metric.Int64Counter
-	violations, readingInterval                                metric.Float64Histogram
-	quarantines                                                metric.Int64Counter
-	outages                                                    metric.Float64Histogram
-	longestOutage                                              metric.Float64Gauge
+	accepted, starts, ends, released, takeovers, refusedStarts, overcommits metric.Int64Counter
+	commits                                                                 metric.Float64Histogram
+	commitJobs                                                              metric.Int64Counter
+	startDelay                                                              metric.Float64Histogram
+	paceCalls                                                               metric.Int64Counter
+	violations, readingInterval                                             metric.Float64Histogram
+	quarantines                                                             metric.Int64Counter
+	outages                                                                 metric.Float64Histogram
+	longestOutage                                                           metric.Float64Gauge
 }
 
 func newMetrics(meters metric.MeterProvider) (*metrics, error) {
@@ -37,6 +37,7 @@
 	counter(&m.released, "daisywall.fleet.released", "Runs released without an end of their own by reason")
 	counter(&m.takeovers, "daisywall.fleet.takeovers", "Leaderships taken over")
 	counter(&m.refusedStarts, "daisywall.fleet.refused", "Starts refused by the runner by reason")
+	counter(&m.overcommits, "daisywall.fleet.overcommits", "Workers whose capacity shrank below what their runs reserve by resource")
 	counter(&m.paceCalls, "daisywall.fleet.pace.calls", "Changes of pace sent to the runner by outcome")
 	counter(&m.quarantines, "daisywall.fleet.quarantines", "Quarantines of workers by cause")
 	counter(&m.commitJobs, "daisywall.fleet.commit.jobs", "Jobs written by commits")
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -25,6 +25,9 @@
 	pool        structs.PoolID
 	labels      []string
 	capacity    structs.Resources
+	// overcommittedSince is since when the capacity is below what the runs
+	// reserve, 0 if it is not.
+	overcommittedSince bootclock.Time
 
 	ready          bool // a complete list of runs was received in this session
 	draining       bool
@@ -220,6 +223,7 @@
 	l.stopStuckRuns(w, runs, now)
 	l.stopUnstartedRuns(w, runs, now)
 	l.endLapsedQuarantine(w, now)
+	l.relieveOvercommit(w, now)
 	if w.session != nil && now.Sub(w.reportedAt) > l.o.Timing.SessionTimeout*2 {
 		l.detachSession(w.session, &structs.UnavailableError{Dependency: "agent"})
 	}
