A run that nobody assigned counts against the capacity until it has ended

What callers would see: a run that started after it was given up, or whose record was lost, shares a full host until its stop is done.

Cause: the leader ordered the stop of a listed run that is not assigned and did not count it. It now counts the resources of such runs of known jobs from the list that shows them on, until a list without them.

Measured before: the new test's task started beside the stray run (1 run, want 0).

--- a/fleet/capacity.go
+++ b/fleet/capacity.go
@@ -58,7 +58,7 @@
 // reservedBeside returns the resources of the worker's runs that may have
 // started and have not ended, without those of the given run.
 func (w *worker) reservedBeside(except *run) structs.Resources {
-	var sum structs.Resources
+	sum := w.unassigned
 	for _, r := range w.runs {
 		isAwaitingCommit := r.assignedAt > 0 && r.startOrderNumber == 0 && r.startedAt == 0
 		if r != except && !isAwaitingCommit {
--- a/fleet/capacity_test.go
+++ b/fleet/capacity_test.go
@@ -253,3 +253,22 @@
 		})
 	})
 }
+
+// A run that nobody assigned, such as one that started after it was given up,
+// takes room until the runner has stopped it.
+func TestRunThatIsNotAssignedCountsUntilItHasEnded(t *testing.T) {
+	is := is.New(t)
+	now := bootclock.Time(time.Hour)
+	l, _ := leaderWithWorkers(t, &now, 1)
+	w := l.workers["w0"]
+	w.session.worker, w.capacity = w, structs.Resources{MilliCPU: taskCPU, MemoryMB: 8000}
+	j := &job{Job: workflow.New(*testJob("a", 2), testQueue)}
+	l.addJob(j)
+	stray := structs.RunID{Task: structs.StepTaskID{Job: "a", Index: 1}, Number: 1}
+	l.handleReport(w.session, &fleetpb.WorkerReport{Listed: true, Active: []*fleetpb.Active{{Run: runToProto(stray)}}})
+	l.schedule(t.Context())
+	is.Equal(len(w.runs), 0)
+	l.handleReport(w.session, &fleetpb.WorkerReport{Listed: true})
+	l.schedule(t.Context())
+	is.Equal(len(w.runs), 1)
+}
--- a/fleet/make_room.go
+++ b/fleet/make_room.go
@@ -39,8 +39,11 @@
 }
 
 // reservedBy returns the resources that become free when the run ends.
-func reservedBy(r *run) structs.Resources {
-	step := r.job.Step(r.id.Task)
+func reservedBy(r *run) structs.Resources { return r.job.reservedBy(r.id.Task) }
+
+// reservedBy returns the resources that a run of the task reserves.
+func (j *job) reservedBy(id structs.StepTaskID) structs.Resources {
+	step := j.Step(id)
 	reserved := step.Resources
 	if step.Fills {
 		reserved.MilliCPU = 0
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -164,6 +164,7 @@
 // reconcile compares the runs on the worker with the assigned runs, and
 // corrects the differences.
 func (l *leader) reconcile(w *worker, r *fleetpb.WorkerReport, now bootclock.Time) {
+	w.unassigned = structs.Resources{}
 	listed := make(map[structs.RunID]bool, len(r.GetActive())+len(r.GetStarting()))
 	for _, a := range r.GetActive() {
 		id := runFromProto(a.GetRun())
@@ -180,6 +181,9 @@
 			}
 			continue
 		}
+		if j := l.jobs[id.Task.Job]; j != nil && j.Task(id.Task) != nil {
+			w.unassigned = w.unassigned.Add(j.reservedBy(id.Task))
+		}
 		l.log.Warn("stopping a run that is not assigned", zap.Stringer("run", id), zap.String("worker", string(w.id)))
 		w.outbox.stops = append(w.outbox.stops, id)
 	}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -88,7 +88,7 @@
 	now := l.o.Clock()
 	v := &steps.Worker{
 		ID: w.id, FailureDomain: w.domain, Rack: w.rack, Pool: w.pool, Labels: w.labels,
-		Capacity: w.capacity, HealthPenalty: w.health.healthPenalty(now), AllowsTrial: w.allowsTrial(now), LatencyRatio: w.latencyRatio,
+		Capacity: w.capacity, Reserved: w.unassigned, HealthPenalty: w.health.healthPenalty(now), AllowsTrial: w.allowsTrial(now), LatencyRatio: w.latencyRatio,
 		TasksByServiceImage: map[string]int{},
 		// A task starts at full pace, so frequent starts would keep a service
 		// over its target.
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -25,6 +25,9 @@
 	pool        structs.PoolID
 	labels      []string
 	capacity    structs.Resources
+	// unassigned are the resources of the runs in the last list that are not
+	// assigned to the worker. They are being stopped.
+	unassigned structs.Resources
 	// overcommittedSince is since when the capacity is below what the runs
 	// reserve, 0 if it is not.
 	overcommittedSince bootclock.Time
