--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -88,7 +88,7 @@
 	now := l.o.Clock()
 	v := &steps.Worker{
 		ID: w.id, FailureDomain: w.domain, Rack: w.rack, Pool: w.pool, Labels: w.labels,
-		Capacity: w.capacity, HealthPenalty: w.health.healthPenalty(now), AllowsTrial: w.allowsTrial(now), LatencyRatio: w.latencyRatio,
+		Capacity: w.capacity, Reserved: w.unassigned, HealthPenalty: w.health.healthPenalty(now), AllowsTrial: w.allowsTrial(now), LatencyRatio: w.latencyRatio,
 		TasksByServiceImage: map[string]int{},
 		// A task starts at full pace, so frequent starts would keep a service
 		// over its target.
@@ -305,6 +305,10 @@
 		l.release(w, r, "not started", "")
 		return
 	}
+	if !w.stillFits(r) {
+		l.release(w, r, "capacity shrank", "")
+		return
+	}
 	permit, permitted := l.permitFor(w, r)
 	if !permitted {
 		l.release(w, r, "no permit", "")
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -25,6 +25,12 @@
 	pool        structs.PoolID
 	labels      []string
 	capacity    structs.Resources
+	// unassigned are the resources of the runs in the last list that are not
+	// assigned to the worker. They are being stopped.
+	unassigned structs.Resources
+	// overcommittedSince is since when the capacity is below what the runs
+	// reserve, 0 if it is not.
+	overcommittedSince bootclock.Time
 
 	ready          bool // a complete list of runs was received in this session
 	draining       bool
@@ -135,8 +141,7 @@
 	w.attachedAt = w.reportedAt
 	w.domain = structs.FailureDomainID(hello.GetFailureDomain())
 	w.runner = hello.GetRunner()
-	w.rack, w.pool, w.labels = hello.GetRack(), structs.PoolID(hello.GetPool()), hello.GetLabels()
-	w.capacity = structs.Resources{MilliCPU: hello.GetMilliCpu(), MemoryMB: hello.GetMemoryMb(), Accelerators: hello.GetAccelerators()}
+	w.describe(hello)
 	if w.incarnation != hello.GetIncarnation() {
 		l.logQuarantineEnd(w, "new incarnation")
 		w.health = workerHealth{}
@@ -227,6 +232,7 @@
 	l.stopStuckRuns(w, runs, now)
 	l.stopUnstartedRuns(w, runs, now)
 	l.endLapsedQuarantine(w, now)
+	l.relieveOvercommit(w, now)
 	if w.session != nil && now.Sub(w.reportedAt) > l.o.Timing.SessionTimeout*2 {
 		l.detachSession(w.session, &structs.UnavailableError{Dependency: "agent"})
 	}
