Release a leadership whose leader stops before it has recovered the cell

The leadership rows show why: the leader releases the row, another candidate of the cell wakes at the same moment, acquires the leadership and is stopped before it has read the state. Two faults in the code:

- run returned the error of the recovery without a release, so the row looked like that of a leader that had died, and the next candidate waited for the whole takeover time.
- the row of the new epoch did not say any more that the cell is empty, so another cell took an empty cell over (epoch 3 by b-3 in the trace).

A leader that has not recovered has not changed the cell's tasks, so it now releases the row and leaves the cell as empty as it found it. Tasks that arrived meanwhile are in the inbox, which the watchers check apart.

The failure in the check of the history was the test's: two leaderships of one moment were recorded in the wrong order, since the simulated table applied a commit and recorded it in two steps.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -44,8 +44,7 @@
 	if txn.renewLeadership || txn.batch.Empty() {
 		row.Renewals++
 		row.Released = txn.releaseLeadership
-		pending, assigned := l.state.Counts()
-		row.Empty = txn.releaseLeadership && l.recovered && pending+assigned == 0
+		row.Empty = txn.releaseLeadership && l.holdsNoTasks()
 		row.RideOut, row.Lease = l.grantBounds(time.Now(), txn.releaseLeadership)
 		tableTxn.Puts = append(tableTxn.Puts, substrate.Put{Key: leaderKey(l.cell), Value: encode(row)})
 	}
--- a/cell/domains_test.go
+++ b/cell/domains_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -225,3 +226,38 @@
 		is.NoErr(w.checkHistory())
 	})
 }
+
+// Each candidate of a cell that stops may lead for a moment after the previous
+// one has released the leadership.
+func TestLeaderThatStopsBeforeItsRecoveryReleasesTheCellAsItFoundIt(t *testing.T) {
+	for _, hasTasks := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulatedCluster(t, testTiming)
+			defer w.close()
+			w.addHosts("a", "north", 1)
+			time.Sleep(4 * time.Second)
+			if hasTasks {
+				service := w.submitJob("key", structs.WorkService, 1)
+				is.True(eventually(time.Minute, func() bool { return w.runningTasks(service) == 1 }))
+			}
+			w.members[0].cancel()
+			<-w.members[0].ended
+			before := w.leadershipRow(t, "a")
+			is.Equal(before.Empty, !hasTasks)
+
+			n := w.members[0].node
+			c := n.newCandidate("a", testTiming.TakeoverAfter)
+			is.NoErr(c.readRow(w.ctx))
+			acquired, err := c.acquireLeadership(w.ctx)
+			is.NoErr(err)
+			stopped, stop := context.WithCancel(w.ctx)
+			stop()
+			_ = newLeader(n.options, "a", n.client, n.metrics, acquired).run(stopped)
+			after := w.leadershipRow(t, "a")
+			is.Equal(after.Epoch, before.Epoch+1)
+			is.True(after.Released)
+			is.Equal(after.Empty, before.Empty)
+		})
+	}
+}
--- a/cell/faultytable_test.go
+++ b/cell/faultytable_test.go
@@ -132,6 +132,8 @@
 // commitAndRecord commits to the table and records the committed leaders and
 // ends in the history.
 func (p *faultyTable) commitAndRecord(txn substrate.Txn) (int64, error) {
+	p.history.committing.Lock()
+	defer p.history.committing.Unlock()
 	revision, err := p.Table.Commit(context.Background(), txn)
 	if err != nil {
 		return 0, err
--- a/cell/history_test.go
+++ b/cell/history_test.go
@@ -44,6 +44,10 @@
 // history records the events of a run. Only the fakes write it, never the code
 // under test.
 type history struct {
+	// committing is held while a commit is applied and recorded, so that commits
+	// are recorded in the order in which the table has applied them.
+	committing sync.Mutex
+
 	mu     sync.Mutex
 	events []event
 }
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -31,6 +31,7 @@
 	// The fields up to mu are owned by the loop.
 	row                Leadership
 	revision           int64     // revision of the leadership row
+	wasEmpty           bool      // the previous leader stopped while the cell held no tasks
 	renewedAt          time.Time // when the leadership row was last written
 	leaseExpiry        leaseExpiryRule
 	log                logRows
@@ -96,7 +97,7 @@
 		epoch:         acquired.row.Epoch,
 		wake:          make(chan struct{}, 1),
 		pollRequested: make(chan struct{}, 1),
-		row:           acquired.row, revision: acquired.revision, renewedAt: acquired.provedAt, provedAt: acquired.provedAt,
+		row:           acquired.row, revision: acquired.revision, wasEmpty: acquired.wasEmpty, renewedAt: acquired.provedAt, provedAt: acquired.provedAt,
 		leaseExpiry:     leaseExpiryRule{timing: o.Timing, acquiredAt: acquired.acquiredAt, earlierRideOut: acquired.earlierRideOut, longestLease: acquired.longestLease},
 		storedSnapshots: make(chan *storedSnapshot, 1),
 		state:           NewState(),
@@ -129,6 +130,9 @@
 	defer cancel()
 	defer l.stop()
 	if err := l.recover(ctx); err != nil {
+		if ctx.Err() != nil {
+			return l.release()
+		}
 		return err
 	}
 	l.background.Go(func() { l.poll(ctx) })
@@ -226,6 +230,16 @@
 	return nil
 }
 
+// holdsNoTasks reports whether the cell is known to hold no tasks. A leader that
+// has not recovered the state has not changed it either.
+func (l *leader) holdsNoTasks() bool {
+	if !l.recovered {
+		return l.wasEmpty
+	}
+	pending, assigned := l.state.Counts()
+	return pending+assigned == 0
+}
+
 // foreignWorkDone reports whether the leader of a foreign cell has nothing left
 // to do.
 func (l *leader) foreignWorkDone() bool {
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -55,6 +55,7 @@
 	acquiredAt     time.Time     // when the acquisition was known to have succeeded
 	earlierRideOut KindDurations // longest ride-out time of earlier leaders that may still renew leases
 	longestLease   KindDurations // longest lease of this and the earlier leaders
+	wasEmpty       bool          // the previous leader stopped while the cell held no tasks
 }
 
 // readRow reads the leadership row. It returns the error of the table.
@@ -132,5 +133,6 @@
 	return &acquiredLeadership{
 		row: row, revision: revision, provedAt: sentAt, acquiredAt: time.Now(),
 		earlierRideOut: c.observation.row.RideOut, longestLease: row.Lease,
+		wasEmpty: c.observation.row.Released && c.observation.row.Empty,
 	}, nil
 }
