Refuse jobs whose counts or resources overflow

The number of tasks in all rounds was multiplied without a check: 5 steps with 2^33 tasks in all and 2^30 rounds passed Validate, since the product is negative. A trial with a limit of 6 GB: New asks for 25,769,803,776 bytes, "fatal error: out of memory", which no recover contains. The leader dies before the job is stored, and the caller, told that the outcome is unknown, sends it to the next one.

A step that asks for 2^63-1 processors or MB fits anywhere, because the sum with what is reserved is negative. In a trial it was placed on a worker that was in use, and 100 tasks of 1 processor beside it on 16 processors.

A start after the year 9999 could not be encoded; the caller got 504 and could not know that the job would never be accepted.

All three are refused with 400 now. TestJobsThatOverflowAreRefused fails in all 5 cases without the fix.

--- a/workflow/validate.go
+++ b/workflow/validate.go
@@ -12,6 +12,9 @@
 	MaxSteps        = 64
 	MaxTasks        = 500  // tasks in all steps and rounds together; each task takes about 100 bytes in the row
 	MaxPayloadBytes = 4000 // limit in the platform's documentation of jobs
+
+	maxResource = int64(1) << 40 // sums of larger amounts may overflow
+	maxYear     = 9999           // a later time cannot be encoded
 )
 
 // Validate returns a *structs.InvalidError with all faults of an invalid job.
@@ -19,13 +22,15 @@
 	v := validator{}
 	v.check(len(job.Payload) <= MaxPayloadBytes, "/spec", len(job.Payload), "must have at most 4000 bytes")
 	v.check(len(job.Steps) > 0 && len(job.Steps) <= MaxSteps, "/steps", len(job.Steps), "must have 1 to 64 steps")
+	year := job.Schedule.Start.UTC().Year()
+	v.check(year >= 0 && year <= maxYear, "/start_at_ms", year, "must be in the years 0 to 9999")
 	v.check(job.Schedule.Rounds >= 0 && job.Schedule.Interval >= 0, "/schedule", job.Schedule.Rounds, "must not be negative")
 	total := int64(0)
 	for i := range job.Steps {
 		v.step(job, i)
 		total += int64(job.Steps[i].Tasks)
 	}
-	if job.Schedule.Rounds > 0 {
+	if total <= MaxTasks && job.Schedule.Rounds > 0 { // a larger total may overflow
 		total *= int64(job.Schedule.Rounds)
 	}
 	v.check(total <= MaxTasks, "/steps", total, "must have at most 500 tasks in all")
@@ -50,8 +55,9 @@
 	s := &job.Steps[i]
 	path := "/steps/" + strconv.Itoa(i)
 	v.check(s.Tasks > 0, path+"/count", s.Tasks, "must be above 0")
-	v.check(s.Resources.MilliCPU >= 0 && s.Resources.MemoryMB >= 0 && s.Resources.Accelerators >= 0,
-		path, s.Resources, "must not ask for negative resources")
+	for _, amount := range []int64{s.Resources.MilliCPU, s.Resources.MemoryMB, s.Resources.Accelerators} {
+		v.check(amount >= 0 && amount <= maxResource, path, amount, "must ask for 0 to 2^40 of each resource")
+	}
 	v.check(s.Estimate >= 0 && s.LatencyTarget >= 0 && s.MaxPerWorker >= 0 && s.MaxUnavailable >= 0,
 		path, i, "must not have negative figures")
 	for _, dependency := range s.After {
