Set aside a job whose handling makes the leader panic

A panic in the leader's loop ends the leadership, and the next leader reads the same job and panics again; one in the decoding or the restoration of a job ran outside of the loop and ended the process of each node that took over. No job that Validate accepts is known to do this. The tests break a job in memory, or take the interference model away from the one job that needs it.

Each look at one job (its pending tasks, its restoration, the decoding and the encoding of its records) is now contained. A panic of the placement policy is traced by planning each job alone. The job is set aside for 1 s, then twice as long each time up to a minute. Weighed against failing it after some panics: a panic may come from the configuration of a queue and then hits all of its jobs, so that giving them up would lose them, and a caller who wants it gone can cancel it. A panic without a single job as its cause still ends the leadership, as do those in the handling of workers' reports and of time, whose state several jobs share.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -106,6 +106,9 @@
 	// runEndedAt holds, for each long-running task that has run, when its last
 	// run ended, or was last listed if it was lost.
 	runEndedAt map[structs.StepTaskID]bootclock.Time
+	// setAsideUntil is when the job is scheduled again after a panic.
+	setAsideUntil bootclock.Time
+	panics        int // number of times that it was set aside
 }
 
 func newLeader(o Options, m *metrics, row leaderRow) *leader {
@@ -130,17 +133,10 @@
 	now := l.o.Clock()
 	l.interference.Restore(s.interference)
 	for _, restored := range s.jobs {
-		j := &job{Job: restored, stored: true, storedPhase: restored.Phase()}
-		l.addJob(j)
-		if j.Final() {
-			j.finishedAt = now
-			l.finishedJobs = append(l.finishedJobs, j)
+		if err := l.contain("restore", func() { l.restoreJob(restored, now) }); err != nil {
+			l.log.Error("job skipped: it cannot be restored", zap.String("job", string(restored.Spec.ID)), zap.Error(err))
+			l.metrics.count(l.metrics.setAside, "restore")
 		}
-		restored.Tasks(func(id structs.StepTaskID, t *workflow.Task) {
-			if t.State == workflow.Assigned {
-				l.workerByID(t.Worker).assign(structs.RunID{Task: id, Number: t.Run}, t.Incarnation, j).stored = true
-			}
-		})
 	}
 	// All leases of earlier leaders end at most LeaseHorizon after the previous
 	// leader's last commit was sent.
@@ -149,6 +145,20 @@
 	}
 }
 
+func (l *leader) restoreJob(restored *workflow.Job, now bootclock.Time) {
+	j := &job{Job: restored, stored: true, storedPhase: restored.Phase()}
+	l.addJob(j)
+	if j.Final() {
+		j.finishedAt = now
+		l.finishedJobs = append(l.finishedJobs, j)
+	}
+	restored.Tasks(func(id structs.StepTaskID, t *workflow.Task) {
+		if t.State == workflow.Assigned {
+			l.workerByID(t.Worker).assign(structs.RunID{Task: id, Number: t.Run}, t.Incarnation, j).stored = true
+		}
+	})
+}
+
 func (l *leader) addJob(j *job) {
 	j.acceptedAt = l.o.Clock()
 	j.lastAssignedAt = j.acceptedAt
@@ -289,9 +299,14 @@
 		j := l.dirtyJobs[0]
 		l.dirtyJobs = l.dirtyJobs[1:]
 		j.isDirty = false
-		rows, err := jobRows(j)
+		var rows []substrate.PartRow
+		var err error
+		if panicked := l.contain("encode job", func() { rows, err = jobRows(j) }); panicked != nil {
+			err = panicked
+		}
 		if err != nil {
 			l.log.Error("job not stored: it cannot be encoded", zap.String("job", string(j.Spec.ID)), zap.Error(err))
+			l.setAside(j, err)
 			continue
 		}
 		for _, row := range rows {
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -17,7 +17,7 @@
 	startDelay                                                 metric.Float64Histogram
 	paceCalls                                                  metric.Int64Counter
 	violations, readingInterval                                metric.Float64Histogram
-	quarantines                                                metric.Int64Counter
+	quarantines, setAside                                      metric.Int64Counter
 	outages                                                    metric.Float64Histogram
 	longestOutage                                              metric.Float64Gauge
 }
@@ -39,6 +39,7 @@
 	counter(&m.refusedStarts, "daisywall.fleet.refused", "Starts refused by the runner by reason")
 	counter(&m.paceCalls, "daisywall.fleet.pace.calls", "Changes of pace sent to the runner by outcome")
 	counter(&m.quarantines, "daisywall.fleet.quarantines", "Quarantines of workers by cause")
+	counter(&m.setAside, "daisywall.fleet.set_aside", "Jobs set aside after a panic by operation")
 	counter(&m.commitJobs, "daisywall.fleet.commit.jobs", "Jobs written by commits")
 	seconds := func(into *metric.Float64Histogram, name, description string) {
 		if err == nil {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -63,9 +63,12 @@
 	if len(views) == 0 {
 		return
 	}
-	steps.KeepIdleWherePoolIsFree(views, demands)
-	l.requestMissingPermits(ctx, views, demands)
-	for _, p := range steps.Plan(views, demands, l.interference) {
+	placements, err := l.plan(ctx, views, demands)
+	if err != nil {
+		l.setAsideJobsThatPanic(demands, err)
+		return
+	}
+	for _, p := range placements {
 		l.assignTask(p)
 	}
 	for _, v := range views {
@@ -115,12 +118,13 @@
 	return v
 }
 
-// pendingDemands returns the steps that may run now and have pending tasks.
-func (l *leader) pendingDemands() []steps.Demand {
+// demandsOf returns the steps of the jobs that may run now and have pending
+// tasks.
+func (l *leader) demandsOf(jobs []*job) []steps.Demand {
 	wall, now := l.o.WallClock(), l.o.Clock()
 	config, _ := l.config.Current()
 	var demands []steps.Demand
-	for _, j := range l.openJobs {
+	for _, j := range jobs {
 		queue := j.queueIn(config)
 		first, hasRun := len(demands), false
 		j.ReadySteps(wall, func(round, step int32, tasks []workflow.Task) {
--- a/fleet/stored_state.go
+++ b/fleet/stored_state.go
@@ -39,7 +39,7 @@
 	var s storedState
 	for _, row := range states {
 		id := structs.JobID(row.Key)
-		job, err := workflow.Decode(id, specs[row.Key], row.Value)
+		job, err := decodeJob(id, specs[row.Key], row.Value, log)
 		if err != nil {
 			log.Error("job skipped: its record cannot be decoded", zap.String("job", row.Key), zap.Int64("version", row.Version), zap.Error(err))
 			s.unreadableJobs++
@@ -51,6 +51,13 @@
 	return s, err
 }
 
+// decodeJob decodes a job. It returns a panic as an error, because every node
+// that takes over decodes the same records.
+func decodeJob(id structs.JobID, spec, state []byte, log *zap.Logger) (job *workflow.Job, err error) {
+	defer recoverAs(&err, "decode job", log)
+	return workflow.Decode(id, spec, state)
+}
+
 // loadInterference reads the stored interference model. It returns nil if there
 // is none or the row cannot be decoded, and the leader then starts with an
 // empty model.
