Give up a task that ends its runtimes in a cell

A new incarnation of a worker's runtime returned its tasks to pending and counted nothing. MaxAttempts counts only runs that end as failed.

The record of the new incarnation now names the tasks that had started there in the last 30 s, and the state counts them. A batch task that is a suspect three times in a row fails with the reason. A service is never given up, as before, but from the second time on waits 1 s, then twice as long, up to a minute.

So a suspect starts only where no other one has started in the last 30 s, and if one of the suspects of a crash was one before, the others are not counted. A service after its first crash is exempt, since TestNewIncarnationEndsWhatRanBefore wants it to run again within a lease.

Not counted: a host that falls silent and whose leases lapse. A cut can't be told from a crash there before the host returns, which is after the task has moved.

Rows that older leaders wrote have no suspects, and replay as before.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -117,6 +117,7 @@
 	l.state.Apply(seq, &txn.batch)
 	l.notifyBatch(&txn.batch, now)
 	for _, change := range txn.batch.Workers {
+		l.delayCrashed(change, now)
 		if l.queue.incarnations[change.Worker] == change.Incarnation {
 			delete(l.queue.incarnations, change.Worker)
 		}
--- a/cell/evacuate.go
+++ b/cell/evacuate.go
@@ -87,7 +87,7 @@
 	for _, t := range tasks {
 		txn.batch.Moves = append(txn.batch.Moves, newTaskRef(t.ID()))
 		inbox.Tasks = append(inbox.Tasks, Handoff{
-			First: t.Index, Count: 1, Number: t.Number, Checkpoint: t.Checkpoint, FailedOn: t.FailedOn,
+			First: t.Index, Count: 1, Number: t.Number, Checkpoint: t.Checkpoint, FailedOn: t.FailedOn, Crashes: t.Crashes,
 		})
 	}
 	txn.puts = append(txn.puts, substrate.Put{Key: handoffKey(to, id, l.cell, l.state.Seq), Value: encode(inbox)})
--- a/cell/explain.go
+++ b/cell/explain.go
@@ -24,6 +24,7 @@
 	Reason   structs.Reason    `json:"reason,omitempty"`
 	Detail   string            `json:"detail,omitempty"`
 	FailedOn []string          `json:"failed_on,omitempty"`
+	Crashes  int32             `json:"crashes,omitempty"` // runtimes in a row that ended soon after the task had started
 	Status   *Status           `json:"status,omitempty"`
 	Free     structs.Resources `json:"free"`
 	Runs     []string          `json:"runs,omitempty"`
@@ -99,6 +100,7 @@
 		return
 	}
 	r.Found, r.State, r.Worker, r.Attempt = true, string(t.State), t.Worker, t.Number
+	r.Crashes = t.Crashes
 	for _, w := range t.FailedOn {
 		r.FailedOn = append(r.FailedOn, string(w))
 	}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -57,6 +57,7 @@
 		}
 	}
 	budget := l.remainingShares()
+	probes := l.crashProbes(now)
 	txn.heartbeatSeqs = map[structs.WorkerID]int64{}
 	for _, p := range plan.Placements {
 		if len(txn.batch.Starts) == s.MaxStarts {
@@ -64,10 +65,14 @@
 		}
 		t, pending := l.state.pending[p.Task]
 		room, placeable := free[p.Worker]
+		if pending && t.startsApart() && probes[p.Worker] {
+			continue
+		}
 		if !pending || t.job.CancelRequested || !placeable || !t.job.Job.Resources.Fits(room) || !l.allowStart(now) || !budget.reserve(&t.job.Job) {
 			continue
 		}
 		free[p.Worker] = room.Sub(t.job.Job.Resources)
+		probes[p.Worker] = probes[p.Worker] || t.Crashes > 0
 		txn.heartbeatSeqs[p.Worker] = l.sessions[p.Worker].sequence
 		txn.batch.Starts = append(txn.batch.Starts, Start{
 			Job: p.Task.Job, Index: p.Task.Index, Number: t.Number + 1, Worker: p.Worker,
--- a/cell/record.go
+++ b/cell/record.go
@@ -38,6 +38,9 @@
 type WorkerChange struct {
 	Worker      structs.WorkerID `json:"w"`
 	Incarnation string           `json:"i"`
+	// Crashed holds the assigned tasks that had started so recently that they may
+	// have ended the previous incarnation.
+	Crashed []TaskRef `json:"k,omitempty"`
 }
 
 // TaskRef names a task.
@@ -106,6 +109,7 @@
 	Number     int32              `json:"a,omitempty"` // number of attempts so far
 	Checkpoint string             `json:"p,omitempty"`
 	FailedOn   []structs.WorkerID `json:"f,omitempty"`
+	Crashes    int32              `json:"k,omitempty"`
 }
 
 // maxDetailBytes is the number of bytes that are kept of a detail text.
--- a/cell/simcluster_test.go
+++ b/cell/simcluster_test.go
@@ -69,6 +69,10 @@
 	members       []*member
 	messageDelays []time.Duration // delay of each of the next messages, in the order of sending
 	taskRunTime   time.Duration   // run time of every batch task
+	// isDeadly reports whether the runtime ends soon after a start of the task. It
+	// may be nil.
+	isDeadly      func(structs.TaskID) bool
+	deadlyToAgent bool // the agent, which may lead, ends as well
 	// assignDelay delays the effect of assignments, even after their sender
 	// has given up.
 	assignDelay time.Duration
--- a/cell/simhost_test.go
+++ b/cell/simhost_test.go
@@ -228,6 +228,17 @@
 		exitsAt: now.Add(h.cluster.runTime(kind)), checkpoint: a.GetCheckpoint(),
 	}
 	h.runs[id] = r
+	if h.cluster.isDeadly != nil && h.cluster.isDeadly(id.Task) {
+		h.cluster.goroutines.Go(func() {
+			time.Sleep(50 * time.Millisecond)
+			h.restartRuntime()
+			if m := h.cluster.member(h.id); h.cluster.deadlyToAgent && h.cluster.killCandidate(m) {
+				h.restartAgent()
+				time.Sleep(time.Second)
+				h.cluster.startCandidate(m)
+			}
+		})
+	}
 	h.cluster.history.add(event{
 		kind: eventStart, attempt: id, host: h.id, domain: h.domain, size: size,
 		epoch: req.GetEpoch(), checkpoint: a.GetCheckpoint(),
--- a/cell/state.go
+++ b/cell/state.go
@@ -85,6 +85,8 @@
 	Checkpoint  string             `json:"p,omitempty"` // checkpoint from which the next attempt starts
 	FailedOn    []structs.WorkerID `json:"f,omitempty"` // workers of its failed attempts
 
+	Crashes int32 `json:"k,omitempty"` // last runtimes in a row that ended soon after the task had started on them
+
 	job          *JobState
 	indexedUnder structs.WorkerID // worker under which byWorker holds the task
 }
@@ -175,7 +177,7 @@
 	}
 	w.Incarnation = change.Incarnation
 	for _, t := range assigned {
-		s.returnToPending(t)
+		s.loseRuntime(t, slices.Contains(change.Crashed, newTaskRef(t.ID())))
 	}
 }
 
@@ -193,7 +195,7 @@
 			}
 			t := &Task{
 				Index: id.Index, State: structs.TaskPending, Number: h.Number,
-				Checkpoint: h.Checkpoint, FailedOn: h.FailedOn, job: job,
+				Checkpoint: h.Checkpoint, FailedOn: h.FailedOn, Crashes: h.Crashes, job: job,
 			}
 			job.Tasks = append(job.Tasks, t)
 			job.Status.Accepted++
@@ -315,7 +317,7 @@
 func (s *State) setFinal(t *Task, state structs.TaskState) {
 	t.State = state
 	t.Worker, t.Incarnation, t.Epoch = "", "", 0
-	t.Checkpoint, t.FailedOn = "", nil
+	t.Checkpoint, t.FailedOn, t.Crashes = "", nil, 0
 	switch state {
 	case structs.TaskFinished:
 		t.job.Status.Finished++
--- a/cell/transaction.go
+++ b/cell/transaction.go
@@ -71,7 +71,7 @@
 
 func (l *leader) addWorkerChanges(txn *leaderTxn, now time.Time) {
 	for id, incarnation := range l.queue.incarnations {
-		txn.batch.Workers = append(txn.batch.Workers, WorkerChange{Worker: id, Incarnation: incarnation})
+		txn.batch.Workers = append(txn.batch.Workers, WorkerChange{Worker: id, Incarnation: incarnation, Crashed: l.crashSuspects(id, now)})
 	}
 	if l.recovered && now.Sub(l.leaseExpiry.acquiredAt) > workerRemovalDelay {
 		l.addWorkerRemovals(txn, now)
