Show that a request that ends its targets reaches only a few

Each target that executes the request dies. The request reaches at most 4 targets (maxAttempts) if it is idempotent, and 1 if it is not, with or without a key. No fault was found; the bound had no test that kills the targets by the request.

--- a/request/simulated_cluster_test.go
+++ b/request/simulated_cluster_test.go
@@ -83,6 +83,9 @@
 	return runs
 }
 
+// deadlyRequest is the body of a request that ends each target that executes it.
+const deadlyRequest = "deadly"
+
 // fakeTarget is an HTTP server that records the requests that it executes.
 type fakeTarget struct {
 	name     string
@@ -115,6 +118,10 @@
 		return
 	}
 	f.history.record(execution{r.Header.Get(RequestIDHeader), string(body), f.name})
+	if string(body) == deadlyRequest {
+		f.kill()
+		panic(http.ErrAbortHandler)
+	}
 	f.mu.Lock()
 	serviceTime, truncate := f.serviceTime, f.truncateAnswer
 	f.mu.Unlock()
