Contain panics in the calls to the runner and for permits

These calls decode answers in goroutines of their own, without a recover: a panic ended the agent's process, or that of the leader, and the same answer ended the next one. They are contained where the node gets its dependencies, and count as calls of unknown outcome, which are repeated or stopped as before. TestPanicInACallToTheRunnerEndsNoProcess ends the test process without it.

--- a/fleet/options.go
+++ b/fleet/options.go
@@ -194,5 +194,6 @@
 	if o.Meters == nil {
 		o.Meters = noop.NewMeterProvider()
 	}
+	o.containCalls()
 	return o, nil
 }
