--- a/cell/commit.go
+++ b/cell/commit.go
@@ -44,8 +44,7 @@
 	if txn.renewLeadership || txn.batch.Empty() {
 		row.Renewals++
 		row.Released = txn.releaseLeadership
-		pending, assigned := l.state.Counts()
-		row.Empty = txn.releaseLeadership && l.recovered && pending+assigned == 0
+		row.Empty = txn.releaseLeadership && l.holdsNoTasks()
 		row.RideOut, row.Lease = l.grantBounds(time.Now(), txn.releaseLeadership)
 		tableTxn.Puts = append(tableTxn.Puts, substrate.Put{Key: leaderKey(l.cell), Value: encode(row)})
 	}
@@ -118,6 +117,7 @@
 	l.state.Apply(seq, &txn.batch)
 	l.notifyBatch(&txn.batch, now)
 	for _, change := range txn.batch.Workers {
+		l.delayCrashed(change, now)
 		if l.queue.incarnations[change.Worker] == change.Incarnation {
 			delete(l.queue.incarnations, change.Worker)
 		}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -17,7 +17,7 @@
 	startDelay                                                              metric.Float64Histogram
 	paceCalls                                                               metric.Int64Counter
 	violations, readingInterval                                             metric.Float64Histogram
-	quarantines, crashes, givenUp                                           metric.Int64Counter
+	quarantines, crashes, givenUp, setAside                                 metric.Int64Counter
 	outages                                                                 metric.Float64Histogram
 	longestOutage                                                           metric.Float64Gauge
 }
@@ -42,6 +42,7 @@
 	counter(&m.quarantines, "daisywall.fleet.quarantines", "Quarantines of workers by cause")
 	counter(&m.crashes, "daisywall.fleet.crashes", "Crashes of runners by failure domain")
 	counter(&m.givenUp, "daisywall.fleet.given_up", "Jobs failed since a task crashed its runners by queue")
+	counter(&m.setAside, "daisywall.fleet.set_aside", "Jobs set aside after a panic by operation")
 	counter(&m.commitJobs, "daisywall.fleet.commit.jobs", "Jobs written by commits")
 	seconds := func(into *metric.Float64Histogram, name, description string) {
 		if err == nil {
