Count a crash only for runs that the runner had started

The agent now reports whether the runner had answered the start or listed the run. Other runs share the blame, but a crash counts for them only once their blame is beyond doubt. Crashes of several workers within 2 s count half.

--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -18,10 +18,14 @@
 
 // Divisors of the blame for a crash that other causes are likely for.
 const (
-	unstableDiscount = 2 // the worker is unstable
-	stormDiscount    = 3 // half of the other workers are
+	unstableDiscount = 2 // the worker is unstable, or another one has just crashed
+	stormDiscount    = 3 // half of the other workers are unstable
 )
 
+// stormGap is the time between the crashes of two workers below which they may
+// have a common cause.
+const stormGap = 2 * time.Second
+
 // maxLoggedSuspects limits the tasks in the log line of a crash.
 const maxLoggedSuspects = 10
 
@@ -30,6 +34,7 @@
 	incarnation string
 	at          bootclock.Time                  // 0 for no crash
 	ages        map[structs.RunID]time.Duration // ages of the runs at the crash
+	started     map[structs.RunID]bool          // runs that the runner had certainly started
 	isExplained bool                            // a task was given up for it
 }
 
@@ -44,9 +49,11 @@
 		incarnation: c.GetIncarnation(),
 		at:          l.o.Clock().Add(-time.Duration(c.GetAgoMs()) * time.Millisecond),
 		ages:        make(map[structs.RunID]time.Duration, len(c.GetRuns())),
+		started:     map[structs.RunID]bool{},
 	}
 	for _, r := range c.GetRuns() {
-		w.crash.ages[runFromProto(r.GetRun())] = time.Duration(r.GetAgeMs()) * time.Millisecond
+		id := runFromProto(r.GetRun())
+		w.crash.ages[id], w.crash.started[id] = time.Duration(r.GetAgeMs())*time.Millisecond, r.GetStarted()
 	}
 	l.metrics.count(l.metrics.crashes, string(w.domain))
 }
@@ -57,16 +64,26 @@
 	return c.at != 0 && at.Sub(c.at) < unstableFor && !c.isExplained
 }
 
-// isStorm reports whether half of the other workers are unstable without a run of
-// the task.
-func (l *leader) isStorm(w *worker, id structs.StepTaskID) bool {
-	unstable := 0
+// crashDiscount divides the blame of a task for the last crash of the worker. Its
+// crashes say less while workers crash that had no run of it.
+func (l *leader) crashDiscount(w *worker, id structs.StepTaskID) int32 {
+	discount, unstable := int32(1), 0
+	if w.earlierCrash.isUnstable(w.crash.at) && !w.earlierCrash.hadTask(id) {
+		discount = unstableDiscount
+	}
 	for _, other := range l.workers {
-		if other != w && other.crash.isUnstable(w.crash.at) && !other.crash.hadTask(id) {
-			unstable++
+		if other == w || !other.crash.isUnstable(w.crash.at) || other.crash.hadTask(id) {
+			continue
+		}
+		unstable++
+		if w.crash.at.Sub(other.crash.at) < stormGap {
+			discount = unstableDiscount
 		}
 	}
-	return unstable > 1 && 2*unstable >= len(l.workers)-1
+	if unstable > 1 && 2*unstable >= len(l.workers)-1 {
+		discount = stormDiscount
+	}
+	return discount
 }
 
 // hadTask reports whether a run of the task was there.
@@ -102,13 +119,8 @@
 	runs := make([]workflow.CrashedRun, len(crashed))
 	for i, r := range crashed {
 		runs[i] = workflow.CrashedRun{
-			Job: r.job.Job, Run: r.id, Age: w.crash.ages[r.id],
-			Discount: 1,
-		}
-		if l.isStorm(w, r.id.Task) {
-			runs[i].Discount = stormDiscount
-		} else if isUnstable && !w.earlierCrash.hadTask(r.id.Task) {
-			runs[i].Discount = unstableDiscount
+			Job: r.job.Job, Run: r.id, Age: w.crash.ages[r.id], HasStarted: w.crash.started[r.id],
+			Discount: l.crashDiscount(w, r.id.Task),
 		}
 	}
 	blame := workflow.ShareBlame(runs)
--- a/fleet/run_register.go
+++ b/fleet/run_register.go
@@ -18,13 +18,14 @@
 type runRegister struct {
 	incarnation string
 	begunAt     map[structs.RunID]bootclock.Time
-	failingFrom bootclock.Time // first failed poll since the last list, 0 if there is none
+	started     map[structs.RunID]bool // runs whose start was answered, or that were listed
+	failingFrom bootclock.Time         // first failed poll since the last list, 0 if there is none
 }
 
 // register returns the register of the incarnation. The caller holds mu.
 func (h *host) register(incarnation string) *runRegister {
 	if h.runs.begunAt == nil || h.runs.incarnation != incarnation {
-		h.runs = runRegister{incarnation: incarnation, begunAt: map[structs.RunID]bootclock.Time{}}
+		h.runs = runRegister{incarnation: incarnation, begunAt: map[structs.RunID]bootclock.Time{}, started: map[structs.RunID]bool{}}
 	}
 	return &h.runs
 }
@@ -37,6 +38,13 @@
 	h.register(incarnation).begunAt[run] = h.o.Clock()
 }
 
+// recordStarted records that the incarnation has answered the start of a run.
+func (h *host) recordStarted(incarnation string, run structs.RunID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.register(incarnation).started[run] = true
+}
+
 // recordList records the runs that the incarnation has listed. It keeps runs
 // whose start is in progress. A listed run that this process has not started may
 // be of any age and gets establishedAge.
@@ -46,19 +54,20 @@
 	r := h.register(incarnation)
 	r.failingFrom = 0
 	listed := make(map[structs.RunID]bootclock.Time, len(active)+len(starting))
+	started := make(map[structs.RunID]bool, len(active)+len(starting))
 	for _, a := range active {
 		begunAt, found := r.begunAt[a.Run]
 		if !found {
 			begunAt = h.o.Clock().Add(-establishedAge)
 		}
-		listed[a.Run] = begunAt
+		listed[a.Run], started[a.Run] = begunAt, true
 	}
 	for id := range starting {
 		if begunAt, found := r.begunAt[id]; found {
-			listed[id] = begunAt
+			listed[id], started[id] = begunAt, started[id] || r.started[id]
 		}
 	}
-	r.begunAt = listed
+	r.begunAt, r.started = listed, started
 }
 
 // recordFailedPoll records that the incarnation did not answer a poll.
@@ -86,7 +95,7 @@
 	for id, begunAt := range r.begunAt {
 		// A start that was sent later did not reach the incarnation.
 		if age := crashedAt.Sub(begunAt); age >= 0 {
-			h.crash.Runs = append(h.crash.Runs, &fleetpb.CrashedRun{Run: runToProto(id), AgeMs: int64(age / time.Millisecond)})
+			h.crash.Runs = append(h.crash.Runs, &fleetpb.CrashedRun{Run: runToProto(id), AgeMs: int64(age / time.Millisecond), Started: r.started[id]})
 		}
 	}
 }
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -37,6 +37,7 @@
 		outcome := a.startUntilSettled(call, start, basis)
 		took := a.host.o.Clock().Sub(begunAt)
 		if outcome.err == nil {
+			a.host.recordStarted(a.info.Incarnation, r)
 			a.pacer.setStarted(ctx, r)
 		}
 		a.host.metrics.startDelay.Record(ctx, took.Seconds())
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -21,6 +21,7 @@
 	repeatedCrash  = 40                     // blame for a later crash at the age of an earlier one
 	fullBlame      = 97                     // blame with which a task is given up after two crashes at the same age, or three
 	highBlame      = 80                     // blame with which it is given up after four crashes
+	certainBlame   = 300                    // blame with which it is given up although no runner has confirmed its starts
 	maxCrashes     = 5                      // crashes after which a task that ends by itself is given up whatever its blame
 	isolationBlame = 8                      // blame from which the runs of a task are isolated
 	isolationCount = 2                      // crashes from which they are isolated whatever the blame
@@ -40,6 +41,8 @@
 	Job *Job
 	Run structs.RunID
 	Age time.Duration // time from its start to the crash
+	// HasStarted is set if the runner had certainly started the run.
+	HasStarted bool
 	// Discount divides the blame where other crashes were seen that the task has
 	// not caused, 0 for none.
 	Discount int32
@@ -123,7 +126,7 @@
 	if r.Age <= maxCrashAge && counter.CrashedRun != r.Run.Number {
 		counter.CrashedRun, counter.CrashAgeMS = r.Run.Number, int32(r.Age/time.Millisecond)
 		counter.Blame += blame
-		if blame > 0 {
+		if blame > 0 && r.HasStarted {
 			counter.Crashes++
 		}
 	}
@@ -137,6 +140,8 @@
 // crashesRunners reports whether the task is given up for its crashes.
 func (t *Task) crashesRunners(atSameAge bool) bool {
 	switch {
+	case t.Blame >= certainBlame:
+		return true
 	case t.Crashes >= 4:
 		return t.Blame >= highBlame
 	case t.Crashes == 3 || t.Crashes == 2 && atSameAge:
