Hold an agent's session request while the node it asks is taking over

Cause: the leadership row names a successor before it has read the stored state. In that time it refused Attend with "not the leader". The agent counts this as no answer and waits for TakeoverAfter, jitter and the delay of a draining host. The agent of a runner that left is stopped in this wait, so the successor never learns that the runs have ended, and waits for the longest lease that they can have.

Change: Attend waits for the end of the node's own attempt to become the leader, from before the row is written until it leads or the attempt has failed. Each agent limits the wait itself (answerTimeout, 700 ms), and counts TakeoverAfter from its read of the row as before, so a successor that is stuck is replaced as soon as before. A node that has lost the leadership and makes no attempt still refuses at once. Repeats by the agent would cover the same, but each agent would open connections to a node that is busy with the stored state.

Not covered: a successor that reads for longer than 700 ms, and the wait for leases of hosts whose agents are gone as well.

--- a/fleet/node.go
+++ b/fleet/node.go
@@ -28,6 +28,9 @@
 
 	mu     sync.Mutex
 	leader *leader // nil while another node leads
+	// takeover is closed at the end of the attempt of this node to become the
+	// leader, nil without one.
+	takeover chan struct{}
 	// lastLeader is the leadership row that was last read or written, zero
 	// before the first read.
 	lastLeader    leaderRow
@@ -68,6 +71,38 @@
 // IsLeader reports whether this node leads.
 func (n *Node) IsLeader() bool { return n.activeLeader() != nil }
 
+// awaitLeader returns the leader if this node leads. During an attempt to become
+// the leader it waits for the end, because others may have read this node's
+// address in the leadership row already.
+func (n *Node) awaitLeader(ctx context.Context) *leader {
+	n.mu.Lock()
+	l, takeover := n.leader, n.takeover
+	n.mu.Unlock()
+	if l != nil || takeover == nil {
+		return l
+	}
+	select {
+	case <-takeover:
+	case <-ctx.Done():
+	}
+	return n.activeLeader()
+}
+
+// beginTakeover records that this node tries to become the leader until end is
+// called.
+func (n *Node) beginTakeover() (end func()) {
+	takeover := make(chan struct{})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.takeover = takeover
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.takeover = nil
+		close(takeover)
+	}
+}
+
 func (n *Node) isStopping() bool {
 	select {
 	case <-n.stopRequested:
@@ -260,10 +295,13 @@
 	if n.activeLeader() != nil {
 		return nil
 	}
+	endTakeover := sync.OnceFunc(n.beginTakeover())
+	defer endTakeover()
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
 	row, err := acquireLeadership(call, n.o.Store, seen, n.o.Address)
 	cancel()
 	if err != nil {
+		endTakeover()
 		n.o.Log.Info("takeover failed", zap.Int64("epoch", seen.Epoch+1), zap.Error(err))
 		return sleep(ctx, searchPause/2+rand.N(searchPause))
 	}
@@ -272,6 +310,7 @@
 	state, err := loadState(call, n.o.Store, n.o.Log)
 	cancel()
 	if err != nil {
+		endTakeover()
 		n.o.Log.Warn("takeover abandoned: stored state cannot be read", zap.Int64("epoch", row.Epoch), zap.Error(err))
 		return sleep(ctx, searchPause)
 	}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -49,7 +49,7 @@
 
 // Attend implements fleetpb.FleetServer.
 func (n *Node) Attend(stream fleetpb.Fleet_AttendServer) error {
-	l := n.activeLeader()
+	l := n.awaitLeader(stream.Context())
 	if l == nil {
 		return status.Error(codes.FailedPrecondition, "not the leader")
 	}
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,6 +47,8 @@
 	beforePoll func()
 	// reading returns the reading of a run. It may be nil.
 	reading func(h *simulatedHost, run structs.RunID) int64
+	// listDelay is how long the store takes longer to list rows, in nanoseconds.
+	listDelay atomic.Int64
 
 	hosts []*simulatedHost
 }
@@ -300,6 +303,20 @@
 	return r.Runner.PollRuns(ctx, fence, acknowledged, lease, maxWait)
 }
 
+// slowStore is the client of a store that may take long to list rows.
+type slowStore struct {
+	substrate.PartStore
+	listDelay *atomic.Int64
+}
+
+// Rows implements substrate.PartStore.
+func (s *slowStore) Rows(ctx context.Context, table, part string) ([]substrate.PartRow, int64, error) {
+	if err := sleep(ctx, time.Duration(s.listDelay.Load())); err != nil {
+		return nil, 0, &structs.UnavailableError{Dependency: "store", Err: err}
+	}
+	return s.PartStore.Rows(ctx, table, part)
+}
+
 func (h *simulatedHost) startAgent() {
 	var permits substrate.PermitSource
 	if h.fleet.permits != nil {
@@ -307,7 +324,7 @@
 	}
 	node, err := NewNode(Options{
 		Permits: permits,
-		Worker:  h.name, FailureDomain: h.domain, Address: string(h.name), Store: h.store,
+		Worker:  h.name, FailureDomain: h.domain, Address: string(h.name), Store: &slowStore{PartStore: h.store, listDelay: &h.fleet.listDelay},
 		Runner: func(info substrate.RunnerInfo) substrate.Runner {
 			return &interceptedRunner{Runner: h.runner.Client(info.Incarnation), h: h}
 		},
