--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -338,27 +338,31 @@
 func TestCrashesWithoutACulpritGiveUpNoTask(t *testing.T) {
 	for _, s := range []struct {
 		name   string
-		seeds  uint64
 		faults func(c *crashFleet)
 	}{
-		{"runners crash again and again", crashSeeds, crashAgainAndAgain},
-		{"a failure domain crashes", 1, crashDomain},
-		{"two runners flap", 1, flapRunners},
-		{"a host loses power", 1, atVictim(losePower)},
-		{"a drain ends", 1, atVictim(drainAndRestart)},
-		{"a runner restarts behind a cut", 1, atVictim(restartBehindCut)},
+		{"a failure domain crashes", crashDomain},
+		{"two runners flap", flapRunners},
+		{"a host loses power", atVictim(losePower)},
+		{"a drain ends", atVictim(drainAndRestart)},
+		{"a runner restarts behind a cut", atVictim(restartBehindCut)},
 	} {
-		for seed := range s.seeds {
-			t.Run(fmt.Sprintf("%s/%d", s.name, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					c := newCrashFleet(t, crashHosts, seed, nil)
-					defer c.close()
-					s.faults(c)
-					c.waitServices(c.timing.RestartLimit)
-					c.checkOtherJobs()
-					c.checkGuarantees()
-				})
-			})
-		}
+		t.Run(s.name, func(t *testing.T) { playCrashesWithoutACulprit(t, 0, s.faults) })
 	}
 }
+
+func TestRunnersThatCrashAgainAndAgainGiveUpNoTask(t *testing.T) {
+	for seed := range uint64(crashSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playCrashesWithoutACulprit(t, seed, crashAgainAndAgain) })
+	}
+}
+
+func playCrashesWithoutACulprit(t *testing.T, seed uint64, faults func(c *crashFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrashFleet(t, crashHosts, seed, nil)
+		defer c.close()
+		faults(c)
+		c.waitServices(c.timing.RestartLimit)
+		c.checkOtherJobs()
+		c.checkGuarantees()
+	})
+}
--- /dev/null
+++ b/workflow/crash_test.go
@@ -0,0 +1,104 @@
+package workflow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// crashedJob returns a job whose only step has the given number of tasks, all of
+// them assigned.
+func crashedJob(tasks int32, step structs.Step) *Job {
+	step.Tasks = tasks
+	j := New(structs.StepJob{ID: "a", Steps: []structs.Step{step}}, structs.Queue{})
+	for i := range tasks {
+		j.Assign(structs.StepTaskID{Job: "a", Index: i}, "w", "w@1")
+	}
+	return j
+}
+
+func crashOf(j *Job, index int32, age time.Duration) CrashedRun {
+	id := structs.StepTaskID{Job: "a", Index: index}
+	return CrashedRun{Job: j, Run: structs.RunID{Task: id, Number: j.Task(id).Run}, Age: age, HasStarted: true, Discount: 1}
+}
+
+func TestNewestRunsShareTheBlame(t *testing.T) {
+	j := crashedJob(5, structs.Step{})
+	gang := crashedJob(2, structs.Step{Gang: true})
+	for _, c := range []struct {
+		name string
+		runs []CrashedRun
+		want []int32
+	}{
+		{"the newest of old runs", []CrashedRun{crashOf(j, 0, 0), crashOf(j, 1, time.Minute)}, []int32{25, 0}},
+		{"runs that began together", []CrashedRun{crashOf(j, 0, 0), crashOf(j, 1, 0), crashOf(j, 2, 0), crashOf(j, 3, 0), crashOf(j, 4, 0)}, []int32{20, 20, 20, 20, 20}},
+		{"a gang counts once", []CrashedRun{crashOf(gang, 0, 0), crashOf(gang, 1, 0)}, []int32{25, 25}},
+		{"no recent run", []CrashedRun{crashOf(j, 0, 2*time.Second), crashOf(j, 1, time.Minute)}, []int32{0, 0}},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(ShareBlame(c.runs), c.want) })
+	}
+}
+
+func TestTaskIsGivenUpAfterRepeatedCrashes(t *testing.T) {
+	type lost struct {
+		age      time.Duration
+		discount int32
+		started  bool
+	}
+	at := func(age time.Duration) lost { return lost{age, 1, true} }
+	for _, c := range []struct {
+		name    string
+		crashes []lost
+		failed  bool
+	}{
+		{"one crash", []lost{at(0)}, false},
+		{"two crashes at the start", []lost{at(0), at(0)}, true},
+		{"two crashes at different ages", []lost{at(0), at(400 * time.Millisecond)}, false},
+		{"two crashes while others crash", []lost{{0, 2, true}, {0, 2, true}}, false},
+		{"four crashes while others crash", []lost{{0, 2, true}, {0, 2, true}, {0, 2, true}, {0, 2, true}}, true},
+		{"three crashes long after the start", []lost{at(2 * time.Second), at(2 * time.Second), at(2 * time.Second)}, false},
+		{"five crashes long after the start", []lost{at(2 * time.Second), at(2 * time.Second), at(2 * time.Second), at(2 * time.Second), at(2 * time.Second)}, true},
+		{"crashes before the runner has started the run", []lost{{0, 1, false}, {0, 1, false}, {0, 1, false}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := crashedJob(1, structs.Step{})
+			for _, l := range c.crashes {
+				r := crashOf(j, 0, l.age)
+				r.Discount, r.HasStarted = l.discount, l.started
+				j.Crash(r, ShareBlame([]CrashedRun{r})[0], "")
+				j.Assign(r.Run.Task, "w", "w@1")
+			}
+			is.New(t).Equal(j.Phase() == structs.JobFailed, c.failed)
+		})
+	}
+}
+
+func TestRunThatOutlivesACrashClearsItsTask(t *testing.T) {
+	is := is.New(t)
+	j := crashedJob(1, structs.Step{})
+	r := crashOf(j, 0, 200*time.Millisecond)
+	j.Crash(r, 50, "")
+	is.True(j.IsIsolated(r.Run.Task))
+	is.True(!j.Outlive(r.Run.Task, 600*time.Millisecond)) // not long enough after the crash
+	is.True(j.Outlive(r.Run.Task, 700*time.Millisecond))
+	is.True(!j.IsIsolated(r.Run.Task))
+}
+
+func TestCrashesSurviveAChangeOfLeader(t *testing.T) {
+	is := is.New(t)
+	j := crashedJob(1, structs.Step{})
+	r := crashOf(j, 0, 0)
+	is.True(j.Crash(r, 50, ""))
+	is.True(!j.Crash(r, 50, "")) // counted once
+	spec, err := j.EncodeSpec()
+	is.NoErr(err)
+	state, err := j.EncodeState()
+	is.NoErr(err)
+	restored, err := Decode("a", spec, state)
+	is.NoErr(err)
+	crashes, blame := restored.CrashCount(r.Run.Task)
+	is.Equal([]int32{crashes, blame}, []int32{1, 50})
+}
