A cancelled job stays cancelled when its task fails

Callers could have seen a job that they cancelled as failed: a crash or a last failed attempt that arrives after the cancellation set the phase. The test fails without the change.

--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -184,11 +184,10 @@
 	return j.Task(id)
 }
 
-// fail marks the job as failed.
+// fail marks the job as failed unless it is over. A cancelled job stays so.
 func (j *Job) fail(reason FailureReason) {
-	j.Failed = true
-	if j.FailureReason == "" {
-		j.FailureReason = reason
+	if !j.Final() {
+		j.Failed, j.FailureReason = true, reason
 	}
 }
 
--- a/workflow/crash_test.go
+++ b/workflow/crash_test.go
@@ -102,3 +102,12 @@
 	crashes, blame := restored.CrashCount(r.Run.Task)
 	is.Equal([]int32{crashes, blame}, []int32{1, 50})
 }
+
+func TestCancelledJobDoesNotFail(t *testing.T) {
+	is := is.New(t)
+	j := crashedJob(1, structs.Step{})
+	j.Cancelled = true
+	r := crashOf(j, 0, 0)
+	is.True(j.Crash(r, certainBlame, ""))
+	is.Equal(j.Phase(), structs.JobCancelled)
+}
