Trials leave room for sound work; gangs are judged by member

Found by review, by constructed plays: the job of a gang failed although each member had one crash; a pool of one or two workers started nothing else for 6 s with six suspects, 24 s with 24; a suspect waited for the whole quarantine of its only worker, and a filling one ignored the services there; an overdue task took other tasks of its step to a reserved worker; a start that was answered after a failed poll was not counted. Crashes are counted for each member, the last worker of a pool rests 2 s from trial to trial, trials observe quarantine, failures and interference, and a task that ends by itself is given up after four crashes.

--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -156,6 +156,7 @@
 	l.metrics.count(l.metrics.givenUp, string(r.job.Spec.Queue))
 	for _, other := range l.workers {
 		other.crash.isExplained = other.crash.isExplained || other.crash.hadTask(r.id.Task)
+		other.earlierCrash.isExplained = other.earlierCrash.isExplained || other.earlierCrash.hadTask(r.id.Task)
 	}
 	l.stopRunsOfJob(r.job)
 }
--- a/fleet/run_register.go
+++ b/fleet/run_register.go
@@ -22,8 +22,12 @@
 	failingFrom bootclock.Time         // first failed poll since the last list, 0 if there is none
 }
 
-// register returns the register of the incarnation. The caller holds mu.
+// register returns the register of the incarnation, an unused one if that is not
+// the current incarnation any more. The caller holds mu.
 func (h *host) register(incarnation string) *runRegister {
+	if incarnation != h.info.Incarnation {
+		return &runRegister{begunAt: map[structs.RunID]bootclock.Time{}, started: map[structs.RunID]bool{}}
+	}
 	if h.runs.begunAt == nil || h.runs.incarnation != incarnation {
 		h.runs = runRegister{incarnation: incarnation, begunAt: map[structs.RunID]bootclock.Time{}, started: map[structs.RunID]bool{}}
 	}
@@ -93,10 +97,13 @@
 	}
 	h.crash, h.crashedAt = &fleetpb.Crash{Incarnation: r.incarnation}, crashedAt
 	for id, begunAt := range r.begunAt {
-		// A start that was sent later did not reach the incarnation.
-		if age := crashedAt.Sub(begunAt); age >= 0 {
-			h.crash.Runs = append(h.crash.Runs, &fleetpb.CrashedRun{Run: runToProto(id), AgeMs: int64(age / time.Millisecond), Started: r.started[id]})
+		age := crashedAt.Sub(begunAt)
+		if age < 0 && !r.started[id] {
+			continue // the start did not reach the incarnation
 		}
+		h.crash.Runs = append(h.crash.Runs, &fleetpb.CrashedRun{
+			Run: runToProto(id), AgeMs: int64(max(0, age) / time.Millisecond), Started: r.started[id],
+		})
 	}
 }
 
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -98,6 +98,7 @@
 		AllowsFillOverTarget: now.Sub(w.fillAssignedAt) >= l.o.Timing.ViolationLimit,
 		IsUnstable:           w.crash.isUnstable(now),
 		SinceStart:           now.Sub(w.assignedAt),
+		SinceTrial:           now.Sub(w.trialAt),
 	}
 	for _, r := range w.runs {
 		step := r.job.Step(r.id.Task)
@@ -290,6 +291,9 @@
 	r := w.assign(id, w.incarnation, j)
 	r.assignedAt, r.startedForIdleJob = j.lastAssignedAt, p.IsIdle
 	w.assignedAt = r.assignedAt
+	if j.IsIsolated(p.Task) {
+		w.trialAt = r.assignedAt
+	}
 	if w.health.quarantinedAt != 0 {
 		w.health.trial = id
 	}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -54,6 +54,7 @@
 
 	latencyRatio          float64        // highest ratio of a service's latency to its target in the last list, 0 without services
 	assignedAt            bootclock.Time // last assignment of a task
+	trialAt               bootclock.Time // last assignment of an isolated task
 	fillAssignedAt        bootclock.Time // last assignment of a filling task
 	interferenceUpdatedAt bootclock.Time // last update of the interference model from this worker
 	paceSamples           []paceSample   // pace of the filling tasks in the last reading window
--- a/placement/steps/exclusion.go
+++ b/placement/steps/exclusion.go
@@ -55,7 +55,7 @@
 		return ExcludedCopies
 	case w.isQuarantined() && !d.mayTry(w, d.Tasks[0]):
 		return ExcludedQuarantine
-	case !d.mayJoinTrial(w):
+	case !d.mayJoinTrial(w, d.Tasks[0]):
 		return ExcludedTrial
 	case !d.hasRoom(w):
 		return ExcludedEndingTasks
--- a/placement/steps/isolation.go
+++ b/placement/steps/isolation.go
@@ -21,6 +21,10 @@
 // along with the task that crashes it next.
 const slowStartTasks = 6
 
+// trialRest is the time from a trial until the last worker of a pool without one may
+// begin another, so that other work starts in between.
+const trialRest = 2 * time.Second
+
 // Costs of a worker for a trial, which is expected to end all of its runs. One
 // unit is all processors of the worker.
 const (
@@ -28,6 +32,7 @@
 	trialLongRunningCost = 4.0
 	trialCalmCost        = 8.0  // of trialCalm without a start that is still to pass
 	trialUnstableCost    = 32.0 // a crash there says little about the task
+	trialFailedCost      = 64.0 // the worker has failed the task or is in quarantine
 )
 
 // besideTrialWeight is the penalty of a worker with a trial for an overdue task.
@@ -45,60 +50,83 @@
 // the limits allow, and keeps the others' tasks away from it. The same worker is
 // chosen in the next cycles, since it gets no further tasks.
 func reserveTrialWorkers(workers []*Worker, demands []Demand) {
-	var free map[structs.PoolID]int // further workers that may be reserved
+	var pools map[structs.PoolID]*trialPool
 	for i := range demands {
 		d := &demands[i]
 		if len(d.Isolated) == 0 || d.Spec.Gang {
 			continue
 		}
-		if free == nil {
-			free = freeTrialWorkers(workers)
+		if pools == nil {
+			pools = trialPools(workers)
 		}
+		pool := pools[d.Pool]
 		for _, index := range d.Tasks {
-			if !d.Isolated[index] || free[d.Pool] <= 0 {
+			if !d.Isolated[index] || pool == nil || pool.mayReserve <= 0 {
 				continue
 			}
-			if w := d.bestTrialWorker(workers, index); w != nil {
+			if w := d.bestTrialWorker(workers, index, pool.others <= 1); w != nil {
 				w.Trial = d.stepID()
 				d.setTrialWorker(index, w)
-				free[d.Pool]--
+				pool.mayReserve--
+				pool.others--
 			}
 		}
 	}
 }
 
-// freeTrialWorkers returns the number of workers of each pool that may be reserved
-// in addition to those on trial.
-func freeTrialWorkers(workers []*Worker) map[structs.PoolID]int {
-	sizes, free := map[structs.PoolID]int{}, map[structs.PoolID]int{}
+// trialPool counts the workers of a pool.
+type trialPool struct {
+	others     int // workers without a trial
+	mayReserve int // further workers that may be reserved
+}
+
+func trialPools(workers []*Worker) map[structs.PoolID]*trialPool {
+	pools := map[structs.PoolID]*trialPool{}
+	sizes := map[structs.PoolID]int{}
 	for _, w := range workers {
 		sizes[w.Pool]++
-		if w.isOnTrial() {
-			free[w.Pool]--
+		if pools[w.Pool] == nil {
+			pools[w.Pool] = &trialPool{}
+		}
+		if !w.isOnTrial() {
+			pools[w.Pool].others++
 		}
 	}
-	for pool, size := range sizes {
-		free[pool] += max(minTrialWorkers, size/trialWorkerDivisor)
+	for id, p := range pools {
+		onTrial := sizes[id] - p.others
+		p.mayReserve = max(minTrialWorkers, sizes[id]/trialWorkerDivisor) - onTrial
 	}
-	return free
+	return pools
 }
 
 // bestTrialWorker returns the worker that costs least for a trial of the task, nil
-// if none has room for it.
-func (d *Demand) bestTrialWorker(workers []*Worker, index int32) *Worker {
+// if none may run it now. isLast is set if no other worker is without a trial.
+func (d *Demand) bestTrialWorker(workers []*Worker, index int32, isLast bool) *Worker {
 	var best *Worker
 	var lowest float64
 	for _, w := range workers {
-		if w.isOnTrial() || !d.isEligible(w) || w.isQuarantined() || d.isDelayedOn(w, index) || !d.hasRoom(w) {
+		if w.isOnTrial() || isLast && w.SinceTrial < trialRest || !d.mayTryOn(w, index) {
 			continue
 		}
-		if cost := w.trialCost(); best == nil || cost < lowest {
+		cost := w.trialCost()
+		if w.isQuarantined() || d.hasFailedOn(w, index) {
+			cost += trialFailedCost
+		}
+		if best == nil || cost < lowest {
 			best, lowest = w, cost
 		}
 	}
 	return best
 }
 
+// mayTryOn reports whether the isolated task may run on the worker.
+func (d *Demand) mayTryOn(w *Worker, index int32) bool {
+	if !d.isEligible(w) || d.isDelayedOn(w, index) || !d.hasRoom(w) || !d.mayFill(w) {
+		return false
+	}
+	return !w.isQuarantined() || d.mayTry(w, index) && d.mayFailTrial(index)
+}
+
 func (w *Worker) trialCost() float64 {
 	cost := trialBusyCost * float64(w.Reserved.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))
 	if w.LongRunning != (structs.Resources{}) {
@@ -115,8 +143,8 @@
 
 // mayStartOnUnstable reports whether the worker is stable or may get another task
 // by now. Overdue tasks and gangs don't wait.
-func (d *Demand) mayStartOnUnstable(w *Worker) bool {
-	return !w.IsUnstable || len(d.Overdue) > 0 || d.Spec.Gang || w.isCalm() && w.started < slowStartTasks
+func (d *Demand) mayStartOnUnstable(w *Worker, index int32) bool {
+	return !w.IsUnstable || d.Overdue[index] || d.Spec.Gang || w.isCalm() && w.started < slowStartTasks
 }
 
 func (d *Demand) setTrialWorker(index int32, w *Worker) {
@@ -136,7 +164,7 @@
 	case !d.hasRoom(w):
 		w.Trial = structs.StepID{}
 		return nil
-	case !w.isCalm():
+	case !w.isCalm() || w.started > 0:
 		return nil
 	default:
 		return w
@@ -152,8 +180,8 @@
 // mayJoinTrial reports whether a task of the step may start on the worker despite
 // a trial there. A gang is tried as a whole, and an overdue task may find no other
 // room.
-func (d *Demand) mayJoinTrial(w *Worker) bool {
-	return !w.isOnTrial() || len(d.Overdue) > 0 || d.Spec.Gang && w.Trial == d.stepID()
+func (d *Demand) mayJoinTrial(w *Worker, index int32) bool {
+	return !w.isOnTrial() || d.Overdue[index] || d.Spec.Gang && w.Trial == d.stepID()
 }
 
 // needsTrialWorker reports whether the task may only start on the worker that is
--- a/placement/steps/isolation_test.go
+++ b/placement/steps/isolation_test.go
@@ -34,7 +34,7 @@
 func isolationWorker(id structs.WorkerID) *Worker {
 	return &Worker{
 		ID: id, Pool: "p", Capacity: structs.Resources{MilliCPU: 1000, MemoryMB: 1000},
-		TasksByServiceImage: map[string]int{}, SinceStart: trialCalm,
+		TasksByServiceImage: map[string]int{}, SinceStart: trialCalm, SinceTrial: trialRest,
 	}
 }
 
@@ -76,6 +76,23 @@
 	is.True(!w.isOnTrial())
 }
 
+func TestLastWorkerRestsBetweenTrials(t *testing.T) {
+	is := is.New(t)
+	w := isolationWorker("a")
+	w.SinceTrial = trialRest / 2
+	isolated, sound := planIsolated([]*Worker{w}, 3, 2)
+	is.Equal(len(isolated), 0)
+	is.Equal(len(sound), 2)
+}
+
+func TestIsolatedTaskMayBeTheTrialOfAQuarantinedWorker(t *testing.T) {
+	is := is.New(t)
+	w := isolationWorker("a")
+	w.HealthPenalty, w.AllowsTrial = 1, true
+	isolated, _ := planIsolated([]*Worker{w}, 1, 0)
+	is.Equal(len(isolated), 1)
+}
+
 func TestUnstableWorkerGetsFewTasksAtOnce(t *testing.T) {
 	is := is.New(t)
 	w := isolationWorker("a")
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -52,6 +52,7 @@
 	AllowsFillOverTarget bool              // a filling task may start although a service is over its target, since none has started for a while
 	Trial                structs.StepID    // step whose isolated task is on trial on the worker, zero for none
 	SinceStart           time.Duration     // time since the last assignment of a task
+	SinceTrial           time.Duration     // time since the last assignment of an isolated task
 	IsUnstable           bool              // the runner has crashed shortly before
 	started              int               // tasks that the plan has placed on the worker
 
@@ -320,9 +321,15 @@
 }
 
 func (d *Demand) feasible(w *Worker, index int32) bool {
-	if !d.isEligible(w) || w.isQuarantined() && !d.mayTry(w, index) || !d.mayJoinTrial(w) || !d.mayStartOnUnstable(w) || !d.hasRoom(w) {
+	if !d.isEligible(w) || w.isQuarantined() && !d.mayTry(w, index) || !d.mayJoinTrial(w, index) || !d.mayStartOnUnstable(w, index) || !d.hasRoom(w) {
 		return false
 	}
+	return d.mayFill(w)
+}
+
+// mayFill reports whether a filling task of the step may use what the other tasks
+// leave on the worker. Other tasks always may.
+func (d *Demand) mayFill(w *Worker) bool {
 	if !d.Spec.Fills || len(d.Overdue) > 0 {
 		return true
 	}
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -22,7 +22,7 @@
 	fullBlame      = 97                     // blame with which a task is given up after two crashes at the same age, or three
 	highBlame      = 80                     // blame with which it is given up after four crashes
 	certainBlame   = 300                    // blame with which it is given up although no runner has confirmed its starts
-	maxCrashes     = 5                      // crashes after which a task that ends by itself is given up whatever its blame
+	maxCrashes     = 4                      // crashes after which a task that ends by itself is given up whatever its blame
 	isolationBlame = 8                      // blame from which the runs of a task are isolated
 	isolationCount = 2                      // crashes from which they are isolated whatever the blame
 )
@@ -87,8 +87,8 @@
 			continue
 		}
 		share /= int32(len(units))
-		if !r.Job.IsIsolated(r.Run.Task) {
-			share = min(share, crowdShare)
+		if !r.Job.IsIsolated(r.Run.Task) || r.Job.Step(r.Run.Task).Gang {
+			share = min(share, crowdShare) // a gang is not tried apart
 		}
 		blame[i] += max(1, share/max(1, r.Discount))
 	}
@@ -126,26 +126,27 @@
 	if r.Age <= maxCrashAge && counter.CrashedRun != r.Run.Number {
 		counter.CrashedRun, counter.CrashAgeMS = r.Run.Number, int32(r.Age/time.Millisecond)
 		counter.Blame += blame
-		if blame > 0 && r.HasStarted {
-			counter.Crashes++
-		}
+	}
+	if r.Age <= maxCrashAge && blame > 0 && r.HasStarted {
+		t.Crashes++
 	}
 	j.makePending(r.Run.Task, t, checkpoint)
-	if counter.crashesRunners(atSameAge) || counter.Crashes >= maxCrashes && !j.Step(r.Run.Task).LongRunning {
+	if t.crashesRunners(counter.Blame, atSameAge) || t.Crashes >= maxCrashes && !j.Step(r.Run.Task).LongRunning {
 		j.fail(FailedCrashes)
 	}
 	return true
 }
 
-// crashesRunners reports whether the task is given up for its crashes.
-func (t *Task) crashesRunners(atSameAge bool) bool {
+// crashesRunners reports whether the task is given up for its crashes with the
+// blame.
+func (t *Task) crashesRunners(blame int32, atSameAge bool) bool {
 	switch {
-	case t.Blame >= certainBlame:
+	case blame >= certainBlame:
 		return true
 	case t.Crashes >= 4:
-		return t.Blame >= highBlame
+		return blame >= highBlame
 	case t.Crashes == 3 || t.Crashes == 2 && atSameAge:
-		return t.Blame >= fullBlame
+		return blame >= fullBlame
 	default:
 		return false
 	}
@@ -159,6 +160,12 @@
 		return false
 	}
 	counter.clearCrashes()
+	if j.Step(id).Gang {
+		members := j.members(id)
+		for i := range members {
+			members[i].clearCrashes()
+		}
+	}
 	return true
 }
 
@@ -167,8 +174,7 @@
 // IsIsolated reports whether the task may crash its runner, so that its runs are
 // kept apart from those of other such tasks until one has outlived the crashes.
 func (j *Job) IsIsolated(id structs.StepTaskID) bool {
-	counter := j.crashCounter(id)
-	return counter.Blame >= isolationBlame || counter.Crashes >= isolationCount
+	return j.crashCounter(id).Blame >= isolationBlame || j.Task(id).Crashes >= isolationCount
 }
 
 // TrialTime returns how long an isolated run has its runner to itself.
@@ -176,7 +182,8 @@
 	return min(RecentRun, time.Duration(j.crashCounter(id).CrashAgeMS)*time.Millisecond+outliveMargin)
 }
 
-// crashCounter returns the task that holds the crashes of a task.
+// crashCounter returns the task that holds what is counted for a task, apart from
+// its own Crashes.
 func (j *Job) crashCounter(id structs.StepTaskID) *Task {
 	if j.Step(id).Gang {
 		return &j.members(id)[0]
@@ -194,6 +201,5 @@
 // CrashCount returns the crashes that are counted for the task, and its blame for
 // them in percent of a crash.
 func (j *Job) CrashCount(id structs.StepTaskID) (crashes, blame int32) {
-	counter := j.crashCounter(id)
-	return counter.Crashes, counter.Blame
+	return j.Task(id).Crashes, j.crashCounter(id).Blame
 }
--- a/workflow/crash_test.go
+++ b/workflow/crash_test.go
@@ -60,7 +60,7 @@
 		{"two crashes while others crash", []lost{{0, 2, true}, {0, 2, true}}, false},
 		{"four crashes while others crash", []lost{{0, 2, true}, {0, 2, true}, {0, 2, true}, {0, 2, true}}, true},
 		{"three crashes long after the start", []lost{at(2 * time.Second), at(2 * time.Second), at(2 * time.Second)}, false},
-		{"five crashes long after the start", []lost{at(2 * time.Second), at(2 * time.Second), at(2 * time.Second), at(2 * time.Second), at(2 * time.Second)}, true},
+		{"four crashes long after the start", []lost{at(2 * time.Second), at(2 * time.Second), at(2 * time.Second), at(2 * time.Second)}, true},
 		{"crashes before the runner has started the run", []lost{{0, 1, false}, {0, 1, false}, {0, 1, false}}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -76,6 +76,26 @@
 	}
 }
 
+func TestGangIsGivenUpOnlyForCrashesUnderOneMember(t *testing.T) {
+	is := is.New(t)
+	j := crashedJob(4, structs.Step{Gang: true})
+	for i := range int32(4) {
+		r := crashOf(j, i, 0)
+		j.Crash(r, 60, "")
+		for k := range int32(4) {
+			if t := j.Task(structs.StepTaskID{Job: "a", Index: k}); t.State == Assigned {
+				j.Release(structs.RunID{Task: structs.StepTaskID{Job: "a", Index: k}, Number: t.Run}, "")
+			}
+		}
+		for k := range int32(4) {
+			j.Assign(structs.StepTaskID{Job: "a", Index: k}, "w", "w@1")
+		}
+	}
+	is.True(j.Phase() != structs.JobFailed) // one crash under each member
+	j.Crash(crashOf(j, 0, 0), 60, "")
+	is.Equal(j.Phase(), structs.JobFailed)
+}
+
 func TestRunThatOutlivesACrashClearsItsTask(t *testing.T) {
 	is := is.New(t)
 	j := crashedJob(1, structs.Step{})
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -34,8 +34,8 @@
 	Checkpoint  string           `json:"c,omitempty"` // checkpoint from which the next run resumes
 	Failures    int32            `json:"f,omitempty"` // number of failed runs; for a gang, kept in its first task
 	FailedRun   int32            `json:"l,omitempty"` // last run counted in Failures; only used in the first task of a gang
-	Crashes     int32            `json:"k,omitempty"` // crashes of runners that a run of the task may have caused, since one has outlived them; for a gang, kept in its first task, as the next three
-	Blame       int32            `json:"b,omitempty"` // shares of these crashes, in percent of a crash
+	Crashes     int32            `json:"k,omitempty"` // crashes of runners that a run of the task may have caused, since one has outlived them
+	Blame       int32            `json:"b,omitempty"` // shares of these crashes, in percent of a crash; for a gang, kept in its first task, as the next two
 	CrashAgeMS  int32            `json:"a,omitempty"` // age of CrashedRun at the crash, in milliseconds
 	CrashedRun  int32            `json:"m,omitempty"` // last run that was lost with its runner, 0 once a run has outlived it
 }
