--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"math"
 	"time"
 
 	"github.com/daisywall/daisywall/structs"
@@ -12,14 +13,15 @@
 // Limits for finding the task that crashes its runners.
 const (
 	newestWindow   = 250 * time.Millisecond // difference of ages that are taken as equal
-	exactWindow    = 100 * time.Millisecond // the same for the crashes of one task
+	thirdCrashGap  = 100 * time.Millisecond // highest difference of the ages at the second and third crash with which a task is given up
+	secondCrashGap = 30 * time.Millisecond  // the same for the first and second crash
 	halfBlameAge   = 250 * time.Millisecond // age at which a run gets half of the blame for a crash at its start
 	maxCrashAge    = 10 * time.Second       // older runs are not counted in a crash
 	outliveMargin  = 500 * time.Millisecond // time by which a run must outlive the earlier one to clear its task
 	wholeCrash     = 100                    // blame for a crash at the start of an isolated run
 	crowdShare     = 25                     // highest blame for a crash of another run
 	repeatedCrash  = 40                     // blame for a later crash at the age of an earlier one
-	fullBlame      = 97                     // blame with which a task is given up after two crashes at the same age, or three
+	fullBlame      = 97                     // blame with which a task is given up after two or three crashes at similar ages
 	highBlame      = 80                     // blame with which it is given up after four crashes
 	certainBlame   = 300                    // blame with which it is given up although no runner has confirmed its starts
 	maxCrashes     = 4                      // crashes after which a task that ends by itself is given up whatever its blame
@@ -64,7 +66,7 @@
 		return int32(wholeCrash * halfBlameAge / (halfBlameAge + r.Age))
 	})
 	addShares(runs, blame, func(r CrashedRun) int32 {
-		if r.Age <= newestWindow || !r.repeatsAge(newestWindow) {
+		if r.Age <= newestWindow || !r.repeatsAge() {
 			return 0
 		}
 		return repeatedCrash
@@ -95,11 +97,19 @@
 }
 
 // repeatsAge reports whether the last lost run of the task was as old at its
-// crash, within the window.
-func (r CrashedRun) repeatsAge(window time.Duration) bool {
+// crash.
+func (r CrashedRun) repeatsAge() bool {
+	return r.Age <= maxCrashAge && r.ageGap() <= newestWindow
+}
+
+// ageGap returns the difference to the age of the last lost run of the task at its
+// crash, a long time if there is none.
+func (r CrashedRun) ageGap() time.Duration {
 	counter := r.Job.crashCounter(r.Run.Task)
-	earlier := time.Duration(counter.CrashAgeMS) * time.Millisecond
-	return counter.CrashedRun != 0 && r.Age <= maxCrashAge && (r.Age-earlier).Abs() <= window
+	if counter.CrashedRun == 0 {
+		return math.MaxInt64
+	}
+	return (r.Age - time.Duration(counter.CrashAgeMS)*time.Millisecond).Abs()
 }
 
 // unit returns the task that is counted for the run. The tasks of a gang are
@@ -122,7 +132,7 @@
 		return false
 	}
 	counter := j.crashCounter(r.Run.Task)
-	atSameAge := r.repeatsAge(exactWindow)
+	gap := r.ageGap()
 	if r.Age <= maxCrashAge && counter.CrashedRun != r.Run.Number {
 		counter.CrashedRun, counter.CrashAgeMS = r.Run.Number, int32(r.Age/time.Millisecond)
 		counter.Blame += blame
@@ -131,22 +141,24 @@
 		t.Crashes++
 	}
 	j.makePending(r.Run.Task, t, checkpoint)
-	if t.crashesRunners(counter.Blame, atSameAge) || t.Crashes >= maxCrashes && !j.Step(r.Run.Task).LongRunning {
+	if t.crashesRunners(counter.Blame, gap) || t.Crashes >= maxCrashes && !j.Step(r.Run.Task).LongRunning {
 		j.fail(FailedCrashes)
 	}
 	return true
 }
 
 // crashesRunners reports whether the task is given up for its crashes with the
-// blame.
-func (t *Task) crashesRunners(blame int32, atSameAge bool) bool {
+// blame. gap is the difference of the ages at the last two.
+func (t *Task) crashesRunners(blame int32, gap time.Duration) bool {
 	switch {
 	case blame >= certainBlame:
 		return true
 	case t.Crashes >= 4:
 		return blame >= highBlame
-	case t.Crashes == 3 || t.Crashes == 2 && atSameAge:
-		return blame >= fullBlame
+	case t.Crashes == 3:
+		return blame >= fullBlame && gap <= thirdCrashGap
+	case t.Crashes == 2:
+		return blame >= fullBlame && gap <= secondCrashGap
 	default:
 		return false
 	}
