review case 4: orders over 4 MiB end each session of a worker

At fault: fleet.leader.sendOrders puts all starts into one message, and fleet.dialer.connect leaves gRPC's limit of 4 MiB for received messages.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,8 +23,9 @@
 
 // cases are the scripted cases. trouble is false for a run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
-	"rows": playRows,
-	"ends": playEnds,
+	"rows":   playRows,
+	"ends":   playEnds,
+	"orders": playOrders,
 }
 
 func main() { os.Exit(play()) }
