review case 5: jobs whose first start was refused are not counted as waiting

At fault: workflow.Job.Phase (hasStarted) and fleet.Node.Waiting: an assignment counts as a start, also when the run was released without one.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,10 +23,10 @@
 
 // cases are the scripted cases. trouble is false for a run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
-	"rows":   playRows,
-	"flap":   playFlap,
-	"ends":   playEnds,
-	"orders": playOrders,
+	"rows":    playRows,
+	"ends":    playEnds,
+	"orders":  playOrders,
+	"waiting": playWaiting,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -84,17 +84,18 @@
 	cpu, mem int64
 	server   *http.Server
 
-	mu      sync.Mutex
-	up      bool
-	born    time.Time
-	seq     int
-	runs    map[string]*run // by task and run number
-	settled map[string]int  // by task, the highest run that was stopped or has ended
-	ends    []*end
-	lastEnd int
-	fence   int64
-	lease   time.Time
-	wake    chan struct{}
+	mu        sync.Mutex
+	up        bool
+	unhealthy bool // it answers 503 to starts
+	born      time.Time
+	seq       int
+	runs      map[string]*run // by task and run number
+	settled   map[string]int  // by task, the highest run that was stopped or has ended
+	ends      []*end
+	lastEnd   int
+	fence     int64
+	lease     time.Time
+	wake      chan struct{}
 }
 
 func runKey(task string, number int) string { return fmt.Sprintf("%s#%d", task, number) }
@@ -294,6 +295,10 @@
 
 // startRun starts a run. The caller holds mu.
 func (r *runner) startRun(c runnerCall) (status int, reason string) {
+	if r.unhealthy {
+		r.sys.rec.add("runner %s: answers 503 to the start of %s run %d", r.name, c.Task, c.Run)
+		return http.StatusServiceUnavailable, ""
+	}
 	r.extend(c.Expires)
 	switch {
 	case r.runs[runKey(c.Task, c.Run)] != nil:
@@ -375,3 +380,11 @@
 	}
 	return running, ended
 }
+
+// setUnhealthy makes the runner answer 503 to starts, or ends that.
+func (r *runner) setUnhealthy(unhealthy bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unhealthy = unhealthy
+	r.sys.rec.add("runner %s: answers 503 to starts: %v", r.name, unhealthy)
+}
