--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -24,6 +24,7 @@
 // cases are the scripted cases. trouble is false for a run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"rows":    playRows,
+	"deadly":  playDeadly,
 	"ends":    playEnds,
 	"orders":  playOrders,
 	"waiting": playWaiting,
