--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # project are built by the build line of deploy/system.toml.
 set -e
 cd "$(dirname "$0")/.."
-go build -o target/review-standins ./review/standins
+go build -o target/review-standins ./review/standin
--- a/review/standins/main.go
+++ b/review/standin/main.go
@@ -1,4 +1,4 @@
-// Command standins plays the cases of the review. It starts the programs of the
+// Command standin plays the cases of the review. It starts the programs of the
 // project as separate processes, and plays the store, the runners and the clients
 // around them as the platform's pages describe them.
 package main
@@ -34,7 +34,7 @@
 
 func play() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standins CASE RECORD")
 		return exitFailed
 	}
 	rec, err := newRecord(os.Args[2])
