Draw no conclusion from a list of runs that lacks ends

Cause: a runner lists 500 ends and holds back the others until these are acknowledged, which takes a commit. The agent reported each list as complete, and the leader took a run that was in neither list for a start that had been refused: released as "not started", its task pending.

Fix: the adapter says of a full list that more ends may follow, and the agent says so of a gap in the numbers. Such a list proves nothing of a run that it lacks: the run stays assigned, is not judged as stuck, slow or not started, and its room counts as becoming free. Since the next list follows only once the ends are stored, each end is seen before its run is missing from a list with all ends. Leases are granted on every list, so that a long catch-up stops nothing; new tasks wait for a list with all ends.

The stand-in of a runner now has the limit, and the checker of runs also reports a start between the end of a run and the acknowledgement of that end.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -54,8 +54,8 @@
 	isIncarnationUncertain bool
 	nextPollAt             bootclock.Time // earliest time of the next poll
 	refusedPolls           int            // polls in a row whose connection was refused
-	// pendingList is a complete list of the runner's runs that is not yet
-	// reported to the leader. It is nil if there is none.
+	// pendingList is a list of the runner's runs that is not yet reported to the
+	// leader. It is nil if there is none.
 	pendingList   *fleetpb.WorkerReport
 	lastEndListed int64 // highest number of an end of a run in the lists of this session
 	pollCount     int64 // polls started in this session
@@ -305,7 +305,7 @@
 			delete(a.starting, r)
 		}
 	}
-	list := &fleetpb.WorkerReport{Listed: true}
+	list := &fleetpb.WorkerReport{Listed: true, MoreEnds: state.MoreEnds || a.lacksEnds(state.Ended)}
 	for _, r := range state.Active {
 		list.Active = append(list.Active, &fleetpb.Active{
 			Run: runToProto(r.Run), Checkpoint: r.Checkpoint, Percent: int32(r.Percent), Figure: r.Reading, Pace: a.pacer.appliedPace(r.Run),
@@ -329,6 +329,20 @@
 	a.pacer.update(ctx, state.Active, now)
 }
 
+// lacksEnds reports whether the numbers of the ends have a gap since the last list
+// of this session. The first list may begin with any number, because earlier ends may
+// have been acknowledged by an earlier session.
+func (a *agentSession) lacksEnds(ended []substrate.EndedRun) bool {
+	last := a.lastEndListed
+	for _, e := range ended {
+		if last > 0 && e.Number > last+1 {
+			return true
+		}
+		last = max(last, e.Number)
+	}
+	return false
+}
+
 func (a *agentSession) handlePollError(now bootclock.Time, err error) {
 	a.nextPollAt = now.Add(pollPause)
 	a.host.recordFailedPoll(a.info.Incarnation)
--- a/fleet/copies.go
+++ b/fleet/copies.go
@@ -175,7 +175,7 @@
 	}
 	candidate.FailureDomain = w.domain
 	r := w.runs[structs.RunID{Task: id, Number: t.Run}]
-	if r == nil || r.startedAt == 0 || r.stopReason != "" || !w.ready || now.Sub(w.listedAt) > l.o.Timing.SessionTimeout ||
+	if r == nil || r.startedAt == 0 || r.isEnding() || !w.ready || now.Sub(w.listedAt) > l.o.Timing.SessionTimeout ||
 		w.listedAt.Sub(r.ratedSince) < rateWindow {
 		return candidate
 	}
--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -45,7 +45,7 @@
 	w.latencyRatio = 0
 	for _, r := range runs {
 		step := r.job.Step(r.id.Task)
-		if step.LatencyTarget <= 0 || r.reading <= 0 || r.startedAt == 0 {
+		if step.LatencyTarget <= 0 || r.reading <= 0 || r.startedAt == 0 || r.isEndAwaited() {
 			continue
 		}
 		ratio := float64(r.reading) / float64(step.LatencyTarget.Milliseconds())
@@ -70,7 +70,7 @@
 func (w *worker) samplePaces(runs []*run, now bootclock.Time) {
 	sample := paceSample{at: now, paces: map[string]float64{}}
 	for _, r := range runs {
-		if step := r.job.Step(r.id.Task); step.Fills && r.startedAt != 0 {
+		if step := r.job.Step(r.id.Task); step.Fills && r.startedAt != 0 && !r.isEndAwaited() {
 			sample.paces[step.Image] = max(sample.paces[step.Image], float64(r.pace)/100)
 		}
 	}
@@ -131,7 +131,7 @@
 		// Long-running tasks are only throttled, because a stop would use up
 		// the disruption budget of their step.
 		movable := !step.LongRunning && (step.Checkpoints || r.percent <= restartMaxPercent)
-		if r.stopReason == "" && r.startedAt != 0 && throttled && movable && (!r.startedForIdleJob || l.canRunElsewhere(w, r)) {
+		if !r.isEnding() && r.startedAt != 0 && throttled && movable && (!r.startedForIdleJob || l.canRunElsewhere(w, r)) {
 			l.stop(w, r, stopDisturbs)
 		}
 	}
--- a/fleet/make_room.go
+++ b/fleet/make_room.go
@@ -23,12 +23,12 @@
 	}
 	w := l.workers[v.ID]
 	for _, r := range w.sortedRuns() {
-		if r.stopReason != "" {
+		if r.isEnding() {
 			missing = missing.Sub(reservedBy(r))
 		}
 	}
 	if !lacksAny(missing, v.Reserved) {
-		return // the stops in progress free enough
+		return // the ends that are awaited free enough
 	}
 	for _, r := range l.runsByStopCost(w) {
 		if reserved := reservedBy(r); lacksAny(missing, reserved) {
@@ -58,12 +58,12 @@
 		missing.Accelerators > 0 && reserved.Accelerators > 0
 }
 
-// runsByStopCost returns the runs of the worker that end by themselves and were
-// not told to stop: those of the least urgent queues first, then copies, then
+// runsByStopCost returns the runs of the worker that end by themselves and are not
+// ending: those of the least urgent queues first, then copies, then
 // single tasks before gangs, and those that lose the least work first.
 func (l *leader) runsByStopCost(w *worker) []*run {
 	runs := slices.DeleteFunc(slices.Clone(w.sortedRuns()), func(r *run) bool {
-		return r.stopReason != "" || r.job.Step(r.id.Task).LongRunning
+		return r.isEnding() || r.job.Step(r.id.Task).LongRunning
 	})
 	priorities := map[*job]int{}
 	for _, r := range runs {
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,6 +24,8 @@
 	predictionRatio, declaredRatio                                                 metric.Float64Histogram
 	unreadableModels                                                               metric.Int64Counter
 	refusedJobs, withdrawnCommits                                                  metric.Int64Counter
+	incompleteLists                                                                metric.Int64Counter
+	heldBackEnds                                                                   metric.Float64Histogram
 	jobPrediction                                                                  metric.Float64Histogram
 	speedChoices, slowWorkers                                                      metric.Int64Counter
 	copies, copiesWon                                                              metric.Int64Counter
@@ -92,11 +94,10 @@
 			metric.WithExplicitBucketBoundaries(0.1, 0.2, 0.35, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 3, 5, 10))
 	}
 	if err == nil {
-		m.longestOutage, err = meter.Float64Gauge("daisywall.fleet.outage.longest.seconds", metric.WithUnit("s"),
-			metric.WithDescription("Longest time for which a long-running task has not been at work by now"))
+		err = m.addLoad(meter)
 	}
 	if err == nil {
-		err = m.addLoad(meter)
+		err = m.addMissingRuns(meter)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("fleet metrics: %w", err)
@@ -104,6 +105,22 @@
 	return m, nil
 }
 
+// addMissingRuns adds the instruments of long-running tasks without a run, and of runs
+// whose end a runner holds back.
+func (m *metrics) addMissingRuns(meter metric.Meter) (err error) {
+	if m.longestOutage, err = meter.Float64Gauge("daisywall.fleet.outage.longest.seconds", metric.WithUnit("s"),
+		metric.WithDescription("Longest time for which a long-running task has not been at work by now")); err != nil {
+		return err
+	}
+	if m.incompleteLists, err = meter.Int64Counter("daisywall.fleet.lists.incomplete",
+		metric.WithDescription("Lists of runs that lacked ends by failure domain")); err != nil {
+		return err
+	}
+	m.heldBackEnds, err = meter.Float64Histogram("daisywall.fleet.ends.held_back.seconds", metric.WithUnit("s"),
+		metric.WithDescription("Time for which the lists of a worker lacked ends"))
+	return err
+}
+
 // addLoad adds the instruments of the load of the leader's loop.
 func (m *metrics) addLoad(meter metric.Meter) (err error) {
 	if m.cycles, err = meter.Float64Histogram("daisywall.fleet.cycle.seconds", metric.WithUnit("s"),
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -42,7 +42,7 @@
 func (l *leader) observePaces(w *worker, runs []*run, now bootclock.Time) {
 	w.hasLongThrottled, w.isFillThrottled = false, false
 	for _, r := range runs {
-		if r.startedAt == 0 || !r.job.Step(r.id.Task).Fills {
+		if r.startedAt == 0 || r.isEndAwaited() || !r.job.Step(r.id.Task).Fills {
 			continue
 		}
 		elapsed := now.Sub(r.paceObservedAt)
@@ -86,7 +86,7 @@
 			continue
 		}
 		for _, r := range w.sortedRuns() {
-			if r.stopReason == "" && r.paceHistory.IsLongThrottled() && l.isMovable(r, now) {
+			if !r.isEnding() && r.paceHistory.IsLongThrottled() && l.isMovable(r, now) {
 				throttled = append(throttled, r)
 			}
 		}
--- a/fleet/outbox.go
+++ b/fleet/outbox.go
@@ -45,7 +45,7 @@
 	for _, r := range out.stops {
 		orders.Stops = append(orders.Stops, runToProto(r))
 	}
-	if w.ready && now.Sub(w.listedAt) < l.o.Timing.SessionTimeout {
+	if w.listed && now.Sub(w.listedAt) < l.o.Timing.SessionTimeout {
 		lease := l.leaseDuration(w, now)
 		orders.LeaseMs = lease.Milliseconds()
 		w.leaseEndsAt = max(w.leaseEndsAt, now.Add(lease))
--- a/fleet/overcommit.go
+++ b/fleet/overcommit.go
@@ -38,7 +38,7 @@
 		return
 	}
 	for _, r := range w.runs {
-		if r.stopReason != "" {
+		if r.isEnding() {
 			missing = missing.Sub(reservedBy(r))
 		}
 	}
--- a/fleet/progress.go
+++ b/fleet/progress.go
@@ -45,7 +45,7 @@
 		return
 	}
 	for _, r := range runs {
-		if r.startedAt != 0 || r.stopReason != "" || r.startOrderedAt == 0 || !l.isStartOverdue(w, r) {
+		if r.startedAt != 0 || r.isEnding() || r.startOrderedAt == 0 || !l.isStartOverdue(w, r) {
 			continue
 		}
 		l.recordWorkerFailure(w, r.id, causeUnstarted)
@@ -72,7 +72,7 @@
 		return
 	}
 	for _, r := range runs {
-		if r.startedAt == 0 || r.stopReason != "" || r.pace < stuckMinPacePercent {
+		if r.startedAt == 0 || r.isEnding() || r.pace < stuckMinPacePercent {
 			continue
 		}
 		if !r.isStuck(w.listedAt) {
@@ -138,7 +138,7 @@
 		}
 		for _, r := range w.runs {
 			step := r.job.Step(r.id.Task)
-			if r.startedAt == 0 || r.stopReason != "" || r.wasThrottled || step.LongRunning || step.Gang ||
+			if r.startedAt == 0 || r.isEnding() || r.wasThrottled || step.LongRunning || step.Gang ||
 				step.Rack != "" && step.Rack != w.rack || w.listedAt.Sub(r.ratedSince) < rateWindow {
 				continue
 			}
--- a/fleet/random_faults_test.go
+++ b/fleet/random_faults_test.go
@@ -29,6 +29,7 @@
 	withDeadly                  // a task crashes its runners
 	withSpeculative             // tasks may have copies
 	withServices                // tasks of some jobs are long-running
+	withShortLists              // sound tasks, of whose ends a list holds few
 )
 
 // isSpeculative reports whether a task of withSpeculative may have copies.
@@ -250,6 +251,9 @@
 				return time.Second
 			})
 		}
+		if tasks == withShortLists {
+			f.setMaxListedEnds(2)
+		}
 		f.longRunning.set(func(r structs.RunID) bool { return strings.HasPrefix(string(r.Task.Job), servicePrefix) })
 		f.waitReady()
 		h := &randomFaults{
@@ -323,6 +327,14 @@
 	is.Equal(len(c.Violations()), 1)
 	c = standin.NewRunChecker(taskCPU, taskCPU)
 	c.Started("w1", run)
+	c.Ended("w1", run, substrate.RunEndDone)
+	time.Sleep(time.Millisecond)
+	c.Started("w2", again) // after the task was done, which is acknowledged later
+	is.Equal(len(c.Violations()), 0)
+	c.Acknowledged("w1", run, substrate.RunEndDone)
+	is.Equal(len(c.Violations()), 1)
+	c = standin.NewRunChecker(taskCPU, taskCPU)
+	c.Started("w1", run)
 	c.Started("w1", structs.RunID{Task: structs.StepTaskID{Job: "b"}, Number: 1}) // exceeds the capacity
 	is.Equal(len(c.Violations()), 1)
 	c = standin.NewRunChecker(3*taskCPU, taskCPU)
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -29,7 +29,7 @@
 	if silent := now.Sub(w.listedAt); w.listedAt > 0 && silent >= l.o.Timing.SessionTimeout {
 		w.discountSilence(silent, now)
 	}
-	w.listedAt = now
+	w.listed, w.listedAt = true, now
 	w.listSentAt = r.GetSentAt()
 	w.leaseLapsed = false
 	for _, e := range r.GetEnded() {
@@ -38,7 +38,7 @@
 	l.reconcile(w, r, now)
 	w.acknowledge()
 	l.updateInterference(w, now)
-	if !w.ready {
+	if !w.ready && !r.GetMoreEnds() {
 		w.ready = true
 		l.log.Info("worker ready", zap.String("worker", string(w.id)), zap.Int("runs", len(w.runs)),
 			zap.Int64("milli_cpu", w.capacity.MilliCPU), zap.Int64("memory_mb", w.capacity.MemoryMB))
@@ -165,7 +165,8 @@
 }
 
 // reconcile compares the runs on the worker with the assigned runs, and
-// corrects the differences.
+// corrects the differences. A run that is missing from a list that lacks ends may have
+// ended in any way, so it stays assigned until a later list shows how.
 func (l *leader) reconcile(w *worker, r *fleetpb.WorkerReport, now bootclock.Time) {
 	w.unassigned, w.unassignedSteps = structs.Resources{}, nil
 	listed := make(map[structs.RunID]bool, len(r.GetActive())+len(r.GetStarting()))
@@ -201,8 +202,10 @@
 	}
 	var ended []*run
 	for _, assigned := range w.sortedRuns() {
+		isListed := listed[assigned.id]
+		assigned.setEndAwaited(!isListed && r.GetMoreEnds() && w.mayHaveStarted(assigned, r.GetOrdersSeen()), now)
 		switch {
-		case listed[assigned.id]:
+		case isListed, r.GetMoreEnds():
 		case assigned.incarnation != w.incarnation:
 			ended = append(ended, assigned)
 		default:
@@ -210,6 +213,7 @@
 		}
 	}
 	l.releaseEnded(w, ended, "runner restarted")
+	l.recordHeldBackEnds(w, r.GetMoreEnds(), now)
 }
 
 // moveToCurrentIncarnation records that the start of the run reached the next
@@ -242,7 +246,10 @@
 		// The run was assigned before this session. The session's new fencing
 		// token ensures that an old start has no effect any more.
 		l.repeatStart(w, assigned)
-	case assigned.startOrderNumber > 0 && assigned.startOrderNumber <= ordersSeen:
+	case !w.mayHaveStarted(assigned, ordersSeen):
+	case assigned.startedAt > 0:
+		l.release(w, assigned, "gone without an end", "")
+	default:
 		l.permits.removeWorker(assigned.id.Task.StepID(), w)
 		// A refusal may last. It is not counted as a failure of the worker,
 		// because a start is also dropped when its order was too old.
@@ -251,6 +258,16 @@
 	}
 }
 
+// mayHaveStarted reports whether the worker has listed the run, and the agent has
+// received the last order to start it, if there is one. Before the session's first list
+// with all ends, each run whose assignment is stored may have started.
+func (w *worker) mayHaveStarted(r *run, ordersSeen int64) bool {
+	if !w.ready {
+		return r.stored
+	}
+	return r.startOrderNumber <= ordersSeen && (r.startOrderNumber > 0 || r.startedAt > 0)
+}
+
 // repeatStart orders the start of a run again, because an order of an earlier
 // session may not have arrived. It releases the run if the run must not start
 // any more.
--- a/fleet/run_times.go
+++ b/fleet/run_times.go
@@ -138,10 +138,11 @@
 // includes the time before the run was listed for the first time, estimated by the
 // progress that it had then. r may be nil.
 func (r *run) ran(now bootclock.Time) time.Duration {
-	switch {
-	case r == nil || r.startedAt == 0 && r.startOrderedAt == 0:
+	if r == nil || r.startedAt == 0 && r.startOrderedAt == 0 {
 		return 0
-	case r.startedAt == 0:
+	}
+	now = r.endedBy(now)
+	if r.startedAt == 0 {
 		return now.Sub(r.startOrderedAt) // too short to be listed; includes the way of the order and of the end
 	}
 	listed := now.Sub(r.startedAt)
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -35,24 +35,26 @@
 	// reserve, 0 if it is not.
 	overcommittedSince bootclock.Time
 
-	ready          bool // a complete list of runs was received in this session
+	listed         bool // a list of runs was received in this session
+	ready          bool // a list of runs was received in this session that had all ends
 	draining       bool
 	drainRemaining time.Duration
 	attachedAt     bootclock.Time // start of the session
 	reportedAt     bootclock.Time // time of the last report
-	listedAt       bootclock.Time // time of the last complete list
+	listedAt       bootclock.Time // time of the last list
 	leaseEndsAt    bootclock.Time // latest end of any lease of the worker, without an allowance for clock drift
 	// boundEndsAt is the end of the worker's leases that the row of an earlier leader
 	// states, 0 without such a bound. Until a row without the bound is stored, no lease
 	// may end later.
 	boundEndsAt  bootclock.Time
 	runStartedAt bootclock.Time // when a run was last listed for the first time
-	listSentAt   int64          // sent_at of the last report with a complete list
+	listSentAt   int64          // sent_at of the last report with a list
 	leaseLapsed  bool           // the lease has lapsed and the runs were released
 
 	runs            map[structs.RunID]*run
-	sorted          []*run       // runs by ID, nil after a change of runs
-	summary         *runSummary  // nil after a change, see runsChanged
+	sorted          []*run      // runs by ID, nil after a change of runs
+	summary         *runSummary // nil after a change, see runsChanged
+	heldBackEnds    heldBackEnds
 	ends            []*endRecord // ends of this session that are not acknowledged, in order of their numbers
 	lastEndReceived int64        // number of the last end received in this session
 	acknowledgedEnd int64        // highest number of an end that is stored along with all lower ones
@@ -95,16 +97,19 @@
 	startOrderNumber  int64          // number of the orders that contain the start, 0 if no start was ordered
 	startOrderedAt    bootclock.Time // when these orders were sent, 0 until then
 	// stopReason is empty unless the run was ordered to stop.
-	stopReason     string
-	stoppedAt      bootclock.Time // when the stop was first ordered
-	stopSentAt     bootclock.Time // when the stop was last ordered
-	startedAt      bootclock.Time // when the run was first listed, 0 until then
-	ratedSince     bootclock.Time // startedAt, later by the time in which the worker was silent
-	initialPercent int32          // progress when the run was first listed
-	wasThrottled   bool           // its pace was reduced at least once
-	percent        int32          // share of the work done, in percent
-	progressAt     bootclock.Time // last change of percent or checkpoint
-	workingSince   bootclock.Time // when the run was first listed at work, for a long-running task; 0 until then
+	stopReason string
+	stoppedAt  bootclock.Time // when the stop was first ordered
+	stopSentAt bootclock.Time // when the stop was last ordered
+	startedAt  bootclock.Time // when the run was first listed, 0 until then
+	// endAwaitedSince is since when the run is missing from lists that lacked ends, 0 if
+	// it is not. It has probably ended.
+	endAwaitedSince bootclock.Time
+	ratedSince      bootclock.Time // startedAt, later by the time in which the worker was silent
+	initialPercent  int32          // progress when the run was first listed
+	wasThrottled    bool           // its pace was reduced at least once
+	percent         int32          // share of the work done, in percent
+	progressAt      bootclock.Time // last change of percent or checkpoint
+	workingSince    bootclock.Time // when the run was first listed at work, for a long-running task; 0 until then
 	// reading is the latency in milliseconds of a task with a latency target,
 	// else the thousandths of a processor in use.
 	reading    int64
@@ -174,7 +179,7 @@
 		w.session.close()
 		w.session = nil
 	}
-	w.ready = false
+	w.listed, w.ready = false, false
 }
 
 // attachSession makes the session the worker's current one. It releases the
@@ -191,8 +196,8 @@
 	s.fencingToken = fencingTokenOf(l.epoch, l.sessionCount)
 	s.worker = w
 	w.session = s
-	w.ready, w.leaseLapsed = false, false
-	w.lastEndReceived, w.acknowledgedEnd, w.ends = 0, 0, nil
+	w.listed, w.ready, w.leaseLapsed = false, false, false
+	w.lastEndReceived, w.acknowledgedEnd, w.ends, w.heldBackEnds = 0, 0, nil, heldBackEnds{}
 	w.outbox = outbox{replyDue: true}
 	w.draining = false
 	w.reportedAt = l.o.Clock()
@@ -278,7 +283,7 @@
 func (l *leader) checkWorker(w *worker, now bootclock.Time) {
 	runs := w.sortedRuns()
 	for _, r := range runs {
-		if r.stopReason != "" && now.Sub(r.stopSentAt) > stopRepeatInterval && w.ready {
+		if r.stopReason != "" && now.Sub(r.stopSentAt) > stopRepeatInterval && w.listed {
 			l.sendStop(w, r, now)
 		}
 	}
--- a/standin/runchecker.go
+++ b/standin/runchecker.go
@@ -12,7 +12,7 @@
 
 // RunChecker observes task runners independently of the code under test. It
 // records each violation of the guarantees for their tasks: one run at a time,
-// no run after an acknowledged end, no start that brings a runner above its
+// no run after an end "done" that is acknowledged then or later, no start that brings a runner above its
 // capacity, and few starts of a task that has crashed its runners. It implements
 // RunObserver.
 type RunChecker struct {
@@ -41,6 +41,8 @@
 	defaultTaskCPU   int64                       // request of each task without TaskCPU, in thousandths of a processor
 	running          map[structs.StepTaskID]map[string]structs.RunID
 	acknowledgedDone map[structs.StepTaskID]time.Time // first acknowledgement of a run end "done", by task
+	doneAt           map[structs.RunID]time.Time      // times of the run ends "done"
+	lastStarts       map[structs.StepTaskID]time.Time // last start, by task
 	everDone         map[structs.StepTaskID]bool      // tasks with a run end "done", acknowledged or not
 	activeRuns       map[string]int                   // number of active runs, by runner
 	reserved         map[string]structs.Resources     // requests of the active runs, by runner
@@ -84,7 +86,7 @@
 func NewRunChecker(capacity, cpu int64) *RunChecker {
 	return &RunChecker{
 		runnerCPU: capacity, defaultTaskCPU: cpu, running: map[structs.StepTaskID]map[string]structs.RunID{},
-		acknowledgedDone: map[structs.StepTaskID]time.Time{}, everDone: map[structs.StepTaskID]bool{}, activeRuns: map[string]int{}, reserved: map[string]structs.Resources{},
+		acknowledgedDone: map[structs.StepTaskID]time.Time{}, doneAt: map[structs.RunID]time.Time{}, lastStarts: map[structs.StepTaskID]time.Time{}, everDone: map[structs.StepTaskID]bool{}, activeRuns: map[string]int{}, reserved: map[string]structs.Resources{},
 		capacities: map[string][]capacityPeriod{}, CapacityGrace: DefaultCapacityGrace,
 		starts: map[structs.StepTaskID]int{}, startsOn: map[runnerTask]int{}, startsAtCrash: map[structs.StepTaskID][]int{}, ends: map[substrate.RunEnd]int{},
 	}
@@ -140,6 +142,7 @@
 	defer c.mu.Unlock()
 	c.events = append(c.events, fmt.Sprintf("%s started %s %s", time.Now().Format("05.000"), r, runner))
 	c.starts[r.Task]++
+	c.lastStarts[r.Task] = time.Now()
 	c.startsOn[runnerTask{runner, r.Task}]++
 	maxRuns, grace := 1, time.Duration(0)
 	if c.IsSpeculative != nil && c.IsSpeculative(r.Task) {
@@ -179,7 +182,7 @@
 	c.reserved[runner] = c.reserved[runner].Sub(c.requestOf(r.Task))
 	c.ends[end]++
 	if end == substrate.RunEndDone {
-		c.everDone[r.Task] = true
+		c.everDone[r.Task], c.doneAt[r] = true, time.Now()
 	}
 }
 
@@ -202,9 +205,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.events = append(c.events, fmt.Sprintf("%s acknowledged %s %s", time.Now().Format("05.000"), r, end))
-	if _, found := c.acknowledgedDone[r.Task]; end == substrate.RunEndDone && !c.AllowsRestartAfterDone && !found {
+	if end != substrate.RunEndDone || c.AllowsRestartAfterDone {
+		return
+	}
+	if _, found := c.acknowledgedDone[r.Task]; !found {
 		c.acknowledgedDone[r.Task] = time.Now()
 	}
+	if mayCopy := c.IsSpeculative != nil && c.IsSpeculative(r.Task); !mayCopy && c.lastStarts[r.Task].After(c.doneAt[r]) {
+		c.addViolation("the end of %s is acknowledged, and its task started after that end", r)
+	}
 }
 
 // StartsOfJob returns the number of starts of all tasks of the job.
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,11 +50,16 @@
 	// Crashes returns the time after which a run crashes the runner, 0 for a run
 	// that does not. No run does if it is nil.
 	Crashes func(structs.RunID) time.Duration
+	// MaxListedEnds is the number of ends in one list, DefaultMaxListedEnds if it is 0.
+	MaxListedEnds int
 	// CrashDowntime is the time after which a runner that a run has crashed
 	// restarts by itself. If it is 0, the runner stays down.
 	CrashDowntime time.Duration
 }
 
+// DefaultMaxListedEnds is the number of ends in one list of the platform's runners.
+const DefaultMaxListedEnds = 500
+
 // LateStartDelay is how long after its call a start or a change of pace takes
 // effect if its reply is withheld.
 const LateStartDelay = 3 * time.Second
@@ -222,6 +229,13 @@
 	}
 }
 
+// SetMaxListedEnds sets the number of ends in one list.
+func (r *TaskRunner) SetMaxListedEnds(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.options.MaxListedEnds = n
+}
+
 // SetFailing sets whether runs that complete from now on end as failed.
 func (r *TaskRunner) SetFailing(failing bool) {
 	r.mu.Lock()
@@ -479,10 +493,12 @@
 	}
 }
 
-// stateLocked returns the active runs and the ends that are not acknowledged.
+// stateLocked returns the active runs and the oldest ends that are not acknowledged.
 // The caller holds the lock.
 func (r *TaskRunner) stateLocked() substrate.RunnerState {
-	state := substrate.RunnerState{Clock: r.clockLocked(), Ended: append([]substrate.EndedRun(nil), r.unacknowledged...)}
+	maxEnds := cmp.Or(r.options.MaxListedEnds, DefaultMaxListedEnds)
+	ended := r.unacknowledged[:min(maxEnds, len(r.unacknowledged))]
+	state := substrate.RunnerState{Clock: r.clockLocked(), Ended: slices.Clone(ended), MoreEnds: len(ended) == maxEnds}
 	for id, run := range r.runs {
 		percent := 100
 		if run.runTime > 0 && !r.isLongRunning(id) {
--- a/substrate/runner.go
+++ b/substrate/runner.go
@@ -67,8 +67,11 @@
 // RunnerState is the runner's list of its runs.
 type RunnerState struct {
 	Clock  RuntimeClock // reading of the runner's monotonic clock
-	Active []ActiveRun
-	Ended  []EndedRun
+	Active []ActiveRun  // all runs that have not ended
+	Ended  []EndedRun   // oldest ends that are not acknowledged, by number
+	// MoreEnds is set if the runner may hold back further ends until those in
+	// Ended are acknowledged. A run in neither list may then have ended.
+	MoreEnds bool
 }
 
 // StartRefusal says why a runner refused a start.
