Believe a report that contradicts the last one only once others confirm it

Here a valid report with a later born, another runner's ID or a seq_no far ahead, beside the runner's own, replaced them for ever: the worker polled a runner that does not exist, its runs lapsed with their lease and ran elsewhere, and a drain was not noticed any more. An agent that heard such a report first did not find its runner again.

Cause: the latest born and the highest seq_no won, whoever had sent them.

A report that contradicts the accepted one (an older sequence or a large jump, another address, pool or domain in the same incarnation, an earlier one, or a later one while the current one answers polls) is believed once three in a row agree and none of the accepted kind comes in between. A real restart is not delayed: the first failed poll, or a runner that does not answer, ends the doubt. A runner that answers with another born than the one in its report is another incarnation, also if that is earlier.

--- a/fleet/host.go
+++ b/fleet/host.go
@@ -24,6 +24,7 @@
 	runnerGone       bool                 // the incarnation in info has ended
 	endedIncarnation string               // last incarnation that ended and was not replaced, empty if it was announced again
 	leaving          bool                 // the runner announced that it ends
+	doubtful         doubtfulReports      // reports that contradict info
 	changed          chan struct{}        // signalled after a change that the leader must be informed of
 	pacer            *pacer               // nil before the first session with a runner
 	highestEpoch     int64                // highest epoch of the leaders that have sent orders
@@ -40,30 +41,40 @@
 }
 
 // announce records a report of a runner about itself. It returns false for an
-// earlier incarnation. It ignores an older report of the current incarnation.
+// earlier incarnation. It ignores an older report of the current incarnation, and
+// accepts one that contradicts the last only once others confirm it.
 func (h *host) announce(info substrate.RunnerInfo) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	same := info.Incarnation == h.info.Incarnation
-	switch {
-	case same && info.Sequence <= h.info.Sequence:
-		return true // a delayed report of the current incarnation
-	case !same && h.info.Incarnation != "" && !info.StartedAt.After(h.info.StartedAt):
-		h.o.Log.Warn("announcement of an earlier incarnation ignored", zap.String("runner", info.ID),
-			zap.Time("born", info.StartedAt), zap.Time("current", h.info.StartedAt))
-		return false
+	c := h.classify(info)
+	if c == claimCurrent || h.isConfirmed(info, c) {
+		h.accept(info)
+		return true
 	}
+	if c == claimDelayed && info.Draining && !h.info.Draining {
+		h.info.Draining = true // a runner that drains does not become ready again
+		h.signalChange()
+	}
+	return c != claimEarlier
+}
+
+// accept makes a report the last one that was accepted. The caller holds mu.
+func (h *host) accept(info substrate.RunnerInfo) {
+	same := info.Incarnation == h.info.Incarnation
 	relevantChange := !same || info.Draining != h.info.Draining || h.runnerGone || !isDescribedAlike(info, h.info)
 	if !same || !h.info.Capacity.Fits(info.Capacity) {
 		h.shrankAt = h.o.Clock()
 	}
 	if h.endedIncarnation == info.Incarnation {
-		h.endedIncarnation, h.crash = "", nil // the incarnation has not ended
+		h.endedIncarnation = ""
+	}
+	if h.crash.GetIncarnation() == info.Incarnation {
+		h.crash = nil // the incarnation has not ended
 	}
 	if !same && h.info.Incarnation != "" && !h.runnerGone {
 		h.recordCrash()
 	}
-	h.info = info
+	h.info, h.doubtful = info, doubtfulReports{}
 	h.runnerGone = false
 	if !same {
 		h.leaving = false
@@ -73,7 +84,6 @@
 			zap.Bool("draining", info.Draining), zap.Duration("remaining", info.DrainRemaining), zap.Int64("sequence", info.Sequence), zap.Any("capacity", info.Capacity))
 		h.signalChange()
 	}
-	return true
 }
 
 func (h *host) markLeaving(id string) {
@@ -123,6 +133,7 @@
 	if h.info.Incarnation == incarnation && !h.runnerGone {
 		h.runnerGone = true
 		h.recordCrash()
+		h.acceptReplacement()
 	}
 	h.signalChange()
 }
--- a/fleet/run_register.go
+++ b/fleet/run_register.go
@@ -19,6 +19,7 @@
 	incarnation string
 	begunAt     map[structs.RunID]bootclock.Time
 	started     map[structs.RunID]bool // runs whose start was answered, or that were listed
+	listedAt    bootclock.Time         // last list, 0 before the first
 	failingFrom bootclock.Time         // first failed poll since the last list, 0 if there is none
 }
 
@@ -56,7 +57,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.register(incarnation)
-	r.failingFrom = 0
+	r.listedAt, r.failingFrom = h.o.Clock(), 0
 	listed := make(map[structs.RunID]bootclock.Time, len(active)+len(starting))
 	started := make(map[structs.RunID]bool, len(active)+len(starting))
 	for _, a := range active {
@@ -78,9 +79,13 @@
 func (h *host) recordFailedPoll(incarnation string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if r := h.register(incarnation); r.failingFrom == 0 {
+	r := h.register(incarnation)
+	if r.failingFrom == 0 {
 		r.failingFrom = h.o.Clock()
 	}
+	if incarnation == h.info.Incarnation {
+		h.acceptReplacement()
+	}
 }
 
 // recordCrash records the runs of the current incarnation, which has ended, for
