Take a leadership row that no leader has written for that of a lost leader

If another writer had replaced the leadership row by one that is empty, no JSON, nested deeply or of another type, no node could read it: all agents and entries repeated the read for ever and the fleet had no leader again. With an epoch of 2^43 or more, or below 0, the next leader's fencing tokens overflowed, so that the runners refused its orders.

Cause: the row was only decoded, not checked, and an unreadable row was an error of the read.

Such a row now counts as one without an address, whose epoch is the version of the row. Each leader raises the epoch by 1 in a transaction of its own and each transaction raises the version, so that no leader has had a higher epoch. The wait for the leases of the earlier leader is the usual one: it sent its last commit before the row was replaced.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -25,7 +25,7 @@
 		if row.Table != tableLeader || row.Key != leaderKey {
 			continue
 		}
-		if r, err := decodeLeaderRow(row); err == nil && r.equal(next) {
+		if r := decodeLeaderRow(row); r.equal(next) {
 			return r, true
 		}
 	}
--- a/fleet/leadership.go
+++ b/fleet/leadership.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
@@ -45,12 +46,25 @@
 	Version int64
 }
 
-func decodeLeaderRow(row substrate.PartRow) (leaderRow, error) {
+// maxLeaseBound limits the lease bounds in a leadership row.
+const maxLeaseBound = time.Hour
+
+// isPossible reports whether a leader may have written the row. Each leader adds 1 to the
+// epoch in a transaction of its own, so the epoch never exceeds the version.
+func (r leaderRow) isPossible() bool {
+	return r.Address != "" && r.Epoch > 0 && r.Epoch <= r.Version && r.Commit >= 0 &&
+		!slices.ContainsFunc(r.Leases, func(b leaseBound) bool { return b.Ms < 0 || b.Ms > maxLeaseBound.Milliseconds() })
+}
+
+// decodeLeaderRow decodes the leadership row. One that no leader has written counts as
+// that of a lost leader without an address. Its epoch is the version of the row, so that
+// the next leader has a higher epoch than all earlier ones.
+func decodeLeaderRow(row substrate.PartRow) leaderRow {
 	r := leaderRow{Version: row.Version}
-	if err := json.Unmarshal(row.Value, &r.leadership); err != nil {
-		return leaderRow{}, fmt.Errorf("decode leadership row: %w", err)
+	if err := json.Unmarshal(row.Value, &r.leadership); err == nil && r.isPossible() {
+		return r
 	}
-	return r, nil
+	return leaderRow{leadership: leadership{Epoch: row.Version}, Version: row.Version}
 }
 
 // readLeaderRow reads the leadership row.
@@ -63,7 +77,7 @@
 	case err != nil:
 		return leaderRow{}, fmt.Errorf("read leadership: %w", err)
 	}
-	return decodeLeaderRow(row)
+	return decodeLeaderRow(row), nil
 }
 
 // expectedVersion returns the condition that the row in the store still has the
