Skip job records that no sequence of transitions leads to

A record of a job's state with the run number 2^31-1, below 0, or an unknown state was restored by each new leader. A task was then started under a number that the runner refuses for ever or has seen before, and a specification under another ID was run as a job that no caller had submitted.

Evidence: TestNextLeaderSkipsRowsOfAnotherWriter reports z-5/0/0/0#1 and z-7/0/0/0#1 as started before. Leaders did not end, and the other jobs went on, before and after.

Decode checks the numbers of each task and that the record names its own ID. Such a job is skipped, logged and counted like any record that cannot be decoded; its rows stay.

--- a/fleet/foreign_rows_test.go
+++ b/fleet/foreign_rows_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
+	"github.com/daisywall/daisywall/workflow"
 )
 
 var deeplyNested = strings.Repeat("[", 60_000)
@@ -70,3 +71,49 @@
 		f.t.Fatal(err)
 	}
 }
+
+// Guards against leaders that end, or lose other jobs, because of rows that another
+// writer has added to the tables of the fleet.
+func TestNextLeaderSkipsRowsOfAnotherWriter(t *testing.T) {
+	values := []string{
+		"", "\xff", "null", "[]", "{}", "1e400", deeplyNested, `{"p":"running","t":[[{"t":[{"r":2147483647}]}]]}`, `{"p":"running","t":[[{"t":[{"r":-1}]}]]}`,
+		`{"p":"running","t":[[{"t":[{"s":255,"r":1}]}]]}`, `{"p":"running","t":[[{"t":[{"f":-2147483648}]}]]}`, `{"p":"running","t":[[{"t":[{"r":1e300}]}]]}`,
+	}
+	runInFleet(t, 4, func(f *simulatedFleet) {
+		is := is.New(t)
+		f.runTime.set(func(structs.RunID) time.Duration { return 4 * time.Second })
+		f.waitReady()
+		e := f.newEntry()
+		defer e.Close()
+		is.NoErr(f.submit(e, testJob("a", 8)))
+		f.waitUntil("tasks run", time.Second, func() bool { return f.checker.ActiveRuns() == 8 })
+		for i, value := range values {
+			f.replaceRow(tableState, fmt.Sprint("without-spec-", i), value)
+			id := fmt.Sprint("z-", i)
+			spec, err := workflow.New(*testJob(id, 1), testQueue).EncodeSpec()
+			is.NoErr(err)
+			f.replaceRow(tableState, id, value)
+			f.replaceRow(tableJobs, id, string(spec))
+			f.replaceRow(tableState, "copy-of-"+id, `{"p":"queued","t":[[{}]]}`)
+			f.replaceRow(tableJobs, "copy-of-"+id, string(spec))
+			f.replaceRow(tableJobs, fmt.Sprint("without-state-", i), value)
+		}
+		f.replaceRow(tableModel, modelKey, deeplyNested)
+		f.replaceRow(tableModel, runTimesKey, "\xff\xff\xff\xff\xff\xff")
+		f.replaceRow(tableModel, "other", "x")
+		for range 2 {
+			killed := f.leaderHost()
+			killed.killAgent()
+			killed.startAgent()
+			f.waitReady()
+		}
+		is.NoErr(f.submit(e, testJob("b", 2)))
+		for _, id := range []string{"a", "b"} {
+			f.waitUntil("completed", 10*time.Second, func() bool { return f.phase(e, id) == structs.JobCompleted })
+		}
+		is.Equal(f.checker.StartsOfJob("a"), 8)
+		for _, id := range f.checker.EventsMatching("started z-") {
+			t.Error(id)
+		}
+	})
+}
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -107,6 +107,9 @@
 	if err := Validate(&spec.Job); err != nil {
 		return nil, &DecodeError{Job: id, Err: err}
 	}
+	if spec.Job.ID != id {
+		return nil, &DecodeError{Job: id, Err: &stateMismatchError{}}
+	}
 	j := New(spec.Job, spec.Queue)
 	j.Cancelled, j.Failed, j.FailureReason = state.Cancelled, state.Failed, state.Reason
 	if state.Phase == structs.JobCompleted {
@@ -155,6 +158,20 @@
 	}
 }
 
+// maxRunNumber limits the numbers of runs in a record, so that the next ones don't
+// overflow.
+const maxRunNumber = 1 << 30
+
+// isPossible reports whether transitions can lead to the state of the task.
+func (t *Task) isPossible() bool {
+	lowest := min(t.Run, t.Failures, t.FailedRun, t.Crashes, t.Blame, t.CrashAgeMS, t.CrashedRun, t.LastCopy, t.CheckpointRun, t.CheckpointPercent)
+	highestRun := max(t.Run, t.LastCopy)
+	if t.Copy != nil {
+		highestRun = max(highestRun, t.Copy.Run)
+	}
+	return lowest >= 0 && highestRun <= maxRunNumber && t.State <= Done && (t.State != Assigned || t.Run > 0)
+}
+
 // restoreStep sets the tasks of a new step from its record.
 func (j *Job) restoreStep(spec *structs.Step, step *stepState, record stepRecord) error {
 	if record.Done {
@@ -168,7 +185,8 @@
 		return &stateMismatchError{}
 	}
 	for i := range record.Tasks {
-		if t := &record.Tasks[i]; t.Copy != nil && (t.State != Assigned || !MayCopy(spec) || t.Copy.Run <= t.Run) {
+		t := &record.Tasks[i]
+		if !t.isPossible() || t.Copy != nil && (t.State != Assigned || !MayCopy(spec) || t.Copy.Run <= t.Run) {
 			return &stateMismatchError{}
 		}
 	}
