--- a/fleet/foreign_rows_test.go
+++ b/fleet/foreign_rows_test.go
@@ -117,3 +117,20 @@
 		}
 	})
 }
+
+func FuzzLeaderRow(f *testing.F) {
+	f.Add([]byte(`{"address":"host-0","epoch":7,"commit":1,"leases":[{"worker":"host-1","ms":5000}]}`), int64(9))
+	f.Add([]byte(`{"address":"host-0","epoch":9223372036854775807}`), int64(9))
+	f.Fuzz(func(t *testing.T, data []byte, version int64) {
+		version = max(1, version)
+		r := decodeLeaderRow(substrate.PartRow{Value: data, Version: version})
+		if r.Version != version || r.Epoch < 1 || r.Epoch > version {
+			t.Errorf("version %d: %+v", version, r)
+		}
+		for _, b := range r.Leases {
+			if b.Ms < 0 || time.Duration(b.Ms)*time.Millisecond > maxLeaseBound {
+				t.Errorf("lease %+v", b)
+			}
+		}
+	})
+}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -26,8 +26,9 @@
 	id           structs.JobID
 	tasksPerStep []int // number of tasks of each step
 	isGang       bool
-	isDeadly     bool // the first task of the last step crashes the runners that start it
-	mayCopy      bool // its tasks are speculative, and some of their runs are slow
+	isDeadly     bool          // the first task of the last step crashes the runners that start it
+	mayCopy      bool          // its tasks are speculative, and some of their runs are slow
+	runTime      time.Duration // of each run, 0 for a short one
 
 	mu        sync.Mutex
 	accepted  bool // an attempt to submit the job was answered with success
--- a/soak/job_checker_test.go
+++ b/soak/job_checker_test.go
@@ -36,8 +36,12 @@
 }
 
 // runTime returns the run time of a run, 0.1 to 0.9 s. It is the same for every run
-// of a task, but for one run in three of a speculative task, which takes 4 s.
+// of a task, but for one run in three of a speculative task, which takes 4 s, and for
+// jobs that state another one.
 func (c *jobChecker) runTime(r structs.RunID) time.Duration {
+	if j := c.job(r.Task.Job); j != nil && j.runTime > 0 {
+		return j.runTime
+	}
 	if c.mayCopy(r.Task) && (r.Task.Index+r.Number)%3 == 1 {
 		return 4 * time.Second
 	}
--- a/soak/regressions_test.go
+++ b/soak/regressions_test.go
@@ -24,7 +24,7 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, r.seed, 0)
+			runSeed(t, r.seed, seedOptions{})
 		})
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,7 +71,7 @@
 		seed := *firstSeed + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, 0)
+			runSeed(t, seed, seedOptions{})
 		})
 	}
 }
@@ -84,14 +84,31 @@
 		seed := *firstSeed + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, deadlyCount)
+			runSeed(t, seed, seedOptions{deadlyJobs: deadlyCount})
 		})
 	}
 }
 
-// runSeed injects random faults into a system. The given number of callers
-// submit a deadly job each.
-func runSeed(t *testing.T, seed uint64, deadlyJobs int) {
+// TestSeedsBesideForeignReports checks the same invariants while another writer sends
+// odd reports in the name of the runners.
+func TestSeedsBesideForeignReports(t *testing.T) {
+	for i := range uint64(*seedCount) {
+		seed := *firstSeed + i
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, seed, seedOptions{foreignReports: true})
+		})
+	}
+}
+
+// seedOptions is what happens in a seed beside the random faults.
+type seedOptions struct {
+	deadlyJobs     int // callers that submit a deadly job each
+	foreignReports bool
+}
+
+// runSeed injects random faults into a system.
+func runSeed(t *testing.T, seed uint64, o seedOptions) {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("daisywall-soak-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
@@ -119,11 +136,16 @@
 	for i := range callerCount {
 		callerRNG := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		deadlyJob := -1
-		if i < deadlyJobs {
+		if i < o.deadlyJobs {
 			deadlyJob = 1 + 2*i
 		}
 		callersDone.Go(func() { c.run(ctx, callerRNG, deadlyJob) })
 	}
+	if o.foreignReports {
+		writer := &foreignWriter{system: s, rng: rand.New(rand.NewPCG(seed, 3))}
+		callersDone.Go(func() { writer.run(ctx) })
+		defer func() { t.Logf("%d foreign reports", writer.sent) }()
+	}
 	injector.run(faultPeriod)
 	cancel()
 	callersDone.Wait()
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -41,6 +41,7 @@
 	storeClient  *standin.PartStoreClient
 	runner       *standin.TaskRunner // nil for an entry
 	runnerLink   *link               // link of the agent to the runner, nil for an entry
+	reportLink   *link               // link of the runner's reports to the agent, nil for an entry
 	callerLink   *link               // link of callers to the entry, nil for a worker
 	settings     map[string]any
 
@@ -189,8 +190,7 @@
 		Crashes: s.checker.crashesAfter, CrashDowntime: time.Duration(1+len(s.hosts)%3) * time.Second,
 	})
 	handler.set(site.Runner(h.runner))
-	agentLink, err := s.addLink(reportAddress, nil, nil)
-	if err != nil {
+	if h.reportLink, err = s.addLink(reportAddress, nil, nil); err != nil {
 		return err
 	}
 	go func() {
@@ -204,7 +204,7 @@
 						s.checker.reportViolation("%v", err)
 					}
 					// An agent that cannot be reached receives the next report.
-					_ = site.Report(ctx, s.reportClient, agentLink.address(), h.runner)
+					_ = site.Report(ctx, s.reportClient, h.reportLink.address(), h.runner)
 				}
 			case <-ctx.Done():
 				return
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -146,22 +146,32 @@
 	}
 }
 
-// Report sends the report of the runner to the address once.
-func Report(ctx context.Context, client *http.Client, address string, r *standin.TaskRunner) error {
-	info := r.Report()
+// ReportFields returns the report of a runner that describes itself by info.
+func ReportFields(info substrate.RunnerInfo) map[string]any {
 	state := "ready"
 	if info.Draining {
 		state = "draining"
 	}
-	body, err := json.Marshal(map[string]any{
+	return map[string]any{
 		"service": info.Pool, "address": info.Address, "zone": info.FailureDomain, "version": "v1", "slots": 8, "state": state,
 		"capacity": map[string]int64{"cpu": info.Capacity.MilliCPU, "mem_mb": info.Capacity.MemoryMB, "gpu": info.Capacity.Accelerators},
 		"labels":   info.Labels, "seq_no": info.Sequence, "born": info.StartedAt.UnixMilli(),
-	})
+	}
+}
+
+// Report sends the report of the runner to the address once.
+func Report(ctx context.Context, client *http.Client, address string, r *standin.TaskRunner) error {
+	info := r.Report()
+	body, err := json.Marshal(ReportFields(info))
 	if err != nil {
 		return fmt.Errorf("encode report: %w", err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/v1/instances/"+info.ID, bytes.NewReader(body))
+	return SendReport(ctx, client, address, info.ID, body)
+}
+
+// SendReport sends the body as the report of the runner with the ID.
+func SendReport(ctx context.Context, client *http.Client, address, id string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/v1/instances/"+id, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("build report: %w", err)
 	}
