Split the starts for a worker over several messages

Cause: all starts for a worker went into one message, and the first list of each next session led to the same message.

A run that must not start any more by then is released.

--- a/fleet/dial.go
+++ b/fleet/dial.go
@@ -37,6 +37,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(d.open),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: answerTimeout}))
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,7 +24,7 @@
 	predictionRatio, declaredRatio                                                 metric.Float64Histogram
 	unreadableModels                                                               metric.Int64Counter
 	refusedJobs, withdrawnCommits                                                  metric.Int64Counter
-	incompleteLists, doubtfulReports                                               metric.Int64Counter
+	incompleteLists, doubtfulReports, splitOrders                                  metric.Int64Counter
 	heldBackEnds                                                                   metric.Float64Histogram
 	jobPrediction                                                                  metric.Float64Histogram
 	speedChoices, slowWorkers                                                      metric.Int64Counter
@@ -106,7 +106,7 @@
 }
 
 // addRunners adds the instruments of long-running tasks without a run, of lists that lack
-// ends, and of doubtful reports of runners.
+// ends, of split orders and of doubtful reports of runners.
 func (m *metrics) addRunners(meter metric.Meter) (err error) {
 	if m.longestOutage, err = meter.Float64Gauge("daisywall.fleet.outage.longest.seconds", metric.WithUnit("s"),
 		metric.WithDescription("Longest time for which a long-running task has not been at work by now")); err != nil {
@@ -116,6 +116,10 @@
 		metric.WithDescription("Lists of runs that lacked ends by failure domain")); err != nil {
 		return err
 	}
+	if m.splitOrders, err = meter.Int64Counter("daisywall.fleet.orders.split",
+		metric.WithDescription("Messages to a worker that had no room for all starts")); err != nil {
+		return err
+	}
 	if m.doubtfulReports, err = meter.Int64Counter("daisywall.fleet.reports.doubtful",
 		metric.WithDescription("Reports of the host's runner that contradict the last accepted one by claim")); err != nil {
 		return err
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -272,7 +272,7 @@
 // session may not have arrived. It releases the run if the run must not start
 // any more.
 func (l *leader) repeatStart(w *worker, r *run) {
-	if r.job.StopReason(r.id) != "" || w.draining || l.drained(w.domain) || r.stopReason != "" {
+	if l.mustNotStart(w, r) {
 		l.release(w, r, "not started", "")
 		return
 	}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -363,7 +363,7 @@
 	if w.runs[r.id] != r || w.incarnation != r.incarnation || w.session == nil {
 		return
 	}
-	if r.job.StopReason(r.id) != "" || w.draining || l.drained(w.domain) || r.stopReason != "" {
+	if l.mustNotStart(w, r) {
 		l.release(w, r, "not started", "")
 		return
 	}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -421,6 +421,14 @@
 	return structs.RunID{Task: id, Number: r.GetNumber()}
 }
 
+func runsToProto(runs []structs.RunID) []*fleetpb.Run {
+	list := make([]*fleetpb.Run, 0, len(runs))
+	for _, r := range runs {
+		list = append(list, runToProto(r))
+	}
+	return list
+}
+
 func runsFromProto(list []*fleetpb.Run) []structs.RunID {
 	runs := make([]structs.RunID, 0, len(list))
 	for _, r := range list {
