Send reports outside the loop of a session

An agent whose leader's host had gone silent did not look for another leader: a report blocked once the flow control of the stream was used up, in the loop that watches the timeout of the session.

Evidence: TestSessionWithALeaderThatReadsNothingEndsInTime does not end before.

Reports are queued for a goroutine of their own. The session ends if 16 are waiting, or by its timeout as before. The time in a report is that of its queueing, which is earlier than its sending, so that leases counted from it end no later.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -25,6 +25,7 @@
 	refusedPollPause     = 100 * time.Millisecond  // delay of the next poll after a refused connection
 	agentSessionTick     = 100 * time.Millisecond
 	maxRunnerCallTimeout = 2 * time.Second // longest timeout of a start or a stop
+	maxQueuedReports     = 16              // reports that wait for a leader that reads slowly
 )
 
 // agentSession is the agent's side of the stream with a leader. The goroutine
@@ -44,6 +45,7 @@
 	starting        map[structs.RunID]*startOp
 	stopping        map[structs.RunID]bool
 	loopCalls       chan func()
+	reports         chan *fleetpb.WorkerReport // reports to send, see sendReports
 	runnerCallSlots chan struct{}
 	pacer           *pacer
 
@@ -93,7 +95,7 @@
 		host: host, row: row, info: info, stream: stream,
 		log:      host.o.Log.With(zap.Int64("epoch", row.Epoch), zap.String("incarnation", info.Incarnation)),
 		starting: map[structs.RunID]*startOp{}, stopping: map[structs.RunID]bool{},
-		loopCalls: make(chan func(), 64), runnerCallSlots: make(chan struct{}, maxRunnerCalls),
+		loopCalls: make(chan func(), 64), reports: make(chan *fleetpb.WorkerReport, maxQueuedReports), runnerCallSlots: make(chan struct{}, maxRunnerCalls),
 	}
 	if info.Incarnation != "" {
 		a.runner = host.o.Runner(info)
@@ -114,8 +116,9 @@
 	a.pacer.attach(a.log, a.runner, a.fencingToken)
 	a.log.Info("session opened", zap.String("leader", a.row.Address), zap.Int64("fence", a.fencingToken))
 	orders := make(chan *fleetpb.WorkerOrders)
-	receiveErrors := make(chan error, 1)
-	go a.receiveOrders(ctx, orders, receiveErrors)
+	streamErrors := make(chan error, 2)
+	go a.receiveOrders(ctx, orders, streamErrors)
+	go a.sendReports(ctx, streamErrors)
 	tick := time.NewTicker(agentSessionTick)
 	defer tick.Stop()
 	a.executeOrders(ctx, first)
@@ -139,7 +142,7 @@
 			err = a.sendReport(&fleetpb.WorkerReport{})
 		case <-tick.C:
 			err = a.checkTimeouts()
-		case err = <-receiveErrors:
+		case err = <-streamErrors:
 		case <-ctx.Done():
 			err = ctx.Err()
 		}
@@ -149,11 +152,28 @@
 	}
 }
 
-func (a *agentSession) receiveOrders(ctx context.Context, orders chan<- *fleetpb.WorkerOrders, receiveErrors chan<- error) {
+// sendReports sends the queued reports. A stream whose peer has gone silent blocks once
+// its flow control is used up, which must not keep the loop of the session from noticing
+// the silence.
+func (a *agentSession) sendReports(ctx context.Context, streamErrors chan<- error) {
+	for {
+		select {
+		case r := <-a.reports:
+			if err := a.stream.Send(r); err != nil {
+				streamErrors <- err
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *agentSession) receiveOrders(ctx context.Context, orders chan<- *fleetpb.WorkerOrders, streamErrors chan<- error) {
 	for {
 		o, err := a.stream.Recv()
 		if err != nil {
-			receiveErrors <- err
+			streamErrors <- err
 			return
 		}
 		select {
@@ -177,8 +197,8 @@
 	return a.sendReport(&fleetpb.WorkerReport{})
 }
 
-// sendReport fills in the fields that all reports have, and sends the report to
-// the leader.
+// sendReport fills in the fields that all reports have, and queues the report for
+// the leader. It returns an error if the leader has not read earlier ones.
 func (a *agentSession) sendReport(r *fleetpb.WorkerReport) error {
 	a.lastReportAt = a.host.o.Clock() // before info is read, so that the report shows all changes up to this time
 	info := a.host.current()
@@ -187,7 +207,12 @@
 	r.OrdersSeen = a.lastOrderNumber
 	r.Draining = info.Draining
 	r.RemainingMs = info.DrainRemaining.Milliseconds()
-	return a.stream.Send(r)
+	select {
+	case a.reports <- r:
+		return nil
+	default:
+		return &structs.UnavailableError{Dependency: "leader"}
+	}
 }
 
 // executeOrders processes a message of the leader.
--- a/fleet/message_limit_test.go
+++ b/fleet/message_limit_test.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -114,3 +116,40 @@
 		is.Equal(n, 1)
 	}
 }
+
+// silentStream is a stream whose peer neither reads nor answers.
+type silentStream struct {
+	fleetpb.Fleet_AttendClient
+	ctx context.Context
+}
+
+func (s *silentStream) Send(*fleetpb.WorkerReport) error {
+	<-s.ctx.Done()
+	return s.ctx.Err()
+}
+
+func (s *silentStream) Recv() (*fleetpb.WorkerOrders, error) {
+	<-s.ctx.Done()
+	return nil, s.ctx.Err()
+}
+
+// Guards against an agent that does not look for another leader because its reports to a
+// silent one block.
+func TestSessionWithALeaderThatReadsNothingEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, 1)
+		defer f.close()
+		f.waitReady()
+		h := f.hosts[0]
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		info := h.node.host.current()
+		a := newAgentSession(h.node.host, leaderRow{}, info, &silentStream{ctx: ctx})
+		a.runner = nil
+		begun := time.Now()
+		end, _ := a.run(ctx, cancel, &fleetpb.WorkerOrders{Epoch: h.node.lastKnownLeader().Epoch})
+		is := is.New(t)
+		is.Equal(end, endLost)
+		is.True(time.Since(begun) <= f.timing.SessionTimeout+agentSessionTick)
+	})
+}
