Keep the store's limits, and set apart a row that it refuses

Cause: the record of a job's state was one row without a limit, and a transaction that the store refused as not valid counted as one of unknown outcome, so that each leader repeated the batch that held it for ever.

The stand-ins of the store have the limits now.

A state over the limit is recorded in several rows of one transaction, checkpoints over 1,000 bytes are not kept, batches are bounded with the models' rows, and a specification that does not fit is refused with 400. A refusal as not valid halves the next batches until the job at fault is alone, and only that one is refused or failed.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -175,6 +175,7 @@
 			return operator, stop
 		},
 		Permits:     permitSource(settings),
+		RowBytes:    settings.RowBytes,
 		UseRunTimes: settings.Scheduling.UseRunTimes, QueueShares: settings.Scheduling.QueueShares, RefuseHopeless: settings.Scheduling.RefuseHopeless,
 		PlaceBySpeed: settings.Scheduling.PlaceBySpeed,
 		Timing:       fleet.Timing{MaxLease: settings.MaxLease, ViolationLimit: settings.ViolationLimit, PaceDelay: settings.PaceDelay},
--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -13,6 +13,7 @@
 	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
+	"github.com/daisywall/daisywall/workflow"
 )
 
 // Limits of an agent's session and of its calls to the runner. The agent polls
@@ -333,11 +334,11 @@
 	list := &fleetpb.WorkerReport{Listed: true, MoreEnds: state.MoreEnds || a.lacksEnds(state.Ended)}
 	for _, r := range state.Active {
 		list.Active = append(list.Active, &fleetpb.Active{
-			Run: runToProto(r.Run), Checkpoint: r.Checkpoint, Percent: int32(r.Percent), Figure: r.Reading, Pace: a.pacer.appliedPace(r.Run),
+			Run: runToProto(r.Run), Checkpoint: a.checkpointToReport(r.Checkpoint), Percent: int32(r.Percent), Figure: r.Reading, Pace: a.pacer.appliedPace(r.Run),
 		})
 	}
 	for _, e := range state.Ended {
-		list.Ended = append(list.Ended, &fleetpb.Ended{Number: e.Number, Run: runToProto(e.Run), End: string(e.End), Checkpoint: e.Checkpoint})
+		list.Ended = append(list.Ended, &fleetpb.Ended{Number: e.Number, Run: runToProto(e.Run), End: string(e.End), Checkpoint: a.checkpointToReport(e.Checkpoint)})
 		a.lastEndListed = max(a.lastEndListed, e.Number)
 	}
 	// The leader's answer to the first list extends the lease, which may be
@@ -354,6 +355,16 @@
 	a.pacer.update(ctx, state.Active, now)
 }
 
+// checkpointToReport returns the checkpoint, or an empty text if it is too long to be
+// kept.
+func (a *agentSession) checkpointToReport(checkpoint string) string {
+	if len(checkpoint) <= workflow.MaxCheckpointBytes {
+		return checkpoint
+	}
+	a.host.metrics.longCheckpoints.Add(context.Background(), 1)
+	return ""
+}
+
 // lacksEnds reports whether the numbers of the ends have a gap since the last list
 // of this session. The first list may begin with any number, because earlier ends may
 // have been acknowledged by an earlier session.
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -58,6 +58,8 @@
 	// refused is the error of a batch that the store has refused and that it never
 	// applies, else nil. The other fields are not set then.
 	refused error
+	// isInvalid is set if the store refuses the same batch again.
+	isInvalid bool
 }
 
 // hadNoEffect reports whether a commit that failed with the error is certainly never
@@ -69,7 +71,7 @@
 }
 
 // run repeats the batch until it is stored or the leadership is lost, or returns it
-// if the first attempt was refused. A batch with an earlier attempt without an answer
+// if the first attempt was refused, or any attempt as not valid. A batch with an earlier attempt without an answer
 // is repeated also after a refusal.
 func (c *committer) run(ctx context.Context, seen leaderRow, next leadership, puts, removes []substrate.PartRow) commitResult {
 	first := c.clock()
@@ -86,9 +88,12 @@
 			return commitResult{row: row, sent: sent, took: c.clock().Sub(first)}
 		}
 		var conflict *substrate.VersionConflictError
+		var invalid *substrate.TxnRefusedError
 		switch {
 		case errors.As(err, &conflict):
 			return commitResult{err: &structs.FencedError{Cell: fleetPart, Epoch: next.Epoch}}
+		case errors.As(err, &invalid):
+			return commitResult{refused: err, isInvalid: true}
 		case ctx.Err() != nil:
 			return commitResult{err: ctx.Err()}
 		case attempt == 1 && hadNoEffect(err):
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -55,6 +55,7 @@
 	commitInFlight   bool
 	commitBeganAt    bootclock.Time      // when the commit in flight, or the last one, started; the first one of a series of refused ones
 	committingModels []substrate.PartRow // rows of the models in the commit in flight
+	batchLimit       int                 // number of jobs in the next commit, 0 for no limit, see narrowBatch
 	withdrawn        withdrawal
 
 	jobs          map[structs.JobID]*job
@@ -188,7 +189,7 @@
 			case result.err != nil:
 				return result.err
 			case result.refused != nil:
-				l.withdrawCommit(result.refused)
+				l.withdrawCommit(result)
 			default:
 				l.handleCommitted(result)
 			}
--- a/fleet/leadership.go
+++ b/fleet/leadership.go
@@ -18,6 +18,9 @@
 	tableLeader = "daisywall-leader"
 	tableJobs   = "daisywall-jobs"  // accepted jobs, each written once
 	tableState  = "daisywall-state" // current state of each job
+	// tableStateParts holds the states that do not fit into one row.
+	tableStateParts = "daisywall-state-parts"
+
 	tableModel  = "daisywall-model" // interference model and model of run times
 	fleetPart   = "fleet-0"
 	leaderKey   = "leader"
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,7 +24,7 @@
 	predictionRatio, declaredRatio                                                 metric.Float64Histogram
 	unreadableModels                                                               metric.Int64Counter
 	refusedJobs, withdrawnCommits                                                  metric.Int64Counter
-	incompleteLists, doubtfulReports, splitOrders                                  metric.Int64Counter
+	incompleteLists, doubtfulReports, splitOrders, longCheckpoints                 metric.Int64Counter
 	heldBackEnds                                                                   metric.Float64Histogram
 	jobPrediction                                                                  metric.Float64Histogram
 	speedChoices, slowWorkers                                                      metric.Int64Counter
@@ -120,6 +120,10 @@
 		metric.WithDescription("Messages to a worker that had no room for all starts")); err != nil {
 		return err
 	}
+	if m.longCheckpoints, err = meter.Int64Counter("daisywall.fleet.checkpoints.dropped",
+		metric.WithDescription("Checkpoints in lists of runs that were too long to be kept")); err != nil {
+		return err
+	}
 	if m.doubtfulReports, err = meter.Int64Counter("daisywall.fleet.reports.doubtful",
 		metric.WithDescription("Reports of the host's runner that contradict the last accepted one by claim")); err != nil {
 		return err
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -43,6 +44,7 @@
 	Clock     bootclock.Clock        // nil for the system clock
 	WallClock func() time.Time       // nil for the system clock; used only for scheduled rounds
 	Timing    Timing                 // zero fields get the defaults
+	RowBytes  int                    // largest size of a row's value in the store, 0 for DefaultRowBytes
 	// UseRunTimes orders filling jobs by the expected run times of their tasks
 	// instead of the declared ones.
 	UseRunTimes bool
@@ -65,6 +67,11 @@
 	simulateWork func()
 }
 
+// DefaultRowBytes is the default of Options.RowBytes.
+const DefaultRowBytes = 64 << 10
+
+func (o Options) rowBytes() int { return cmp.Or(o.RowBytes, DefaultRowBytes) }
+
 // Timing holds the durations of a fleet. All nodes must use the same values.
 type Timing struct {
 	MaxLease     time.Duration // longest lease that a runner accepts
--- a/fleet/random_submissions_test.go
+++ b/fleet/random_submissions_test.go
@@ -105,7 +105,7 @@
 			}
 			l.runPeriodicChecks()
 			for _, j := range l.jobs {
-				rows, err := jobRows(j)
+				rows, err := jobRows(j, DefaultRowBytes)
 				is.NoErr(err)
 				_, err = workflow.Decode(j.Spec.ID, rows[0].Value, rows[1].Value)
 				is.NoErr(err)
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -99,6 +100,21 @@
 	}
 }
 
+// specOverhead is the size of the record of a job beside its specification and its queue.
+const specOverhead = 64
+
+// checkSpecSize returns *structs.InvalidError if the record of the job does not fit into
+// one row. The record contains the specification and the queue as they are submitted.
+func checkSpecSize(req *fleetpb.SubmitRequest, maxBytes int) error {
+	size := len(req.GetJob()) + len(req.GetQueue()) + specOverhead
+	if size <= maxBytes {
+		return nil
+	}
+	return &structs.InvalidError{Subject: "job", Faults: []structs.Fault{{
+		Path: "/", Value: fmt.Sprintf("%d bytes", size), Rule: fmt.Sprintf("must have at most %d bytes as stored", maxBytes),
+	}}}
+}
+
 // Submit implements fleetpb.FleetServer.
 func (n *Node) Submit(ctx context.Context, req *fleetpb.SubmitRequest) (*fleetpb.SubmitResponse, error) {
 	var spec structs.StepJob
@@ -112,6 +128,9 @@
 	if err := workflow.Validate(&spec); err != nil {
 		return nil, status.Errorf(codes.InvalidArgument, "%v", err)
 	}
+	if err := checkSpecSize(req, n.o.rowBytes()); err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "%v", err)
+	}
 	token := submissionToken(ctx)
 	var retryAfter time.Duration
 	outcome, leaderAddress := n.runOnLeader(ctx, func(l *leader, answer func(fleetpb.Outcome)) {
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -45,6 +45,8 @@
 	// afterCrash is called after a run has crashed the host's runner. It may be
 	// nil.
 	afterCrash hook[func(h *simulatedHost)]
+	// checkpoint returns the checkpoint of an active run. It may be nil.
+	checkpoint hook[func(structs.RunID) string]
 	permits    *standin.PermitIssuer // nil if the queue has no permit policy
 	// beforeStart is called before each start reaches the runner. It may be
 	// nil.
@@ -235,6 +237,12 @@
 			LongRunning: func(r structs.RunID) bool { return f.longRunning.get()(r) },
 			FailsAfter:  func(r structs.RunID) time.Duration { return f.failsAfter.get()(r) },
 			Crashes:     func(r structs.RunID) time.Duration { return f.crashes.get()(r) }, CrashDowntime: crashDowntime,
+			Checkpoint: func(r structs.RunID) string {
+				if checkpoint := f.checkpoint.get(); checkpoint != nil {
+					return checkpoint(r)
+				}
+				return ""
+			},
 			Reading: func(r structs.RunID) int64 {
 				reading := f.reading.get()
 				if reading == nil {
--- a/fleet/stored_state.go
+++ b/fleet/stored_state.go
@@ -40,9 +40,16 @@
 		specs[row.Key] = row.Value
 	}
 	var s storedState
+	parts := stateParts{read: func() ([]substrate.PartRow, error) {
+		rows, _, err := store.Rows(ctx, tableStateParts, fleetPart)
+		return rows, err
+	}}
 	for _, row := range states {
 		id := structs.JobID(row.Key)
-		job, err := decodeJob(id, specs[row.Key], row.Value, log)
+		job, err := decodeJob(id, specs[row.Key], row.Value, &parts, log)
+		if parts.err != nil {
+			return storedState{}, fmt.Errorf("read parts of states: %w", parts.err)
+		}
 		if err != nil {
 			log.Error("job skipped: its record cannot be decoded", zap.String("job", row.Key), zap.Int64("version", row.Version), zap.Error(err))
 			s.unreadableJobs++
@@ -55,11 +62,32 @@
 	return s, err
 }
 
+// stateParts holds the parts of the states that do not fit into one row. They are read
+// when the first one is needed.
+type stateParts struct {
+	read  func() ([]substrate.PartRow, error)
+	byKey map[string][]byte // nil until the parts were read
+	err   error             // error of the read
+}
+
+// part returns a part of a job's state, nil if there is none.
+func (p *stateParts) part(id structs.JobID, i int) []byte {
+	if p.byKey == nil {
+		var rows []substrate.PartRow
+		rows, p.err = p.read()
+		p.byKey = make(map[string][]byte, len(rows))
+		for _, row := range rows {
+			p.byKey[row.Key] = row.Value
+		}
+	}
+	return p.byKey[statePartKey(id, i)]
+}
+
 // decodeJob decodes a job. It returns a panic as an error, because every node
 // that takes over decodes the same records.
-func decodeJob(id structs.JobID, spec, state []byte, log *zap.Logger) (job *workflow.Job, err error) {
+func decodeJob(id structs.JobID, spec, state []byte, parts *stateParts, log *zap.Logger) (job *workflow.Job, err error) {
 	defer recoverAs(&err, "decode job", log)
-	return workflow.Decode(id, spec, state)
+	return workflow.DecodeRows(id, spec, state, func(i int) []byte { return parts.part(id, i) })
 }
 
 // loadInterference reads the stored interference model. It returns nil if there
--- a/fleet/withdraw.go
+++ b/fleet/withdraw.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisywall/daisywall/substrate"
+	"github.com/daisywall/daisywall/workflow"
 )
 
 // withdrawal is the state of a leader whose last batches the store has refused.
@@ -19,7 +20,8 @@
 
 // withdrawCommit takes back a batch that the store has refused and never applies. Its
 // changes go into the next one, and its submissions may be refused.
-func (l *leader) withdrawCommit(err error) {
+func (l *leader) withdrawCommit(result commitResult) {
+	err := result.refused
 	pause := min(commitPauseMin<<min(l.withdrawn.count, 10), commitPauseMax)
 	l.commitInFlight = false
 	l.withdrawn.count++
@@ -28,7 +30,8 @@
 		l.log.Warn("commits refused by the store", zap.Int("jobs", len(l.committingJobs)), zap.Error(err))
 	}
 	l.metrics.count(l.metrics.withdrawnCommits, "refused")
-	jobs := l.committingJobs
+	withdrawnJobs := l.committingJobs
+	jobs := slices.Clone(withdrawnJobs)
 	l.committingJobs = nil
 	for _, j := range jobs {
 		j.acceptanceSent = j.stored
@@ -40,6 +43,9 @@
 		j.isDirty = true
 	}
 	l.dirtyJobs = append(jobs, l.dirtyJobs...)
+	if result.isInvalid {
+		l.narrowBatch(withdrawnJobs, err)
+	}
 	for _, row := range l.committingModels {
 		switch row.Key {
 		case modelKey:
@@ -53,6 +59,50 @@
 	}
 }
 
+// narrowBatch limits the next batch after one that the store does not accept as it is,
+// so that the row at fault is found in a few batches. It fails a job whose rows are refused
+// without any others.
+func (l *leader) narrowBatch(jobs []*job, err error) {
+	l.metrics.count(l.metrics.withdrawnCommits, "not valid")
+	if len(jobs) == 1 && len(l.committingModels) == 0 {
+		l.failToStore(jobs[0], err)
+		return
+	}
+	l.batchLimit = max(1, len(jobs)/2)
+	l.log.Error("batch not accepted by the store", zap.Int("jobs", len(jobs)), zap.Int("models", len(l.committingModels)),
+		zap.Int("next_jobs", l.batchLimit), zap.Error(err))
+}
+
+// widenBatch doubles the limit of the batches after one that was stored.
+func (l *leader) widenBatch() {
+	l.batchLimit *= 2
+	if l.batchLimit > maxRowsPerCommit {
+		l.batchLimit = 0
+	}
+}
+
+// failToStore refuses a new job whose rows the store does not accept, and fails another
+// one, so that the decisions on all other jobs go on.
+func (l *leader) failToStore(j *job, err error) {
+	l.log.Error("job failed: the store does not accept its rows", zap.String("job", string(j.Spec.ID)), zap.String("queue", string(j.Spec.Queue)),
+		zap.Bool("accepted", j.stored), zap.Error(err))
+	l.metrics.count(l.metrics.setAside, "store")
+	if j.stored && j.FailureReason != workflow.FailedToStore {
+		j.FailToStore()
+		l.stopRunsOfJob(j)
+		l.markDirty(j, nil, nil)
+		return
+	}
+	l.dirtyJobs = slices.DeleteFunc(l.dirtyJobs, func(dirty *job) bool { return dirty == j })
+	j.isDirty = false
+	if !j.stored && j.refuse != nil {
+		l.refuseUnstored(j)
+		l.removeRefusedJobs()
+		return
+	}
+	l.setAside(j, err)
+}
+
 // endWithdrawal records that a batch was stored.
 func (l *leader) endWithdrawal() {
 	if l.withdrawn.count > 0 {
--- a/fleet/withdraw_test.go
+++ b/fleet/withdraw_test.go
@@ -87,7 +87,7 @@
 	first := commit(standin.StoreRefuses)
 	is.True(first.refused != nil)
 	l.markDirty(l.jobs["b"], nil, nil) // changes while the batch is in flight
-	l.withdrawCommit(first.refused)
+	l.withdrawCommit(first)
 	is.True(l.withdrawn.retry != nil)
 	l.submit(*testJob("a", 1), testQueue, record("a"))
 	second := commit(standin.StoreServes)
--- a/standin/partstore.go
+++ b/standin/partstore.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -30,6 +32,28 @@
 	LateCommitDelay = 3 * time.Second
 )
 
+// Limits of a transaction, from the platform's documentation of its store.
+const (
+	MaxRowBytes   = 64 << 10
+	MaxTxnEntries = 100
+	MaxTxnBytes   = 1_000_000
+)
+
+// checkLimits returns *substrate.TxnRefusedError if the transaction breaks a limit.
+func checkLimits(txn substrate.PartTxn) error {
+	size := 0
+	for _, p := range txn.Puts {
+		if len(p.Value) > MaxRowBytes {
+			return &substrate.TxnRefusedError{Reason: fmt.Sprintf("row %s/%s has %d bytes", p.Table, p.Key, len(p.Value))}
+		}
+		size += base64.StdEncoding.EncodedLen(len(p.Value)) + len(p.Table) + len(p.Part) + len(p.Key)
+	}
+	if n := len(txn.Expect) + len(txn.Puts) + len(txn.Remove); n > MaxTxnEntries || size > MaxTxnBytes {
+		return &substrate.TxnRefusedError{Reason: fmt.Sprintf("%d entries, %d bytes", n, size)}
+	}
+	return nil
+}
+
 type rowKey struct{ table, part, key string }
 
 // PartStore is an in-memory store of rows in tables and parts.
@@ -69,6 +93,9 @@
 
 // Commit applies a transaction without a simulated delay.
 func (s *PartStore) Commit(txn substrate.PartTxn) (int64, error) {
+	if err := checkLimits(txn); err != nil {
+		return 0, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var conflicting []substrate.PartRow
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -125,10 +125,13 @@
 // aborts the connection if the call has no known outcome.
 func writeResult(w http.ResponseWriter, a storeResponse, err error) {
 	var historyLost *substrate.HistoryLostError
+	var refused *substrate.TxnRefusedError
 	var unavailable *structs.UnavailableError
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, a)
+	case errors.As(err, &refused):
+		http.Error(w, refused.Reason, http.StatusBadRequest)
 	case errors.As(err, &historyLost):
 		writeJSON(w, http.StatusGone, struct{}{})
 	case errors.As(err, &unavailable) && unavailable.Err == nil:
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -44,6 +44,9 @@
 	LongRunning       func(structs.RunID) bool  // runs that are at work until they are stopped, none if nil
 	PaceDelay         time.Duration             // time from a change of pace to its effect
 	Reading           func(structs.RunID) int64 // reading of an active run, 0 for every run if nil
+	// Checkpoint returns the latest checkpoint of an active run. If it is nil, a run has the
+	// checkpoint from which it has resumed.
+	Checkpoint func(structs.RunID) string
 	// FailsAfter returns the time after which a run ends as failed, 0 for a run
 	// that does not. No run does if it is nil.
 	FailsAfter func(structs.RunID) time.Duration
@@ -340,6 +343,13 @@
 	return substrate.RuntimeClock(time.Since(r.incarnationStart))
 }
 
+func (r *TaskRunner) checkpointOf(id structs.RunID, run *taskRun) string {
+	if r.options.Checkpoint != nil {
+		return r.options.Checkpoint(id)
+	}
+	return run.checkpoint
+}
+
 // endRunLocked ends a run. The caller holds the lock.
 func (r *TaskRunner) endRunLocked(id structs.RunID, end substrate.RunEnd) {
 	run, found := r.runs[id]
@@ -348,7 +358,7 @@
 	}
 	run.timer.Stop()
 	delete(r.runs, id)
-	checkpoint := run.checkpoint
+	checkpoint := r.checkpointOf(id, run)
 	if end == substrate.RunEndStopped {
 		checkpoint = "stopped-" + id.String()
 	}
@@ -504,7 +514,7 @@
 		if run.runTime > 0 && !r.isLongRunning(id) {
 			percent = min(99, int(100*time.Since(run.startedAt)/run.runTime))
 		}
-		active := substrate.ActiveRun{Run: id, Percent: percent, Checkpoint: run.checkpoint}
+		active := substrate.ActiveRun{Run: id, Percent: percent, Checkpoint: r.checkpointOf(id, run)}
 		if r.options.Reading != nil {
 			active.Reading = r.options.Reading(id)
 		}
--- a/substrate/store.go
+++ b/substrate/store.go
@@ -38,6 +38,12 @@
 
 func (e *VersionConflictError) Error() string { return "a row has another version than expected" }
 
+// TxnRefusedError reports a transaction that the store never applies, because it breaks a
+// limit of the store or is malformed. The same transaction is refused again.
+type TxnRefusedError struct{ Reason string }
+
+func (e *TxnRefusedError) Error() string { return "transaction refused: " + e.Reason }
+
 // HistoryLostError reports that the store no longer has all changes since a
 // version. The caller has to read the rows again.
 type HistoryLostError struct{ Since int64 }
@@ -48,7 +54,8 @@
 // parts.
 //
 // Reads return *structs.UnavailableError when the store cannot be reached.
-// Commit returns *VersionConflictError when a condition fails,
+// Commit returns *VersionConflictError when a condition fails, *TxnRefusedError when the
+// transaction is not valid,
 // *structs.UnavailableError when the transaction certainly had no effect, and
 // *structs.UnknownOutcomeError when it may have taken effect, or may still take
 // effect at a time when its conditions hold.
--- a/workflow/copies.go
+++ b/workflow/copies.go
@@ -72,10 +72,13 @@
 }
 
 // NewerCheckpoint returns the checkpoint with which a run ends, or an empty text
-// if the stored one is kept: the other run of the task has stored it since the run
+// if the stored one is kept: the new one is too long, or the other run of the task has stored it since the run
 // began, and was further by its percent or as far. It must be called before the
 // run is ended.
 func (j *Job) NewerCheckpoint(run structs.RunID, checkpoint string, percent int32) string {
+	if len(checkpoint) > MaxCheckpointBytes {
+		return ""
+	}
 	t := j.currentTask(run)
 	if t == nil || checkpoint == "" || !MayCopy(j.Step(run.Task)) {
 		return checkpoint
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -36,6 +36,7 @@
 const (
 	FailedAttempts FailureReason = "attempts" // a task failed too often
 	FailedCrashes  FailureReason = "crashes"  // a task crashed its runners
+	FailedToStore  FailureReason = "store"    // the store refuses the record of the state, which is kept without its tasks
 )
 
 // CrashedRun is a run of a runner that has crashed.
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -56,6 +56,7 @@
 	FailureReason FailureReason
 	rounds        [][]stepState // by round and step
 	unfinished    int           // number of tasks that are not done
+	maxParts      int           // largest number of rows in which the state was recorded
 }
 
 // stepState is the state of one step in one round.
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -34,6 +34,10 @@
 	Reason    FailureReason    `json:"w,omitempty"`
 	// Steps holds the records of the steps by round and step.
 	Steps [][]stepRecord `json:"t,omitempty"`
+	// Parts is the number of rows that hold the whole record, 0 if this one does.
+	Parts int `json:"n,omitempty"`
+	// MaxParts is the largest number of parts that were ever written.
+	MaxParts int `json:"m,omitempty"`
 }
 
 // stepRecord is the record of one step in one round. Tasks is left out if no
@@ -55,8 +59,8 @@
 
 // EncodeState returns the record of the job's state.
 func (j *Job) EncodeState() ([]byte, error) {
-	state := stateRecord{Queue: j.Spec.Queue, Phase: j.Phase(), Cancelled: j.Cancelled, Failed: j.Failed, Reason: j.FailureReason}
-	if j.unfinished > 0 {
+	state := stateRecord{Queue: j.Spec.Queue, Phase: j.Phase(), Cancelled: j.Cancelled, Failed: j.Failed, Reason: j.FailureReason, MaxParts: j.maxParts}
+	if j.unfinished > 0 && j.FailureReason != FailedToStore {
 		state.Steps = make([][]stepRecord, len(j.rounds))
 		for r, steps := range j.rounds {
 			state.Steps[r] = make([]stepRecord, len(steps))
@@ -94,15 +98,22 @@
 	return state.Phase, state.Queue, nil
 }
 
-// Decode restores a job from its immutable record and the record of its state.
+// Decode restores a job from its immutable record and the record of its state, which has
+// no parts.
 func Decode(id structs.JobID, jobData, stateData []byte) (*Job, error) {
+	return DecodeRows(id, jobData, stateData, func(int) []byte { return nil })
+}
+
+// DecodeRows restores a job like Decode. part returns a part of the state, nil if there is
+// none.
+func DecodeRows(id structs.JobID, jobData, stateData []byte, part func(i int) []byte) (*Job, error) {
 	var spec jobRecord
 	if err := json.Unmarshal(jobData, &spec); err != nil {
 		return nil, &DecodeError{Job: id, Err: err}
 	}
-	var state stateRecord
-	if err := json.Unmarshal(stateData, &state); err != nil {
-		return nil, &DecodeError{Job: id, Err: err}
+	state, err := decodeStateRows(id, stateData, part)
+	if err != nil {
+		return nil, err
 	}
 	if err := Validate(&spec.Job); err != nil {
 		return nil, &DecodeError{Job: id, Err: err}
@@ -112,9 +123,13 @@
 	}
 	j := New(spec.Job, spec.Queue)
 	j.Cancelled, j.Failed, j.FailureReason = state.Cancelled, state.Failed, state.Reason
-	if state.Phase == structs.JobCompleted {
+	j.maxParts = state.MaxParts
+	switch {
+	case state.Phase == structs.JobCompleted:
 		j.markAllDone()
 		return j, nil
+	case state.Reason == FailedToStore:
+		return j, nil
 	}
 	if len(state.Steps) != len(j.rounds) {
 		return nil, &DecodeError{Job: id, Err: &stateMismatchError{}}
