Count the wait for lost workers from their loss, also after a takeover

Cause: a new leader treated the lease of each worker without a session as valid for LeaseHorizon from its own first read of the row; a worker that had reported to it and was lost then kept that horizon, and the age of a run began with the first list.

The first list to a new leader limits earlier leases to Timing.Lease if the runner's incarnation is old enough, and has the ages of the runs. No lease is taken for shorter than it may be.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -351,10 +351,21 @@
 	}
 	a.pendingList = list
 	a.host.recordList(a.info.Incarnation, state.Active, a.starting)
+	if pollNumber == 1 {
+		a.addAges(list)
+	}
 	a.pacer.forgetRuns(state.Active, a.starting)
 	a.pacer.update(ctx, state.Active, now)
 }
 
+// addAges adds the ages of the runs to the first list of the session, for a leader that has
+// not seen their starts.
+func (a *agentSession) addAges(list *fleetpb.WorkerReport) {
+	for _, r := range list.Active {
+		r.AgeMs = a.host.ageOf(a.info.Incarnation, runFromProto(r.GetRun())).Milliseconds()
+	}
+}
+
 // checkpointToReport returns the checkpoint, or an empty text if it is too long to be
 // kept.
 func (a *agentSession) checkpointToReport(checkpoint string) string {
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -20,6 +20,7 @@
 
 	mu               sync.Mutex
 	info             substrate.RunnerInfo // last announcement of the runner, zero before the first
+	knownSince       bootclock.Time       // when the incarnation in info was first accepted
 	shrankAt         bootclock.Time       // when a new incarnation or a smaller capacity was last announced
 	runnerGone       bool                 // the incarnation in info has ended
 	endedIncarnation string               // last incarnation that ended and was not replaced, empty if it was announced again
@@ -74,6 +75,9 @@
 	if !same && h.info.Incarnation != "" && !h.runnerGone {
 		h.recordCrash()
 	}
+	if !same {
+		h.knownSince = h.o.Clock()
+	}
 	h.info, h.doubtful = info, doubtfulReports{}
 	h.runnerGone = false
 	if !same {
@@ -265,6 +269,6 @@
 		Worker: string(h.o.Worker), FailureDomain: string(h.o.FailureDomain), Address: h.o.Address, Gone: h.endedIncarnation,
 		Incarnation: info.Incarnation, Runner: info.ID, Pool: string(info.Pool), Rack: info.Rack, Labels: info.Labels,
 		MilliCpu: info.Capacity.MilliCPU, MemoryMb: info.Capacity.MemoryMB, Accelerators: info.Capacity.Accelerators,
-		Crash: h.crashReport(),
+		Crash: h.crashReport(), IncarnationAgeMs: h.o.Clock().Sub(h.knownSince).Milliseconds(),
 	}
 }
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -80,21 +80,26 @@
 
 // earlierLeases are the ends of the leases that earlier leaders have granted.
 type earlierLeases struct {
-	endAt   bootclock.Time // of workers without a bound
-	bounded []boundedWorker
+	endAt    bootclock.Time // of workers without a bound
+	ownEndAt bootclock.Time // of the worker on this host
+	bounded  []boundedWorker
 }
 
-// boundedWorker is a worker that was lost with an earlier leader.
+// boundedWorker is a worker that was lost, with an earlier leader or to this one.
 type boundedWorker struct {
 	leaseBound // as in the rows of this leader
 	endAt      bootclock.Time
+	since      bootclock.Time // when it was lost to this leader, 0 if it was lost with an earlier one
 }
 
+// hasReturned reports whether the worker has listed its runs since it was lost.
+func (b boundedWorker) hasReturned(w *worker) bool { return w.listedAt > b.since }
+
 // earlierLeases returns the ends of the leases for a new leader on the worker own. The
 // commit of the row seen was sent before readAt. The row of an earlier version bounds no
 // worker, so that LeaseHorizon applies to all of them.
 func (t Timing) earlierLeases(own structs.WorkerID, seen leaderRow, readAt bootclock.Time, reads leaderReads) earlierLeases {
-	e := earlierLeases{endAt: readAt.Add(t.LeaseHorizon)}
+	e := earlierLeases{endAt: readAt.Add(t.LeaseHorizon), ownEndAt: readAt.Add(t.LeaseHorizon)}
 	for _, b := range seen.Leases {
 		if b.Worker == own {
 			continue
@@ -152,11 +157,12 @@
 // has reported its runs or their release is stored. Without it, the next leader would
 // count LeaseHorizon anew.
 func (l *leader) leaseBounds(now bootclock.Time) []leaseBound {
+	l.boundLostWorkers(now)
 	end, horizon := l.ownLeaseEnd(now)
 	l.nextOwnHorizon = horizon
 	bounds := []leaseBound{leaseBound{Worker: l.o.Worker}.setEnd(end, now)}
 	for _, b := range l.earlierLeases.bounded {
-		if w := l.workers[b.Worker]; w.listedAt > 0 || (len(w.runs) == 0 && len(l.dirtyJobs) == 0) {
+		if w := l.workers[b.Worker]; b.hasReturned(w) || (len(w.runs) == 0 && len(l.dirtyJobs) == 0) {
 			continue
 		}
 		bounds = append(bounds, b.setEnd(b.endAt, now))
@@ -164,6 +170,69 @@
 	return bounds
 }
 
+// Limits of the bounds of workers that are lost to a leader.
+const (
+	// lostAfter is how long a worker has sent no report before its leases are bounded, and
+	// how long a new leader waits for the first one. A worker that returns needs a commit
+	// before it gets a lease, so that workers which only reconnect must not be bounded.
+	lostAfter = 1500 * time.Millisecond
+	// maxLostWorkers limits the size of the row.
+	maxLostWorkers = 256
+)
+
+// boundLostWorkers bounds the leases of the workers with long-running tasks that have been
+// lost to this leader, so that the next one does not count LeaseHorizon anew for them.
+func (l *leader) boundLostWorkers(now bootclock.Time) {
+	if now.Sub(l.startedAt) < lostAfter {
+		return
+	}
+	for _, w := range l.sortedWorkers() {
+		if w.id == l.o.Worker || w.session != nil || w.boundEndsAt > 0 || now.Sub(w.reportedAt) < lostAfter || now >= w.leaseEndsAt ||
+			!l.hasSettledServices(w, now) || len(l.earlierLeases.bounded) >= maxLostWorkers {
+			continue
+		}
+		w.boundEndsAt = w.leaseEndsAt
+		l.earlierLeases.bounded = append(l.earlierLeases.bounded, boundedWorker{leaseBound: leaseBound{Worker: w.id}, endAt: w.leaseEndsAt, since: now})
+		l.log.Info("leases of a lost worker bounded", zap.String("worker", string(w.id)), zap.Duration("left", w.leaseEndsAt.Sub(now)),
+			zap.Bool("listed", w.listedAt > 0), zap.Int("runs", len(w.runs)))
+	}
+}
+
+// hasSettledServices reports whether the worker has long-running runs, of whose starts none
+// may still be carried out. Those of a worker that has never reported to this leader are
+// covered by the end of all leases of earlier leaders.
+func (l *leader) hasSettledServices(w *worker, now bootclock.Time) bool {
+	found := false
+	for _, r := range w.runs {
+		if !r.job.Step(r.id.Task).LongRunning {
+			continue
+		}
+		found = true
+		if w.listedAt > 0 && !l.isStartSettled(w, r, now) {
+			return false
+		}
+	}
+	return found
+}
+
+// settledIncarnationAge is the age of an incarnation from which on no start for an earlier
+// one can have obtained a lease there that has not lapsed: it is carried out a few seconds
+// late, and obtains the longest lease.
+func (t Timing) settledIncarnationAge() time.Duration { return t.MaxLease + t.Lease }
+
+// limitEarlierLease limits the lease that earlier leaders may have granted to a worker that
+// lists its runs to this leader for the first time. Leases end at most Timing.Lease after
+// they were granted, and the agent has accepted none since the session began.
+func (l *leader) limitEarlierLease(w *worker, now bootclock.Time) {
+	if since := w.knownIncarnationSince; since == 0 || now.Sub(since) < l.o.Timing.settledIncarnationAge() {
+		return
+	}
+	w.leaseEndsAt = min(w.leaseEndsAt, now.Add(l.o.Timing.Lease))
+	if w.id == l.o.Worker {
+		l.earlierLeases.ownEndAt = min(l.earlierLeases.ownEndAt, w.leaseEndsAt)
+	}
+}
+
 // ownLeaseEnd returns the latest end of the leases of the worker on this host if no
 // commit follows the next one, and the horizon of the leases from then on. Without
 // long-running tasks, the worker keeps LeaseHorizon, so that it works on for longer in a
@@ -173,7 +242,7 @@
 // So the shorter end applies only while the starts of all long-running runs are settled.
 func (l *leader) ownLeaseEnd(now bootclock.Time) (end bootclock.Time, horizon time.Duration) {
 	horizon, waits := l.o.Timing.LeaseHorizon, l.o.Timing.LeaseHorizon
-	end = l.earlierLeases.endAt
+	end = l.earlierLeases.ownEndAt
 	if own := l.workers[l.o.Worker]; own != nil {
 		end = max(end, own.leaseEndsAt)
 		settled := true
@@ -194,7 +263,7 @@
 // earlier call to start it is under way. The agent waits for an answer for at most 2 s,
 // and the lease in a call ends at most Timing.Lease after it was sent.
 func (l *leader) isStartSettled(w *worker, r *run, now bootclock.Time) bool {
-	return r.incarnation == w.incarnation && r.startedAt > 0 && now.Sub(max(r.startedAt, r.startOrderedAt)) >= l.o.Timing.Lease
+	return r.incarnation == w.incarnation && r.startedAt > 0 && now.Sub(max(r.begunBy, r.startOrderedAt)) >= l.o.Timing.Lease
 }
 
 // removeStoredBounds ends the limits of the workers that the stored row does not bound
@@ -217,13 +286,13 @@
 // awaitsLease reports whether the worker has returned and the row without its bound is
 // due to be stored.
 func (w *worker) awaitsLease(now bootclock.Time) bool {
-	return w.boundEndsAt > 0 && w.listedAt > 0 && now.Sub(w.attachedAt) < leaseWait
+	return w.boundEndsAt > 0 && w.listed && now.Sub(w.attachedAt) < leaseWait
 }
 
 // hasReturnedWorkers reports whether a worker with a bound has reported its runs, so that
 // it waits for a row without the bound.
 func (l *leader) hasReturnedWorkers() bool {
-	return slices.ContainsFunc(l.earlierLeases.bounded, func(b boundedWorker) bool { return l.workers[b.Worker].listedAt > 0 })
+	return slices.ContainsFunc(l.earlierLeases.bounded, func(b boundedWorker) bool { return b.hasReturned(l.workers[b.Worker]) })
 }
 
 // releaseBounded releases the long-running runs of a worker that has not reported its
--- /dev/null
+++ b/fleet/lost_in_turn_test.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/daisywall/daisywall/bootclock"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// lostHosts observes when the long-running tasks of lost hosts run elsewhere.
+type lostHosts struct {
+	m     *mixedFleet
+	hosts []*simulatedHost
+	waits []*lostHost
+}
+
+type lostHost struct {
+	host  *simulatedHost
+	at    time.Time
+	tasks map[structs.StepTaskID]bool // that do not run on another host yet
+	after time.Duration               // time until all of them did, 0 until then
+}
+
+// lose cuts the host off. Its runner goes on until its lease lapses.
+func (l *lostHosts) lose(h *simulatedHost) {
+	tasks := map[structs.StepTaskID]bool{}
+	for run := range h.runner.Paces() {
+		tasks[run.Task] = true
+	}
+	l.hosts = append(l.hosts, h)
+	l.waits = append(l.waits, &lostHost{host: h, at: time.Now(), tasks: tasks})
+	cutOff(h)
+}
+
+// observe waits for d, or until all tasks of the lost hosts run elsewhere.
+func (l *lostHosts) observe(d time.Duration) {
+	for begun := time.Now(); time.Since(begun) < d; time.Sleep(20 * time.Millisecond) {
+		for _, w := range l.waits {
+			for _, h := range l.m.hosts {
+				for run := range h.runner.Paces() {
+					if !l.isLost(h) {
+						delete(w.tasks, run.Task)
+					}
+				}
+			}
+			if w.after == 0 && len(w.tasks) == 0 {
+				w.after = time.Since(w.at)
+			}
+		}
+	}
+}
+
+func (l *lostHosts) isLost(h *simulatedHost) bool {
+	for _, lost := range l.hosts {
+		if lost == h {
+			return true
+		}
+	}
+	return false
+}
+
+// follower returns a host with tasks that is neither lost nor leads.
+func (l *lostHosts) follower() *simulatedHost {
+	leader := l.m.nextLeader(l.hosts...)
+	for _, h := range l.m.hosts {
+		if h != leader && !l.isLost(h) && len(h.runner.Paces()) > 0 {
+			return h
+		}
+	}
+	l.m.t.Fatal("no follower has tasks")
+	return nil
+}
+
+// lostLimit is the limit of the platform's rule LOST: 6 s after the last run, and 3 s.
+const lostLimit = 9 * time.Second
+
+// Guards against long-running tasks that do not run again while leaders change, because
+// each of them counts the longest lease of the lost hosts anew.
+func TestHostsThatAreLostInTurnWithLeadersRunAgainInTime(t *testing.T) {
+	for name, scenario := range map[string]func(l *lostHosts){
+		"leaders and hosts in turn, three takeovers within one lease": func(l *lostHosts) {
+			l.lose(l.follower())
+			l.observe(2500 * time.Millisecond)
+			for range 3 {
+				l.lose(l.m.nextLeader(l.hosts...))
+				l.observe(2700 * time.Millisecond)
+			}
+		},
+		"hosts replaced every 3 s": func(l *lostHosts) {
+			for range 3 {
+				l.lose(l.follower())
+				l.observe(3 * time.Second)
+				l.lose(l.m.nextLeader(l.hosts...))
+				l.observe(3 * time.Second)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithServices(t, 12, func(m *mixedFleet, _ *simulatedHost, _ map[structs.RunID]int) {
+				checkRestarts(m, scenario)
+			})
+		})
+	}
+}
+
+// checkRestarts plays the scenario in a fleet whose runners are old enough that no start
+// for an earlier incarnation can still matter.
+func checkRestarts(m *mixedFleet, scenario func(l *lostHosts)) {
+	time.Sleep(m.timing.settledIncarnationAge())
+	l := &lostHosts{m: m}
+	scenario(l)
+	l.observe(25 * time.Second)
+	for i, w := range l.waits {
+		m.t.Logf("host %d: run again after %s", i, w.after)
+		if w.after == 0 || w.after > lostLimit {
+			m.t.Errorf("tasks of %s run again after %s, the limit is %s", w.host.name, w.after, lostLimit)
+		}
+	}
+}
+
+// Guards against a wait of LeaseHorizon for a host that was lost shortly before its leader.
+func TestHostThatIsLostBeforeItsLeaderRunsAgainInTime(t *testing.T) {
+	runWithServices(t, 12, func(m *mixedFleet, _ *simulatedHost, _ map[structs.RunID]int) {
+		checkRestarts(m, func(l *lostHosts) {
+			l.lose(l.follower())
+			l.observe(3 * time.Second)
+			l.lose(l.m.nextLeader(l.hosts...))
+		})
+	})
+}
+
+// Guards against a wait of LeaseHorizon for the host of a leader that is lost before its own
+// worker has reported to it.
+func TestHostOfALeaderThatIsLostAtOnceRunsAgainInTime(t *testing.T) {
+	runWithServices(t, 12, func(m *mixedFleet, _ *simulatedHost, _ map[structs.RunID]int) {
+		checkRestarts(m, func(l *lostHosts) {
+			l.lose(l.follower())
+			l.observe(2500 * time.Millisecond)
+			l.lose(l.m.nextLeader(l.hosts...))
+			l.lose(l.m.nextLeader(l.hosts...))
+		})
+	})
+}
+
+// Guards against a lease beyond the bound in the row, which the next leader counts by, for
+// a worker that was lost and returns.
+func TestLostWorkerThatReturnsGetsALeaseOnceItsBoundIsRemoved(t *testing.T) {
+	runWithServices(t, 4, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		l := &lostHosts{m: m}
+		h := l.follower()
+		active := leader.node.activeLeader()
+		boundOf := func() (end, now bootclock.Time) {
+			active.runInLoop(context.Background(), func() { end, now = active.workers[h.name].boundEndsAt, active.o.Clock() })
+			return end, now
+		}
+		h.setPartitioned(true)
+		m.waitUntil("bounded", 4*time.Second, func() bool { end, _ := boundOf(); return end > 0 })
+		time.Sleep(100 * time.Millisecond)
+		h.setPartitioned(false)
+		m.waitUntil("ready, with a lease", 2*time.Second, func() bool {
+			end, now := boundOf()
+			var left time.Duration
+			active.runInLoop(context.Background(), func() { left = active.workers[h.name].leaseEndsAt.Sub(now) })
+			return end == 0 && left > 4*time.Second
+		})
+	})
+}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -29,6 +29,9 @@
 	if silent := now.Sub(w.listedAt); w.listedAt > 0 && silent >= l.o.Timing.SessionTimeout {
 		w.discountSilence(silent, now)
 	}
+	if w.listedAt == 0 {
+		l.limitEarlierLease(w, now)
+	}
 	w.listed, w.listedAt = true, now
 	w.listSentAt = r.GetSentAt()
 	w.leaseLapsed = false
@@ -283,6 +286,7 @@
 func (r *run) update(a *fleetpb.Active, now bootclock.Time) {
 	if r.startedAt == 0 {
 		r.startedAt, r.progressAt, r.ratedSince, r.initialPercent = now, now, now, a.GetPercent()
+		r.begunBy = now.Add(-time.Duration(max(0, a.GetAgeMs())) * time.Millisecond)
 	}
 	r.wasThrottled = r.wasThrottled || a.GetPace() < fullPacePercent
 	if a.GetPercent() != r.percent || a.GetCheckpoint() != r.checkpoint {
--- a/fleet/run_register.go
+++ b/fleet/run_register.go
@@ -75,6 +75,18 @@
 	r.begunAt, r.started = listed, started
 }
 
+// ageOf returns the time since the agent sent the start of the run or first listed it, 0
+// if the incarnation has no such run.
+func (h *host) ageOf(incarnation string, run structs.RunID) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	begunAt, found := h.register(incarnation).begunAt[run]
+	if !found {
+		return 0
+	}
+	return h.o.Clock().Sub(begunAt)
+}
+
 // recordFailedPoll records that the incarnation did not answer a poll.
 func (h *host) recordFailedPoll(incarnation string) {
 	h.mu.Lock()
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -40,9 +40,12 @@
 	draining       bool
 	drainRemaining time.Duration
 	attachedAt     bootclock.Time // start of the session
-	reportedAt     bootclock.Time // time of the last report
-	listedAt       bootclock.Time // time of the last list
-	leaseEndsAt    bootclock.Time // latest end of any lease of the worker, without an allowance for clock drift
+	// knownIncarnationSince is since when the agent has known the runner's incarnation, 0
+	// if it has not said so.
+	knownIncarnationSince bootclock.Time
+	reportedAt            bootclock.Time // time of the last report
+	listedAt              bootclock.Time // time of the last list
+	leaseEndsAt           bootclock.Time // latest end of any lease of the worker, without an allowance for clock drift
 	// boundEndsAt is the end of the worker's leases that the row of an earlier leader
 	// states, 0 without such a bound. Until a row without the bound is stored, no lease
 	// may end later.
@@ -101,6 +104,7 @@
 	stoppedAt  bootclock.Time // when the stop was first ordered
 	stopSentAt bootclock.Time // when the stop was last ordered
 	startedAt  bootclock.Time // when the run was first listed, 0 until then
+	begunBy    bootclock.Time // latest time at which its last start was sent, by its agent; 0 until it is listed
 	// endAwaitedSince is since when the run is missing from lists that lacked ends, 0 if
 	// it is not. It has probably ended.
 	endAwaitedSince bootclock.Time
@@ -210,6 +214,10 @@
 		w.health = workerHealth{}
 	}
 	w.incarnation = hello.GetIncarnation()
+	w.knownIncarnationSince = 0
+	if age := hello.GetIncarnationAgeMs(); age > 0 {
+		w.knownIncarnationSince = w.attachedAt.Add(-time.Duration(age) * time.Millisecond)
+	}
 	l.recordCrash(w, hello.GetCrash())
 	l.log.Info("worker attends", zap.String("worker", string(w.id)), zap.String("incarnation", w.incarnation),
 		zap.Int64("fence", s.fencingToken), zap.Int("assigned", len(w.runs)))
