Count a job as waiting until a runner has started a task of it

Cause: the number came from the stored phase, which leaves queued with the first assignment of a task, whatever became of its start.

A job has begun once a run of it, or the end of one, was in a runner's list. The record of its state says so, in the commits that are due anyway. The answer and the new metric use one function.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -89,7 +89,9 @@
 	copiesDueAt         bootclock.Time // when tasks to copy are searched for next
 	movesDueAt          bootclock.Time // when filling runs to move are searched for next
 	moving              map[structs.StepTaskID]movingRun
-	outagesReportedAt   bootclock.Time // when the tasks that are not at work were last logged
+	waitingRecordedAt   bootclock.Time            // when the numbers of waiting jobs were last recorded
+	waitingQueues       map[structs.QueueID]int64 // these numbers
+	outagesReportedAt   bootclock.Time            // when the tasks that are not at work were last logged
 
 	leaveOnce      sync.Once
 	leaveRequested chan struct{} // closed when the process stops
@@ -300,6 +302,7 @@
 	l.stopStragglers(now)
 	l.markLateJobs(now)
 	l.reportOutages(now)
+	l.recordWaitingJobs(now)
 }
 
 // requestTakeover requests a takeover from all nodes that have a session. This
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -30,7 +30,7 @@
 	speedChoices, slowWorkers                                                      metric.Int64Counter
 	copies, copiesWon                                                              metric.Int64Counter
 	cycles                                                                         metric.Float64Histogram
-	unread, reducedWork                                                            metric.Int64Gauge
+	unread, reducedWork, waiting                                                   metric.Int64Gauge
 	unreadAge                                                                      metric.Float64Gauge
 	unreached                                                                      metric.Int64Counter
 }
@@ -116,6 +116,10 @@
 		metric.WithDescription("Lists of runs that lacked ends by failure domain")); err != nil {
 		return err
 	}
+	if m.waiting, err = meter.Int64Gauge("daisywall.fleet.jobs.waiting",
+		metric.WithDescription("Accepted jobs of which no task has started by queue")); err != nil {
+		return err
+	}
 	if m.splitOrders, err = meter.Int64Counter("daisywall.fleet.orders.split",
 		metric.WithDescription("Messages to a worker that had no room for all starts")); err != nil {
 		return err
@@ -182,6 +186,10 @@
 	m.reducedWork.Record(context.Background(), int64(level))
 }
 
+func (m *metrics) recordWaiting(queue string, jobs int64) {
+	m.waiting.Record(context.Background(), jobs, metric.WithAttributes(attribute.String("by", queue)))
+}
+
 func (m *metrics) recordCycle(took time.Duration, unreached int) {
 	m.cycles.Record(context.Background(), took.Seconds())
 	if unreached > 0 {
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -73,6 +73,9 @@
 		l.extendToMaxLease(w) // its start reached the next incarnation
 	}
 	j := l.jobs[id.Task.Job]
+	if j != nil && j.Task(id.Task) != nil {
+		j.MarkBegun()
+	}
 	if j == nil || !l.applyEnd(w, r, j, id, e) {
 		l.log.Info("end of a run that is not current", zap.Stringer("run", id), zap.String("worker", string(w.id)),
 			zap.String("end", e.GetEnd()), zap.Bool("assigned", found))
@@ -183,6 +186,7 @@
 				w.runsChanged()
 			}
 			assigned.update(a, now)
+			assigned.job.MarkBegun()
 			l.endOutage(w, assigned, now)
 			l.clearIfOutlived(w, assigned, now)
 			if reason := assigned.job.StopReason(id); reason != "" {
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/daisywall/daisywall/api/fleetpb"
+	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/workflow"
 )
@@ -345,13 +346,39 @@
 			resp = &fleetpb.WaitingResponse{Outcome: fleetpb.Outcome_UNKNOWN}
 			return
 		}
-		waiting := int64(0)
-		for _, j := range l.openJobs {
-			if j.stored && string(j.Spec.Queue) == req.GetQueue() && j.storedPhase == structs.JobQueued {
-				waiting++
-			}
-		}
-		resp = &fleetpb.WaitingResponse{Outcome: fleetpb.Outcome_DONE, Waiting: waiting}
+		resp = &fleetpb.WaitingResponse{Outcome: fleetpb.Outcome_DONE, Waiting: l.waitingJobs()[structs.QueueID(req.GetQueue())]}
 	})
 	return resp, nil
 }
+
+// waitingJobs returns the numbers of accepted jobs by queue of which no task has started.
+func (l *leader) waitingJobs() map[structs.QueueID]int64 {
+	waiting := map[structs.QueueID]int64{}
+	for _, j := range l.openJobs {
+		if j.stored && j.IsWaiting() {
+			waiting[j.Spec.Queue]++
+		}
+	}
+	return waiting
+}
+
+// waitingInterval is the time between two records of the numbers of waiting jobs.
+const waitingInterval = time.Second
+
+// recordWaitingJobs updates the metric of the waiting jobs.
+func (l *leader) recordWaitingJobs(now bootclock.Time) {
+	if now.Sub(l.waitingRecordedAt) < waitingInterval {
+		return
+	}
+	l.waitingRecordedAt = now
+	waiting := l.waitingJobs()
+	for queue := range l.waitingQueues {
+		l.metrics.recordWaiting(string(queue), waiting[queue])
+	}
+	for queue, n := range waiting {
+		if _, found := l.waitingQueues[queue]; !found {
+			l.metrics.recordWaiting(string(queue), n)
+		}
+	}
+	l.waitingQueues = waiting
+}
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -57,6 +57,7 @@
 	rounds        [][]stepState // by round and step
 	unfinished    int           // number of tasks that are not done
 	maxParts      int           // largest number of rows in which the state was recorded
+	hasBegun      bool          // a runner has started a task
 }
 
 // stepState is the state of one step in one round.
@@ -164,6 +165,18 @@
 	}
 }
 
+// MarkBegun records that a runner has started a task of the job.
+func (j *Job) MarkBegun() { j.hasBegun = true }
+
+// IsWaiting reports whether no runner has started a task of the job yet, as far as is known,
+// and one may. An assignment does not count: its start may be refused or have no answer.
+func (j *Job) IsWaiting() bool { return !j.hasBegun && !j.Final() }
+
+// showsBegin reports whether the record of the task shows that a runner has started it.
+func (t *Task) showsBegin() bool {
+	return t.State == Done || t.Checkpoint != "" || max(t.Failures, t.Crashes, t.CrashedRun) > 0
+}
+
 // hasStarted reports whether a task of the job has ever been assigned.
 func (j *Job) hasStarted() bool {
 	for _, steps := range j.rounds {
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -32,6 +32,7 @@
 	Cancelled bool             `json:"x,omitempty"`
 	Failed    bool             `json:"e,omitempty"`
 	Reason    FailureReason    `json:"w,omitempty"`
+	Begun     bool             `json:"g,omitempty"` // a runner has started a task
 	// Steps holds the records of the steps by round and step.
 	Steps [][]stepRecord `json:"t,omitempty"`
 	// Parts is the number of rows that hold the whole record, 0 if this one does.
@@ -59,7 +60,7 @@
 
 // EncodeState returns the record of the job's state.
 func (j *Job) EncodeState() ([]byte, error) {
-	state := stateRecord{Queue: j.Spec.Queue, Phase: j.Phase(), Cancelled: j.Cancelled, Failed: j.Failed, Reason: j.FailureReason, MaxParts: j.maxParts}
+	state := stateRecord{Queue: j.Spec.Queue, Phase: j.Phase(), Cancelled: j.Cancelled, Failed: j.Failed, Reason: j.FailureReason, Begun: j.hasBegun, MaxParts: j.maxParts}
 	if j.unfinished > 0 && j.FailureReason != FailedToStore {
 		state.Steps = make([][]stepRecord, len(j.rounds))
 		for r, steps := range j.rounds {
@@ -123,7 +124,7 @@
 	}
 	j := New(spec.Job, spec.Queue)
 	j.Cancelled, j.Failed, j.FailureReason = state.Cancelled, state.Failed, state.Reason
-	j.maxParts = state.MaxParts
+	j.maxParts, j.hasBegun = state.MaxParts, state.Begun
 	switch {
 	case state.Phase == structs.JobCompleted:
 		j.markAllDone()
@@ -190,6 +191,7 @@
 // restoreStep sets the tasks of a new step from its record.
 func (j *Job) restoreStep(spec *structs.Step, step *stepState, record stepRecord) error {
 	if record.Done {
+		j.hasBegun = true
 		j.markStepDone(step)
 		return nil
 	}
@@ -207,6 +209,7 @@
 	}
 	copy(step.tasks, record.Tasks)
 	for i := range step.tasks {
+		j.hasBegun = j.hasBegun || step.tasks[i].showsBegin()
 		if step.tasks[i].State == Done {
 			step.unfinished--
 			j.unfinished--
