Log by which rule a new leader waits for the leases of a worker

Callers saw a long-running task without a run for 10 s at a change of the leader. No decision changes.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -219,6 +219,7 @@
 // executeOrders processes a message of the leader.
 func (a *agentSession) executeOrders(ctx context.Context, o *fleetpb.WorkerOrders) {
 	a.lastOrdersAt = a.host.o.Clock()
+	a.host.recordOrders(o.GetEpoch())
 	a.lastOrderNumber = o.GetNumber()
 	echo := bootclock.Time(o.GetEcho())
 	a.mu.Lock()
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -24,6 +24,9 @@
 	shrankAt         bootclock.Time       // when a new incarnation or a smaller capacity was last announced
 	runnerGone       bool                 // the incarnation in info has ended
 	endedIncarnation string               // last incarnation that ended and was not replaced, empty if it was announced again
+	reportedEnd      string               // incarnation whose end a leader was last told
+	answeredAt       bootclock.Time       // when a leader's last orders arrived, 0 before the first
+	answeredEpoch    int64                // epoch of that leader
 	leaving          bool                 // the runner announced that it ends
 	doubtful         doubtfulReports      // reports that contradict info
 	changed          chan struct{}        // signalled after a change that the leader must be informed of
@@ -154,6 +157,28 @@
 	return true
 }
 
+// recordOrders records that orders of the leader of the epoch have arrived.
+func (h *host) recordOrders(epoch int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answeredAt, h.answeredEpoch = h.o.Clock(), epoch
+}
+
+// recordReportedEnd records that a leader knows the end of the incarnation.
+func (h *host) recordReportedEnd(incarnation string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reportedEnd = incarnation
+}
+
+// logStop logs what no leader will know of the runner after the process has stopped.
+func (h *host) logStop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.o.Log.Info("node stops", zap.Bool("runner_end_unreported", h.endedIncarnation != "" && h.reportedEnd != h.endedIncarnation),
+		zap.Bool("polls_fail", h.runs.failingFrom != 0), zap.Duration("since_orders", h.o.Clock().Sub(h.answeredAt)), zap.Int64("epoch", h.answeredEpoch))
+}
+
 // requestTakeover passes the request of a leader to be replaced on to the node.
 func (h *host) requestTakeover(row leaderRow) {
 	select {
@@ -239,13 +264,15 @@
 	}
 	info := h.current()
 	a := newAgentSession(h, row, info, stream)
-	if err := stream.Send(&fleetpb.WorkerReport{Hello: h.hello(info), SentAt: int64(h.o.Clock())}); err != nil {
+	hello := h.hello(info)
+	if err := stream.Send(&fleetpb.WorkerReport{Hello: hello, SentAt: int64(h.o.Clock())}); err != nil {
 		return h.classifyNoAnswer(row, leaderDialer, err)
 	}
 	first, err := stream.Recv()
 	if err != nil || !timer.Stop() {
 		return h.classifyNoAnswer(row, leaderDialer, err)
 	}
+	h.recordReportedEnd(hello.GetGone())
 	end, err := a.run(ctx, cancel, first)
 	h.o.Log.Info("session ended", zap.Int64("epoch", row.Epoch), zap.String("leader", row.Address), zap.Stringer("because", end), zap.Error(err))
 	return end
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -228,6 +228,7 @@
 		return
 	}
 	w.leaseEndsAt = min(w.leaseEndsAt, now.Add(l.o.Timing.Lease))
+	w.isLeaseLimitedByList = true
 	if w.id == l.o.Worker {
 		l.earlierLeases.ownEndAt = min(l.earlierLeases.ownEndAt, w.leaseEndsAt)
 	}
@@ -312,7 +313,8 @@
 	if released == 0 {
 		return
 	}
+	l.recordLeaseWait(w, now)
 	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", false), zap.Duration("since_lease", now.Sub(w.boundEndsAt)),
-		zap.Int("runs", released), zap.Int("kept", len(w.runs)), zap.Bool("attends", w.session != nil))
+		zap.String("rule", string(w.leaseRule())), zap.Int("runs", released), zap.Int("kept", len(w.runs)), zap.Bool("attends", w.session != nil))
 	w.closeSession()
 }
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -16,7 +16,7 @@
 	commitJobs                                                                     metric.Int64Counter
 	startDelay                                                                     metric.Float64Histogram
 	paceCalls                                                                      metric.Int64Counter
-	stoppedWait                                                                    metric.Float64Histogram
+	stoppedWait, leaseWaits                                                        metric.Float64Histogram
 	violations, readingInterval                                                    metric.Float64Histogram
 	quarantines, crashes, givenUp, setAside                                        metric.Int64Counter
 	outages                                                                        metric.Float64Histogram
@@ -79,6 +79,7 @@
 	seconds(&m.violations, "daisywall.fleet.violation.seconds", "Time for which the readings of a service were over its latency target")
 	seconds(&m.readingInterval, "daisywall.fleet.reading.interval.seconds", "Time between two readings of the runner")
 	seconds(&m.stoppedWait, "daisywall.fleet.stopped.wait.seconds", "Time from the end of a run that was stopped or moved because of a service to the assignment of its task")
+	seconds(&m.leaseWaits, "daisywall.fleet.lease.wait.seconds", "Time from the last report of a worker to this leader, or from the takeover, to the release of its long-running runs as lapsed by rule")
 	seconds(&m.outages, "daisywall.fleet.outage.seconds", "Time for which a long-running task was not at work")
 	ratios := func(into *metric.Float64Histogram, name, description string) {
 		if err == nil {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -146,6 +146,7 @@
 		}
 	})
 	err := group.Wait()
+	n.host.logStop()
 	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
 		return nil
 	}
--- a/fleet/outbox.go
+++ b/fleet/outbox.go
@@ -87,7 +87,9 @@
 	if w.listed && now.Sub(w.listedAt) < l.o.Timing.SessionTimeout {
 		lease := l.leaseDuration(w, now)
 		orders.LeaseMs = lease.Milliseconds()
-		w.leaseEndsAt = max(w.leaseEndsAt, now.Add(lease))
+		if end := now.Add(lease); end > w.leaseEndsAt {
+			w.leaseEndsAt, w.isLeaseLimitedByList = end, false
+		}
 	}
 	w.outbox = outbox{starts: out.starts}
 	return orders
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -53,6 +53,9 @@
 	runStartedAt bootclock.Time // when a run was last listed for the first time
 	listSentAt   int64          // sent_at of the last report with a list
 	leaseLapsed  bool           // the lease has lapsed and the runs were released
+	// isLeaseLimitedByList is set while leaseEndsAt is that of limitEarlierLease.
+	isLeaseLimitedByList bool
+	isLeaseWaitReported  bool // see reportLeaseWait
 
 	runs            map[structs.RunID]*run
 	sorted          []*run      // runs by ID, nil after a change of runs
@@ -305,13 +308,17 @@
 	if w.session != nil && !w.ready && now.Sub(w.attachedAt) < firstListTimeout {
 		return // the first list may report how the runs ended
 	}
+	l.reportLeaseWait(w, now)
 	l.releaseBounded(w, now)
 	if w.leaseLapsed || len(w.runs) == 0 || now < w.leaseEndsAt.Add(l.o.Timing.leaseLapseDelay()) {
 		return
 	}
 	w.leaseLapsed = true
 	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", w.listedAt > 0), zap.Duration("since_lease", now.Sub(w.leaseEndsAt)),
-		zap.Int("runs", len(w.runs)), zap.Bool("attends", w.session != nil))
+		zap.String("rule", string(w.leaseRule())), zap.Int("runs", len(w.runs)), zap.Bool("attends", w.session != nil))
+	if w.longRunningRuns() > 0 {
+		l.recordLeaseWait(w, now)
+	}
 	for _, r := range w.sortedRuns() {
 		l.release(w, r, "lease lapsed", "")
 	}
