Move the wait at a planned stop from the daemon to the node

The wait of 0.15 s after StepDown becomes Node.Leave, so that tests of the fleet stop agents as the daemon does. The behaviour is unchanged.

--- a/daemon/dev_fleet.go
+++ b/daemon/dev_fleet.go
@@ -132,8 +132,7 @@
 func (f *DevFleet) StopLeader() (name string, found bool) {
 	for _, n := range f.nodes {
 		if n.node.IsLeader() {
-			n.node.StepDown()
-			time.Sleep(handoverDelay)
+			n.node.Leave(context.Background())
 			n.stop()
 			n.server.Stop()
 			return n.name, true
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -39,7 +39,6 @@
 	// checks once per second. After two failures the load balancer opens no new
 	// connections.
 	balancerDelay = 2300 * time.Millisecond
-	handoverDelay = 150 * time.Millisecond // delay that lets another node acquire the leadership
 	// callerShutdownTimeout bounds the wait for callers' requests in flight at
 	// a stop. Requests with the usual deadline finish in this time. The sum of
 	// balancerDelay, this timeout and the shutdown of the other servers is
@@ -185,11 +184,7 @@
 		return err
 	}
 	stopNode := funcService{stop: func(ctx context.Context) error {
-		node.StepDown()
-		select {
-		case <-time.After(handoverDelay):
-		case <-ctx.Done():
-		}
+		node.Leave(ctx)
 		return nil
 	}}
 	peers := &grpcServer{address: b.address(fleetPortOffset), log: log, register: func(s *grpc.Server) { fleetpb.RegisterFleetServer(s, node) }}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// handoverDelay lets another node acquire the leadership before the process stops.
+const handoverDelay = 150 * time.Millisecond
+
+// Leave prepares the end of the process: another node is asked to take over if this
+// one leads. It returns when the process may end, or when ctx ends.
+func (n *Node) Leave(ctx context.Context) {
+	n.StepDown()
+	_ = sleep(ctx, handoverDelay) // the process ends in either case
+}
+
 // IsLeader reports whether this node leads.
 func (n *Node) IsLeader() bool { return n.activeLeader() != nil }
 
