--- a/fleet/lost_in_turn_test.go
+++ b/fleet/lost_in_turn_test.go
@@ -25,13 +25,28 @@
 
 // lose cuts the host off. Its runner goes on until its lease lapses.
 func (l *lostHosts) lose(h *simulatedHost) {
+	l.expectRestarts(h)
+	cutOff(h)
+}
+
+// stop stops the agent of the host as planned. Its runner goes on until its lease lapses,
+// or leaves at the same time.
+func (l *lostHosts) stop(h *simulatedHost, runnerLeaves bool) {
+	l.expectRestarts(h)
+	if runnerLeaves {
+		h.runner.Crash(false)
+	}
+	l.m.streams.Go(h.stopAgent)
+}
+
+// expectRestarts begins to observe when the tasks of the host run elsewhere.
+func (l *lostHosts) expectRestarts(h *simulatedHost) {
 	tasks := map[structs.StepTaskID]bool{}
 	for run := range h.runner.Paces() {
 		tasks[run.Task] = true
 	}
 	l.hosts = append(l.hosts, h)
 	l.waits = append(l.waits, &lostHost{host: h, at: time.Now(), tasks: tasks})
-	cutOff(h)
 }
 
 // observe waits for d, or until all tasks of the lost hosts run elsewhere.
--- /dev/null
+++ b/fleet/planned_change_test.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// startYoungRun starts a long-running task on the host.
+func (m *mixedFleet) startYoungRun(h *simulatedHost) {
+	m.t.Helper()
+	before := len(h.runner.Paces())
+	for range len(m.hosts) {
+		m.waitAtWork(m.submitService(int32(len(m.hosts)), 50, 2, nil), 2*time.Second)
+		if len(h.runner.Paces()) > before {
+			return
+		}
+	}
+	m.t.Fatalf("no young run on %s", h.name)
+}
+
+// Guards against a wait of LeaseHorizon for the host of a leader that stops by plan, since
+// one of its long-running tasks has just started.
+func TestLongRunningTasksOfALeaderThatStopsByPlanRunAgainInTime(t *testing.T) {
+	for name, runnerLeaves := range map[string]bool{"runner leaves": true, "runner goes on": false} {
+		t.Run(name, func(t *testing.T) {
+			runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+				checkRestarts(m, func(l *lostHosts) {
+					m.startYoungRun(leader)
+					time.Sleep(m.durationBetween(0, 2*time.Second))
+					l.stop(leader, runnerLeaves)
+				})
+			})
+		})
+	}
+}
+
+// Guards against a wait of LeaseHorizon for a host that stops by plan just before the
+// leader does.
+func TestLongRunningTasksOfAHostThatStopsJustBeforeTheLeaderRunAgainInTime(t *testing.T) {
+	runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		checkRestarts(m, func(l *lostHosts) {
+			l.stop(l.follower(), false)
+			l.observe(m.durationBetween(200*time.Millisecond, 1500*time.Millisecond))
+			l.stop(leader, false)
+		})
+	})
+}
+
+// Guards against a wait for the leases of a runner that left during the takeover, since its
+// agent stops before the next leader has read its state.
+func TestRunnerThatLeavesWhileTheNextLeaderReadsForLongIsReported(t *testing.T) {
+	runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		checkRestarts(m, func(l *lostHosts) {
+			m.listDelay.Store(int64(430 * time.Millisecond)) // of each of two reads
+			leaving := l.follower()
+			l.stop(leader, false)
+			l.observe(m.durationBetween(0, 200*time.Millisecond))
+			leaving.node.MarkRunnerLeaving(string(leaving.name))
+			l.expectRestarts(leaving)
+			leaving.runner.Crash(false)
+			l.observe(agentOutlivesRunner)
+			m.streams.Go(leaving.stopAgent)
+		})
+	})
+}
+
+// Guards against takeovers without end while it takes longer to read the state than a
+// leader may be silent.
+func TestNextLeaderThatReadsItsStateForLongKeepsTheLeadership(t *testing.T) {
+	runWithServices(t, 6, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		m.listDelay.Store(int64(900 * time.Millisecond)) // of each of two reads
+		epoch := leader.node.lastKnownLeader().Epoch
+		leader.killAgent()
+		next := m.nextLeader(leader)
+		if got := next.node.lastKnownLeader().Epoch; got != epoch+1 {
+			m.t.Errorf("%s leads with epoch %d, the lost leader had %d", next.name, got, epoch)
+		}
+	})
+}
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -500,6 +500,17 @@
 	}
 }
 
+// stopAgent stops the agent's process as planned.
+func (h *simulatedHost) stopAgent() {
+	h.mu.Lock()
+	node := h.node
+	h.mu.Unlock()
+	if node != nil {
+		node.Leave(context.Background())
+	}
+	h.killAgent()
+}
+
 // dropSession ends the session of the host's agent with the leader.
 func (h *simulatedHost) dropSession() {
 	h.mu.Lock()
