Count a start as settled once the runner has answered all calls

Callers saw long-running tasks of a leader's host without a run for 10 s after a planned change of the leader. One run that began less than 4.5 s before took the shorter bound from all long-running tasks of that host, since a call to start it might still be under way.

The agent knows better: if the runner has answered each call to start a run, none is under way. It says so with each list, and the leader counts the start as settled from then on, and as before after 4.5 s if a call had no answer or the process has not started the run itself.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -336,6 +336,7 @@
 	for _, r := range state.Active {
 		list.Active = append(list.Active, &fleetpb.Active{
 			Run: runToProto(r.Run), Checkpoint: a.checkpointToReport(r.Checkpoint), Percent: int32(r.Percent), Figure: r.Reading, Pace: a.pacer.appliedPace(r.Run),
+			Settled: a.host.isSettled(a.info.Incarnation, r.Run),
 		})
 	}
 	for _, e := range state.Ended {
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -260,11 +260,13 @@
 	return max(end, now.Add(waits)), horizon
 }
 
-// isStartSettled reports whether the runner has listed the run for so long that no
-// earlier call to start it is under way. The agent waits for an answer for at most 2 s,
-// and the lease in a call ends at most Timing.Lease after it was sent.
+// isStartSettled reports whether no call to start the run is under way: the runner lists
+// it, and has answered all calls or has listed it for so long that none can be left. The
+// agent waits for an answer for at most 2 s, and the lease in a call ends at most
+// Timing.Lease after it was sent.
 func (l *leader) isStartSettled(w *worker, r *run, now bootclock.Time) bool {
-	return r.incarnation == w.incarnation && r.startedAt > 0 && now.Sub(max(r.begunBy, r.startOrderedAt)) >= l.o.Timing.Lease
+	isOld := now.Sub(max(r.begunBy, r.startOrderedAt)) >= l.o.Timing.Lease
+	return r.incarnation == w.incarnation && r.startedAt > 0 && (r.isStartAnswered || isOld)
 }
 
 // removeStoredBounds ends the limits of the workers that the stored row does not bound
--- a/fleet/lease_bounds_test.go
+++ b/fleet/lease_bounds_test.go
@@ -237,6 +237,10 @@
 		{name: "lease before the task was assigned", after: 4 * time.Second, change: func(l *leader) { l.workers["w1"].leaseEndsAt = start.Add(12 * time.Second) }, lease: 2900, own: 8000},
 		{name: "lease in the next incarnation", after: 4 * time.Second, change: func(l *leader) { l.extendToMaxLease(l.workers["w1"]) }, lease: 2900, own: 10000},
 		{name: "start not settled", after: 4 * time.Second, change: func(l *leader) { l.workers["w1"].sortedRuns()[0].startOrderedAt = start }, lease: 2900, own: 9700},
+		{name: "start answered", after: 4 * time.Second, change: func(l *leader) {
+			r := l.workers["w1"].sortedRuns()[0]
+			r.startOrderedAt, r.isStartAnswered = start, true
+		}, lease: 2900, own: 6900},
 		{name: "next incarnation not listed", after: 4 * time.Second, change: func(l *leader) { l.workers["w1"].incarnation = "j" }, lease: 2900, own: 9700},
 		{name: "release not stored", seen: lost, change: unstored, after: time.Second, lease: 4500, own: 8700, others: []leaseBound{{"w9", 2000, 7, 40}}},
 		{name: "lapsed, release not stored", seen: lost, change: unstored, after: 4 * time.Second, lease: 2900, own: 6900, others: []leaseBound{{"w9", 0, 7, 40}}},
--- a/fleet/outbox.go
+++ b/fleet/outbox.go
@@ -112,7 +112,8 @@
 			if size > maxOrdersBytes && len(orders.Starts) > 0 {
 				break
 			}
-			r.startOrderNumber, r.startOrderedAt = orders.Number, now
+			r.startOrderNumber, r.startOrderedAt, r.startFence = orders.Number, now, orders.Fence
+			r.isStartAnswered = false
 			orders.Starts = append(orders.Starts, start)
 		}
 		taken++
--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -23,13 +23,23 @@
 // Guards against a wait of LeaseHorizon for the host of a leader that stops by plan, since
 // one of its long-running tasks has just started.
 func TestLongRunningTasksOfALeaderThatStopsByPlanRunAgainInTime(t *testing.T) {
-	for name, runnerLeaves := range map[string]bool{"runner leaves": true, "runner goes on": false} {
+	for name, c := range map[string]struct {
+		age          time.Duration // of the youngest run
+		runnerLeaves bool
+	}{
+		"runner leaves":                    {1400 * time.Millisecond, true},
+		"runner goes on":                   {1400 * time.Millisecond, false},
+		"runner leaves, run not listed":    {0, true},
+		"runner goes on, run not listed":   {0, false},
+		"runner goes on, run just listed":  {450 * time.Millisecond, false},
+		"runner goes on, run old by a bit": {4 * time.Second, false},
+	} {
 		t.Run(name, func(t *testing.T) {
 			runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
 				checkRestarts(m, func(l *lostHosts) {
 					m.startYoungRun(leader)
-					time.Sleep(m.durationBetween(0, 2*time.Second))
-					l.stop(leader, runnerLeaves)
+					time.Sleep(c.age)
+					l.stop(leader, c.runnerLeaves)
 				})
 			})
 		})
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -186,6 +186,7 @@
 				w.runsChanged()
 			}
 			assigned.update(a, now)
+			assigned.isStartAnswered = a.GetSettled() && w.hasSeenStart(assigned, r.GetOrdersSeen())
 			assigned.job.MarkBegun()
 			l.endOutage(w, assigned, now)
 			l.clearIfOutlived(w, assigned, now)
@@ -275,6 +276,12 @@
 	return r.startOrderNumber <= ordersSeen && (r.startOrderNumber > 0 || r.startedAt > 0)
 }
 
+// hasSeenStart reports whether the agent has received the last order to start the run, or
+// never will, since the session of that order has ended.
+func (w *worker) hasSeenStart(r *run, ordersSeen int64) bool {
+	return r.startOrderNumber != pendingOrder && (r.startOrderNumber <= ordersSeen || r.startFence != w.session.fencingToken)
+}
+
 // repeatStart orders the start of a run again, because an order of an earlier
 // session may not have arrived. It releases the run if the run must not start
 // any more.
--- a/fleet/run_register.go
+++ b/fleet/run_register.go
@@ -19,18 +19,33 @@
 	incarnation string
 	begunAt     map[structs.RunID]bootclock.Time
 	started     map[structs.RunID]bool // runs whose start was answered, or that were listed
-	listedAt    bootclock.Time         // last list, 0 before the first
-	failingFrom bootclock.Time         // first failed poll since the last list, 0 if there is none
+	calls       map[structs.RunID]startCalls
+	listedAt    bootclock.Time // last list, 0 before the first
+	failingFrom bootclock.Time // first failed poll since the last list, 0 if there is none
+}
+
+// startCalls are the calls of this process to start a run.
+type startCalls struct {
+	open         int            // starts in progress
+	areAnswered  bool           // the runner has answered all calls of at least one start
+	unansweredAt bootclock.Time // when the last start ended of which a call had no answer, 0 without one
+}
+
+func newRunRegister(incarnation string) runRegister {
+	return runRegister{
+		incarnation: incarnation, begunAt: map[structs.RunID]bootclock.Time{}, started: map[structs.RunID]bool{}, calls: map[structs.RunID]startCalls{},
+	}
 }
 
 // register returns the register of the incarnation, an unused one if that is not
 // the current incarnation any more. The caller holds mu.
 func (h *host) register(incarnation string) *runRegister {
 	if incarnation != h.info.Incarnation {
-		return &runRegister{begunAt: map[structs.RunID]bootclock.Time{}, started: map[structs.RunID]bool{}}
+		unused := newRunRegister("")
+		return &unused
 	}
 	if h.runs.begunAt == nil || h.runs.incarnation != incarnation {
-		h.runs = runRegister{incarnation: incarnation, begunAt: map[structs.RunID]bootclock.Time{}, started: map[structs.RunID]bool{}}
+		h.runs = newRunRegister(incarnation)
 	}
 	return &h.runs
 }
@@ -40,7 +55,39 @@
 func (h *host) recordStart(incarnation string, run structs.RunID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.register(incarnation).begunAt[run] = h.o.Clock()
+	r := h.register(incarnation)
+	r.begunAt[run] = h.o.Clock()
+	calls := r.calls[run]
+	calls.open++
+	r.calls[run] = calls
+}
+
+// recordStartEnd records that the agent makes no further calls for a start of the run,
+// and whether the incarnation has answered all of them.
+func (h *host) recordStartEnd(incarnation string, run structs.RunID, areAnswered bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.register(incarnation)
+	calls, found := r.calls[run]
+	if !found {
+		return
+	}
+	calls.open--
+	if areAnswered {
+		calls.areAnswered = true
+	} else {
+		calls.unansweredAt = h.o.Clock()
+	}
+	r.calls[run] = calls
+}
+
+// isSettled reports whether no call to start the run can be under way: this process has
+// started it in the incarnation, which has answered all calls.
+func (h *host) isSettled(incarnation string, run structs.RunID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	calls := h.register(incarnation).calls[run]
+	return calls.open == 0 && calls.areAnswered && calls.unansweredAt == 0
 }
 
 // recordStarted records that the incarnation has answered the start of a run.
@@ -73,6 +120,12 @@
 		}
 	}
 	r.begunAt, r.started = listed, started
+	for id, calls := range r.calls {
+		isOld := h.o.Clock().Sub(calls.unansweredAt) >= h.o.Timing.settledIncarnationAge()
+		if _, found := listed[id]; !found && calls.open == 0 && (calls.unansweredAt == 0 || isOld) {
+			delete(r.calls, id)
+		}
+	}
 }
 
 // ageOf returns the time since the agent sent the start of the run or first listed it, 0
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -42,6 +42,7 @@
 		defer cancel()
 		outcome := a.startUntilSettled(call, start, basis, deadline)
 		took := a.host.o.Clock().Sub(begunAt)
+		a.host.recordStartEnd(a.info.Incarnation, r, !outcome.isUnanswered)
 		if outcome.err == nil {
 			a.host.recordStarted(a.info.Incarnation, r)
 			a.pacer.setStarted(ctx, r)
@@ -80,6 +81,7 @@
 	// then, unless it has answered a stop of the run. It is 0 if no call can
 	// still start the run.
 	mayStartUntil substrate.RuntimeClock
+	isUnanswered  bool // a call may have been sent and had no answer
 }
 
 // startUntilSettled repeats a start until the run has started or can no longer
@@ -107,6 +109,7 @@
 		var refused *substrate.StartRefusedError
 		var other *substrate.IncarnationError
 		var unknown *structs.UnknownOutcomeError
+		o.isUnanswered = o.isUnanswered || o.err != nil && !errors.As(o.err, &refused)
 		switch {
 		case o.err == nil, errors.As(o.err, &other):
 			o.mayStartUntil = 0
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -102,6 +102,8 @@
 	stored            bool           // the assignment is stored, which is required before the run starts
 	startOrderNumber  int64          // number of the orders that contain the start, 0 if no start was ordered
 	startOrderedAt    bootclock.Time // when these orders were sent, 0 until then
+	startFence        int64          // fencing token of the session of these orders
+	isStartAnswered   bool           // the agent has said that the runner has answered all calls to start it
 	// stopReason is empty unless the run was ordered to stop.
 	stopReason string
 	stoppedAt  bootclock.Time // when the stop was first ordered
