Commit the leadership row while a new leader reads the state

A leader that read its state for more than a second was replaced while it did: its row does not change, so that other nodes take it for lost after TakeoverAfter, and the next one begins anew.

A new leader now commits its row every CommitInterval until it has read the state. The bounds in it are those of its first row, counted from the new commit.

--- a/fleet/node.go
+++ b/fleet/node.go
@@ -315,9 +315,7 @@
 	}
 	l := newLeader(n.o, n.metrics, row)
 	l.lastCommitSentAt = sentAt
-	call, cancel = context.WithTimeout(ctx, loadTimeout)
-	state, err := loadState(call, n.o.Store, n.o.Log)
-	cancel()
+	state, err := l.readState(ctx, leases)
 	if err != nil {
 		endTakeover()
 		n.o.Log.Warn("takeover abandoned: stored state cannot be read", zap.Int64("epoch", row.Epoch), zap.Error(err))
@@ -328,7 +326,7 @@
 	l.log.Info("leads", zap.Int64("previous_epoch", seen.Epoch), zap.String("previous", seen.Address), zap.Int("jobs", len(l.jobs)),
 		zap.Int("open_jobs", len(l.openJobs)), zap.Int("unreadable", state.unreadableJobs), zap.Duration("since_takeover", n.o.Clock().Sub(l.startedAt)))
 	n.mu.Lock()
-	n.leader, n.lastLeader = l, row
+	n.leader, n.lastLeader = l, l.row
 	n.mu.Unlock()
 	group.Go(func() error {
 		err := l.run(ctx)
@@ -344,9 +342,6 @@
 	return nil
 }
 
-// loadTimeout limits the time for reading the whole state at a takeover.
-const loadTimeout = 5 * time.Second
-
 func (n *Node) readLeaderRow(ctx context.Context) (leaderRow, error) {
 	call, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
