Bound all leases in the leadership row when a leader stops as planned

The next leader waited for the longest lease that there can be, counted from its read of the row, for the stopped leader's own host (form A) and for hosts lost just before it (form B).

Cause: what ends the wait was known to the leader and lost with its process. The row bounded the leases of its own worker for all tasks or for none, by whether one start was not settled, and those of other workers only once they had been lost for 1.5 s.

Change: a leader that stops first lets the runs on its own host settle (0.6 s at most), then commits a row that bounds the leases of all workers to Lease (4.5 s), grants none that end later, and then asks for the takeover. Bounds hold for each run but those that the row names as unsettled, which wait for LeaseHorizon as before. The first row of the next leader passes the bound on, so that a second change at once counts no longest lease either. The own host gets no more starts meanwhile.

Why no task runs twice: leases are limited by the bounds of the last stored row and of the one in flight, the next leader counts from its read of the row that it replaces, and a run whose start may reach another incarnation is named in the row before its start is ordered. Earlier versions ignore the new fields, and find no bounds where runs are unsettled.

Test of bounds: an unsettled run is now an exception to the bound of its worker, which had been LeaseHorizon for all of its runs; the test names the exceptions.

--- a/fleet/batch.go
+++ b/fleet/batch.go
@@ -34,7 +34,7 @@
 		l.commitBeganAt = now
 	}
 	// A batch does not have the number of a withdrawn one, since its rows differ.
-	next := leadership{Address: l.o.Address, Epoch: l.epoch, Commit: l.row.Commit + 1 + l.withdrawn.count, Leases: l.leaseBounds(now)}
+	next := l.nextRow(leadership{Address: l.o.Address, Epoch: l.epoch, Commit: l.row.Commit + 1 + l.withdrawn.count}, now)
 	seen := l.row
 	go func() { l.commitResults <- l.committer.run(ctx, seen, next, puts, removes) }()
 }
@@ -199,8 +199,9 @@
 	l.commitInFlight = false
 	l.row = result.row
 	l.lastCommitSentAt = result.sent
-	l.ownHorizon = l.nextOwnHorizon
+	l.horizon, l.ownHorizon = l.nextHorizon, l.nextOwnHorizon
 	l.removeStoredBounds()
+	l.handover.isStored = l.handover.isStated() && l.row.HandoverMs > 0
 	took := result.took
 	if l.withdrawn.count > 0 {
 		took = l.o.Clock().Sub(l.commitBeganAt)
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -70,9 +70,12 @@
 	workersByID   []*worker // see sortedWorkers
 	sessionCount  int64
 	earlierLeases earlierLeases
-	// ownHorizon and nextOwnHorizon are the horizons of the leases of the worker on this host
-	// by the last stored commit and by the commit in flight, or the last one.
+	// horizon and nextHorizon are the horizons of all leases, by the last stored commit and by
+	// the commit in flight, or the last one. ownHorizon and nextOwnHorizon are those of the
+	// worker on this host, if they are shorter.
+	horizon, nextHorizon       time.Duration
 	ownHorizon, nextOwnHorizon time.Duration
+	handover                   handover
 	takeoverRequestedAt        bootclock.Time // when the other nodes were last asked to take over
 	interference               *steps.Interference
 	backlog                    *steps.Backlog
@@ -203,7 +206,7 @@
 			l.logConfig()
 		case <-leaving:
 			leaving = nil
-			l.requestTakeover("process stops")
+			l.handover.begunAt = l.o.Clock()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -275,9 +278,10 @@
 // flush assigns pending tasks, starts a commit if one is due, and sends the
 // collected orders.
 func (l *leader) flush(ctx context.Context) {
+	l.advanceHandover()
 	if !l.commitInFlight && l.withdrawn.retry == nil {
 		l.schedule(ctx)
-		if len(l.dirtyJobs) > 0 || l.withdrawn.count > 0 || l.hasReturnedWorkers() || l.o.Clock().Sub(l.commitBeganAt) >= l.o.Timing.CommitInterval {
+		if len(l.dirtyJobs) > 0 || l.withdrawn.count > 0 || l.hasReturnedWorkers() || (l.handover.isStated() && !l.handover.isSent) || l.o.Clock().Sub(l.commitBeganAt) >= l.o.Timing.CommitInterval {
 			l.commit(ctx)
 		}
 	}
--- a/fleet/leadership.go
+++ b/fleet/leadership.go
@@ -36,10 +36,12 @@
 	// Leases bounds the leases of the worker on the leader's host, and of those that were
 	// lost with earlier leaders. A row that an earlier version wrote bounds none.
 	Leases []leaseBound `json:"leases,omitempty"`
+	settledLeases
 }
 
 func (l leadership) equal(other leadership) bool {
-	return l.Address == other.Address && l.Epoch == other.Epoch && l.Commit == other.Commit && slices.Equal(l.Leases, other.Leases)
+	return l.Address == other.Address && l.Epoch == other.Epoch && l.Commit == other.Commit && slices.Equal(l.Leases, other.Leases) &&
+		l.settledLeases.equal(other.settledLeases)
 }
 
 // leaderRow is the leadership row as read from the store. Version is 0 if there
@@ -56,9 +58,11 @@
 // epoch in a transaction of its own, so the epoch never exceeds the version.
 func (r leaderRow) isPossible() bool {
 	return r.Address != "" && r.Epoch > 0 && r.Epoch <= r.Version && r.Commit >= 0 &&
-		!slices.ContainsFunc(r.Leases, func(b leaseBound) bool { return b.Ms < 0 || b.Ms > maxLeaseBound.Milliseconds() })
+		isPossibleBound(r.HandoverMs) && !slices.ContainsFunc(r.bounds(), func(b leaseBound) bool { return !isPossibleBound(b.Ms) })
 }
 
+func isPossibleBound(ms int64) bool { return ms >= 0 && ms <= maxLeaseBound.Milliseconds() }
+
 // decodeLeaderRow decodes the leadership row. One that no leader has written counts as
 // that of a lost leader without an address. Its epoch is the version of the row, so that
 // the next leader has a higher epoch than all earlier ones.
@@ -98,12 +102,11 @@
 	return substrate.PartRow{Table: tableLeader, Part: fleetPart, Key: leaderKey, Value: value}, nil
 }
 
-// acquireLeadership makes the node at the address the leader if the row in the
-// store still equals seen. It returns the new row, or
-// *substrate.VersionConflictError when another node has changed the row first.
-func acquireLeadership(ctx context.Context, store substrate.PartStore, seen leaderRow, address string, leases []leaseBound) (leaderRow, error) {
-	next := leadership{Address: address, Epoch: seen.Epoch + 1, Commit: 0, Leases: leases}
-	return commitWithLeadership(ctx, store, seen, next, nil, nil)
+// acquireLeadership writes the first row of a leader if the row in the store still equals
+// seen. It returns the new row, or *substrate.VersionConflictError when another node has
+// changed the row first.
+func acquireLeadership(ctx context.Context, store substrate.PartStore, seen leaderRow, first leadership) (leaderRow, error) {
+	return commitWithLeadership(ctx, store, seen, first, nil, nil)
 }
 
 // commitWithLeadership commits the writes in one transaction with the next
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -69,7 +69,7 @@
 		if r.row.Epoch != b.Epoch || r.row.Commit != b.Commit {
 			continue
 		}
-		for _, first := range r.row.Leases {
+		for _, first := range r.row.bounds() {
 			if first.Worker == b.Worker && first.Epoch == 0 {
 				end = min(end, first.end(r.at))
 			}
@@ -83,6 +83,10 @@
 	endAt    bootclock.Time // of workers without a bound
 	ownEndAt bootclock.Time // of the worker on this host
 	bounded  []boundedWorker
+	// handoverEndAt replaces endAt for the settled runs if the earlier leader has handed over,
+	// else it is 0.
+	handoverEndAt bootclock.Time
+	unsettled     []string // long-running runs that only endAt applies to
 }
 
 // boundedWorker is a worker that was lost, with an earlier leader or to this one.
@@ -100,7 +104,12 @@
 // worker, so that LeaseHorizon applies to all of them.
 func (t Timing) earlierLeases(own structs.WorkerID, seen leaderRow, readAt bootclock.Time, reads leaderReads) earlierLeases {
 	e := earlierLeases{endAt: readAt.Add(t.LeaseHorizon), ownEndAt: readAt.Add(t.LeaseHorizon)}
-	for _, b := range seen.Leases {
+	e.unsettled = seen.Unsettled
+	if seen.HandoverMs > 0 {
+		e.handoverEndAt = leaseBound{Ms: seen.HandoverMs}.end(readAt)
+		e.ownEndAt = e.handoverEndAt
+	}
+	for _, b := range seen.bounds() {
 		if b.Worker == own {
 			continue
 		}
@@ -115,7 +124,11 @@
 
 // firstBounds returns the bounds in the first row of a leader on the worker own.
 func (e earlierLeases) firstBounds(own structs.WorkerID, t Timing, now bootclock.Time) []leaseBound {
-	bounds := []leaseBound{leaseBound{Worker: own}.setEnd(now.Add(t.LeaseHorizon), now)}
+	end := now.Add(t.LeaseHorizon)
+	if e.handoverEndAt > 0 {
+		end = max(e.handoverEndAt, now.Add(t.Lease))
+	}
+	bounds := []leaseBound{leaseBound{Worker: own}.setEnd(end, now)}
 	for _, b := range e.bounded {
 		bounds = append(bounds, b.setEnd(b.endAt, now))
 	}
@@ -125,13 +138,17 @@
 // restoreLeases restores the ends of the leases of earlier leaders.
 func (l *leader) restoreLeases(e earlierLeases) {
 	l.earlierLeases = e
-	l.ownHorizon, l.nextOwnHorizon = l.o.Timing.LeaseHorizon, l.o.Timing.LeaseHorizon
+	first := l.o.Timing.LeaseHorizon
+	if e.handoverEndAt > 0 {
+		first = l.o.Timing.Lease
+	}
+	l.horizon, l.nextHorizon, l.ownHorizon, l.nextOwnHorizon = first, first, first, first
 	for _, w := range l.workers {
-		w.leaseEndsAt = e.endAt
+		w.leaseEndsAt, w.handoverEndsAt = e.endAt, e.handoverEndAt
 	}
 	for _, b := range e.bounded {
 		w := l.workerByID(b.Worker)
-		w.leaseEndsAt, w.boundEndsAt = e.endAt, b.endAt
+		w.leaseEndsAt, w.boundEndsAt, w.handoverEndsAt = max(e.endAt, b.endAt), b.endAt, 0
 	}
 }
 
@@ -143,9 +160,9 @@
 	if w.boundEndsAt > 0 {
 		return 0
 	}
-	horizon := l.o.Timing.LeaseHorizon
+	horizon := min(l.horizon, l.nextHorizon)
 	if w.id == l.o.Worker {
-		horizon = min(l.ownHorizon, l.nextOwnHorizon)
+		horizon = min(horizon, l.ownHorizon, l.nextOwnHorizon)
 	}
 	return max(0, min(l.o.Timing.Lease, l.lastCommitSentAt.Add(horizon).Sub(now)))
 }
@@ -157,6 +174,10 @@
 // has reported its runs or their release is stored. Without it, the next leader would
 // count LeaseHorizon anew.
 func (l *leader) leaseBounds(now bootclock.Time) []leaseBound {
+	l.nextHorizon = l.o.Timing.LeaseHorizon
+	if l.handover.isStated() {
+		l.nextHorizon = l.o.Timing.Lease
+	}
 	l.boundLostWorkers(now)
 	end, horizon := l.ownLeaseEnd(now)
 	l.nextOwnHorizon = horizon
@@ -183,36 +204,38 @@
 // boundLostWorkers bounds the leases of the workers with long-running tasks that have been
 // lost to this leader, so that the next one does not count LeaseHorizon anew for them.
 func (l *leader) boundLostWorkers(now bootclock.Time) {
-	if now.Sub(l.startedAt) < lostAfter {
-		return
-	}
 	for _, w := range l.sortedWorkers() {
-		if w.id == l.o.Worker || w.session != nil || w.boundEndsAt > 0 || now.Sub(w.reportedAt) < lostAfter || now >= w.leaseEndsAt ||
-			!l.hasSettledServices(w, now) || len(l.earlierLeases.bounded) >= maxLostWorkers {
+		end := w.settledLeaseEnd()
+		if w.id == l.o.Worker || !l.isLost(w, now) || w.boundEndsAt > 0 || now >= end ||
+			w.longRunningRuns() == 0 || len(l.earlierLeases.bounded) >= maxLostWorkers {
 			continue
 		}
-		w.boundEndsAt = w.leaseEndsAt
-		l.earlierLeases.bounded = append(l.earlierLeases.bounded, boundedWorker{leaseBound: leaseBound{Worker: w.id}, endAt: w.leaseEndsAt, since: now})
-		l.log.Info("leases of a lost worker bounded", zap.String("worker", string(w.id)), zap.Duration("left", w.leaseEndsAt.Sub(now)),
+		w.boundEndsAt = end
+		l.earlierLeases.bounded = append(l.earlierLeases.bounded, boundedWorker{leaseBound: leaseBound{Worker: w.id}, endAt: end, since: now})
+		l.log.Info("leases of a lost worker bounded", zap.String("worker", string(w.id)), zap.Duration("left", end.Sub(now)),
 			zap.Bool("listed", w.listedAt > 0), zap.Int("runs", len(w.runs)))
 	}
 }
 
-// hasSettledServices reports whether the worker has long-running runs, of whose starts none
-// may still be carried out. Those of a worker that has never reported to this leader are
-// covered by the end of all leases of earlier leaders.
-func (l *leader) hasSettledServices(w *worker, now bootclock.Time) bool {
-	found := false
-	for _, r := range w.runs {
-		if !r.job.Step(r.id.Task).LongRunning {
-			continue
-		}
-		found = true
-		if w.listedAt > 0 && !l.isStartSettled(w, r, now) {
-			return false
-		}
+// isLost reports whether the worker has no session, and so little hope of one that its
+// leases are bounded. At a handover, all workers without a session are lost.
+func (l *leader) isLost(w *worker, now bootclock.Time) bool {
+	return w.session == nil && (l.handover.isStated() || now.Sub(max(w.reportedAt, l.startedAt)) >= lostAfter)
+}
+
+// settledLeaseEnd returns the end of the leases under which the settled runs of the worker
+// run.
+func (w *worker) settledLeaseEnd() bootclock.Time {
+	switch {
+	case w.listedAt > 0:
+		return w.leaseEndsAt
+	case w.boundEndsAt > 0:
+		return w.boundEndsAt
+	case w.handoverEndsAt > 0:
+		return min(w.handoverEndsAt, w.leaseEndsAt)
+	default:
+		return w.leaseEndsAt
 	}
-	return found
 }
 
 // settledIncarnationAge is the age of an incarnation from which on no start for an earlier
@@ -238,26 +261,16 @@
 // commit follows the next one, and the horizon of the leases from then on. Without
 // long-running tasks, the worker keeps LeaseHorizon, so that it works on for longer in a
 // store outage.
-//
-// A start may reach the next incarnation of the runner and obtain a longer lease there.
-// So the shorter end applies only while the starts of all long-running runs are settled.
 func (l *leader) ownLeaseEnd(now bootclock.Time) (end bootclock.Time, horizon time.Duration) {
-	horizon, waits := l.o.Timing.LeaseHorizon, l.o.Timing.LeaseHorizon
+	horizon = l.nextHorizon
 	end = l.earlierLeases.ownEndAt
 	if own := l.workers[l.o.Worker]; own != nil {
 		end = max(end, own.leaseEndsAt)
-		settled := true
-		for _, r := range own.runs {
-			if r.job.Step(r.id.Task).LongRunning {
-				horizon = l.o.Timing.OwnLeaseHorizon
-				settled = settled && l.isStartSettled(own, r, now)
-			}
-		}
-		if settled {
-			waits = horizon
+		if own.longRunningRuns() > 0 {
+			horizon = min(horizon, l.o.Timing.OwnLeaseHorizon)
 		}
 	}
-	return max(end, now.Add(waits)), horizon
+	return max(end, now.Add(horizon)), horizon
 }
 
 // isStartSettled reports whether no call to start the run is under way: the runner lists
@@ -273,7 +286,7 @@
 // any more.
 func (l *leader) removeStoredBounds() {
 	l.earlierLeases.bounded = slices.DeleteFunc(l.earlierLeases.bounded, func(bounded boundedWorker) bool {
-		if slices.ContainsFunc(l.row.Leases, func(b leaseBound) bool { return b.Worker == bounded.Worker }) {
+		if slices.ContainsFunc(l.row.bounds(), func(b leaseBound) bool { return b.Worker == bounded.Worker }) {
 			return false
 		}
 		l.workers[bounded.Worker].boundEndsAt = 0
@@ -298,16 +311,17 @@
 	return slices.ContainsFunc(l.earlierLeases.bounded, func(b boundedWorker) bool { return b.hasReturned(l.workers[b.Worker]) })
 }
 
-// releaseBounded releases the long-running runs of a worker that has not reported its
-// runs to this leader, once the leases in the row of an earlier leader have lapsed.
-// Other runs may have started a short time ago, so that they are kept until leaseEndsAt.
+// releaseBounded releases the settled runs of a worker that has not reported its runs to
+// this leader, once the leases that earlier leaders have bounded have lapsed. Other runs may
+// have started a short time ago, so that they are kept until leaseEndsAt.
 func (l *leader) releaseBounded(w *worker, now bootclock.Time) {
-	if w.boundEndsAt == 0 || w.listedAt > 0 || now < w.boundEndsAt.Add(l.o.Timing.leaseLapseDelay()) {
+	end := w.settledLeaseEnd()
+	if w.listedAt > 0 || end == w.leaseEndsAt || now < end.Add(l.o.Timing.leaseLapseDelay()) {
 		return
 	}
-	released := 0
+	released, rule := 0, w.leaseRule()
 	for _, r := range w.sortedRuns() {
-		if r.job.Step(r.id.Task).LongRunning {
+		if r.job.Step(r.id.Task).LongRunning && l.isSettled(w, r, now) {
 			l.release(w, r, "lease lapsed", "")
 			released++
 		}
@@ -316,7 +330,7 @@
 		return
 	}
 	l.recordLeaseWait(w, now)
-	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", false), zap.Duration("since_lease", now.Sub(w.boundEndsAt)),
-		zap.String("rule", string(w.leaseRule())), zap.Int("runs", released), zap.Int("kept", len(w.runs)), zap.Bool("attends", w.session != nil))
+	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", false), zap.Duration("since_lease", now.Sub(end)),
+		zap.String("rule", string(rule)), zap.Int("runs", released), zap.Int("kept", len(w.runs)), zap.Bool("attends", w.session != nil))
 	w.closeSession()
 }
--- a/fleet/lease_bounds_test.go
+++ b/fleet/lease_bounds_test.go
@@ -224,6 +224,7 @@
 		lease  int64         // granted to the leader's worker after the next row is sent, in ms
 		own    int64         // bound of that worker in the next row, in ms
 		others []leaseBound  // in the next row
+		except []string      // runs that the bounds do not apply to
 	}{
 		{name: "in contact", after: 4 * time.Second, lease: 2900, own: 6900},
 		{name: "store outage", after: 6 * time.Second, lease: 900, own: 6900},
@@ -236,12 +237,17 @@
 		{name: "leases of the earlier leader", after: time.Second, lease: 4500, own: 8700},
 		{name: "lease before the task was assigned", after: 4 * time.Second, change: func(l *leader) { l.workers["w1"].leaseEndsAt = start.Add(12 * time.Second) }, lease: 2900, own: 8000},
 		{name: "lease in the next incarnation", after: 4 * time.Second, change: func(l *leader) { l.extendToMaxLease(l.workers["w1"]) }, lease: 2900, own: 10000},
-		{name: "start not settled", after: 4 * time.Second, change: func(l *leader) { l.workers["w1"].sortedRuns()[0].startOrderedAt = start }, lease: 2900, own: 9700},
+		{name: "start not settled", after: 4 * time.Second, change: func(l *leader) { l.workers["w1"].sortedRuns()[0].startOrderedAt = start }, lease: 2900, own: 6900, except: []string{"web/0/0/0#1"}},
 		{name: "start answered", after: 4 * time.Second, change: func(l *leader) {
 			r := l.workers["w1"].sortedRuns()[0]
 			r.startOrderedAt, r.isStartAnswered = start, true
 		}, lease: 2900, own: 6900},
-		{name: "next incarnation not listed", after: 4 * time.Second, change: func(l *leader) { l.workers["w1"].incarnation = "j" }, lease: 2900, own: 9700},
+		{name: "next incarnation not listed", after: 4 * time.Second, change: func(l *leader) { l.workers["w1"].incarnation = "j" }, lease: 2900, own: 6900, except: []string{"web/0/0/0#1"}},
+		{name: "handover", after: 4 * time.Second, change: func(l *leader) { l.handover.statedAt = start }, lease: 500, own: 5700},
+		{name: "handover, start not settled", after: 4 * time.Second, change: func(l *leader) {
+			l.handover.statedAt = start
+			l.workers["w1"].sortedRuns()[0].startOrderedAt = start
+		}, lease: 500, own: 5700, except: []string{"web/0/0/0#1"}},
 		{name: "release not stored", seen: lost, change: unstored, after: time.Second, lease: 4500, own: 8700, others: []leaseBound{{"w9", 2000, 7, 40}}},
 		{name: "lapsed, release not stored", seen: lost, change: unstored, after: 4 * time.Second, lease: 2900, own: 6900, others: []leaseBound{{"w9", 0, 7, 40}}},
 		{name: "release stored", seen: lost, after: time.Second, lease: 4500, own: 8700},
@@ -263,7 +269,10 @@
 			if c.change != nil {
 				c.change(l)
 			}
-			is.Equal(l.leaseBounds(now), append([]leaseBound{{Worker: "w1", Ms: c.own}}, c.others...))
+			row := l.nextRow(leadership{}, now)
+			is.Equal(row.bounds(), append([]leaseBound{{Worker: "w1", Ms: c.own}}, c.others...))
+			is.Equal(row.Unsettled, c.except)
+			is.Equal(len(row.Leases) == 0, len(c.except) > 0) // which earlier versions read
 			is.Equal(l.leaseDuration(l.workers["w1"], now).Milliseconds(), c.lease)
 		})
 	}
--- /dev/null
+++ b/fleet/lease_statement.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/daisywall/daisywall/bootclock"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// settledLeases are the parts of a leadership row that bound the leases of settled runs only:
+// of long-running runs which no call to start can still start again. Earlier versions
+// ignore these parts, and wait for LeaseHorizon.
+type settledLeases struct {
+	// SettledLeases takes the place of leadership.Leases if Unsettled is not empty.
+	SettledLeases []leaseBound `json:"settled_leases,omitempty"`
+	// HandoverMs bounds the leases of all workers without a bound of their own, counted from
+	// when the commit of the row was sent. It is 0 if the leader states none.
+	HandoverMs int64 `json:"handover_ms,omitempty"`
+	// Unsettled holds the long-running runs to which no bound in the row applies.
+	Unsettled []string `json:"unsettled,omitempty"`
+}
+
+func (s settledLeases) equal(other settledLeases) bool {
+	return s.HandoverMs == other.HandoverMs && slices.Equal(s.SettledLeases, other.SettledLeases) && slices.Equal(s.Unsettled, other.Unsettled)
+}
+
+// bounds returns the bounds of single workers.
+func (l leadership) bounds() []leaseBound { return slices.Concat(l.Leases, l.SettledLeases) }
+
+// withBounds returns the row with bounds that do not apply to the unsettled runs.
+func (l leadership) withBounds(bounds []leaseBound, unsettled []string) leadership {
+	l.Leases, l.settledLeases = bounds, settledLeases{Unsettled: unsettled}
+	if len(unsettled) > 0 {
+		l.Leases, l.SettledLeases = nil, bounds
+	}
+	return l
+}
+
+// firstRow completes the row of a leader on the worker own that has granted no leases yet.
+func (e earlierLeases) firstRow(row leadership, own structs.WorkerID, t Timing, now bootclock.Time) leadership {
+	row = row.withBounds(e.firstBounds(own, t, now), e.unsettled)
+	if e.handoverEndAt > 0 {
+		row.HandoverMs = leaseBound{}.setEnd(max(e.handoverEndAt, now.Add(t.Lease)), now).Ms
+	}
+	return row
+}
+
+// maxUnsettledRuns limits the size of the row.
+const maxUnsettledRuns = 128
+
+// nextRow completes the row of a commit that is sent now or later, and begins to grant
+// leases that comply with it. With too many unsettled runs it bounds no leases, and later
+// leaders wait for LeaseHorizon.
+func (l *leader) nextRow(row leadership, now bootclock.Time) leadership {
+	bounds := l.leaseBounds(now)
+	unsettled := l.unsettledRuns(bounds, now)
+	if len(unsettled) > maxUnsettledRuns {
+		l.log.Warn("leases not bounded: too many unsettled runs", zap.Int("runs", len(unsettled)))
+		l.metrics.count(l.metrics.unboundedRows, "unsettled runs")
+		l.nextHorizon, l.handover.isSent = l.o.Timing.LeaseHorizon, l.handover.isStated()
+		return row.withBounds(nil, nil)
+	}
+	row = row.withBounds(bounds, unsettled)
+	if l.handover.isStated() {
+		row.HandoverMs, l.handover.isSent = l.nextHorizon.Milliseconds(), true
+	}
+	return row
+}
+
+// unsettledRuns returns the long-running runs that are not settled, of the workers to which
+// the next row applies: those with a bound, or all of them at a handover. Leases
+// that end later than a handover allows count as those of unsettled runs.
+func (l *leader) unsettledRuns(bounds []leaseBound, now bootclock.Time) []string {
+	bounded := make(map[structs.WorkerID]bool, len(bounds))
+	for _, b := range bounds {
+		bounded[b.Worker] = true
+	}
+	var unsettled []string
+	for _, w := range l.sortedWorkers() {
+		if !bounded[w.id] && !l.handover.isStated() {
+			continue
+		}
+		isLong := !bounded[w.id] && w.settledLeaseEnd() > now.Add(l.nextHorizon)
+		for _, r := range w.sortedRuns() {
+			if r.job.Step(r.id.Task).LongRunning && (isLong || !l.isSettled(w, r, now)) {
+				unsettled = append(unsettled, r.id.String())
+			}
+		}
+	}
+	return unsettled
+}
+
+// isSettled reports whether no call to start the run is under way, as far as this leader or,
+// before the first list of the worker, an earlier one knows.
+func (l *leader) isSettled(w *worker, r *run, now bootclock.Time) bool {
+	if w.listedAt == 0 {
+		return !slices.Contains(l.earlierLeases.unsettled, r.id.String())
+	}
+	return l.isStartSettled(w, r, now)
+}
--- a/fleet/lease_waits.go
+++ b/fleet/lease_waits.go
@@ -16,10 +16,11 @@
 
 // Rules by which a leader waits for the leases of a worker, as in logs and metrics.
 const (
-	ruleHorizon leaseRule = "horizon"    // the longest lease that earlier leaders can have granted
-	ruleBound   leaseRule = "bound"      // the leadership row of an earlier leader bounds them
-	ruleList    leaseRule = "first list" // the worker has listed its runs to this leader
-	ruleGranted leaseRule = "granted"    // this leader has granted the last lease
+	ruleHorizon  leaseRule = "horizon"    // the longest lease that earlier leaders can have granted
+	ruleBound    leaseRule = "bound"      // the leadership row of an earlier leader bounds them
+	ruleHandover leaseRule = "handover"   // an earlier leader has bounded the leases of all workers when it stopped
+	ruleList     leaseRule = "first list" // the worker has listed its runs to this leader
+	ruleGranted  leaseRule = "granted"    // this leader has granted the last lease
 )
 
 // leaseRule returns the rule by which the long-running runs of the worker are released if
@@ -28,6 +29,8 @@
 	switch {
 	case w.listedAt == 0 && w.boundEndsAt > 0:
 		return ruleBound
+	case w.listedAt == 0 && w.handoverEndsAt > 0:
+		return ruleHandover
 	case w.listedAt == 0:
 		return ruleHorizon
 	case w.isLeaseLimitedByList:
@@ -63,10 +66,7 @@
 	if longRunning == 0 {
 		return
 	}
-	end := w.leaseEndsAt
-	if w.boundEndsAt > 0 {
-		end = w.boundEndsAt
-	}
+	end := w.settledLeaseEnd()
 	l.log.Info("waits for the leases of a worker", zap.String("worker", string(w.id)), zap.String("rule", string(w.leaseRule())),
 		zap.Duration("waited", now.Sub(l.startedAt)), zap.Duration("left", end.Sub(now)), zap.Int("long_running", longRunning), zap.Bool("attends", w.session != nil))
 }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -71,16 +71,6 @@
 	}
 }
 
-// handoverDelay lets another node acquire the leadership before the process stops.
-const handoverDelay = 150 * time.Millisecond
-
-// Leave prepares the end of the process: another node is asked to take over if this
-// one leads. It returns when the process may end, or when ctx ends.
-func (n *Node) Leave(ctx context.Context) {
-	n.StepDown()
-	_ = sleep(ctx, handoverDelay) // the process ends in either case
-}
-
 // IsLeader reports whether this node leads.
 func (n *Node) IsLeader() bool { return n.activeLeader() != nil }
 
@@ -306,7 +296,8 @@
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
 	leases := n.o.Timing.earlierLeases(n.o.Worker, seen, readAt, n.rowReads())
 	sentAt := n.o.Clock()
-	row, err := acquireLeadership(call, n.o.Store, seen, n.o.Address, leases.firstBounds(n.o.Worker, n.o.Timing, sentAt))
+	first := leases.firstRow(leadership{Address: n.o.Address, Epoch: seen.Epoch + 1}, n.o.Worker, n.o.Timing, sentAt)
+	row, err := acquireLeadership(call, n.o.Store, seen, first)
 	cancel()
 	if err != nil {
 		endTakeover()
--- a/fleet/read_state.go
+++ b/fleet/read_state.go
@@ -39,9 +39,8 @@
 
 // commitRow commits the leadership row of a leader that has granted no leases yet.
 func (l *leader) commitRow(ctx context.Context, leases earlierLeases) error {
-	next := l.row.leadership
-	next.Commit += 1 + l.withdrawn.count
-	next.Leases = leases.firstBounds(l.o.Worker, l.o.Timing, l.o.Clock())
+	next := leadership{Address: l.o.Address, Epoch: l.epoch, Commit: l.row.Commit + 1 + l.withdrawn.count}
+	next = leases.firstRow(next, l.o.Worker, l.o.Timing, l.o.Clock())
 	result := l.committer.run(ctx, l.row, next, nil, nil)
 	switch {
 	case result.err != nil:
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -49,10 +49,13 @@
 	// boundEndsAt is the end of the worker's leases that the row of an earlier leader
 	// states, 0 without such a bound. Until a row without the bound is stored, no lease
 	// may end later.
-	boundEndsAt  bootclock.Time
-	runStartedAt bootclock.Time // when a run was last listed for the first time
-	listSentAt   int64          // sent_at of the last report with a list
-	leaseLapsed  bool           // the lease has lapsed and the runs were released
+	boundEndsAt bootclock.Time
+	// handoverEndsAt is the end of the leases of the settled runs that an earlier leader has
+	// stated for all workers at its handover, 0 without one.
+	handoverEndsAt bootclock.Time
+	runStartedAt   bootclock.Time // when a run was last listed for the first time
+	listSentAt     int64          // sent_at of the last report with a list
+	leaseLapsed    bool           // the lease has lapsed and the runs were released
 	// isLeaseLimitedByList is set while leaseEndsAt is that of limitEarlierLease.
 	isLeaseLimitedByList bool
 	isLeaseWaitReported  bool // see reportLeaseWait
@@ -281,6 +284,8 @@
 		return "no runner"
 	case w.draining:
 		return "draining"
+	case l.isOwnHostLeaving(w):
+		return "leader stops"
 	case now.Sub(w.listedAt) >= l.o.Timing.SessionTimeout:
 		return "list too old"
 	case l.leaseDuration(w, now) <= 0:
