Stop an agent only once the leader knows what has become of the runner

Callers saw tasks of a runner that had left wait for its leases (10.04 to 10.12 s in simulated time, limit 9 s) although its agent was about to find out: the agent stopped 0.15 s after SIGTERM, of the 6 s that the platform grants.

Node.Leave now returns once another node, as the leader, has answered a list from a poll that began after the signal, or knows that the runner is gone, or after 3 s. Until then the session goes on, so that a takeover, a slow read of the state or a lost message costs a repetition and not the wait.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -60,8 +60,11 @@
 	// pendingList is a list of the runner's runs that is not yet reported to the
 	// leader. It is nil if there is none.
 	pendingList   *fleetpb.WorkerReport
-	lastEndListed int64 // highest number of an end of a run in the lists of this session
-	pollCount     int64 // polls started in this session
+	listPollAt    bootclock.Time // when the poll began that returned the last list
+	sentListAt    bootclock.Time // when the last list was reported, 0 before the first
+	sentPollAt    bootclock.Time // when the poll began that returned that list
+	lastEndListed int64          // highest number of an end of a run in the lists of this session
+	pollCount     int64          // polls started in this session
 
 	mu sync.Mutex
 	// acknowledgedEnd is the highest number of an end that the leader has
@@ -222,6 +225,9 @@
 	a.host.recordOrders(o.GetEpoch())
 	a.lastOrderNumber = o.GetNumber()
 	echo := bootclock.Time(o.GetEcho())
+	if a.sentListAt > 0 && echo >= a.sentListAt && a.row.Address != a.host.o.Address {
+		a.host.recordReportedList(a.sentPollAt)
+	}
 	a.mu.Lock()
 	a.acknowledgedEnd = max(a.acknowledgedEnd, o.GetAcknowledged())
 	if o.GetLeaseMs() > 0 {
@@ -300,6 +306,7 @@
 		wait = 0
 	}
 	acknowledges := !a.isIncarnationUncertain
+	begunAt := a.host.o.Clock()
 	go func() {
 		acknowledged := int64(0)
 		if acknowledges {
@@ -313,7 +320,10 @@
 		if err == nil {
 			a.updateRunnerClock(state.Clock)
 		}
-		a.runInLoop(ctx, func() { a.handlePollState(ctx, pollNumber, state, err) })
+		a.runInLoop(ctx, func() {
+			a.listPollAt = begunAt
+			a.handlePollState(ctx, pollNumber, state, err)
+		})
 	}()
 }
 
@@ -429,5 +439,6 @@
 	for r := range a.starting {
 		list.Starting = append(list.Starting, runToProto(r))
 	}
+	a.sentListAt, a.sentPollAt = a.host.o.Clock(), a.listPollAt
 	return a.sendReport(list)
 }
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -25,6 +25,7 @@
 	runnerGone       bool                 // the incarnation in info has ended
 	endedIncarnation string               // last incarnation that ended and was not replaced, empty if it was announced again
 	reportedEnd      string               // incarnation whose end a leader was last told
+	reportedPollAt   bootclock.Time       // when the poll began whose list another node, as the leader, has last answered
 	answeredAt       bootclock.Time       // when a leader's last orders arrived, 0 before the first
 	answeredEpoch    int64                // epoch of that leader
 	leaving          bool                 // the runner announced that it ends
@@ -171,6 +172,29 @@
 	h.reportedEnd = incarnation
 }
 
+// recordReportedList records that another node, as the leader, has answered a list of runs
+// from a poll that began at the given time.
+func (h *host) recordReportedList(pollBegunAt bootclock.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reportedPollAt = max(h.reportedPollAt, pollBegunAt)
+}
+
+// isReportedSince reports whether another node, as the leader, knows what has become of
+// the runner up to the given time or later.
+func (h *host) isReportedSince(t bootclock.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.info.Incarnation == "":
+		return true
+	case h.runnerGone:
+		return h.endedIncarnation == "" || h.reportedEnd == h.endedIncarnation
+	default:
+		return h.reportedPollAt >= t && h.runs.failingFrom == 0
+	}
+}
+
 // logStop logs what no leader will know of the runner after the process has stopped.
 func (h *host) logStop() {
 	h.mu.Lock()
@@ -272,7 +296,9 @@
 	if err != nil || !timer.Stop() {
 		return h.classifyNoAnswer(row, leaderDialer, err)
 	}
-	h.recordReportedEnd(hello.GetGone())
+	if row.Address != h.o.Address {
+		h.recordReportedEnd(hello.GetGone())
+	}
 	end, err := a.run(ctx, cancel, first)
 	h.o.Log.Info("session ended", zap.Int64("epoch", row.Epoch), zap.String("leader", row.Address), zap.Stringer("because", end), zap.Error(err))
 	return end
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -15,13 +15,12 @@
 	// the process.
 	leaveTimeout = 3 * time.Second
 	leavePause   = 20 * time.Millisecond
-	// handoverDelay lets another node acquire the leadership before the process stops.
-	handoverDelay = 150 * time.Millisecond
 )
 
 // Leave prepares the end of the process, while Run continues. If this node leads, another
-// one is asked to take over. Leave returns once it does not lead any more, or after
-// leaveTimeout, or when ctx ends.
+// one is asked to take over. Leave returns once another node leads that knows what has become of
+// the host's runner, or after leaveTimeout, or when ctx ends. What the agent does not
+// report before the process stops costs the tasks of the host the wait for its leases.
 func (n *Node) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
@@ -41,7 +40,7 @@
 	if l := n.activeLeader(); l != nil {
 		return !l.hasCandidates(ctx)
 	}
-	return n.o.Clock().Sub(begunAt) >= handoverDelay
+	return n.host.isReportedSince(begunAt)
 }
 
 // hasCandidates reports whether an agent of another host attends.
--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -76,6 +76,22 @@
 	})
 }
 
+// Guards against a wait for the leases of a runner that left while there was no leader, since
+// its agent stopped before one knew.
+func TestRunnerThatLeavesWithItsAgentWhileNoNodeLeadsIsReported(t *testing.T) {
+	runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		checkRestarts(m, func(l *lostHosts) {
+			m.listDelay.Store(int64(430 * time.Millisecond)) // of each of two reads
+			leaving := l.follower()
+			leader.killAgent()
+			time.Sleep(m.durationBetween(0, time.Second))
+			l.stop(leaving, true)
+			l.observe(2 * time.Second)
+			leader.startAgent()
+		})
+	})
+}
+
 // Guards against takeovers without end while it takes longer to read the state than a
 // leader may be silent.
 func TestNextLeaderThatReadsItsStateForLongKeepsTheLeadership(t *testing.T) {
