Count the wait for runs that may not have started from the loss of their worker

The bound of a worker has a second end now, for these runs, which is passed on from leader to leader and counted from the first read of its row like the first one. The wait itself, LeaseHorizon from the loss, is as long as before.

--- a/fleet/handover.go
+++ b/fleet/handover.go
@@ -50,12 +50,7 @@
 	if own.listedAt <= l.handover.begunAt {
 		return false
 	}
-	for _, r := range own.runs {
-		if r.job.Step(r.id.Task).LongRunning && !l.isStartSettled(own, r, now) {
-			return false
-		}
-	}
-	return true
+	return !l.hasUnsettledRuns(own, now)
 }
 
 // isOwnHostLeaving reports whether the worker is on this host, whose process stops. It gets
--- a/fleet/leadership.go
+++ b/fleet/leadership.go
@@ -58,7 +58,7 @@
 // epoch in a transaction of its own, so the epoch never exceeds the version.
 func (r leaderRow) isPossible() bool {
 	return r.Address != "" && r.Epoch > 0 && r.Epoch <= r.Version && r.Commit >= 0 &&
-		isPossibleBound(r.HandoverMs) && !slices.ContainsFunc(r.bounds(), func(b leaseBound) bool { return !isPossibleBound(b.Ms) })
+		isPossibleBound(r.HandoverMs) && !slices.ContainsFunc(r.bounds(), func(b leaseBound) bool { return !isPossibleBound(b.Ms) || !isPossibleBound(b.UnsettledMs) })
 }
 
 func isPossibleBound(ms int64) bool { return ms >= 0 && ms <= maxLeaseBound.Milliseconds() }
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -19,18 +19,38 @@
 	// They are 0 in the rows of that leader.
 	Epoch  int64 `json:"epoch,omitempty"`
 	Commit int64 `json:"commit,omitempty"`
+	// UnsettledMs bounds the leases of the unsettled runs of a worker that was lost to an
+	// earlier leader or to this one, as Ms does those of the others. It is 0 without a bound.
+	UnsettledMs int64 `json:"unsettled_ms,omitempty"`
 }
 
-// setEnd rounds up, so that the bound is never earlier than end.
-func (b leaseBound) setEnd(end, now bootclock.Time) leaseBound {
-	left := max(0, end.Sub(now)) + time.Millisecond - 1
-	b.Ms = left.Milliseconds()
+// setEnds sets the time that is left of the leases. unsettledEnd is 0 without a bound.
+func (b leaseBound) setEnds(end, unsettledEnd, now bootclock.Time) leaseBound {
+	b.Ms, b.UnsettledMs = millisecondsLeft(end, now), 0
+	if unsettledEnd > 0 {
+		b.UnsettledMs = max(1, millisecondsLeft(unsettledEnd, now))
+	}
 	return b
 }
 
-// end returns the end of the leases for a row whose commit was sent before readAt.
-func (b leaseBound) end(readAt bootclock.Time) bootclock.Time {
-	return readAt.Add(time.Duration(b.Ms) * time.Millisecond)
+// millisecondsLeft rounds up, so that a bound is never earlier than end.
+func millisecondsLeft(end, now bootclock.Time) int64 {
+	return (max(0, end.Sub(now)) + time.Millisecond - 1).Milliseconds()
+}
+
+// endAfter returns the end of leases that a row bounds to ms, if its commit was sent before
+// readAt.
+func endAfter(ms int64, readAt bootclock.Time) bootclock.Time {
+	return readAt.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// ends returns the ends of the leases of settled and of unsettled runs, the latter 0 without
+// a bound, for a row whose commit was sent before readAt.
+func (b leaseBound) ends(readAt bootclock.Time) (end, unsettledEnd bootclock.Time) {
+	if b.UnsettledMs > 0 {
+		unsettledEnd = endAfter(b.UnsettledMs, readAt)
+	}
+	return endAfter(b.Ms, readAt), unsettledEnd
 }
 
 // leaderReads holds the last row of each of the last leaders that this node has read,
@@ -60,22 +80,27 @@
 	return reads[max(0, len(reads)-maxLeaderReads):]
 }
 
-// end returns the end of the leases by the bound, which is in a row whose commit was
+// ends returns the ends of the leases by the bound, which is in a row whose commit was
 // sent before readAt. Each leader adds to the bound the time until it is read by the
-// next one, so that a read of the row of the first one may give an earlier end.
-func (reads leaderReads) end(b leaseBound, readAt bootclock.Time) bootclock.Time {
-	end := b.end(readAt)
+// next one, so that a read of the row of the first one may give earlier ends.
+func (reads leaderReads) ends(b leaseBound, readAt bootclock.Time) (end, unsettledEnd bootclock.Time) {
+	end, unsettledEnd = b.ends(readAt)
 	for _, r := range reads {
 		if r.row.Epoch != b.Epoch || r.row.Commit != b.Commit {
 			continue
 		}
 		for _, first := range r.row.bounds() {
-			if first.Worker == b.Worker && first.Epoch == 0 {
-				end = min(end, first.end(r.at))
+			if first.Worker != b.Worker || first.Epoch != 0 {
+				continue
+			}
+			firstEnd, firstUnsettledEnd := first.ends(r.at)
+			end = min(end, firstEnd)
+			if firstUnsettledEnd > 0 {
+				unsettledEnd = min(unsettledEnd, firstUnsettledEnd)
 			}
 		}
 	}
-	return end
+	return end, unsettledEnd
 }
 
 // earlierLeases are the ends of the leases that earlier leaders have granted.
@@ -91,9 +116,9 @@
 
 // boundedWorker is a worker that was lost, with an earlier leader or to this one.
 type boundedWorker struct {
-	leaseBound // as in the rows of this leader
-	endAt      bootclock.Time
-	since      bootclock.Time // when it was lost to this leader, 0 if it was lost with an earlier one
+	leaseBound            // as in the rows of this leader
+	endAt, unsettledEndAt bootclock.Time
+	since                 bootclock.Time // when it was lost to this leader, 0 if it was lost with an earlier one
 }
 
 // hasReturned reports whether the worker has listed its runs since it was lost.
@@ -106,18 +131,22 @@
 	e := earlierLeases{endAt: readAt.Add(t.LeaseHorizon), ownEndAt: readAt.Add(t.LeaseHorizon)}
 	e.unsettled = seen.Unsettled
 	if seen.HandoverMs > 0 {
-		e.handoverEndAt = leaseBound{Ms: seen.HandoverMs}.end(readAt)
+		e.handoverEndAt = endAfter(seen.HandoverMs, readAt)
 		e.ownEndAt = e.handoverEndAt
 	}
 	for _, b := range seen.bounds() {
+		endAt, unsettledEndAt := reads.ends(b, readAt)
 		if b.Worker == own {
+			e.ownEndAt = max(e.ownEndAt, endAt)
 			continue
 		}
-		endAt := reads.end(b, readAt)
 		if b.Epoch == 0 {
 			b.Epoch, b.Commit = seen.Epoch, seen.Commit
+			if unsettledEndAt == 0 && len(seen.Unsettled) > 0 {
+				unsettledEndAt = e.endAt
+			}
 		}
-		e.bounded = append(e.bounded, boundedWorker{leaseBound: b, endAt: endAt})
+		e.bounded = append(e.bounded, boundedWorker{leaseBound: b, endAt: endAt, unsettledEndAt: unsettledEndAt})
 	}
 	return e
 }
@@ -128,9 +157,9 @@
 	if e.handoverEndAt > 0 {
 		end = max(e.handoverEndAt, now.Add(t.Lease))
 	}
-	bounds := []leaseBound{leaseBound{Worker: own}.setEnd(end, now)}
+	bounds := []leaseBound{leaseBound{Worker: own}.setEnds(end, 0, now)}
 	for _, b := range e.bounded {
-		bounds = append(bounds, b.setEnd(b.endAt, now))
+		bounds = append(bounds, b.setEnds(b.endAt, b.unsettledEndAt, now))
 	}
 	return bounds
 }
@@ -149,6 +178,9 @@
 	for _, b := range e.bounded {
 		w := l.workerByID(b.Worker)
 		w.leaseEndsAt, w.boundEndsAt, w.handoverEndsAt = max(e.endAt, b.endAt), b.endAt, 0
+		if b.unsettledEndAt > 0 {
+			w.leaseEndsAt = max(b.unsettledEndAt, b.endAt)
+		}
 	}
 }
 
@@ -181,12 +213,12 @@
 	l.boundLostWorkers(now)
 	end, horizon := l.ownLeaseEnd(now)
 	l.nextOwnHorizon = horizon
-	bounds := []leaseBound{leaseBound{Worker: l.o.Worker}.setEnd(end, now)}
+	bounds := []leaseBound{leaseBound{Worker: l.o.Worker}.setEnds(end, 0, now)}
 	for _, b := range l.earlierLeases.bounded {
 		if w := l.workers[b.Worker]; b.hasReturned(w) || (len(w.runs) == 0 && len(l.dirtyJobs) == 0) {
 			continue
 		}
-		bounds = append(bounds, b.setEnd(b.endAt, now))
+		bounds = append(bounds, b.setEnds(b.endAt, b.unsettledEndAt, now))
 	}
 	return bounds
 }
@@ -211,12 +243,26 @@
 			continue
 		}
 		w.boundEndsAt = end
-		l.earlierLeases.bounded = append(l.earlierLeases.bounded, boundedWorker{leaseBound: leaseBound{Worker: w.id}, endAt: end, since: now})
+		lost := boundedWorker{leaseBound: leaseBound{Worker: w.id}, endAt: end, since: now}
+		if l.hasUnsettledRuns(w, now) {
+			lost.unsettledEndAt = l.unsettledLeaseEnd(w, now)
+		}
+		l.earlierLeases.bounded = append(l.earlierLeases.bounded, lost)
 		l.log.Info("leases of a lost worker bounded", zap.String("worker", string(w.id)), zap.Duration("left", end.Sub(now)),
 			zap.Bool("listed", w.listedAt > 0), zap.Int("runs", len(w.runs)))
 	}
 }
 
+// unsettledLeaseEnd returns the end of the leases of the unsettled runs of a worker without a
+// session, to which nothing has been ordered since. Those of a worker that has never
+// reported to this leader were ordered before the takeover.
+func (l *leader) unsettledLeaseEnd(w *worker, now bootclock.Time) bootclock.Time {
+	if w.listedAt == 0 {
+		return w.leaseEndsAt
+	}
+	return now.Add(l.o.Timing.LeaseHorizon)
+}
+
 // isLost reports whether the worker has no session, and so little hope of one that its
 // leases are bounded. At a handover, all workers without a session are lost.
 func (l *leader) isLost(w *worker, now bootclock.Time) bool {
--- a/fleet/lease_bounds_test.go
+++ b/fleet/lease_bounds_test.go
@@ -248,10 +248,10 @@
 			l.handover.statedAt = start
 			l.workers["w1"].sortedRuns()[0].startOrderedAt = start
 		}, lease: 500, own: 5700, except: []string{"web/0/0/0#1"}},
-		{name: "release not stored", seen: lost, change: unstored, after: time.Second, lease: 4500, own: 8700, others: []leaseBound{{"w9", 2000, 7, 40}}},
-		{name: "lapsed, release not stored", seen: lost, change: unstored, after: 4 * time.Second, lease: 2900, own: 6900, others: []leaseBound{{"w9", 0, 7, 40}}},
+		{name: "release not stored", seen: lost, change: unstored, after: time.Second, lease: 4500, own: 8700, others: []leaseBound{{"w9", 2000, 7, 40, 0}}},
+		{name: "lapsed, release not stored", seen: lost, change: unstored, after: 4 * time.Second, lease: 2900, own: 6900, others: []leaseBound{{"w9", 0, 7, 40, 0}}},
 		{name: "release stored", seen: lost, after: time.Second, lease: 4500, own: 8700},
-		{name: "bound of two leaders ago", seen: []leaseBound{{"w9", 3000, 6, 2}}, change: unstored, after: time.Second, lease: 4500, own: 8700, others: []leaseBound{{"w9", 2000, 6, 2}}},
+		{name: "bound of two leaders ago", seen: []leaseBound{{"w9", 3000, 6, 2, 0}}, change: unstored, after: time.Second, lease: 4500, own: 8700, others: []leaseBound{{"w9", 2000, 6, 2, 0}}},
 		{name: "own worker was lost before", seen: []leaseBound{{Worker: "w1", Ms: 3000}}, change: unstored, after: time.Second, lease: 4500, own: 8700},
 	}
 	for _, c := range cases {
@@ -313,19 +313,20 @@
 	for i, version := range []int64{10, 11, 11, 10, 12} { // of two commits of epoch 1, then of epoch 2
 		row := leaderRow{Version: version, leadership: leadership{Epoch: 1, Commit: version, Leases: []leaseBound{{Worker: "w0", Ms: 7000}}}}
 		if version == 12 {
-			row.leadership = leadership{Epoch: 2, Leases: []leaseBound{{Worker: "w1", Ms: 9700}, {"w0", 6500, 1, 11}}}
+			row.leadership = leadership{Epoch: 2, Leases: []leaseBound{{Worker: "w1", Ms: 9700}, {"w0", 6500, 1, 11, 0}}}
 		}
 		reads = reads.add(row, at(int64(i)*1000))
 	}
 	is.Equal(len(reads), 2)
-	is.Equal(reads.end(leaseBound{"w0", 6500, 1, 11}, at(4000)), at(8000))  // read at 1 s
-	is.Equal(reads.end(leaseBound{"w0", 6500, 1, 10}, at(4000)), at(10500)) // replaced by the next commit
-	is.Equal(reads.end(leaseBound{"w1", 3000, 1, 11}, at(4000)), at(7000))  // not in that row
-	is.Equal(reads.end(leaseBound{Worker: "w1", Ms: 9700}, at(4000)), at(13700))
+	end := func(b leaseBound, readAt bootclock.Time) bootclock.Time { e, _ := reads.ends(b, readAt); return e }
+	is.Equal(end(leaseBound{"w0", 6500, 1, 11, 0}, at(4000)), at(8000))  // read at 1 s
+	is.Equal(end(leaseBound{"w0", 6500, 1, 10, 0}, at(4000)), at(10500)) // replaced by the next commit
+	is.Equal(end(leaseBound{"w1", 3000, 1, 11, 0}, at(4000)), at(7000))  // not in that row
+	is.Equal(end(leaseBound{Worker: "w1", Ms: 9700}, at(4000)), at(13700))
 
 	timing := Timing{}.withDefaults()
 	earlier := timing.earlierLeases("w2", reads[1].row, at(4000), reads)
-	is.Equal(earlier.firstBounds("w2", timing, at(5000).Add(time.Microsecond)), []leaseBound{{Worker: "w2", Ms: 9700}, {"w1", 8700, 2, 0}, {"w0", 3000, 1, 11}})
+	is.Equal(earlier.firstBounds("w2", timing, at(5000).Add(time.Microsecond)), []leaseBound{{Worker: "w2", Ms: 9700}, {"w1", 8700, 2, 0, 0}, {"w0", 3000, 1, 11, 0}})
 	is.Equal(timing.OwnLeaseHorizon, 6900*time.Millisecond)
 	is.Equal(Timing{MaxLease: 6 * time.Second}.withDefaults().OwnLeaseHorizon, 5700*time.Millisecond)
 }
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -42,7 +42,7 @@
 func (e earlierLeases) firstRow(row leadership, own structs.WorkerID, t Timing, now bootclock.Time) leadership {
 	row = row.withBounds(e.firstBounds(own, t, now), e.unsettled)
 	if e.handoverEndAt > 0 {
-		row.HandoverMs = leaseBound{}.setEnd(max(e.handoverEndAt, now.Add(t.Lease)), now).Ms
+		row.HandoverMs = millisecondsLeft(max(e.handoverEndAt, now.Add(t.Lease)), now)
 	}
 	return row
 }
@@ -92,6 +92,16 @@
 	return unsettled
 }
 
+// hasUnsettledRuns reports whether a long-running run of the worker is not settled.
+func (l *leader) hasUnsettledRuns(w *worker, now bootclock.Time) bool {
+	for _, r := range w.runs {
+		if r.job.Step(r.id.Task).LongRunning && !l.isSettled(w, r, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // isSettled reports whether no call to start the run is under way, as far as this leader or,
 // before the first list of the worker, an earlier one knows.
 func (l *leader) isSettled(w *worker, r *run, now bootclock.Time) bool {
