Bound the leases of a lost worker once it is silent or has lost its session

The leader bounds the leases of a worker now 0.5 s after the end of its session, or once it has been silent for the time from which its lease is not extended anyway.

--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -225,10 +225,12 @@
 
 // Limits of the bounds of workers that are lost to a leader.
 const (
-	// lostAfter is how long a worker has sent no report before its leases are bounded, and
-	// how long a new leader waits for the first one. A worker that returns needs a commit
-	// before it gets a lease, so that workers which only reconnect must not be bounded.
-	lostAfter = 1500 * time.Millisecond
+	// lostAfter is how long a worker has had no session before its leases are bounded, and
+	// lostAfterTakeover how long a new leader waits for the first session. A worker that returns
+	// needs a commit before it gets a lease, so that workers which only reconnect must not be
+	// bounded.
+	lostAfter         = 500 * time.Millisecond
+	lostAfterTakeover = 1500 * time.Millisecond
 	// maxLostWorkers limits the size of the row.
 	maxLostWorkers = 256
 )
@@ -263,10 +265,20 @@
 	return now.Add(l.o.Timing.LeaseHorizon)
 }
 
-// isLost reports whether the worker has no session, and so little hope of one that its
-// leases are bounded. At a handover, all workers without a session are lost.
+// isLost reports whether the worker is silent or has no session, and there is so little
+// hope of it that its leases are bounded. At a handover, all workers without a session are
+// lost.
 func (l *leader) isLost(w *worker, now bootclock.Time) bool {
-	return w.session == nil && (l.handover.isStated() || now.Sub(max(w.reportedAt, l.startedAt)) >= lostAfter)
+	switch {
+	case w.session != nil:
+		return now.Sub(w.reportedAt) >= l.o.Timing.SessionTimeout
+	case l.handover.isStated():
+		return true
+	case w.detachedAt > 0:
+		return now.Sub(w.detachedAt) >= lostAfter
+	default:
+		return now.Sub(l.startedAt) >= lostAfterTakeover
+	}
 }
 
 // settledLeaseEnd returns the end of the leases under which the settled runs of the worker
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -40,6 +40,7 @@
 	draining       bool
 	drainRemaining time.Duration
 	attachedAt     bootclock.Time // start of the session
+	detachedAt     bootclock.Time // end of the last session with this leader, 0 before the first
 	// knownIncarnationSince is since when the agent has known the runner's incarnation, 0
 	// if it has not said so.
 	knownIncarnationSince bootclock.Time
@@ -267,6 +268,7 @@
 	l.log.Info("worker left", zap.String("worker", string(w.id)), zap.Duration("since_report", l.o.Clock().Sub(w.reportedAt)),
 		zap.Duration("lease_left", w.leaseEndsAt.Sub(l.o.Clock())), zap.Int("assigned", len(w.runs)), zap.Error(err))
 	w.closeSession()
+	w.detachedAt = l.o.Clock()
 }
 
 // usable reports whether the worker may get new tasks.
