Begin each leadership with the horizons of its leases

A leader without restored leases granted none, since the horizons of all leases were 0 (found by the tests of the leader's parts, which build one without a store; newLeader now sets them).

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -103,12 +103,14 @@
 func newLeader(o Options, m *metrics, row leaderRow) *leader {
 	now := o.Clock()
 	log := o.Log.With(zap.Int64("epoch", row.Epoch))
+	horizon := o.Timing.LeaseHorizon
 	return &leader{
 		o: o, epoch: row.Epoch, metrics: m, log: log,
 		loopCalls: make(chan loopMessage, callQueueSize), done: make(chan struct{}),
 		committer:     &committer{store: o.Store, clock: o.Clock, log: log},
 		commitResults: make(chan commitResult, 1),
 		row:           row, startedAt: now, lastCommitSentAt: now,
+		horizon: horizon, nextHorizon: horizon, ownHorizon: horizon, nextOwnHorizon: horizon,
 		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{},
 		leaveRequested: make(chan struct{}),
 		interference:   steps.NewInterference(),
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -167,11 +167,9 @@
 // restoreLeases restores the ends of the leases of earlier leaders.
 func (l *leader) restoreLeases(e earlierLeases) {
 	l.earlierLeases = e
-	first := l.o.Timing.LeaseHorizon
-	if e.handoverEndAt > 0 {
-		first = l.o.Timing.Lease
+	if e.handoverEndAt > 0 { // as the first row states
+		l.horizon, l.nextHorizon = l.o.Timing.Lease, l.o.Timing.Lease
 	}
-	l.horizon, l.nextHorizon, l.ownHorizon, l.nextOwnHorizon = first, first, first, first
 	for _, w := range l.workers {
 		w.leaseEndsAt, w.handoverEndsAt = e.endAt, e.handoverEndAt
 	}
