Test of lost store answers: submit when no commit is in flight

The test expects that a job completes whose submission had no answer, which holds only if a commit contained it.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -259,12 +259,22 @@
 func TestSubmitWithLostStoreAnswersHasUnknownOutcome(t *testing.T) {
 	runInFleet(t, 3, func(f *simulatedFleet) {
 		is := is.New(t)
-		f.waitReady()
+		l := f.waitReady()
 		e := f.newEntry()
 		defer e.Close()
-		for _, h := range f.hosts {
-			h.store.SetMode(standin.StoreLosesReplies)
-		}
+		// The job is in the next commit, since none is in flight or due.
+		f.waitUntil("a commit has just been stored", time.Second, func() bool {
+			isStored := false
+			l.runInLoop(context.Background(), func() {
+				isStored = !l.commitInFlight && l.o.Clock().Sub(l.commitBeganAt) < l.o.Timing.CommitInterval/2
+				for _, h := range f.hosts {
+					if isStored {
+						h.store.SetMode(standin.StoreLosesReplies)
+					}
+				}
+			})
+			return isStored
+		})
 		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
 		defer cancel()
 		err := e.Submit(ctx, testJob("a", 1), testQueue)
