Bound the leases of a new leader's host by what its agent knows

The agent in the same process knows which leases it has passed on. A new leader now uses this if the agent has known the runner's incarnation for long enough, refuses the orders of earlier leaders from then on, names the starts that may be under way, and commits a row with the bound while it reads the state.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -228,10 +228,14 @@
 	if a.sentListAt > 0 && echo >= a.sentListAt && a.row.Address != a.host.o.Address {
 		a.host.recordReportedList(a.sentPollAt)
 	}
+	leaseEndsAt := echo.Add(time.Duration(o.GetLeaseMs()) * time.Millisecond)
+	if !a.host.extendLease(o.GetEpoch(), leaseEndsAt) {
+		return // this node has become the leader
+	}
 	a.mu.Lock()
 	a.acknowledgedEnd = max(a.acknowledgedEnd, o.GetAcknowledged())
 	if o.GetLeaseMs() > 0 {
-		a.leaseEndsAt = max(a.leaseEndsAt, echo.Add(time.Duration(o.GetLeaseMs())*time.Millisecond))
+		a.leaseEndsAt = max(a.leaseEndsAt, leaseEndsAt)
 	}
 	a.mu.Unlock()
 	if a.acknowledgedEnd >= a.lastEndListed {
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -32,7 +32,8 @@
 	doubtful         doubtfulReports      // reports that contradict info
 	changed          chan struct{}        // signalled after a change that the leader must be informed of
 	pacer            *pacer               // nil before the first session with a runner
-	highestEpoch     int64                // highest epoch of the leaders that have sent orders
+	highestEpoch     int64                // highest epoch of the leaders that have sent orders, and of this node's leaderships
+	leaseEndsAt      bootclock.Time       // latest end of the leases that leaders have granted to this process
 	runs             runRegister          // runs of the current incarnation
 	crash            *fleetpb.Crash       // last crash of a runner of this host, nil if this process has seen none
 	crashedAt        bootclock.Time       // time of crash
@@ -203,6 +204,28 @@
 		zap.Bool("polls_fail", h.runs.failingFrom != 0), zap.Duration("since_orders", h.o.Clock().Sub(h.answeredAt)), zap.Int64("epoch", h.answeredEpoch))
 }
 
+// extendLease records a lease of a leader of the epoch. It returns false if orders with the
+// epoch must not be executed any more.
+func (h *host) extendLease(epoch int64, end bootclock.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if epoch < h.highestEpoch {
+		return false
+	}
+	h.leaseEndsAt = max(h.leaseEndsAt, end)
+	return true
+}
+
+// knownLeaseEnd returns by when the leases of the runner end that earlier leaders have
+// granted, if no further ones are accepted. It is false if the runner may have others: an
+// earlier process of the agent may have passed on a start for an earlier incarnation.
+func (h *host) knownLeaseEnd() (bootclock.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	isKnown := h.info.Incarnation != "" && h.o.Clock().Sub(h.knownSince) >= h.o.Timing.settledIncarnationAge()
+	return h.leaseEndsAt, isKnown
+}
+
 // requestTakeover passes the request of a leader to be replaced on to the node.
 func (h *host) requestTakeover(row leaderRow) {
 	select {
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -107,7 +107,9 @@
 type earlierLeases struct {
 	endAt    bootclock.Time // of workers without a bound
 	ownEndAt bootclock.Time // of the worker on this host
-	bounded  []boundedWorker
+	// isOwnEndKnown is set if ownEndAt is what the agent on this host knows.
+	isOwnEndKnown bool
+	bounded       []boundedWorker
 	// handoverEndAt replaces endAt for the settled runs if the earlier leader has handed over,
 	// else it is 0.
 	handoverEndAt bootclock.Time
@@ -151,11 +153,29 @@
 	return e
 }
 
+// limitOwnLeases limits the leases of the worker on this host to those that its agent has
+// passed on, for a new leader on this host. The agent accepts none of earlier leaders any more.
+func (h *host) limitOwnLeases(e earlierLeases, epoch int64) earlierLeases {
+	h.admitEpoch(epoch)
+	if end, known := h.knownLeaseEnd(); known && end < e.ownEndAt {
+		e.ownEndAt, e.isOwnEndKnown = end, true
+		e.unsettled = slices.Concat(e.unsettled, h.unsettledStarts())
+	}
+	return e
+}
+
 // firstBounds returns the bounds in the first row of a leader on the worker own.
 func (e earlierLeases) firstBounds(own structs.WorkerID, t Timing, now bootclock.Time) []leaseBound {
-	end := now.Add(t.LeaseHorizon)
-	if e.handoverEndAt > 0 {
-		end = max(e.handoverEndAt, now.Add(t.Lease))
+	horizon := t.LeaseHorizon
+	switch {
+	case e.handoverEndAt > 0:
+		horizon = t.Lease
+	case e.isOwnEndKnown:
+		horizon = t.OwnLeaseHorizon
+	}
+	end := now.Add(horizon)
+	if horizon < t.LeaseHorizon {
+		end = max(end, e.ownEndAt)
 	}
 	bounds := []leaseBound{leaseBound{Worker: own}.setEnds(end, 0, now)}
 	for _, b := range e.bounded {
@@ -167,9 +187,12 @@
 // restoreLeases restores the ends of the leases of earlier leaders.
 func (l *leader) restoreLeases(e earlierLeases) {
 	l.earlierLeases = e
-	if e.handoverEndAt > 0 { // as the first row states
+	if e.handoverEndAt > 0 { // as the first rows state
 		l.horizon, l.nextHorizon = l.o.Timing.Lease, l.o.Timing.Lease
 	}
+	if e.isOwnEndKnown {
+		l.ownHorizon, l.nextOwnHorizon = l.o.Timing.OwnLeaseHorizon, l.o.Timing.OwnLeaseHorizon
+	}
 	for _, w := range l.workers {
 		w.leaseEndsAt, w.handoverEndsAt = e.endAt, e.handoverEndAt
 	}
@@ -321,7 +344,9 @@
 	horizon = l.nextHorizon
 	end = l.earlierLeases.ownEndAt
 	if own := l.workers[l.o.Worker]; own != nil {
-		end = max(end, own.leaseEndsAt)
+		if own.listedAt > 0 {
+			end = max(end, own.leaseEndsAt)
+		}
 		if own.longRunningRuns() > 0 {
 			horizon = min(horizon, l.o.Timing.OwnLeaseHorizon)
 		}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -306,6 +306,7 @@
 	}
 	l := newLeader(n.o, n.metrics, row)
 	l.lastCommitSentAt = sentAt
+	leases = n.host.limitOwnLeases(leases, row.Epoch)
 	state, err := l.readState(ctx, leases)
 	if err != nil {
 		endTakeover()
--- a/fleet/read_state.go
+++ b/fleet/read_state.go
@@ -9,8 +9,9 @@
 const loadTimeout = 5 * time.Second
 
 // readState reads the stored state for a new leader. It commits the leadership row
-// meanwhile: other nodes take over from a leader whose row does not change. It returns
-// *structs.FencedError if one of them has.
+// meanwhile, at once and then every CommitInterval: other nodes take over from a leader whose
+// row does not change, and the first row does not have the end of the own worker's
+// leases. It returns *structs.FencedError if another node has taken over.
 func (l *leader) readState(ctx context.Context, leases earlierLeases) (storedState, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
@@ -25,6 +26,9 @@
 	}()
 	tick := time.NewTicker(l.o.Timing.CommitInterval)
 	defer tick.Stop()
+	if err := l.commitRow(ctx, leases); err != nil {
+		return storedState{}, err
+	}
 	for {
 		select {
 		case result := <-done:
--- a/fleet/run_register.go
+++ b/fleet/run_register.go
@@ -97,6 +97,21 @@
 	h.register(incarnation).started[run] = true
 }
 
+// unsettledStarts returns the runs to which a call to start them may be under way in the
+// current incarnation.
+func (h *host) unsettledStarts() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var unsettled []string
+	for run, calls := range h.register(h.info.Incarnation).calls {
+		isRecent := calls.unansweredAt > 0 && h.o.Clock().Sub(calls.unansweredAt) < h.o.Timing.Lease
+		if calls.open > 0 || isRecent {
+			unsettled = append(unsettled, run.String())
+		}
+	}
+	return unsettled
+}
+
 // recordList records the runs that the incarnation has listed. It keeps runs
 // whose start is in progress. A listed run that this process has not started may
 // be of any age and gets establishedAge.
