--- /dev/null
+++ b/fleet/handover_test.go
@@ -0,0 +1,115 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/daisywall/daisywall/bootclock"
+	"github.com/daisywall/daisywall/standin"
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Guards against a wait of LeaseHorizon after a second planned change, before the first
+// leader after the handover has granted leases, and against leases beyond its first rows.
+func TestHandoverIsPassedOnUntilTheNextLeaderGrantsLeases(t *testing.T) {
+	is := is.New(t)
+	now := bootclock.Time(time.Hour)
+	l, _ := leaderWithWorkers(t, &now, 2)
+	l.o.Worker = "w1"
+	seen := leaderRow{leadership: leadership{Epoch: 7, settledLeases: settledLeases{HandoverMs: 4500, Unsettled: []string{"web/0/0/0#1"}}}}
+	e := l.o.Timing.earlierLeases("w1", seen, now, nil)
+	now = now.Add(time.Second)
+	first := e.firstRow(leadership{}, "w1", l.o.Timing, now)
+	is.Equal(first.HandoverMs, int64(4500)) // longer than what is left of the earlier leases
+	is.Equal(first.Unsettled, []string{"web/0/0/0#1"})
+	is.Equal(first.bounds(), []leaseBound{{Worker: "w1", Ms: 4500}})
+
+	l.lastCommitSentAt = now
+	l.restoreLeases(e)
+	now = now.Add(300 * time.Millisecond)
+	is.Equal(l.leaseDuration(l.workers["w0"], now), 4200*time.Millisecond)
+	row := l.nextRow(leadership{}, now)
+	is.Equal(row.HandoverMs, int64(0))
+	l.handleCommitted(commitResult{row: leaderRow{leadership: row}, sent: now})
+	is.Equal(l.leaseDuration(l.workers["w0"], now), l.o.Timing.Lease)
+}
+
+// Guards against a run that starts beside another one, since a bound applies to a run that
+// the row had no room to name.
+func TestRowWithTooManyUnsettledRunsBoundsNoLease(t *testing.T) {
+	for _, unsettled := range []int{maxUnsettledRuns, maxUnsettledRuns + 1} {
+		t.Run(fmt.Sprint(unsettled), func(t *testing.T) {
+			is := is.New(t)
+			now := bootclock.Time(time.Hour)
+			l, _ := leaderWithWorkers(t, &now, 1)
+			l.o.Worker = "w0"
+			l.handover.statedAt = now
+			service := addService(l, "web", int32(unsettled), 1)
+			for i := range unsettled {
+				id := structs.RunID{Task: structs.StepTaskID{Job: "web", Index: int32(i)}, Number: 1}
+				l.workers["w0"].assign(id, "i", service)
+			}
+			row := l.nextRow(leadership{}, now)
+			fits := unsettled <= maxUnsettledRuns
+			is.Equal(len(row.bounds()) > 0, fits)
+			is.Equal(row.HandoverMs > 0, fits)
+			is.True(l.handover.isSent)
+		})
+	}
+}
+
+// Guards against an agent that is killed since it waits for too long at its stop, and
+// against a wait for a next leader where none can be.
+func TestLeaveEndsInTime(t *testing.T) {
+	cases := []struct {
+		name  string
+		hosts int
+		store standin.StoreMode
+		limit time.Duration
+	}{
+		{name: "another host", hosts: 2, store: standin.StoreServes, limit: 1500 * time.Millisecond},
+		{name: "no other host", hosts: 1, store: standin.StoreServes, limit: 100 * time.Millisecond},
+		{name: "store does not answer", hosts: 2, store: standin.StoreUnresponsive, limit: leaveTimeout + 100*time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runInFleet(t, c.hosts, func(f *simulatedFleet) {
+				f.waitReady()
+				for _, h := range f.hosts {
+					h.store.SetMode(c.store)
+				}
+				leader := f.leaderHost()
+				begun := time.Now()
+				leader.node.Leave(context.Background())
+				if after := time.Since(begun); after > c.limit {
+					t.Errorf("Leave returned after %s, the limit is %s", after, c.limit)
+				}
+				is.New(t).Equal(leader.node.IsLeader(), c.hosts == 1 || c.store != standin.StoreServes)
+			})
+		})
+	}
+}
+
+// Guards against work that ends in a short outage of the store, since a leader has stated
+// an earlier end of all leases and is not replaced.
+func TestLeaderThatStopsDuringAStoreOutageRenewsLeasesAsItStated(t *testing.T) {
+	runWithServices(t, 4, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		before := m.checker.ActiveRuns()
+		for _, h := range m.hosts {
+			h.store.SetMode(standin.StoreUnresponsive)
+		}
+		leader.node.StepDown()
+		time.Sleep(4 * time.Second)
+		is.New(m.t).Equal(m.checker.ActiveRuns(), before)
+		for _, h := range m.hosts {
+			h.store.SetMode(standin.StoreServes)
+		}
+		m.nextLeader(leader)
+		time.Sleep(m.timing.MaxLease)
+		is.New(m.t).Equal(m.checker.ActiveRuns(), before)
+	})
+}
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -19,14 +19,17 @@
 
 // Leave prepares the end of the process, while Run continues. If this node leads, another
 // one is asked to take over. Leave returns once another node leads that knows what has become of
-// the host's runner, or after leaveTimeout, or when ctx ends. What the agent does not
+// the host's runner, or after leaveTimeout, or when ctx ends, and at once from a leader
+// that no other agent attends. What the agent does not
 // report before the process stops costs the tasks of the host the wait for its leases.
 func (n *Node) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	begunAt := n.o.Clock()
+	l := n.activeLeader()
+	isAlone := l != nil && !l.hasCandidates(ctx)
 	n.StepDown()
-	for !n.mayStop(ctx, begunAt) {
+	for !isAlone && !n.mayStop(begunAt) {
 		if err := sleep(ctx, leavePause); err != nil {
 			break
 		}
@@ -36,11 +39,8 @@
 
 // mayStop reports whether the end of the process loses no knowledge, if it has left since
 // the given time.
-func (n *Node) mayStop(ctx context.Context, begunAt bootclock.Time) bool {
-	if l := n.activeLeader(); l != nil {
-		return !l.hasCandidates(ctx)
-	}
-	return n.host.isReportedSince(begunAt)
+func (n *Node) mayStop(begunAt bootclock.Time) bool {
+	return !n.IsLeader() && n.host.isReportedSince(begunAt)
 }
 
 // hasCandidates reports whether an agent of another host attends.
