--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"slices"
 
 	"go.uber.org/zap"
@@ -47,18 +48,34 @@
 	return row
 }
 
-// maxUnsettledRuns limits the size of the row.
-const maxUnsettledRuns = 128
+// Limits of the size of the row.
+const (
+	maxUnsettledRuns = 128
+	leaseBoundBytes  = 160 // of a bound as encoded, at most, beside the name of the worker
+)
+
+// fitsIntoRow reports whether a row with the bounds and the names of the unsettled runs is not
+// too large. Half of the store's limit is left for the other parts.
+func (o Options) fitsIntoRow(bounds []leaseBound, unsettled []string) bool {
+	size := 0
+	for _, b := range bounds {
+		size += leaseBoundBytes + len(b.Worker)
+	}
+	for _, run := range unsettled {
+		size += len(run)
+	}
+	return len(unsettled) <= maxUnsettledRuns && size <= o.rowBytes()/2
+}
 
 // nextRow completes the row of a commit that is sent now or later, and begins to grant
-// leases that comply with it. With too many unsettled runs it bounds no leases, and later
-// leaders wait for LeaseHorizon.
+// leases that comply with it. A row that does not fit bounds no leases, and later leaders
+// wait for LeaseHorizon.
 func (l *leader) nextRow(row leadership, now bootclock.Time) leadership {
 	bounds := l.leaseBounds(now)
 	unsettled := l.unsettledRuns(bounds, now)
-	if len(unsettled) > maxUnsettledRuns {
-		l.log.Warn("leases not bounded: too many unsettled runs", zap.Int("runs", len(unsettled)))
-		l.metrics.count(l.metrics.unboundedRows, "unsettled runs")
+	if !l.o.fitsIntoRow(bounds, unsettled) {
+		l.log.Warn("leases not bounded: they do not fit into the row", zap.Int("bounds", len(bounds)), zap.Int("unsettled", len(unsettled)))
+		l.metrics.unboundedRows.Add(context.Background(), 1)
 		l.nextHorizon, l.handover.isSent = l.o.Timing.LeaseHorizon, l.handover.isStated()
 		return row.withBounds(nil, nil)
 	}
