--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -51,7 +51,7 @@
 // Limits of the size of the row.
 const (
 	maxUnsettledRuns = 128
-	leaseBoundBytes  = 160 // of a bound as encoded, at most, beside the name of the worker
+	leaseBoundBytes  = 96 // of a bound as encoded, at most, beside the name of the worker
 )
 
 // fitsIntoRow reports whether a row with the bounds and the names of the unsettled runs is not
