Let a new leader lead before its first commits have an answer

The commits of the row beside the read of the state held up the takeover when the store lost the answer of one (up to 2 s, where the first row alone was needed before; found by reading). The leader's loop takes over a commit in flight.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -56,6 +56,7 @@
 	commitBeganAt    bootclock.Time      // when the commit in flight, or the last one, started; the first one of a series of refused ones
 	committingModels []substrate.PartRow // rows of the models in the commit in flight
 	batchLimit       int                 // number of jobs in the next commit, 0 for no limit, see narrowBatch
+	stopFirstCommits context.CancelFunc  // ends the commit that readState has begun, nil if the state was not read
 	withdrawn        withdrawal
 
 	jobs          map[structs.JobID]*job
@@ -239,6 +240,9 @@
 func (l *leader) shutDown() {
 	defer func() {
 		close(l.done)
+		if l.stopFirstCommits != nil {
+			l.stopFirstCommits()
+		}
 		for _, w := range l.workers {
 			w.closeSession()
 		}
--- a/fleet/read_state.go
+++ b/fleet/read_state.go
@@ -11,51 +11,66 @@
 // readState reads the stored state for a new leader. It commits the leadership row
 // meanwhile, at once and then every CommitInterval: other nodes take over from a leader whose
 // row does not change, and the first row does not have the end of the own worker's
-// leases. It returns *structs.FencedError if another node has taken over.
-func (l *leader) readState(ctx context.Context, leases earlierLeases) (storedState, error) {
+// leases. A commit that has no answer yet is left to the leader's loop. readState returns
+// *structs.FencedError if another node has taken over.
+func (l *leader) readState(ctx context.Context, leases earlierLeases) (state storedState, err error) {
+	commitCtx, stopCommits := context.WithCancel(ctx)
+	defer func() {
+		if err != nil {
+			stopCommits()
+		}
+	}()
+	l.stopFirstCommits = stopCommits
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	type loaded struct {
-		state storedState
-		err   error
-	}
-	done := make(chan loaded, 1)
+	done := make(chan error, 1)
 	go func() {
-		state, err := loadState(ctx, l.o.Store, l.o.Log)
-		done <- loaded{state, err}
+		var err error
+		state, err = loadState(ctx, l.o.Store, l.o.Log)
+		done <- err
 	}()
 	tick := time.NewTicker(l.o.Timing.CommitInterval)
 	defer tick.Stop()
-	if err := l.commitRow(ctx, leases); err != nil {
-		return storedState{}, err
-	}
+	l.commitRow(commitCtx, leases)
 	for {
 		select {
-		case result := <-done:
-			return result.state, result.err
+		case err := <-done:
+			return state, err
+		case result := <-l.commitResults:
+			if result.err != nil {
+				cancel()
+				<-done // the read writes state
+				return storedState{}, result.err
+			}
+			l.handleRowCommit(result)
 		case <-tick.C:
-			if err := l.commitRow(ctx, leases); err != nil {
-				return storedState{}, err
+			if !l.commitInFlight {
+				l.commitRow(commitCtx, leases)
 			}
 		}
 	}
 }
 
-// commitRow commits the leadership row of a leader that has granted no leases yet.
-func (l *leader) commitRow(ctx context.Context, leases earlierLeases) error {
+// commitRow begins to commit the leadership row of a leader that has granted no leases yet.
+func (l *leader) commitRow(ctx context.Context, leases earlierLeases) {
+	now := l.o.Clock()
 	next := leadership{Address: l.o.Address, Epoch: l.epoch, Commit: l.row.Commit + 1 + l.withdrawn.count}
-	next = leases.firstRow(next, l.o.Worker, l.o.Timing, l.o.Clock())
-	result := l.committer.run(ctx, l.row, next, nil, nil)
-	switch {
-	case result.err != nil:
-		return result.err
-	case result.refused != nil:
-		if l.withdrawn.count == 0 {
-			l.commitBeganAt = l.o.Clock()
-		}
-		l.withdrawn.count++ // the number of a refused commit is not used again
-		return nil
+	next = leases.firstRow(next, l.o.Worker, l.o.Timing, now)
+	l.commitInFlight = true
+	if l.withdrawn.count == 0 {
+		l.commitBeganAt = now
+	}
+	seen := l.row
+	go func() { l.commitResults <- l.committer.run(ctx, seen, next, nil, nil) }()
+}
+
+// handleRowCommit records the outcome of commitRow. The number of a refused commit is not
+// used again.
+func (l *leader) handleRowCommit(result commitResult) {
+	l.commitInFlight = false
+	if result.refused != nil {
+		l.withdrawn.count++
+		return
 	}
 	l.row, l.lastCommitSentAt, l.withdrawn.count = result.row, result.sent, 0
-	return nil
 }
