Hand over the leadership of a node that was told to stop while it took over

Found by review: a node that gets SIGTERM during its own takeover became a leader that never asked for another one, and was lost with the process 3 s later. StepDown asked only a leader that there was already; becomeLeader asks again now.

--- a/fleet/node.go
+++ b/fleet/node.go
@@ -320,6 +320,9 @@
 	n.mu.Lock()
 	n.leader, n.lastLeader = l, l.row
 	n.mu.Unlock()
+	if n.isStopping() { // StepDown found no leader
+		l.requestLeave()
+	}
 	group.Go(func() error {
 		err := l.run(ctx)
 		n.mu.Lock()
