Stop an agent only once the end of its runner is stored

Found by review: an agent that stops counted the end of its runner as reported when the leader had answered, before the release of the runs was stored. A leader that was lost or replaced before that took the knowledge with it. The orders of a leader now name the incarnation whose end is stored, and a list counts once its ends are acknowledged.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -225,9 +225,12 @@
 	a.host.recordOrders(o.GetEpoch())
 	a.lastOrderNumber = o.GetNumber()
 	echo := bootclock.Time(o.GetEcho())
-	if a.sentListAt > 0 && echo >= a.sentListAt && a.row.Address != a.host.o.Address {
+	if a.sentListAt > 0 && echo >= a.sentListAt && o.GetAcknowledged() >= a.lastEndListed && a.row.Address != a.host.o.Address {
 		a.host.recordReportedList(a.sentPollAt)
 	}
+	if gone := o.GetGoneStored(); gone != "" {
+		a.host.recordReportedEnd(gone)
+	}
 	leaseEndsAt := echo.Add(time.Duration(o.GetLeaseMs()) * time.Millisecond)
 	if !a.host.extendLease(o.GetEpoch(), leaseEndsAt) {
 		return // this node has become the leader
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -24,7 +24,7 @@
 	shrankAt         bootclock.Time       // when a new incarnation or a smaller capacity was last announced
 	runnerGone       bool                 // the incarnation in info has ended
 	endedIncarnation string               // last incarnation that ended and was not replaced, empty if it was announced again
-	reportedEnd      string               // incarnation whose end a leader was last told
+	reportedEnd      string               // incarnation of which a leader has last stored that it has ended
 	reportedPollAt   bootclock.Time       // when the poll began whose list another node, as the leader, has last answered
 	answeredAt       bootclock.Time       // when a leader's last orders arrived, 0 before the first
 	answeredEpoch    int64                // epoch of that leader
@@ -166,7 +166,7 @@
 	h.answeredAt, h.answeredEpoch = h.o.Clock(), epoch
 }
 
-// recordReportedEnd records that a leader knows the end of the incarnation.
+// recordReportedEnd records that a leader has stored the end of the incarnation's runs.
 func (h *host) recordReportedEnd(incarnation string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -181,8 +181,8 @@
 	h.reportedPollAt = max(h.reportedPollAt, pollBegunAt)
 }
 
-// isReportedSince reports whether another node, as the leader, knows what has become of
-// the runner up to the given time or later.
+// isReportedSince reports whether it is stored that the runner has ended, or another node,
+// as the leader, has a list of its runs from the given time or later and has stored all ends.
 func (h *host) isReportedSince(t bootclock.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -311,17 +311,13 @@
 	}
 	info := h.current()
 	a := newAgentSession(h, row, info, stream)
-	hello := h.hello(info)
-	if err := stream.Send(&fleetpb.WorkerReport{Hello: hello, SentAt: int64(h.o.Clock())}); err != nil {
+	if err := stream.Send(&fleetpb.WorkerReport{Hello: h.hello(info), SentAt: int64(h.o.Clock())}); err != nil {
 		return h.classifyNoAnswer(row, leaderDialer, err)
 	}
 	first, err := stream.Recv()
 	if err != nil || !timer.Stop() {
 		return h.classifyNoAnswer(row, leaderDialer, err)
 	}
-	if row.Address != h.o.Address {
-		h.recordReportedEnd(hello.GetGone())
-	}
 	end, err := a.run(ctx, cancel, first)
 	h.o.Log.Info("session ended", zap.Int64("epoch", row.Epoch), zap.String("leader", row.Address), zap.Stringer("because", end), zap.Error(err))
 	return end
--- a/fleet/outbox.go
+++ b/fleet/outbox.go
@@ -81,7 +81,7 @@
 	w.session.lastOrderNumber++
 	orders := &fleetpb.WorkerOrders{
 		Epoch: l.epoch, Fence: w.session.fencingToken, Number: w.session.lastOrderNumber, Echo: w.listSentAt,
-		Acknowledged: w.acknowledgedEnd, Known: out.knownRuns, TakeOver: out.takeoverRequested,
+		Acknowledged: w.acknowledgedEnd, GoneStored: w.storedGone(), Known: out.knownRuns, TakeOver: out.takeoverRequested,
 		Suspects: runsToProto(w.suspects), Unproven: runsToProto(w.unproven), Stops: runsToProto(out.stops),
 	}
 	if w.listed && now.Sub(w.listedAt) < l.o.Timing.SessionTimeout {
--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
 
@@ -126,3 +127,18 @@
 		})
 	}
 }
+
+// Guards against an agent that stops after a leader has released the runs of its runner in
+// memory only, and is lost before that is stored.
+func TestAgentStopsOnlyOnceTheEndOfItsRunnerIsStored(t *testing.T) {
+	runWithServices(t, 12, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		checkRestarts(m, func(l *lostHosts) {
+			leaving := l.follower()
+			leader.store.SetMode(standin.StoreUnresponsive)
+			l.stop(leaving, true)
+			l.observe(500 * time.Millisecond)
+			cutOff(leader)
+			l.hosts = append(l.hosts, leader)
+		})
+	})
+}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -65,9 +65,10 @@
 	sorted          []*run      // runs by ID, nil after a change of runs
 	summary         *runSummary // nil after a change, see runsChanged
 	heldBackEnds    heldBackEnds
-	ends            []*endRecord // ends of this session that are not acknowledged, in order of their numbers
-	lastEndReceived int64        // number of the last end received in this session
-	acknowledgedEnd int64        // highest number of an end that is stored along with all lower ones
+	ends            []*endRecord     // ends of this session that are not acknowledged, in order of their numbers
+	lastEndReceived int64            // number of the last end received in this session
+	acknowledgedEnd int64            // highest number of an end that is stored along with all lower ones
+	gone            *goneIncarnation // in the last hello, nil before the first
 	outbox          outbox
 	health          workerHealth
 	crash           crash // last crash of the runner, zero before the first
@@ -248,9 +249,45 @@
 		})
 	}
 	l.releaseEnded(w, gone, "runner gone")
+	l.acknowledgeGone(w, hello.GetGone(), gone)
 	return w
 }
 
+// goneIncarnation is an incarnation of which the agent has said that it has ended.
+type goneIncarnation struct {
+	incarnation string
+	unstored    int // jobs with runs of it whose release is not stored
+}
+
+// acknowledgeGone tells the agent that the incarnation has ended once the release of its runs
+// is stored. An agent that stops may stay until then, because a release in the memory of the
+// leader is lost with it.
+func (l *leader) acknowledgeGone(w *worker, incarnation string, released []*run) {
+	if w.gone == nil || w.gone.incarnation != incarnation {
+		w.gone = &goneIncarnation{incarnation: incarnation}
+	}
+	gone, jobs := w.gone, map[*job]bool{}
+	for _, r := range released {
+		if !jobs[r.job] {
+			jobs[r.job] = true
+			gone.unstored++
+			l.markDirty(r.job, func() {
+				gone.unstored--
+				w.outbox.ackDue = true
+			}, nil)
+		}
+	}
+}
+
+// storedGone returns the incarnation in the last hello whose end is stored, or an empty
+// text.
+func (w *worker) storedGone() string {
+	if w.gone == nil || w.gone.unstored > 0 {
+		return ""
+	}
+	return w.gone.incarnation
+}
+
 // sessionBits is the number of low bits of a fencing token that hold the
 // session number.
 const sessionBits = 20
