--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -375,6 +375,20 @@
 	})
 }
 
+// dropUnstoredBounds ends the limits of the workers that were lost to this leader and that
+// only a refused row has bounded.
+func (l *leader) dropUnstoredBounds() {
+	stored := l.row.bounds()
+	l.earlierLeases.bounded = slices.DeleteFunc(l.earlierLeases.bounded, func(bounded boundedWorker) bool {
+		isStored := slices.ContainsFunc(stored, func(b leaseBound) bool { return b.Worker == bounded.Worker })
+		if bounded.since == 0 || isStored {
+			return false
+		}
+		l.workers[bounded.Worker].boundEndsAt = 0
+		return true
+	})
+}
+
 // leaseWait is how long a worker that has returned waits for its first orders. It takes a
 // commit until they contain a lease. Without one, the agent would ask the runner for a
 // change of its runs, for up to ReportInterval, while the lease from before lapses.
--- a/fleet/lease_bounds_test.go
+++ b/fleet/lease_bounds_test.go
@@ -330,3 +330,28 @@
 	is.Equal(timing.OwnLeaseHorizon, 6900*time.Millisecond)
 	is.Equal(Timing{MaxLease: 6 * time.Second}.withDefaults().OwnLeaseHorizon, 5700*time.Millisecond)
 }
+
+// Guards against runs that end in an outage of the store, since their worker lost its session for
+// a moment and gets no lease until a row is stored.
+func TestWorkerThatReconnectsWhileTheStoreRefusesKeepsItsRuns(t *testing.T) {
+	for _, mode := range []standin.StoreMode{standin.StoreRefuses, standin.StoreUnresponsive} {
+		t.Run(fmt.Sprint(mode), func(t *testing.T) {
+			runWithServices(t, 6, func(m *mixedFleet, _ *simulatedHost, _ map[structs.RunID]int) {
+				h := (&lostHosts{m: m}).follower()
+				before := h.runner.Paces()
+				for _, other := range m.hosts {
+					other.store.SetMode(mode)
+				}
+				time.Sleep(300 * time.Millisecond)
+				h.setPartitioned(true)
+				time.Sleep(800 * time.Millisecond)
+				h.setPartitioned(false)
+				time.Sleep(5 * time.Second)
+				is.New(m.t).Equal(h.runner.Paces(), before)
+				for _, other := range m.hosts {
+					other.store.SetMode(standin.StoreServes)
+				}
+			})
+		})
+	}
+}
--- a/fleet/withdraw.go
+++ b/fleet/withdraw.go
@@ -30,6 +30,7 @@
 		l.log.Warn("commits refused by the store", zap.Int("jobs", len(l.committingJobs)), zap.Error(err))
 	}
 	l.metrics.count(l.metrics.withdrawnCommits, "refused")
+	l.dropUnstoredBounds()
 	withdrawnJobs := l.committingJobs
 	jobs := slices.Clone(withdrawnJobs)
 	l.committingJobs = nil
