Take a leader for alone only if it has led for a while and nobody has attended

Found by review: a node whose leadership ended just then, or had just begun, took itself for alone and stopped without a handover or a report, since the call into the leader's loop had failed or no agent had a session yet. The question also held up StepDown.

--- a/fleet/handover_test.go
+++ b/fleet/handover_test.go
@@ -79,6 +79,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			runInFleet(t, c.hosts, func(f *simulatedFleet) {
 				f.waitReady()
+				time.Sleep(lostAfterTakeover)
 				for _, h := range f.hosts {
 					h.store.SetMode(c.store)
 				}
@@ -94,6 +95,27 @@
 	}
 }
 
+// Guards against a node that stops at once since its leadership has just ended, or has just
+// begun, so that no other agent attends.
+func TestLeaderWithoutSessionsIsNotAlone(t *testing.T) {
+	cases := map[string]func(l *leader){
+		"has ended": func(l *leader) { close(l.done) },
+		"has just begun": func(l *leader) {
+			clear(l.workers)
+			go func() { (<-l.loopCalls).handle() }()
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := bootclock.Time(time.Hour)
+			l, _ := leaderWithWorkers(t, &now, 1)
+			l.o.Worker = "w0"
+			change(l)
+			is.New(t).Equal(l.isAlone(context.Background()), false)
+		})
+	}
+}
+
 // Guards against work that ends in a short outage of the store, since a leader has stated
 // an earlier end of all leases and is not replaced.
 func TestLeaderThatStopsDuringAStoreOutageRenewsLeasesAsItStated(t *testing.T) {
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -20,16 +20,14 @@
 // Leave prepares the end of the process, while Run continues. If this node leads, another
 // one is asked to take over. Leave returns once another node leads that knows what has become of
 // the host's runner, or after leaveTimeout, or when ctx ends, and at once from a leader
-// that no other agent attends. What the agent does not
+// that no other agent has attended. What the agent does not
 // report before the process stops costs the tasks of the host the wait for its leases.
 func (n *Node) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	begunAt := n.o.Clock()
-	l := n.activeLeader()
-	isAlone := l != nil && !l.hasCandidates(ctx)
 	n.StepDown()
-	for !isAlone && !n.mayStop(begunAt) {
+	for !n.mayStop(ctx, begunAt) {
 		if err := sleep(ctx, leavePause); err != nil {
 			break
 		}
@@ -39,17 +37,22 @@
 
 // mayStop reports whether the end of the process loses no knowledge, if it has left since
 // the given time.
-func (n *Node) mayStop(begunAt bootclock.Time) bool {
-	return !n.IsLeader() && n.host.isReportedSince(begunAt)
+func (n *Node) mayStop(ctx context.Context, begunAt bootclock.Time) bool {
+	if l := n.activeLeader(); l != nil {
+		return l.isAlone(ctx)
+	}
+	return n.host.isReportedSince(begunAt)
 }
 
-// hasCandidates reports whether an agent of another host attends.
-func (l *leader) hasCandidates(ctx context.Context) bool {
-	found := false
-	l.runInLoop(ctx, func() {
+// isAlone reports whether no agent of another host has attended this leader, which has led
+// for so long that one would have.
+func (l *leader) isAlone(ctx context.Context) bool {
+	isAlone := l.o.Clock().Sub(l.startedAt) >= lostAfterTakeover
+	hasRun := l.runInLoop(ctx, func() {
 		for _, w := range l.workers {
-			found = found || w.session != nil && w.id != l.o.Worker
+			hasAttended := w.session != nil || w.detachedAt > 0
+			isAlone = isAlone && (w.id == l.o.Worker || !hasAttended)
 		}
 	})
-	return found
+	return hasRun && isAlone
 }
