Count no start as settled that an earlier process of the agent may have sent

Found by review, by reading: a start that an earlier process of the agent has sent may be under way although the runner has answered the repeated one of this process, so that the agent says settled only once it has known the incarnation for Lease. An order of an earlier leader starts nothing once its epoch is replaced, also if it is being executed just then, and the end of a start counts for that start only.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -39,6 +39,7 @@
 	stream fleetpb.Fleet_AttendClient
 	runner substrate.Runner // nil if the host has no runner
 
+	epoch           int64 // of the leader
 	fencingToken    int64
 	lastOrderNumber int64
 	lastOrdersAt    bootclock.Time // when the last orders arrived
@@ -116,7 +117,7 @@
 	if !a.host.admitEpoch(first.GetEpoch()) {
 		return endLost, &structs.FencedError{Cell: fleetPart, Epoch: first.GetEpoch()}
 	}
-	a.fencingToken = first.GetFence()
+	a.epoch, a.fencingToken = first.GetEpoch(), first.GetFence()
 	a.pacer.attach(a.log, a.runner, a.fencingToken)
 	a.log.Info("session opened", zap.String("leader", a.row.Address), zap.Int64("fence", a.fencingToken))
 	orders := make(chan *fleetpb.WorkerOrders)
@@ -232,7 +233,7 @@
 		a.host.recordReportedEnd(gone)
 	}
 	leaseEndsAt := echo.Add(time.Duration(o.GetLeaseMs()) * time.Millisecond)
-	if !a.host.extendLease(o.GetEpoch(), leaseEndsAt) {
+	if !a.host.extendLease(a.epoch, leaseEndsAt) {
 		return // this node has become the leader
 	}
 	a.mu.Lock()
--- a/fleet/run_register.go
+++ b/fleet/run_register.go
@@ -19,7 +19,7 @@
 	incarnation string
 	begunAt     map[structs.RunID]bootclock.Time
 	started     map[structs.RunID]bool // runs whose start was answered, or that were listed
-	calls       map[structs.RunID]startCalls
+	calls       map[structs.RunID]*startCalls
 	listedAt    bootclock.Time // last list, 0 before the first
 	failingFrom bootclock.Time // first failed poll since the last list, 0 if there is none
 }
@@ -33,7 +33,7 @@
 
 func newRunRegister(incarnation string) runRegister {
 	return runRegister{
-		incarnation: incarnation, begunAt: map[structs.RunID]bootclock.Time{}, started: map[structs.RunID]bool{}, calls: map[structs.RunID]startCalls{},
+		incarnation: incarnation, begunAt: map[structs.RunID]bootclock.Time{}, started: map[structs.RunID]bool{}, calls: map[structs.RunID]*startCalls{},
 	}
 }
 
@@ -50,44 +50,45 @@
 	return &h.runs
 }
 
-// recordStart records that the agent is about to send a start to the
-// incarnation.
-func (h *host) recordStart(incarnation string, run structs.RunID) {
+// recordStart records that the agent is about to send a start to the incarnation, by an
+// order of the leader of the epoch. The result is for recordStartEnd. It is nil if the order must
+// not be executed any more.
+func (h *host) recordStart(epoch int64, incarnation string, run structs.RunID) *startCalls {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if epoch < h.highestEpoch {
+		return nil
+	}
 	r := h.register(incarnation)
 	r.begunAt[run] = h.o.Clock()
-	calls := r.calls[run]
-	calls.open++
-	r.calls[run] = calls
+	if r.calls[run] == nil {
+		r.calls[run] = &startCalls{}
+	}
+	r.calls[run].open++
+	return r.calls[run]
 }
 
-// recordStartEnd records that the agent makes no further calls for a start of the run,
-// and whether the incarnation has answered all of them.
-func (h *host) recordStartEnd(incarnation string, run structs.RunID, areAnswered bool) {
+// recordStartEnd records that the agent makes no further calls for a start of a run, and
+// whether the runner has answered all of them.
+func (h *host) recordStartEnd(calls *startCalls, areAnswered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := h.register(incarnation)
-	calls, found := r.calls[run]
-	if !found {
-		return
-	}
 	calls.open--
 	if areAnswered {
 		calls.areAnswered = true
 	} else {
 		calls.unansweredAt = h.o.Clock()
 	}
-	r.calls[run] = calls
 }
 
 // isSettled reports whether no call to start the run can be under way: this process has
-// started it in the incarnation, which has answered all calls.
+// started it in the incarnation, which has answered all calls, and those of an earlier
+// process of the agent have lapsed.
 func (h *host) isSettled(incarnation string, run structs.RunID) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	calls := h.register(incarnation).calls[run]
-	return calls.open == 0 && calls.areAnswered && calls.unansweredAt == 0
+	return calls != nil && calls.open == 0 && calls.areAnswered && calls.unansweredAt == 0 && h.o.Clock().Sub(h.knownSince) >= h.o.Timing.Lease
 }
 
 // recordStarted records that the incarnation has answered the start of a run.
--- a/fleet/run_register_bench_test.go
+++ b/fleet/run_register_bench_test.go
@@ -31,7 +31,7 @@
 	b.Run("start", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			h.recordStart("runner@1", active[0].Run)
+			h.recordStart(0, "runner@1", active[0].Run)
 		}
 	})
 }
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -31,8 +31,12 @@
 		return
 	}
 	basis := a.lastOrdersAt.Add(-age)
+	calls := a.host.recordStart(a.epoch, a.info.Incarnation, r)
+	if calls == nil {
+		a.log.Warn("start dropped: another leader", zap.Stringer("run", r))
+		return
+	}
 	a.pacer.addStart(r, s.GetFills(), s.GetLatencyTargetMs())
-	a.host.recordStart(a.info.Incarnation, r)
 	call, cancel := context.WithCancel(ctx)
 	op := &startOp{cancel: cancel, settledAtPoll: -1}
 	a.starting[r] = op
@@ -42,7 +46,7 @@
 		defer cancel()
 		outcome := a.startUntilSettled(call, start, basis, deadline)
 		took := a.host.o.Clock().Sub(begunAt)
-		a.host.recordStartEnd(a.info.Incarnation, r, !outcome.isUnanswered)
+		a.host.recordStartEnd(calls, !outcome.isUnanswered)
 		if outcome.err == nil {
 			a.host.recordStarted(a.info.Incarnation, r)
 			a.pacer.setStarted(ctx, r)
