Expect the longest lease on a runner that lists a stale start

Found by review, by reading: a start for an earlier incarnation that reached the next one may have obtained a lease of 10 s there. If the leader had released its run before, the run was only stopped, and the worker's lease counted as 4.5 s. The lease counts as the longest now while the incarnation is younger than 14.5 s.

--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -322,11 +322,17 @@
 // late, and obtains the longest lease.
 func (t Timing) settledIncarnationAge() time.Duration { return t.MaxLease + t.Lease }
 
+// isIncarnationSettled reports whether the agent has known the runner's incarnation for so
+// long that no start for an earlier one matters there.
+func (l *leader) isIncarnationSettled(w *worker, now bootclock.Time) bool {
+	return w.knownIncarnationSince > 0 && now.Sub(w.knownIncarnationSince) >= l.o.Timing.settledIncarnationAge()
+}
+
 // limitEarlierLease limits the lease that earlier leaders may have granted to a worker that
 // lists its runs to this leader for the first time. Leases end at most Timing.Lease after
 // they were granted, and the agent has accepted none since the session began.
 func (l *leader) limitEarlierLease(w *worker, now bootclock.Time) {
-	if since := w.knownIncarnationSince; since == 0 || now.Sub(since) < l.o.Timing.settledIncarnationAge() {
+	if !l.isIncarnationSettled(w, now) {
 		return
 	}
 	w.leaseEndsAt = min(w.leaseEndsAt, now.Add(l.o.Timing.Lease))
--- a/fleet/lease_bounds_test.go
+++ b/fleet/lease_bounds_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/daisywall/daisywall/api/fleetpb"
 	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
@@ -355,3 +356,21 @@
 		})
 	}
 }
+
+// Guards against a short wait for a worker whose runner has accepted the longest lease, with a
+// start for an earlier incarnation that the leader has released since.
+func TestStaleStartInAYoungIncarnationExtendsTheLease(t *testing.T) {
+	for name, c := range map[string]struct {
+		knownFor time.Duration
+		extended bool
+	}{"young": {time.Second, true}, "settled": {15 * time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			now := bootclock.Time(time.Hour)
+			l, _ := leaderWithWorkers(t, &now, 1)
+			w := l.workers["w0"]
+			w.knownIncarnationSince, w.leaseEndsAt = now.Add(-c.knownFor), now.Add(time.Second)
+			l.reconcile(w, &fleetpb.WorkerReport{Listed: true, Active: []*fleetpb.Active{{Run: &fleetpb.Run{Job: "web", Number: 1}}}}, now)
+			is.New(t).Equal(w.leaseEndsAt >= now.Add(l.o.Timing.MaxLease), c.extended)
+		})
+	}
+}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -202,6 +202,9 @@
 			}
 			w.unassignedSteps[id.Task.StepID()]++
 		}
+		if !l.isIncarnationSettled(w, now) {
+			l.extendToMaxLease(w) // its start may have been for an earlier incarnation
+		}
 		l.log.Warn("stopping a run that is not assigned", zap.Stringer("run", id), zap.String("worker", string(w.id)))
 		w.outbox.stops = append(w.outbox.stops, id)
 	}
