State the bounds that fit, if those of all workers do not

Found by review: 129 young runs anywhere in a fleet took the bounds from all workers at a handover, the leader's own among them. Without room for the runs of all workers the row has the bounds of single workers still.

--- a/fleet/handover_test.go
+++ b/fleet/handover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"time"
 
@@ -39,24 +38,37 @@
 }
 
 // Guards against a run that starts beside another one, since a bound applies to a run that
-// the row had no room to name.
+// the row had no room to name, and against young runs that take the bounds from all workers.
 func TestRowWithTooManyUnsettledRunsBoundsNoLease(t *testing.T) {
-	for _, unsettled := range []int{maxUnsettledRuns, maxUnsettledRuns + 1} {
-		t.Run(fmt.Sprint(unsettled), func(t *testing.T) {
+	cases := []struct {
+		name       string
+		own, other int // unsettled runs on the leader's worker and on another one
+		bounds     bool
+		handover   bool
+	}{
+		{name: "fit", own: 1, other: maxUnsettledRuns - 1, bounds: true, handover: true},
+		{name: "those of all workers do not fit", own: 1, other: maxUnsettledRuns, bounds: true},
+		{name: "those of the own worker do not fit", own: maxUnsettledRuns + 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			now := bootclock.Time(time.Hour)
-			l, _ := leaderWithWorkers(t, &now, 1)
+			l, _ := leaderWithWorkers(t, &now, 2)
 			l.o.Worker = "w0"
 			l.handover.statedAt = now
-			service := addService(l, "web", int32(unsettled), 1)
-			for i := range unsettled {
-				id := structs.RunID{Task: structs.StepTaskID{Job: "web", Index: int32(i)}, Number: 1}
-				l.workers["w0"].assign(id, "i", service)
+			service := addService(l, "web", int32(c.own+c.other), 1)
+			for i := range c.own + c.other {
+				w := l.workers["w1"]
+				if i < c.own {
+					w = l.workers["w0"]
+				}
+				w.assign(structs.RunID{Task: structs.StepTaskID{Job: "web", Index: int32(i)}, Number: 1}, "i", service)
 			}
 			row := l.nextRow(leadership{}, now)
-			fits := unsettled <= maxUnsettledRuns
-			is.Equal(len(row.bounds()) > 0, fits)
-			is.Equal(row.HandoverMs > 0, fits)
+			is.Equal(len(row.bounds()) > 0, c.bounds)
+			is.Equal(row.HandoverMs > 0, c.handover)
+			is.Equal(l.nextHorizon == l.o.Timing.Lease, c.handover)
 			is.True(l.handover.isSent)
 		})
 	}
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"slices"
 
 	"go.uber.org/zap"
@@ -68,35 +67,47 @@
 }
 
 // nextRow completes the row of a commit that is sent now or later, and begins to grant
-// leases that comply with it. A row that does not fit bounds no leases, and later leaders
-// wait for LeaseHorizon.
+// leases that comply with it. If the names of the unsettled runs of all workers do not fit,
+// the row states no end of all leases, and if those of the workers with a bound do not fit, it has
+// no bounds. Runs that no bound applies to wait for leaseEndsAt or LeaseHorizon.
 func (l *leader) nextRow(row leadership, now bootclock.Time) leadership {
 	bounds := l.leaseBounds(now)
-	unsettled := l.unsettledRuns(bounds, now)
+	isStated := l.handover.isStated()
+	l.handover.isSent = isStated
+	unsettled := l.unsettledRuns(bounds, isStated, now)
+	if isStated && !l.o.fitsIntoRow(bounds, unsettled) {
+		l.reportUnbounded("all workers", bounds, unsettled)
+		l.nextHorizon, isStated = l.o.Timing.LeaseHorizon, false
+		unsettled = l.unsettledRuns(bounds, isStated, now)
+	}
 	if !l.o.fitsIntoRow(bounds, unsettled) {
-		l.log.Warn("leases not bounded: they do not fit into the row", zap.Int("bounds", len(bounds)), zap.Int("unsettled", len(unsettled)))
-		l.metrics.unboundedRows.Add(context.Background(), 1)
-		l.nextHorizon, l.handover.isSent = l.o.Timing.LeaseHorizon, l.handover.isStated()
+		l.reportUnbounded("single workers", bounds, unsettled)
 		return row.withBounds(nil, nil)
 	}
 	row = row.withBounds(bounds, unsettled)
-	if l.handover.isStated() {
-		row.HandoverMs, l.handover.isSent = l.nextHorizon.Milliseconds(), true
+	if isStated {
+		row.HandoverMs = l.nextHorizon.Milliseconds()
 	}
 	return row
 }
 
-// unsettledRuns returns the long-running runs that are not settled, of the workers to which
-// the next row applies: those with a bound, or all of them at a handover. Leases
-// that end later than a handover allows count as those of unsettled runs.
-func (l *leader) unsettledRuns(bounds []leaseBound, now bootclock.Time) []string {
+// reportUnbounded records that a row has no bounds of the given kind.
+func (l *leader) reportUnbounded(kind string, bounds []leaseBound, unsettled []string) {
+	l.log.Warn("leases not bounded: they do not fit into the row", zap.String("kind", kind), zap.Int("bounds", len(bounds)), zap.Int("unsettled", len(unsettled)))
+	l.metrics.count(l.metrics.unboundedRows, kind)
+}
+
+// unsettledRuns returns the long-running runs that are not settled, of the workers with a
+// bound or of all of them. Leases of workers without a bound that end later than the
+// horizon of the next row count as those of unsettled runs.
+func (l *leader) unsettledRuns(bounds []leaseBound, ofAll bool, now bootclock.Time) []string {
 	bounded := make(map[structs.WorkerID]bool, len(bounds))
 	for _, b := range bounds {
 		bounded[b.Worker] = true
 	}
 	var unsettled []string
 	for _, w := range l.sortedWorkers() {
-		if !bounded[w.id] && !l.handover.isStated() {
+		if !bounded[w.id] && !ofAll {
 			continue
 		}
 		isLong := !bounded[w.id] && w.settledLeaseEnd() > now.Add(l.nextHorizon)
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -69,7 +69,7 @@
 	counter(&m.speedChoices, "daisywall.fleet.placement.by_speed", "Placements that the speeds of the workers have changed by choice")
 	counter(&m.copies, "daisywall.fleet.copies", "Copies of speculative tasks started by queue")
 	counter(&m.copiesWon, "daisywall.fleet.copies.won", "Copies that were done before the first run by queue")
-	counter(&m.unboundedRows, "daisywall.fleet.rows.unbounded", "Leadership rows that bound no leases, since the bounds did not fit")
+	counter(&m.unboundedRows, "daisywall.fleet.rows.unbounded", "Leadership rows without bounds of leases, since they did not fit, by kind")
 	counter(&m.commitJobs, "daisywall.fleet.commit.jobs", "Jobs written by commits")
 	seconds := func(into *metric.Float64Histogram, name, description string) {
 		if err == nil {
