--- a/fleet/departures_test.go
+++ b/fleet/departures_test.go
@@ -278,7 +278,8 @@
 // check reports the tasks that ran again too late or not at all.
 func (d *departures) check(seed uint64) {
 	for id, w := range d.waiting {
-		d.late = append(d.late, fmt.Sprintf("%s of %s does not run again within %s", id, w.host.name, time.Since(w.since)))
+		d.late = append(d.late, fmt.Sprintf("%s of %s does not run again within %s, its job is %q",
+			id, w.host.name, time.Since(w.since), d.m.phase(d.m.entry, string(id.Job))))
 	}
 	slices.Sort(d.late)
 	for _, line := range d.late {
