Start nothing on a host whose agent is about to stop

The agent says in its reports that it stops, and drops starts that arrive later, so that the leader assigns them elsewhere with the next list. An agent in Leave still reports the runs that began before.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -212,6 +212,7 @@
 	r.OrdersSeen = a.lastOrderNumber
 	r.Draining = info.Draining
 	r.RemainingMs = info.DrainRemaining.Milliseconds()
+	r.Stopping = a.host.isStopping()
 	select {
 	case a.reports <- r:
 		return nil
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -29,6 +29,7 @@
 	answeredAt       bootclock.Time       // when a leader's last orders arrived, 0 before the first
 	answeredEpoch    int64                // epoch of that leader
 	leaving          bool                 // the runner announced that it ends
+	stopping         bool                 // the agent's process is about to stop
 	doubtful         doubtfulReports      // reports that contradict info
 	changed          chan struct{}        // signalled after a change that the leader must be informed of
 	pacer            *pacer               // nil before the first session with a runner
@@ -106,6 +107,20 @@
 	h.signalChange()
 }
 
+// markStopping records that the agent's process is about to stop.
+func (h *host) markStopping() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopping = true
+	h.signalChange()
+}
+
+func (h *host) isStopping() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stopping
+}
+
 func (h *host) signalChange() {
 	select {
 	case h.changed <- struct{}{}:
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -66,6 +66,7 @@
 // until its context ends.
 func (n *Node) StepDown() {
 	n.stopOnce.Do(func() { close(n.stopRequested) })
+	n.host.markStopping()
 	if l := n.activeLeader(); l != nil {
 		l.requestLeave()
 	}
--- a/fleet/outbox.go
+++ b/fleet/outbox.go
@@ -126,5 +126,5 @@
 
 // mustNotStart reports whether the run must not start any more.
 func (l *leader) mustNotStart(w *worker, r *run) bool {
-	return r.job.StopReason(r.id) != "" || w.draining || l.isOwnHostLeaving(w) || l.drained(w.domain) || r.stopReason != ""
+	return r.job.StopReason(r.id) != "" || w.draining || w.agentStops || l.isOwnHostLeaving(w) || l.drained(w.domain) || r.stopReason != ""
 }
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -22,6 +22,7 @@
 	w.reportedAt = now
 	w.outbox.replyDue = true
 	l.setDraining(w, r)
+	w.agentStops = r.GetStopping()
 	l.updateDescription(w, r.GetHello())
 	if !r.GetListed() || w.incarnation == "" {
 		return
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -30,6 +30,10 @@
 		a.log.Warn("start dropped: order too old", zap.Stringer("run", r), zap.Duration("age", age))
 		return
 	}
+	if a.host.isStopping() {
+		a.log.Info("start dropped: the agent stops", zap.Stringer("run", r))
+		return
+	}
 	basis := a.lastOrdersAt.Add(-age)
 	calls := a.host.recordStart(a.epoch, a.info.Incarnation, r)
 	if calls == nil {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -38,6 +38,7 @@
 	listed         bool // a list of runs was received in this session
 	ready          bool // a list of runs was received in this session that had all ends
 	draining       bool
+	agentStops     bool // the agent's process is about to stop
 	drainRemaining time.Duration
 	attachedAt     bootclock.Time // start of the session
 	detachedAt     bootclock.Time // end of the last session with this leader, 0 before the first
@@ -213,7 +214,7 @@
 	w.listed, w.ready, w.leaseLapsed = false, false, false
 	w.lastEndReceived, w.acknowledgedEnd, w.ends, w.heldBackEnds = 0, 0, nil, heldBackEnds{}
 	w.outbox = outbox{replyDue: true}
-	w.draining = false
+	w.draining, w.agentStops = false, false
 	w.reportedAt = l.o.Clock()
 	w.attachedAt = w.reportedAt
 	w.domain = structs.FailureDomainID(hello.GetFailureDomain())
@@ -323,8 +324,8 @@
 		return "no runner"
 	case w.draining:
 		return "draining"
-	case l.isOwnHostLeaving(w):
-		return "leader stops"
+	case w.agentStops, l.isOwnHostLeaving(w):
+		return "agent stops"
 	case now.Sub(w.listedAt) >= l.o.Timing.SessionTimeout:
 		return "list too old"
 	case l.leaseDuration(w, now) <= 0:
