--- a/fleet/handover.go
+++ b/fleet/handover.go
@@ -23,6 +23,9 @@
 const (
 	ownSettleTime = 600 * time.Millisecond // for the list that shows the last starts on the own host, or that its runner is gone
 	statementTime = 400 * time.Millisecond // for the commit of the first row with the statement
+	// takeoverPause is how long the leader commits nothing after it has asked for a takeover. A
+	// candidate takes over only if the row that it has read has not changed.
+	takeoverPause = contendJitter + 130*time.Millisecond
 )
 
 // advanceHandover takes the next step of a handover if it is due.
@@ -34,12 +37,18 @@
 		if l.areOwnRunsSettled(now) || now.Sub(h.begunAt) >= ownSettleTime {
 			h.statedAt = now
 		}
-	case !h.isStored && now.Sub(h.statedAt) < statementTime:
+	case (!h.isStored || l.commitInFlight) && now.Sub(h.statedAt) < statementTime:
 	case now.Sub(l.takeoverRequestedAt) > takeoverRequestInterval:
 		l.requestTakeover("process stops")
 	}
 }
 
+// awaitsTakeover reports whether a candidate may be about to take over from this leader, which
+// stops as planned.
+func (l *leader) awaitsTakeover() bool {
+	return l.handover.isStored && l.takeoverRequestedAt >= l.handover.statedAt && l.o.Clock().Sub(l.takeoverRequestedAt) < takeoverPause
+}
+
 // areOwnRunsSettled reports whether the worker on this host has listed its runs since the
 // handover has begun, and all of the long-running ones are settled.
 func (l *leader) areOwnRunsSettled(now bootclock.Time) bool {
--- a/fleet/handover_test.go
+++ b/fleet/handover_test.go
@@ -10,6 +10,7 @@
 	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // Guards against a wait of LeaseHorizon after a second planned change, before the first
@@ -147,3 +148,20 @@
 		is.New(m.t).Equal(m.checker.ActiveRuns(), before)
 	})
 }
+
+// Guards against candidates that fail again and again, since the leader that asks for a takeover
+// goes on to commit.
+func TestBusyLeaderThatStopsIsReplacedAtTheFirstRequest(t *testing.T) {
+	runWithServices(t, 8, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		m.beforeCommit.set(func(*simulatedHost, substrate.PartTxn) { time.Sleep(60 * time.Millisecond) })
+		m.streamShortTasks(denseBacklog)
+		time.Sleep(2 * time.Second)
+		begun := time.Now()
+		m.streams.Go(leader.stopAgent)
+		m.nextLeader(leader)
+		if after := time.Since(begun); after > takeoverRequestInterval {
+			m.t.Errorf("another host leads after %s, the limit is %s", after, takeoverRequestInterval)
+		}
+		m.endStreams()
+	})
+}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -285,7 +285,7 @@
 // collected orders.
 func (l *leader) flush(ctx context.Context) {
 	l.advanceHandover()
-	if !l.commitInFlight && l.withdrawn.retry == nil {
+	if !l.commitInFlight && l.withdrawn.retry == nil && !l.awaitsTakeover() {
 		l.schedule(ctx)
 		if len(l.dirtyJobs) > 0 || l.withdrawn.count > 0 || l.hasReturnedWorkers() || (l.handover.isStated() && !l.handover.isSent) || l.o.Clock().Sub(l.commitBeganAt) >= l.o.Timing.CommitInterval {
 			l.commit(ctx)
