--- a/fleet/node.go
+++ b/fleet/node.go
@@ -292,6 +292,9 @@
 	if n.activeLeader() != nil {
 		return nil
 	}
+	if n.isStopping() {
+		return sleep(ctx, searchPause)
+	}
 	endTakeover := sync.OnceFunc(n.beginTakeover())
 	defer endTakeover()
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
