--- a/fleet/run_register.go
+++ b/fleet/run_register.go
@@ -171,9 +171,9 @@
 
 // recordCrash records the runs of the current incarnation, which has ended, for
 // the next session with a leader. The end of a runner that was draining or
-// leaving is no crash. The caller holds mu.
+// leaving, or whose agent is about to stop too, is no crash. The caller holds mu.
 func (h *host) recordCrash() {
-	if h.info.Draining || h.leaving {
+	if h.info.Draining || h.leaving || h.stopping {
 		return
 	}
 	r := h.register(h.info.Incarnation)
