--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -29,6 +29,7 @@
 	isDeadly     bool          // the first task of the last step crashes the runners that start it
 	mayCopy      bool          // its tasks are speculative, and some of their runs are slow
 	runTime      time.Duration // of each run, 0 for a short one
+	longRunning  bool          // its tasks run until it is cancelled
 
 	mu        sync.Mutex
 	accepted  bool // an attempt to submit the job was answered with success
@@ -46,6 +47,9 @@
 	var steps []string
 	for i, n := range j.tasksPerStep {
 		step := fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":10,"gang":%v,"speculative":%v,"estimate_ms":500`, n, taskCPU, j.isGang, j.mayCopy)
+		if j.longRunning {
+			step += `,"long_running":true`
+		}
 		if i > 0 {
 			step += fmt.Sprintf(`,"after":[%d]`, i-1)
 		}
--- a/soak/checkers_test.go
+++ b/soak/checkers_test.go
@@ -1,11 +1,17 @@
 package soak
 
 import (
+	"bytes"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -103,3 +109,27 @@
 		server.Close()
 	}
 }
+
+// Guards against a checker that accepts an agent that goes on after its grace period.
+func TestProcessThatGoesOnAfterSIGTERMIsReported(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const program = "ignores-sigterm"
+	is.NoErr(os.WriteFile(filepath.Join(binaries, program), []byte("#!/bin/sh\ntrap '' TERM\necho ready\nexec sleep 30\n"), 0o700))
+	p, err := newProcess(t.TempDir(), "w1", program, nil)
+	is.NoErr(err)
+	defer p.output.Close()
+	is.NoErr(p.start())
+	defer p.stop(syscall.SIGKILL)
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		output, err := os.ReadFile(p.output.Name())
+		is.NoErr(err)
+		if bytes.Contains(output, []byte("ready")) {
+			break
+		}
+		is.True(time.Now().Before(deadline)) // the program has not started
+	}
+	p.stop(syscall.SIGTERM)
+	is.Equal(len(p.exitViolations()), 1)
+	is.True(strings.Contains(p.exitViolations()[0], "did not exit within its grace period"))
+}
--- a/soak/job_checker_test.go
+++ b/soak/job_checker_test.go
@@ -50,6 +50,12 @@
 	return time.Duration(100+h.Sum32()%800) * time.Millisecond
 }
 
+// isLongRunning reports whether the run lasts until it is stopped.
+func (c *jobChecker) isLongRunning(r structs.RunID) bool {
+	j := c.job(r.Task.Job)
+	return j != nil && j.longRunning
+}
+
 func (c *jobChecker) addJob(j *submittedJob) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -186,7 +186,7 @@
 	h.runnerLink = runnerLink
 	info.Address = runnerLink.address()
 	h.runner = standin.NewTaskRunner(standin.TaskRunnerOptions{
-		Info: info, MaxLease: s.maxLease, RunTime: s.checker.runTime, Observer: s.checker, Gangs: s.gangs,
+		Info: info, MaxLease: s.maxLease, RunTime: s.checker.runTime, LongRunning: s.checker.isLongRunning, Observer: s.checker, Gangs: s.gangs,
 		Crashes: s.checker.crashesAfter, CrashDowntime: time.Duration(1+len(s.hosts)%3) * time.Second,
 	})
 	handler.set(site.Runner(h.runner))
