--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -69,7 +69,6 @@
 	counter(&m.speedChoices, "daisywall.fleet.placement.by_speed", "Placements that the speeds of the workers have changed by choice")
 	counter(&m.copies, "daisywall.fleet.copies", "Copies of speculative tasks started by queue")
 	counter(&m.copiesWon, "daisywall.fleet.copies.won", "Copies that were done before the first run by queue")
-	counter(&m.unboundedRows, "daisywall.fleet.rows.unbounded", "Leadership rows without bounds of leases, since they did not fit, by kind")
 	counter(&m.commitJobs, "daisywall.fleet.commit.jobs", "Jobs written by commits")
 	seconds := func(into *metric.Float64Histogram, name, description string) {
 		if err == nil {
@@ -81,7 +80,6 @@
 	seconds(&m.violations, "daisywall.fleet.violation.seconds", "Time for which the readings of a service were over its latency target")
 	seconds(&m.readingInterval, "daisywall.fleet.reading.interval.seconds", "Time between two readings of the runner")
 	seconds(&m.stoppedWait, "daisywall.fleet.stopped.wait.seconds", "Time from the end of a run that was stopped or moved because of a service to the assignment of its task")
-	seconds(&m.leaseWaits, "daisywall.fleet.lease.wait.seconds", "Time from the last report of a worker to this leader, or from the takeover, to the release of its long-running runs as lapsed by rule")
 	seconds(&m.outages, "daisywall.fleet.outage.seconds", "Time for which a long-running task was not at work")
 	ratios := func(into *metric.Float64Histogram, name, description string) {
 		if err == nil {
@@ -96,11 +94,10 @@
 			metric.WithDescription("Ratio of the predicted to the real time from the acceptance of a job to its end by queue"),
 			metric.WithExplicitBucketBoundaries(0.1, 0.2, 0.35, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 3, 5, 10))
 	}
-	if err == nil {
-		err = m.addLoad(meter)
-	}
-	if err == nil {
-		err = m.addRunners(meter)
+	for _, add := range []func(metric.Meter) error{m.addLoad, m.addRunners, m.addLeases} {
+		if err == nil {
+			err = add(meter)
+		}
 	}
 	if err != nil {
 		return nil, fmt.Errorf("fleet metrics: %w", err)
@@ -108,6 +105,17 @@
 	return m, nil
 }
 
+// addLeases adds the instruments of waits for leases and of rows without their bounds.
+func (m *metrics) addLeases(meter metric.Meter) (err error) {
+	if m.leaseWaits, err = meter.Float64Histogram("daisywall.fleet.lease.wait.seconds", metric.WithUnit("s"),
+		metric.WithDescription("Time from the last report of a worker to this leader, or from the takeover, to the release of its long-running runs as lapsed by rule")); err != nil {
+		return err
+	}
+	m.unboundedRows, err = meter.Int64Counter("daisywall.fleet.rows.unbounded",
+		metric.WithDescription("Leadership rows without bounds of leases, since they did not fit, by kind"))
+	return err
+}
+
 // addRunners adds the instruments of long-running tasks without a run, of lists that lack
 // ends, of split orders and of doubtful reports of runners.
 func (m *metrics) addRunners(meter metric.Meter) (err error) {
--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -110,13 +110,14 @@
 // Guards against a leader that never hands over, since its process was told to stop while it
 // took over.
 func TestLongRunningTasksOfHostsThatStopBesideTheLeaderRunAgainInTime(t *testing.T) {
-	for _, after := range []time.Duration{0, 100, 200, 300, 400, 500, 700} {
-		t.Run((after * time.Millisecond).String(), func(t *testing.T) {
+	for _, ms := range []int64{0, 100, 200, 300, 400, 500, 700} {
+		after := time.Duration(ms) * time.Millisecond
+		t.Run(after.String(), func(t *testing.T) {
 			runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
 				checkRestarts(m, func(l *lostHosts) {
 					m.listDelay.Store(int64(150 * time.Millisecond))
 					l.stop(leader, false)
-					time.Sleep(after * time.Millisecond)
+					time.Sleep(after)
 					for _, h := range m.randomHosts(9) {
 						if h != leader {
 							l.stop(h, false)
--- a/fleet/read_state.go
+++ b/fleet/read_state.go
@@ -23,23 +23,22 @@
 	l.stopFirstCommits = stopCommits
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	done := make(chan error, 1)
+	var loaded storedState
+	var loadErr error
+	done := make(chan struct{})
 	go func() {
-		var err error
-		state, err = loadState(ctx, l.o.Store, l.o.Log)
-		done <- err
+		defer close(done)
+		loaded, loadErr = loadState(ctx, l.o.Store, l.o.Log)
 	}()
 	tick := time.NewTicker(l.o.Timing.CommitInterval)
 	defer tick.Stop()
 	l.commitRow(commitCtx, leases)
 	for {
 		select {
-		case err := <-done:
-			return state, err
+		case <-done:
+			return loaded, loadErr
 		case result := <-l.commitResults:
 			if result.err != nil {
-				cancel()
-				<-done // the read writes state
 				return storedState{}, result.err
 			}
 			l.handleRowCommit(result)
