--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -18,9 +18,9 @@
 )
 
 // Leave prepares the end of the process, while Run continues. If this node leads, another
-// one is asked to take over. Leave returns once another node leads that knows what has become of
-// the host's runner, or after leaveTimeout, or when ctx ends, and at once from a leader
-// that no other agent has attended. What the agent does not
+// one is asked to take over. Leave returns once it is stored that the host's runner has
+// ended, or another node leads that has a list of its runs; after leaveTimeout; when ctx
+// ends; and at once from a leader that no other agent has attended. What the agent does not
 // report before the process stops costs the tasks of the host the wait for its leases.
 func (n *Node) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
