--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -76,25 +76,6 @@
 	runnerClockAt   bootclock.Time         // when the answer with runnerClock arrived, at or after the reading
 }
 
-// startOp is a start that is in progress, or that is settled but may be missing
-// from the last list of runs.
-type startOp struct {
-	cancel        context.CancelFunc
-	settledAtPoll int64 // value of pollCount when the start was settled, -1 until then
-	// mayStartUntil is set when the start is abandoned although a call without
-	// an answer may still start the run, see startOutcome.
-	mayStartUntil substrate.RuntimeClock
-}
-
-// isSettledBy reports whether a list of runs settles the start: it contains the
-// run, or the run never starts. clock is the runner's clock in that list.
-func (op *startOp) isSettledBy(pollNumber int64, clock substrate.RuntimeClock) bool {
-	if op.settledAtPoll >= 0 {
-		return op.settledAtPoll < pollNumber
-	}
-	return op.mayStartUntil > 0 && clock >= op.mayStartUntil
-}
-
 func newAgentSession(host *host, row leaderRow, info substrate.RunnerInfo, stream fleetpb.Fleet_AttendClient) *agentSession {
 	a := &agentSession{
 		host: host, row: row, info: info, stream: stream,
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -14,6 +14,25 @@
 	"github.com/daisywall/daisywall/substrate"
 )
 
+// startOp is a start that is in progress, or that is settled but may be missing
+// from the last list of runs.
+type startOp struct {
+	cancel        context.CancelFunc
+	settledAtPoll int64 // value of pollCount when the start was settled, -1 until then
+	// mayStartUntil is set when the start is abandoned although a call without
+	// an answer may still start the run, see startOutcome.
+	mayStartUntil substrate.RuntimeClock
+}
+
+// isSettledBy reports whether a list of runs settles the start: it contains the
+// run, or the run never starts. clock is the runner's clock in that list.
+func (op *startOp) isSettledBy(pollNumber int64, clock substrate.RuntimeClock) bool {
+	if op.settledAtPoll >= 0 {
+		return op.settledAtPoll < pollNumber
+	}
+	return op.mayStartUntil > 0 && clock >= op.mayStartUntil
+}
+
 // beginStart starts a run in the background. It drops orders that are too old,
 // because the state on which they are based may have changed.
 func (a *agentSession) beginStart(ctx context.Context, s *fleetpb.Start, age time.Duration) {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -254,41 +254,6 @@
 	return w
 }
 
-// goneIncarnation is an incarnation of which the agent has said that it has ended.
-type goneIncarnation struct {
-	incarnation string
-	unstored    int // jobs with runs of it whose release is not stored
-}
-
-// acknowledgeGone tells the agent that the incarnation has ended once the release of its runs
-// is stored. An agent that stops may stay until then, because a release in the memory of the
-// leader is lost with it.
-func (l *leader) acknowledgeGone(w *worker, incarnation string, released []*run) {
-	if w.gone == nil || w.gone.incarnation != incarnation {
-		w.gone = &goneIncarnation{incarnation: incarnation}
-	}
-	gone, jobs := w.gone, map[*job]bool{}
-	for _, r := range released {
-		if !jobs[r.job] {
-			jobs[r.job] = true
-			gone.unstored++
-			l.markDirty(r.job, func() {
-				gone.unstored--
-				w.outbox.ackDue = true
-			}, nil)
-		}
-	}
-}
-
-// storedGone returns the incarnation in the last hello whose end is stored, or an empty
-// text.
-func (w *worker) storedGone() string {
-	if w.gone == nil || w.gone.unstored > 0 {
-		return ""
-	}
-	return w.gone.incarnation
-}
-
 // sessionBits is the number of low bits of a fencing token that hold the
 // session number.
 const sessionBits = 20
@@ -472,29 +437,3 @@
 	return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Round, b.Task.Round),
 		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number))
 }
-
-// runToProto and runFromProto convert between a run and its protocol message.
-func runToProto(r structs.RunID) *fleetpb.Run {
-	return &fleetpb.Run{Job: string(r.Task.Job), Round: r.Task.Round, Step: r.Task.Step, Index: r.Task.Index, Number: r.Number}
-}
-
-func runFromProto(r *fleetpb.Run) structs.RunID {
-	id := structs.StepTaskID{Job: structs.JobID(r.GetJob()), Round: r.GetRound(), Step: r.GetStep(), Index: r.GetIndex()}
-	return structs.RunID{Task: id, Number: r.GetNumber()}
-}
-
-func runsToProto(runs []structs.RunID) []*fleetpb.Run {
-	list := make([]*fleetpb.Run, 0, len(runs))
-	for _, r := range runs {
-		list = append(list, runToProto(r))
-	}
-	return list
-}
-
-func runsFromProto(list []*fleetpb.Run) []structs.RunID {
-	runs := make([]structs.RunID, 0, len(list))
-	for _, r := range list {
-		runs = append(runs, runFromProto(r))
-	}
-	return runs
-}
