--- a/fleet/node.go
+++ b/fleet/node.go
@@ -181,6 +181,9 @@
 	switch {
 	case end == endLost, end == endReplaced:
 		return sleep(ctx, reattachPause/2+rand.N(reattachPause))
+	case n.isStopping() && end == endNoAnswer:
+		_, err := n.waitForNextLeader(ctx, row, n.o.Timing.TakeoverAfter)
+		return err
 	case n.isStopping() || n.activeLeader() != nil:
 		return sleep(ctx, searchPause)
 	}
