Give a task up after two crashes only if both were at its start

Callers saw: a sound job ended as failed after two crashes of its runners by chance.

Cause: two crashes at ages up to 30 ms apart were proof at any age. Here a runner crashed and, 13 s later, another one was restarted, each about 0.3 s after a start of the same task. All six failures that were traced are of this form (ages 300 and 305, 299 and 282, 318 and 296, 311 and 309, 287 and 299, 300 and 300 ms; blame 106 to 108 of 97).

--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -15,6 +15,7 @@
 	newestWindow   = 250 * time.Millisecond // difference of ages that are taken as equal
 	thirdCrashGap  = 100 * time.Millisecond // highest difference of the ages at the second and third crash with which a task is given up
 	secondCrashGap = 30 * time.Millisecond  // the same for the first and second crash
+	secondCrashAge = 100 * time.Millisecond // highest age at the second crash with which a task is given up
 	halfBlameAge   = 250 * time.Millisecond // age at which a run gets half of the blame for a crash at its start
 	maxCrashAge    = 10 * time.Second       // older runs are not counted in a crash
 	outliveMargin  = 500 * time.Millisecond // time by which a run must outlive the earlier one to clear its task
@@ -141,15 +142,16 @@
 		t.Crashes++
 	}
 	j.endRun(r.Run, t, checkpoint)
-	if t.crashesRunners(counter.Blame, gap) || t.Crashes >= maxCrashes && !j.Step(r.Run.Task).LongRunning {
+	if t.crashesRunners(counter.Blame, r.Age, gap) || t.Crashes >= maxCrashes && !j.Step(r.Run.Task).LongRunning {
 		j.fail(FailedCrashes)
 	}
 	return true
 }
 
 // crashesRunners reports whether the task is given up for its crashes with the
-// blame. gap is the difference of the ages at the last two.
-func (t *Task) crashesRunners(blame int32, gap time.Duration) bool {
+// blame. age is that of its run at the last crash, gap the difference to its age
+// at the one before.
+func (t *Task) crashesRunners(blame int32, age, gap time.Duration) bool {
 	switch {
 	case blame >= certainBlame:
 		return true
@@ -158,7 +160,7 @@
 	case t.Crashes == 3:
 		return blame >= fullBlame && gap <= thirdCrashGap
 	case t.Crashes == 2:
-		return blame >= fullBlame && gap <= secondCrashGap
+		return blame >= fullBlame && gap <= secondCrashGap && age <= secondCrashAge
 	default:
 		return false
 	}
--- a/workflow/crash_test.go
+++ b/workflow/crash_test.go
@@ -57,6 +57,8 @@
 		{"one crash", []lost{at(0)}, false},
 		{"two crashes at the start", []lost{at(0), at(0)}, true},
 		{"two crashes at different ages", []lost{at(0), at(400 * time.Millisecond)}, false},
+		{"two crashes at the same age after the start", []lost{at(300 * time.Millisecond), at(305 * time.Millisecond)}, false},
+		{"three crashes at the same age after the start", []lost{at(300 * time.Millisecond), at(305 * time.Millisecond), at(295 * time.Millisecond)}, true},
 		{"two crashes while others crash", []lost{{0, 2, true}, {0, 2, true}}, false},
 		{"four crashes while others crash", []lost{{0, 2, true}, {0, 2, true}, {0, 2, true}, {0, 2, true}}, true},
 		{"three crashes long after the start", []lost{at(2 * time.Second), at(2 * time.Second), at(2 * time.Second)}, false},
