Let witnesses limit the leases of hosts that are lost with the leader

Callers saw: long-running tasks of a host that is lost at the same time as the leader, or less than 1.2 s before it, run again 10 to 12 s later, limit 9 s (fleet.TestHostsThatAreLostAroundAChangeOfTheLeaderRunAgainInTime, red). A rack that is lost with the leader on it is such a case.

Cause: nobody who is left knows the end of the host's leases. The next leader waits for LeaseHorizon (9.7 s), for which a leader may go on granting leases after its last commit, so that an outage of the store ends no work. It can't tell a lost leader from one that is cut off together with some hosts.

Fix: each row names up to nine workers of several failure domains as witnesses. The leader grants leases only up to 4.9 s after most of them have certainly attended it, which costs nothing in an outage of the store: they attend it then. An agent that attends a next leader goes back to no earlier one. So once most witnesses attend the next leader, all leases of the earlier one end within 4.9 s; starts that are not settled are named in the row, as at a handover. The leader's own worker has a bound of its own, as before.

withoutBounds in the tests, which writes rows as earlier versions did, leaves the new parts out as well.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -77,7 +77,8 @@
 	horizon, nextHorizon       time.Duration
 	ownHorizon, nextOwnHorizon time.Duration
 	handover                   handover
-	takeoverRequestedAt        bootclock.Time // when the other nodes were last asked to take over
+	nextWitnesses              witnessedLeases // in the commit in flight, or in the last one
+	takeoverRequestedAt        bootclock.Time  // when the other nodes were last asked to take over
 	interference               *steps.Interference
 	backlog                    *steps.Backlog
 	lastViews                  []*steps.Worker    // workers after the last scheduling cycle, nil if no task was pending
--- a/fleet/leadership.go
+++ b/fleet/leadership.go
@@ -37,11 +37,12 @@
 	// lost with earlier leaders. A row that an earlier version wrote bounds none.
 	Leases []leaseBound `json:"leases,omitempty"`
 	settledLeases
+	witnessedLeases
 }
 
 func (l leadership) equal(other leadership) bool {
 	return l.Address == other.Address && l.Epoch == other.Epoch && l.Commit == other.Commit && slices.Equal(l.Leases, other.Leases) &&
-		l.settledLeases.equal(other.settledLeases)
+		l.settledLeases.equal(other.settledLeases) && l.witnessedLeases.equal(other.witnessedLeases)
 }
 
 // leaderRow is the leadership row as read from the store. Version is 0 if there
@@ -58,7 +59,7 @@
 // epoch in a transaction of its own, so the epoch never exceeds the version.
 func (r leaderRow) isPossible() bool {
 	return r.Address != "" && r.Epoch > 0 && r.Epoch <= r.Version && r.Commit >= 0 &&
-		isPossibleBound(r.HandoverMs) && !slices.ContainsFunc(r.bounds(), func(b leaseBound) bool { return !isPossibleBound(b.Ms) || !isPossibleBound(b.UnsettledMs) })
+		isPossibleBound(r.HandoverMs) && r.witnessedLeases.isPossible() && !slices.ContainsFunc(r.bounds(), func(b leaseBound) bool { return !isPossibleBound(b.Ms) || !isPossibleBound(b.UnsettledMs) })
 }
 
 func isPossibleBound(ms int64) bool { return ms >= 0 && ms <= maxLeaseBound.Milliseconds() }
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -114,6 +114,10 @@
 	// else it is 0.
 	handoverEndAt bootclock.Time
 	unsettled     []string // long-running runs that only endAt applies to
+	// witnessed is what the row of the earlier leader states, and witnessedAt is when most of
+	// the witnesses were first known to attend this leader, 0 until then.
+	witnessed   witnessedLeases
+	witnessedAt bootclock.Time
 }
 
 // boundedWorker is a worker that was lost, with an earlier leader or to this one.
@@ -131,7 +135,7 @@
 // worker, so that LeaseHorizon applies to all of them.
 func (t Timing) earlierLeases(own structs.WorkerID, seen leaderRow, readAt bootclock.Time, reads leaderReads) earlierLeases {
 	e := earlierLeases{endAt: readAt.Add(t.LeaseHorizon), ownEndAt: readAt.Add(t.LeaseHorizon)}
-	e.unsettled = seen.Unsettled
+	e.unsettled, e.witnessed = seen.Unsettled, seen.witnessedLeases
 	if seen.HandoverMs > 0 {
 		e.handoverEndAt = endAfter(seen.HandoverMs, readAt)
 		e.ownEndAt = e.handoverEndAt
@@ -213,11 +217,13 @@
 	if w.boundEndsAt > 0 {
 		return 0
 	}
-	horizon := min(l.horizon, l.nextHorizon)
+	end := l.lastCommitSentAt.Add(min(l.horizon, l.nextHorizon))
 	if w.id == l.o.Worker {
-		horizon = min(horizon, l.ownHorizon, l.nextOwnHorizon)
+		end = min(end, l.lastCommitSentAt.Add(min(l.ownHorizon, l.nextOwnHorizon)))
+	} else {
+		end = l.limitByWitnesses(end)
 	}
-	return max(0, min(l.o.Timing.Lease, l.lastCommitSentAt.Add(horizon).Sub(now)))
+	return max(0, min(l.o.Timing.Lease, end.Sub(now)))
 }
 
 // leaseBounds returns the bounds in the next row, which is sent now or later, and begins
@@ -297,6 +303,8 @@
 		return true
 	case w.detachedAt > 0:
 		return now.Sub(w.detachedAt) >= lostAfter
+	case l.earlierLeases.witnessedAt > 0 && now.Sub(l.earlierLeases.witnessedAt) >= lostAfter:
+		return true // most others have found this leader
 	default:
 		return now.Sub(l.startedAt) >= lostAfterTakeover
 	}
@@ -312,6 +320,8 @@
 		return w.boundEndsAt
 	case w.handoverEndsAt > 0:
 		return min(w.handoverEndsAt, w.leaseEndsAt)
+	case w.witnessedEndsAt > 0:
+		return min(w.witnessedEndsAt, w.leaseEndsAt)
 	default:
 		return w.leaseEndsAt
 	}
--- a/fleet/lease_bounds_test.go
+++ b/fleet/lease_bounds_test.go
@@ -178,7 +178,7 @@
 	if err := json.Unmarshal(row, &l); err != nil {
 		panic(err)
 	}
-	l.Leases = nil
+	l.Leases, l.settledLeases, l.witnessedLeases = nil, settledLeases{}, witnessedLeases{}
 	value, err := json.Marshal(l)
 	if err != nil {
 		panic(err)
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -72,23 +72,33 @@
 // no bounds. Runs that no bound applies to wait for leaseEndsAt or LeaseHorizon.
 func (l *leader) nextRow(row leadership, now bootclock.Time) leadership {
 	bounds := l.leaseBounds(now)
-	isStated := l.handover.isStated()
-	l.handover.isSent = isStated
-	unsettled := l.unsettledRuns(bounds, isStated, now)
-	if isStated && !l.o.fitsIntoRow(bounds, unsettled) {
+	l.handover.isSent = l.handover.isStated()
+	l.nextWitnesses = witnessedLeases{}
+	if l.handover.isStated() {
+		unsettled := l.unsettledRuns(bounds, now.Add(l.nextHorizon), now)
+		if l.o.fitsIntoRow(bounds, unsettled) {
+			row = row.withBounds(bounds, unsettled)
+			row.HandoverMs = l.nextHorizon.Milliseconds()
+			return row
+		}
 		l.reportUnbounded("all workers", bounds, unsettled)
-		l.nextHorizon, isStated = l.o.Timing.LeaseHorizon, false
-		unsettled = l.unsettledRuns(bounds, isStated, now)
+		l.nextHorizon = l.o.Timing.LeaseHorizon
+	} else if witnessed := l.chooseWitnesses(now); witnessed.isStated() {
+		unsettled := l.unsettledRuns(bounds, endAfter(witnessed.WitnessMs, now), now)
+		if l.o.fitsIntoRow(bounds, unsettled) {
+			l.nextWitnesses = witnessed
+			row = row.withBounds(bounds, unsettled)
+			row.witnessedLeases = witnessed
+			return row
+		}
+		l.metrics.count(l.metrics.unboundedRows, "witnesses")
 	}
+	unsettled := l.unsettledRuns(bounds, 0, now)
 	if !l.o.fitsIntoRow(bounds, unsettled) {
 		l.reportUnbounded("single workers", bounds, unsettled)
 		return row.withBounds(nil, nil)
 	}
-	row = row.withBounds(bounds, unsettled)
-	if isStated {
-		row.HandoverMs = l.nextHorizon.Milliseconds()
-	}
-	return row
+	return row.withBounds(bounds, unsettled)
 }
 
 // reportUnbounded records that a row has no bounds of the given kind.
@@ -97,20 +107,20 @@
 	l.metrics.count(l.metrics.unboundedRows, kind)
 }
 
-// unsettledRuns returns the long-running runs that are not settled, of the workers with a
-// bound or of all of them. Leases of workers without a bound that end later than the
-// horizon of the next row count as those of unsettled runs.
-func (l *leader) unsettledRuns(bounds []leaseBound, ofAll bool, now bootclock.Time) []string {
+// unsettledRuns returns the long-running runs that are not settled. allEndBy is the end of the
+// leases of workers without a bound that the next row states, 0 if it states none: then their
+// runs are left out, else those with leases that end later count as unsettled.
+func (l *leader) unsettledRuns(bounds []leaseBound, allEndBy, now bootclock.Time) []string {
 	bounded := make(map[structs.WorkerID]bool, len(bounds))
 	for _, b := range bounds {
 		bounded[b.Worker] = true
 	}
 	var unsettled []string
 	for _, w := range l.sortedWorkers() {
-		if !bounded[w.id] && !ofAll {
+		if !bounded[w.id] && allEndBy == 0 {
 			continue
 		}
-		isLong := !bounded[w.id] && w.settledLeaseEnd() > now.Add(l.nextHorizon)
+		isLong := !bounded[w.id] && w.settledLeaseEnd() > allEndBy
 		for _, r := range w.sortedRuns() {
 			if r.job.Step(r.id.Task).LongRunning && (isLong || !l.isSettled(w, r, now)) {
 				unsettled = append(unsettled, r.id.String())
--- a/fleet/lease_waits.go
+++ b/fleet/lease_waits.go
@@ -19,6 +19,7 @@
 	ruleHorizon  leaseRule = "horizon"    // the longest lease that earlier leaders can have granted
 	ruleBound    leaseRule = "bound"      // the leadership row of an earlier leader bounds them
 	ruleHandover leaseRule = "handover"   // an earlier leader has bounded the leases of all workers when it stopped
+	ruleWitness  leaseRule = "witnesses"  // most of the earlier leader's witnesses attend this one
 	ruleList     leaseRule = "first list" // the worker has listed its runs to this leader
 	ruleGranted  leaseRule = "granted"    // this leader has granted the last lease
 )
@@ -31,6 +32,8 @@
 		return ruleBound
 	case w.listedAt == 0 && w.handoverEndsAt > 0:
 		return ruleHandover
+	case w.listedAt == 0 && w.witnessedEndsAt > 0:
+		return ruleWitness
 	case w.listedAt == 0:
 		return ruleHorizon
 	case w.isLeaseLimitedByList:
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -175,6 +175,10 @@
 	return min(t.LeaseHorizon, max(t.Lease, longest))
 }
 
+// witnessHorizon returns how long leases last at most after most of the witnesses have
+// certainly attended the leader. Witnesses that attend confirm orders at ReportInterval.
+func (t Timing) witnessHorizon() time.Duration { return t.Lease + t.ReportInterval }
+
 // leaseLapseDelay returns the time after the end of a lease at which it has
 // lapsed even on a runner with a slow clock.
 func (t Timing) leaseLapseDelay() time.Duration {
--- a/fleet/outbox.go
+++ b/fleet/outbox.go
@@ -91,6 +91,7 @@
 			w.leaseEndsAt, w.isLeaseLimitedByList = end, false
 		}
 	}
+	w.session.recordOrders(now)
 	w.outbox = outbox{starts: out.starts}
 	return orders
 }
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -21,6 +21,7 @@
 	now := l.o.Clock()
 	w.reportedAt = now
 	w.outbox.replyDue = true
+	l.confirmOrders(w, r.GetOrdersSeen())
 	l.setDraining(w, r)
 	w.agentStops = r.GetStopping()
 	l.updateDescription(w, r.GetHello())
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -31,6 +31,7 @@
 	worker          *worker
 	fencingToken    int64
 	lastOrderNumber int64
+	unconfirmed     []sentOrders // in order of their numbers
 }
 
 func newSession() *session {
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -100,8 +100,9 @@
 	listener    *bufconn.Listener
 	cancel      context.CancelFunc
 	done        chan struct{}
-	partitioned bool // the host cannot reach the other hosts
-	silent      bool // the runner's reports don't reach the agent
+	partitioned bool   // the host cannot reach the other hosts
+	island      string // hosts with the same name reach each other behind a partition, "" for none
+	silent      bool   // the runner's reports don't reach the agent
 	// startFault and stopFault return the error of a start or a stop that does
 	// not reach the runner, or nil. They may be nil.
 	startFault, stopFault callFault
@@ -282,9 +283,9 @@
 				continue
 			}
 			h.mu.Lock()
-			listener, unreachable := h.listener, h != from && (h.partitioned || (from != nil && from.isPartitioned()))
+			listener := h.listener
 			h.mu.Unlock()
-			if unreachable {
+			if h.isCutFrom(from) {
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
@@ -308,6 +309,27 @@
 	return h.partitioned
 }
 
+// isCutFrom reports whether a partition is between the hosts. Hosts of one island reach each
+// other. A caller on no host is nil.
+func (h *simulatedHost) isCutFrom(from *simulatedHost) bool {
+	switch {
+	case h == from:
+		return false
+	case from == nil:
+		return h.isPartitioned()
+	case h.islandName() != "" && h.islandName() == from.islandName():
+		return false
+	default:
+		return h.isPartitioned() || from.isPartitioned()
+	}
+}
+
+func (h *simulatedHost) islandName() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.island
+}
+
 // partitionableConn discards all data from the time on when one of its hosts is
 // partitioned, even after the partition has ended.
 type partitionableConn struct {
@@ -320,7 +342,7 @@
 func (c *partitionableConn) isLost() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.from != c.to && (c.to.isPartitioned() || (c.from != nil && c.from.isPartitioned())) {
+	if c.to.isCutFrom(c.from) {
 		c.lost = true
 	}
 	return c.lost
@@ -533,6 +555,18 @@
 	h.partitioned = partitioned
 }
 
+// cutOffIsland cuts the hosts off from all others and from the store, but not from each other.
+func cutOffIsland(name string, hosts []*simulatedHost) {
+	for _, h := range hosts {
+		h.mu.Lock()
+		h.island = name
+		h.mu.Unlock()
+	}
+	for _, h := range hosts {
+		cutOff(h)
+	}
+}
+
 func (f *simulatedFleet) close() {
 	for _, h := range f.hosts {
 		h.killAgent()
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -55,9 +55,13 @@
 	// handoverEndsAt is the end of the leases of the settled runs that an earlier leader has
 	// stated for all workers at its handover, 0 without one.
 	handoverEndsAt bootclock.Time
-	runStartedAt   bootclock.Time // when a run was last listed for the first time
-	listSentAt     int64          // sent_at of the last report with a list
-	leaseLapsed    bool           // the lease has lapsed and the runs were released
+	// witnessedEndsAt is the same as the witnesses of the earlier leader have shown, 0 until then.
+	witnessedEndsAt bootclock.Time
+	witnessedAt     bootclock.Time // since when the agent has attended this leader, 0 until it has confirmed orders
+	confirmedAt     bootclock.Time // when the last orders were sent that the agent is known to have received
+	runStartedAt    bootclock.Time // when a run was last listed for the first time
+	listSentAt      int64          // sent_at of the last report with a list
+	leaseLapsed     bool           // the lease has lapsed and the runs were released
 	// isLeaseLimitedByList is set while leaseEndsAt is that of limitEarlierLease.
 	isLeaseLimitedByList bool
 	isLeaseWaitReported  bool // see reportLeaseWait
