Pass witnesses on until the next leader has its own

Callers saw: after two losses of a leader in series, the second one within a fraction of a second of its takeover, tasks of a host that was lost with the first one wait for LeaseHorizon again: the first rows of a leader named no witnesses, since it has none yet.

Change: a leader passes the witnesses of the last one on for up to 2 s. The names of unsettled runs are those of the last row and the new ones.

A first form granted no lease until a row with its own witnesses was stored. Runs whose leases were about to end in an outage of the store ended then (TestTasksKeepRunningDuringAStoreOutage, in most of 40 runs); it was dropped.

Evidence: fleet.TestHostsThatAreLostAroundAChangeOfTheLeaderRunAgainInTime, 104 subtests, without -race: 72 failed with 690 late tasks on, 56 with 335 now.

--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -44,6 +44,7 @@
 	if e.handoverEndAt > 0 {
 		row.HandoverMs = millisecondsLeft(max(e.handoverEndAt, now.Add(t.Lease)), now)
 	}
+	row.witnessedLeases = e.passOn(t, now)
 	return row
 }
 
@@ -83,14 +84,18 @@
 		}
 		l.reportUnbounded("all workers", bounds, unsettled)
 		l.nextHorizon = l.o.Timing.LeaseHorizon
-	} else if witnessed := l.chooseWitnesses(now); witnessed.isStated() {
+	} else if witnessed := l.nextWitnessedLeases(now); witnessed.isStated() {
+		l.nextWitnesses = witnessed
 		unsettled := l.unsettledRuns(bounds, endAfter(witnessed.WitnessMs, now), now)
 		if l.o.fitsIntoRow(bounds, unsettled) {
-			l.nextWitnesses = witnessed
+			if witnessed.isPassedOn() {
+				l.nextHorizon = l.o.Timing.Lease
+			}
 			row = row.withBounds(bounds, unsettled)
 			row.witnessedLeases = witnessed
 			return row
 		}
+		l.nextWitnesses = witnessedLeases{}
 		l.metrics.count(l.metrics.unboundedRows, "witnesses")
 	}
 	unsettled := l.unsettledRuns(bounds, 0, now)
@@ -109,7 +114,8 @@
 
 // unsettledRuns returns the long-running runs that are not settled. allEndBy is the end of the
 // leases of workers without a bound that the next row states, 0 if it states none: then their
-// runs are left out, else those with leases that end later count as unsettled.
+// runs are left out, else those with leases that end later count as unsettled. Leases of an
+// earlier leader end as the witnesses show that the row passes on.
 func (l *leader) unsettledRuns(bounds []leaseBound, allEndBy, now bootclock.Time) []string {
 	bounded := make(map[structs.WorkerID]bool, len(bounds))
 	for _, b := range bounds {
@@ -120,7 +126,8 @@
 		if !bounded[w.id] && allEndBy == 0 {
 			continue
 		}
-		isLong := !bounded[w.id] && w.settledLeaseEnd() > allEndBy
+		isEarlier := w.listedAt == 0 && l.nextWitnesses.isPassedOn()
+		isLong := !bounded[w.id] && !isEarlier && w.settledLeaseEnd() > allEndBy
 		for _, r := range w.sortedRuns() {
 			if r.job.Step(r.id.Task).LongRunning && (isLong || !l.isSettled(w, r, now)) {
 				unsettled = append(unsettled, r.id.String())
