Revert "Pass witnesses on until the next leader has its own"

Takeovers and faults of the store come together, so that this costs more than the shorter wait after two losses of a leader within a fraction of a second is worth.

--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -118,9 +118,6 @@
 	// the witnesses were first known to attend this leader, 0 until then.
 	witnessed   witnessedLeases
 	witnessedAt bootclock.Time
-	// grantedEndAt is the end of the leases that were granted since the leader of the
-	// witnesses, 0 if that was the last one.
-	grantedEndAt bootclock.Time
 }
 
 // boundedWorker is a worker that was lost, with an earlier leader or to this one.
@@ -139,9 +136,6 @@
 func (t Timing) earlierLeases(own structs.WorkerID, seen leaderRow, readAt bootclock.Time, reads leaderReads) earlierLeases {
 	e := earlierLeases{endAt: readAt.Add(t.LeaseHorizon), ownEndAt: readAt.Add(t.LeaseHorizon)}
 	e.unsettled, e.witnessed = seen.Unsettled, seen.witnessedLeases
-	if seen.isPassedOn() {
-		e.grantedEndAt = endAfter(seen.GrantedMs, readAt)
-	}
 	if seen.HandoverMs > 0 {
 		e.handoverEndAt = endAfter(seen.HandoverMs, readAt)
 		e.ownEndAt = e.handoverEndAt
@@ -197,7 +191,7 @@
 // restoreLeases restores the ends of the leases of earlier leaders.
 func (l *leader) restoreLeases(e earlierLeases) {
 	l.earlierLeases = e
-	if e.handoverEndAt > 0 || e.witnessed.isStated() { // as the first rows state
+	if e.handoverEndAt > 0 { // as the first rows state
 		l.horizon, l.nextHorizon = l.o.Timing.Lease, l.o.Timing.Lease
 	}
 	if e.isOwnEndKnown {
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -44,7 +44,6 @@
 	if e.handoverEndAt > 0 {
 		row.HandoverMs = millisecondsLeft(max(e.handoverEndAt, now.Add(t.Lease)), now)
 	}
-	row.witnessedLeases = e.passOn(t, now)
 	return row
 }
 
@@ -84,18 +83,14 @@
 		}
 		l.reportUnbounded("all workers", bounds, unsettled)
 		l.nextHorizon = l.o.Timing.LeaseHorizon
-	} else if witnessed := l.nextWitnessedLeases(now); witnessed.isStated() {
-		l.nextWitnesses = witnessed
+	} else if witnessed := l.chooseWitnesses(now); witnessed.isStated() {
 		unsettled := l.unsettledRuns(bounds, endAfter(witnessed.WitnessMs, now), now)
 		if l.o.fitsIntoRow(bounds, unsettled) {
-			if witnessed.isPassedOn() {
-				l.nextHorizon = l.o.Timing.Lease
-			}
+			l.nextWitnesses = witnessed
 			row = row.withBounds(bounds, unsettled)
 			row.witnessedLeases = witnessed
 			return row
 		}
-		l.nextWitnesses = witnessedLeases{}
 		l.metrics.count(l.metrics.unboundedRows, "witnesses")
 	}
 	unsettled := l.unsettledRuns(bounds, 0, now)
@@ -114,8 +109,7 @@
 
 // unsettledRuns returns the long-running runs that are not settled. allEndBy is the end of the
 // leases of workers without a bound that the next row states, 0 if it states none: then their
-// runs are left out, else those with leases that end later count as unsettled. Leases of an
-// earlier leader end as the witnesses show that the row passes on.
+// runs are left out, else those with leases that end later count as unsettled.
 func (l *leader) unsettledRuns(bounds []leaseBound, allEndBy, now bootclock.Time) []string {
 	bounded := make(map[structs.WorkerID]bool, len(bounds))
 	for _, b := range bounds {
@@ -126,8 +120,7 @@
 		if !bounded[w.id] && allEndBy == 0 {
 			continue
 		}
-		isEarlier := w.listedAt == 0 && l.nextWitnesses.isPassedOn()
-		isLong := !bounded[w.id] && !isEarlier && w.settledLeaseEnd() > allEndBy
+		isLong := !bounded[w.id] && w.settledLeaseEnd() > allEndBy
 		for _, r := range w.sortedRuns() {
 			if r.job.Step(r.id.Task).LongRunning && (isLong || !l.isSettled(w, r, now)) {
 				unsettled = append(unsettled, r.id.String())
--- a/fleet/witnesses.go
+++ b/fleet/witnesses.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -11,31 +10,23 @@
 )
 
 // witnessedLeases is a part of a leadership row that bounds the leases of all workers without a
-// bound of their own, as seen by a next leader. A leader grants leases only up to WitnessMs after the
-// last time at which most of its witnesses have certainly attended it. So once most of them
-// attend a next leader, which they leave for no earlier one, all leases end within WitnessMs. It
-// holds as long as the row that contains it is not replaced.
+// bound of their own, as seen by a next leader. The leader that wrote it grants leases only up
+// to WitnessMs after the last time at which most of the witnesses have certainly attended it. So once
+// most of them attend a next leader, which they leave for no earlier one, all leases end within
+// WitnessMs. It holds as long as the row that contains it is not replaced.
 type witnessedLeases struct {
 	Witnesses []structs.WorkerID `json:"witnesses,omitempty"`
 	WitnessMs int64              `json:"witness_ms,omitempty"`
-	// GrantedMs is 0 if the witnesses are those of the leader that wrote the row. Else they are
-	// passed on from an earlier one, and the leases that were granted since end within GrantedMs
-	// after the commit of the row was sent.
-	GrantedMs int64 `json:"granted_ms,omitempty"`
 }
 
 func (w witnessedLeases) isPossible() bool {
-	return isPossibleBound(w.WitnessMs) && isPossibleBound(w.GrantedMs) &&
-		w.isStated() == (w.WitnessMs > 0) && (w.isStated() || w.GrantedMs == 0)
+	return isPossibleBound(w.WitnessMs) && (len(w.Witnesses) > 0) == (w.WitnessMs > 0)
 }
 
 func (w witnessedLeases) equal(other witnessedLeases) bool {
-	return w.WitnessMs == other.WitnessMs && w.GrantedMs == other.GrantedMs && slices.Equal(w.Witnesses, other.Witnesses)
+	return w.WitnessMs == other.WitnessMs && slices.Equal(w.Witnesses, other.Witnesses)
 }
 
-// isPassedOn reports whether the witnesses are those of an earlier leader.
-func (w witnessedLeases) isPassedOn() bool { return w.GrantedMs > 0 }
-
 // isStated reports whether the row bounds leases by witnesses.
 func (w witnessedLeases) isStated() bool { return len(w.Witnesses) > 0 }
 
@@ -68,7 +59,7 @@
 // stored row and the one in flight allow.
 func (l *leader) limitByWitnesses(end bootclock.Time) bootclock.Time {
 	for _, stated := range []witnessedLeases{l.row.witnessedLeases, l.nextWitnesses} {
-		if stated.isStated() && !stated.isPassedOn() {
+		if stated.isStated() {
 			end = min(end, endAfter(stated.WitnessMs, l.attendedUntil(stated)))
 		}
 	}
@@ -123,29 +114,6 @@
 	return chosen
 }
 
-// passOn returns what the rows of a next leader state until it has witnesses of its own. They
-// are sent now or later, and the leader grants leases only up to Timing.Lease after that.
-func (e earlierLeases) passOn(t Timing, now bootclock.Time) witnessedLeases {
-	passedOn := e.witnessed
-	if passedOn.isStated() {
-		passedOn.GrantedMs = millisecondsLeft(max(e.grantedEndAt, now.Add(t.Lease)), now)
-	}
-	return passedOn
-}
-
-// witnessesFoundWithin is how long a leader passes on the witnesses of an earlier one.
-const witnessesFoundWithin = 2 * time.Second
-
-// nextWitnessedLeases returns what the next row states: the witnesses of this leader, or those
-// of the earlier one as long as it has just begun.
-func (l *leader) nextWitnessedLeases(now bootclock.Time) witnessedLeases {
-	own := l.chooseWitnesses(now)
-	if own.isStated() || now.Sub(l.startedAt) >= witnessesFoundWithin {
-		return own
-	}
-	return l.earlierLeases.passOn(l.o.Timing, now)
-}
-
 // confirmOrders records that the agent has received the orders up to the given number in this
 // session, so that it attended this leader when they were sent.
 func (l *leader) confirmOrders(w *worker, ordersSeen int64) {
@@ -193,7 +161,7 @@
 	slices.Sort(times)
 	now := l.o.Clock()
 	l.earlierLeases.witnessedAt = now
-	end := max(endAfter(stated.WitnessMs, times[stated.majority()-1]), l.earlierLeases.grantedEndAt)
+	end := endAfter(stated.WitnessMs, times[stated.majority()-1])
 	for _, w := range l.workers {
 		w.witnessedEndsAt = end
 	}
