Keep witnesses from row to row, at least five of them, at less cost

Found by review. The preference for the witnesses of the last row had no effect, since nextRow cleared them first: the set changed whenever a worker returned. In fleets of 4 to 8 hosts, restarts of most of three or five witnesses during an outage of the store ended the work of all other hosts, since restarted agents find no leader then.

Change: full sets are kept as long as all of their workers attend; the limit is computed when a row or a confirmation of a witness changes; a row names five witnesses at least, so that fleets of up to five hosts wait for LeaseHorizon as before. In fleets of six to eight hosts, restarts of three or four agents in one outage still end work after 4.9 s (docs/design/leases.md).

--- a/fleet/batch.go
+++ b/fleet/batch.go
@@ -200,6 +200,7 @@
 	l.row = result.row
 	l.lastCommitSentAt = result.sent
 	l.horizon, l.ownHorizon = l.nextHorizon, l.nextOwnHorizon
+	l.updateWitnessLimit()
 	l.removeStoredBounds()
 	l.handover.isStored = l.handover.isStated() && l.row.HandoverMs > 0
 	took := result.took
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -78,6 +78,7 @@
 	ownHorizon, nextOwnHorizon time.Duration
 	handover                   handover
 	nextWitnesses              witnessedLeases // in the commit in flight, or in the last one
+	witnessLimit               bootclock.Time  // see updateWitnessLimit
 	takeoverRequestedAt        bootclock.Time  // when the other nodes were last asked to take over
 	interference               *steps.Interference
 	backlog                    *steps.Backlog
@@ -112,7 +113,7 @@
 		committer:     &committer{store: o.Store, clock: o.Clock, log: log},
 		commitResults: make(chan commitResult, 1),
 		row:           row, startedAt: now, lastCommitSentAt: now,
-		horizon: horizon, nextHorizon: horizon, ownHorizon: horizon, nextOwnHorizon: horizon,
+		horizon: horizon, nextHorizon: horizon, ownHorizon: horizon, nextOwnHorizon: horizon, witnessLimit: never,
 		jobs: map[structs.JobID]*job{}, workers: map[structs.WorkerID]*worker{},
 		leaveRequested: make(chan struct{}),
 		interference:   steps.NewInterference(),
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -221,7 +221,7 @@
 	if w.id == l.o.Worker {
 		end = min(end, l.lastCommitSentAt.Add(min(l.ownHorizon, l.nextOwnHorizon)))
 	} else {
-		end = l.limitByWitnesses(end)
+		end = min(end, l.witnessLimit)
 	}
 	return max(0, min(l.o.Timing.Lease, end.Sub(now)))
 }
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -73,7 +73,8 @@
 func (l *leader) nextRow(row leadership, now bootclock.Time) leadership {
 	bounds := l.leaseBounds(now)
 	l.handover.isSent = l.handover.isStated()
-	l.nextWitnesses = witnessedLeases{}
+	last := l.nextWitnesses
+	l.setNextWitnesses(witnessedLeases{})
 	if l.handover.isStated() {
 		unsettled := l.unsettledRuns(bounds, now.Add(l.nextHorizon), now)
 		if l.o.fitsIntoRow(bounds, unsettled) {
@@ -83,10 +84,10 @@
 		}
 		l.reportUnbounded("all workers", bounds, unsettled)
 		l.nextHorizon = l.o.Timing.LeaseHorizon
-	} else if witnessed := l.chooseWitnesses(now); witnessed.isStated() {
+	} else if witnessed := l.chooseWitnesses(last, now); witnessed.isStated() {
 		unsettled := l.unsettledRuns(bounds, endAfter(witnessed.WitnessMs, now), now)
 		if l.o.fitsIntoRow(bounds, unsettled) {
-			l.nextWitnesses = witnessed
+			l.setNextWitnesses(witnessed)
 			row = row.withBounds(bounds, unsettled)
 			row.witnessedLeases = witnessed
 			return row
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -176,7 +176,8 @@
 }
 
 // witnessHorizon returns how long leases last at most after most of the witnesses have
-// certainly attended the leader. Witnesses that attend confirm orders at ReportInterval.
+// certainly attended the leader. Witnesses that attend confirm orders 0.4 to 0.8 s later, so
+// that leases are up to ReportInterval shorter than Lease.
 func (t Timing) witnessHorizon() time.Duration { return t.Lease + t.ReportInterval }
 
 // leaseLapseDelay returns the time after the end of a lease at which it has
--- a/fleet/witnesses.go
+++ b/fleet/witnesses.go
@@ -37,7 +37,7 @@
 // more for a majority.
 const (
 	maxWitnesses = 9
-	minWitnesses = 3
+	minWitnesses = 5
 )
 
 // attendedUntil returns the latest time at which most of the witnesses have certainly attended
@@ -55,30 +55,44 @@
 	return times[len(times)-witnesses.majority()]
 }
 
-// limitByWitnesses returns the earlier one of the end of a lease and of the ends that the last
-// stored row and the one in flight allow.
-func (l *leader) limitByWitnesses(end bootclock.Time) bootclock.Time {
+// updateWitnessLimit updates the end of leases that the last stored row and the one in flight
+// allow. It is called when one of them or confirmedAt of a witness changes.
+func (l *leader) updateWitnessLimit() {
+	l.witnessLimit = never
 	for _, stated := range []witnessedLeases{l.row.witnessedLeases, l.nextWitnesses} {
 		if stated.isStated() {
-			end = min(end, endAfter(stated.WitnessMs, l.attendedUntil(stated)))
+			l.witnessLimit = min(l.witnessLimit, endAfter(stated.WitnessMs, l.attendedUntil(stated)))
 		}
 	}
-	return end
 }
 
-// chooseWitnesses returns what the next row states. Without enough workers that have just
-// confirmed orders, or if LeaseHorizon is as short, it states nothing.
-func (l *leader) chooseWitnesses(now bootclock.Time) witnessedLeases {
+// updateWitnessLimitFor does the same if the worker is a witness.
+func (l *leader) updateWitnessLimitFor(id structs.WorkerID) {
+	if slices.Contains(l.row.Witnesses, id) || slices.Contains(l.nextWitnesses.Witnesses, id) {
+		l.updateWitnessLimit()
+	}
+}
+
+// setNextWitnesses sets what the row states that is sent next.
+func (l *leader) setNextWitnesses(witnessed witnessedLeases) {
+	l.nextWitnesses = witnessed
+	l.updateWitnessLimit()
+}
+
+// chooseWitnesses returns what the next row states, the same as the last one as long as all of
+// these workers may be witnesses and there may be no more of them. Without enough workers that have
+// just confirmed orders, or if LeaseHorizon is as short, it states nothing.
+func (l *leader) chooseWitnesses(last witnessedLeases, now bootclock.Time) witnessedLeases {
 	if l.o.Timing.witnessHorizon() >= l.o.Timing.LeaseHorizon {
 		return witnessedLeases{}
 	}
-	var candidates []*worker
-	for _, w := range l.sortedWorkers() {
-		if w.id != l.o.Worker && l.isWitness(w, now) {
-			candidates = append(candidates, w)
-		}
+	mayBe := func(w *worker) bool { return w != nil && w.id != l.o.Worker && l.isWitness(w, now) }
+	isComplete := len(last.Witnesses) == maxWitnesses
+	if isComplete && !slices.ContainsFunc(last.Witnesses, func(id structs.WorkerID) bool { return !mayBe(l.workers[id]) }) {
+		return last
 	}
-	chosen := l.spreadWitnesses(candidates)
+	candidates := slices.DeleteFunc(slices.Clone(l.sortedWorkers()), func(w *worker) bool { return !mayBe(w) })
+	chosen := l.spreadWitnesses(candidates, last)
 	if len(chosen) < minWitnesses {
 		return witnessedLeases{}
 	}
@@ -93,13 +107,13 @@
 
 // spreadWitnesses chooses witnesses of as many failure domains as possible, others than this
 // host's first, and prefers those of the last row.
-func (l *leader) spreadWitnesses(candidates []*worker) []structs.WorkerID {
+func (l *leader) spreadWitnesses(candidates []*worker, last witnessedLeases) []structs.WorkerID {
 	inDomain := map[structs.FailureDomainID]int{}
 	if own := l.workers[l.o.Worker]; own != nil {
 		inDomain[own.domain]++
 	}
 	rank := func(w *worker) int {
-		if slices.Contains(l.nextWitnesses.Witnesses, w.id) {
+		if slices.Contains(last.Witnesses, w.id) {
 			return 2 * inDomain[w.domain]
 		}
 		return 2*inDomain[w.domain] + 1
@@ -117,11 +131,14 @@
 // confirmOrders records that the agent has received the orders up to the given number in this
 // session, so that it attended this leader when they were sent.
 func (l *leader) confirmOrders(w *worker, ordersSeen int64) {
-	s := w.session
+	s, before := w.session, w.confirmedAt
 	for len(s.unconfirmed) > 0 && s.unconfirmed[0].number <= ordersSeen {
 		w.confirmedAt = max(w.confirmedAt, s.unconfirmed[0].at)
 		s.unconfirmed = s.unconfirmed[1:]
 	}
+	if w.confirmedAt > before {
+		l.updateWitnessLimitFor(w.id)
+	}
 	if ordersSeen > 0 && w.witnessedAt == 0 {
 		w.witnessedAt = w.attachedAt // the agent has attended this leader since
 		l.limitWitnessedLeases()
