Collect no names of unsettled runs that do not fit into the row

Names are encoded only if there are few enough, and the search ends once there are too many. The log line that says that bounds do not fit has no number of runs any more.

--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -76,17 +76,15 @@
 	last := l.nextWitnesses
 	l.setNextWitnesses(witnessedLeases{})
 	if l.handover.isStated() {
-		unsettled := l.unsettledRuns(bounds, now.Add(l.nextHorizon), now)
-		if l.o.fitsIntoRow(bounds, unsettled) {
+		if unsettled, fits := l.unsettledRuns(bounds, now.Add(l.nextHorizon), now); fits {
 			row = row.withBounds(bounds, unsettled)
 			row.HandoverMs = l.nextHorizon.Milliseconds()
 			return row
 		}
-		l.reportUnbounded("all workers", bounds, unsettled)
+		l.reportUnbounded("all workers", bounds)
 		l.nextHorizon = l.o.Timing.LeaseHorizon
 	} else if witnessed := l.chooseWitnesses(last, now); witnessed.isStated() {
-		unsettled := l.unsettledRuns(bounds, endAfter(witnessed.WitnessMs, now), now)
-		if l.o.fitsIntoRow(bounds, unsettled) {
+		if unsettled, fits := l.unsettledRuns(bounds, endAfter(witnessed.WitnessMs, now), now); fits {
 			l.setNextWitnesses(witnessed)
 			row = row.withBounds(bounds, unsettled)
 			row.witnessedLeases = witnessed
@@ -94,29 +92,30 @@
 		}
 		l.metrics.count(l.metrics.unboundedRows, "witnesses")
 	}
-	unsettled := l.unsettledRuns(bounds, 0, now)
-	if !l.o.fitsIntoRow(bounds, unsettled) {
-		l.reportUnbounded("single workers", bounds, unsettled)
+	unsettled, fits := l.unsettledRuns(bounds, 0, now)
+	if !fits {
+		l.reportUnbounded("single workers", bounds)
 		return row.withBounds(nil, nil)
 	}
 	return row.withBounds(bounds, unsettled)
 }
 
 // reportUnbounded records that a row has no bounds of the given kind.
-func (l *leader) reportUnbounded(kind string, bounds []leaseBound, unsettled []string) {
-	l.log.Warn("leases not bounded: they do not fit into the row", zap.String("kind", kind), zap.Int("bounds", len(bounds)), zap.Int("unsettled", len(unsettled)))
+func (l *leader) reportUnbounded(kind string, bounds []leaseBound) {
+	l.log.Warn("leases not bounded: they do not fit into the row", zap.String("kind", kind), zap.Int("bounds", len(bounds)))
 	l.metrics.count(l.metrics.unboundedRows, kind)
 }
 
-// unsettledRuns returns the long-running runs that are not settled. allEndBy is the end of the
-// leases of workers without a bound that the next row states, 0 if it states none: then their
-// runs are left out, else those with leases that end later count as unsettled.
-func (l *leader) unsettledRuns(bounds []leaseBound, allEndBy, now bootclock.Time) []string {
+// unsettledRuns returns the names of the long-running runs that are not settled, and whether
+// they fit into a row with the bounds. allEndBy is the end of the leases of workers without a
+// bound that the row states, 0 if it states none: then their runs are left out, else those with
+// leases that end later count as unsettled.
+func (l *leader) unsettledRuns(bounds []leaseBound, allEndBy, now bootclock.Time) (names []string, fits bool) {
 	bounded := make(map[structs.WorkerID]bool, len(bounds))
 	for _, b := range bounds {
 		bounded[b.Worker] = true
 	}
-	var unsettled []string
+	var unsettled []*run
 	for _, w := range l.sortedWorkers() {
 		if !bounded[w.id] && allEndBy == 0 {
 			continue
@@ -124,11 +123,17 @@
 		isLong := !bounded[w.id] && w.settledLeaseEnd() > allEndBy
 		for _, r := range w.sortedRuns() {
 			if r.job.Step(r.id.Task).LongRunning && (isLong || !l.isSettled(w, r, now)) {
-				unsettled = append(unsettled, r.id.String())
+				unsettled = append(unsettled, r)
 			}
 		}
+		if len(unsettled) > maxUnsettledRuns {
+			return nil, false
+		}
+	}
+	for _, r := range unsettled {
+		names = append(names, r.id.String())
 	}
-	return unsettled
+	return names, l.o.fitsIntoRow(bounds, names)
 }
 
 // hasUnsettledRuns reports whether a long-running run of the worker is not settled.
