Log by which rule a leader waits for a young incarnation, and bounds once they are stored

Seen in the incident of young runners at a planned stop: `lease lapsed` gave the rule `granted`, although no leader had granted a lease of that length. It gives `incarnation` now where the end is not that of a granted lease. A leader that stops as planned logged `leases of a lost worker bounded` for each worker that had gone to the next leader, from a row that was never stored (72 lines at once on a site of 73 hosts). The line is written once the row is stored, so that it is true, and has the rule too.

--- a/fleet/batch.go
+++ b/fleet/batch.go
@@ -201,7 +201,7 @@
 	l.lastCommitSentAt = result.sent
 	l.horizon, l.ownHorizon = l.nextHorizon, l.nextOwnHorizon
 	l.updateWitnessLimit()
-	l.removeStoredBounds()
+	l.applyStoredBounds()
 	l.handover.isStored = l.handover.isStated() && l.row.HandoverMs > 0
 	took := result.took
 	if l.withdrawn.count > 0 {
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -125,6 +125,7 @@
 	leaseBound            // as in the rows of this leader
 	endAt, unsettledEndAt bootclock.Time
 	since                 bootclock.Time // when it was lost to this leader, 0 if it was lost with an earlier one
+	isLogged              bool           // see logStoredBound
 }
 
 // hasReturned reports whether the worker has listed its runs since it was lost.
@@ -277,11 +278,21 @@
 			lost.unsettledEndAt = l.unsettledLeaseEnd(w, now)
 		}
 		l.earlierLeases.bounded = append(l.earlierLeases.bounded, lost)
-		l.log.Info("leases of a lost worker bounded", zap.String("worker", string(w.id)), zap.Duration("left", end.Sub(now)),
-			zap.Bool("listed", w.listedAt > 0), zap.Int("runs", len(w.runs)))
 	}
 }
 
+// logStoredBound logs once that the stored row bounds the leases of a worker that was lost to
+// this leader.
+func (l *leader) logStoredBound(b *boundedWorker) {
+	if b.since == 0 || b.isLogged {
+		return
+	}
+	b.isLogged = true
+	w := l.workers[b.Worker]
+	l.log.Info("leases of a lost worker bounded", zap.String("worker", string(w.id)), zap.Duration("left", b.endAt.Sub(l.o.Clock())),
+		zap.Bool("listed", w.listedAt > 0), zap.String("rule", string(w.leaseRule())), zap.Int("runs", len(w.runs)))
+}
+
 // unsettledLeaseEnd returns the end of the leases of the unsettled runs of a worker without a
 // session, to which nothing has been ordered since. Those of a worker that has never
 // reported to this leader were ordered before the takeover.
@@ -379,9 +390,15 @@
 	return r.incarnation == w.incarnation && r.startedAt > 0 && (r.isStartAnswered || isOld)
 }
 
-// removeStoredBounds ends the limits of the workers that the stored row does not bound
-// any more.
-func (l *leader) removeStoredBounds() {
+// applyStoredBounds ends the limits of the workers that the stored row does not bound
+// any more, and logs the others.
+func (l *leader) applyStoredBounds() {
+	for i := range l.earlierLeases.bounded {
+		b := &l.earlierLeases.bounded[i]
+		if slices.ContainsFunc(l.row.bounds(), func(stored leaseBound) bool { return stored.Worker == b.Worker }) {
+			l.logStoredBound(b)
+		}
+	}
 	l.earlierLeases.bounded = slices.DeleteFunc(l.earlierLeases.bounded, func(bounded boundedWorker) bool {
 		if slices.ContainsFunc(l.row.bounds(), func(b leaseBound) bool { return b.Worker == bounded.Worker }) {
 			return false
--- a/fleet/lease_waits.go
+++ b/fleet/lease_waits.go
@@ -22,6 +22,9 @@
 	ruleWitness  leaseRule = "witnesses"  // most of the earlier leader's witnesses attend this one
 	ruleList     leaseRule = "first list" // the worker has listed its runs to this leader
 	ruleGranted  leaseRule = "granted"    // this leader has granted the last lease
+	// ruleIncarnation: the runner's incarnation may have accepted a longer lease, with a call
+	// for an earlier one.
+	ruleIncarnation leaseRule = "incarnation"
 )
 
 // leaseRule returns the rule by which the long-running runs of the worker are released if
@@ -38,6 +41,8 @@
 		return ruleHorizon
 	case w.isLeaseLimitedByList:
 		return ruleList
+	case w.leaseEndsAt > w.grantedEndsAt:
+		return ruleIncarnation
 	default:
 		return ruleGranted
 	}
--- a/fleet/lease_waits_test.go
+++ b/fleet/lease_waits_test.go
@@ -19,7 +19,11 @@
 			w.knownIncarnationSince = now.Add(-l.o.Timing.settledIncarnationAge())
 			l.limitEarlierLease(w, now)
 		},
-		ruleGranted: func(*leader, *worker, bootclock.Time) {},
+		ruleGranted: func(_ *leader, w *worker, now bootclock.Time) { w.leaseEndsAt, w.grantedEndsAt = now, now },
+		ruleIncarnation: func(l *leader, w *worker, now bootclock.Time) {
+			w.grantedEndsAt = now
+			l.extendToMaxLease(w)
+		},
 	}
 	for want, change := range cases {
 		t.Run(string(want), func(t *testing.T) {
--- a/fleet/outbox.go
+++ b/fleet/outbox.go
@@ -87,7 +87,9 @@
 	if w.listed && now.Sub(w.listedAt) < l.o.Timing.SessionTimeout {
 		lease := l.leaseDuration(w, now)
 		orders.LeaseMs = lease.Milliseconds()
-		if end := now.Add(lease); end > w.leaseEndsAt {
+		end := now.Add(lease)
+		w.grantedEndsAt = max(w.grantedEndsAt, end)
+		if end > w.leaseEndsAt {
 			w.leaseEndsAt, w.isLeaseLimitedByList = end, false
 		}
 	}
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -48,6 +48,7 @@
 	reportedAt            bootclock.Time // time of the last report
 	listedAt              bootclock.Time // time of the last list
 	leaseEndsAt           bootclock.Time // latest end of any lease of the worker, without an allowance for clock drift
+	grantedEndsAt         bootclock.Time // the same of the leases that this leader has granted
 	// boundEndsAt is the end of the worker's leases that the row of an earlier leader
 	// states, 0 without such a bound. Until a row without the bound is stored, no lease
 	// may end later.
