--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -141,3 +141,61 @@
 		})
 	})
 }
+
+// Guards against a wait of LeaseHorizon for a host that stops by plan, since its runner began
+// a short time before.
+func TestLongRunningTasksOnAYoungRunnerRunAgainInTimeAfterAPlannedStop(t *testing.T) {
+	for name, c := range map[string]struct {
+		age       time.Duration // of the runner at the stop
+		keepsID   bool
+		agentToo  bool // the agent restarts with the runner
+		ofLeader  bool // of the host whose runner is young
+		goesAfter time.Duration
+	}{
+		"leader, new ID":                         {age: 4800 * time.Millisecond, ofLeader: true},
+		"leader, new ID, 12 s":                   {age: 12 * time.Second, ofLeader: true},
+		"leader, same ID":                        {age: 4800 * time.Millisecond, ofLeader: true, keepsID: true},
+		"other host, new ID":                     {age: 4800 * time.Millisecond},
+		"other host, same ID":                    {age: 4800 * time.Millisecond, keepsID: true},
+		"other host, agent restarts too":         {age: 4800 * time.Millisecond, agentToo: true},
+		"other host, new ID, stops after leader": {age: 4800 * time.Millisecond, goesAfter: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+				checkRestarts(m, func(l *lostHosts) {
+					h := leader
+					if !c.ofLeader {
+						h = l.follower()
+					}
+					m.replaceRunner(h, c.keepsID, c.agentToo)
+					begun := time.Now()
+					m.startYoungRun(h)
+					time.Sleep(c.age - time.Since(begun))
+					if h != leader {
+						l.stop(leader, false)
+						time.Sleep(c.goesAfter)
+					}
+					l.stop(h, false)
+				})
+			})
+		})
+	}
+}
+
+// replaceRunner ends the runner of the host without notice, and begins a new one 2 s later.
+func (m *mixedFleet) replaceRunner(h *simulatedHost, keepsID, agentToo bool) {
+	h.runner.Crash(false)
+	if agentToo {
+		h.killAgent()
+	}
+	time.Sleep(2 * time.Second)
+	if keepsID {
+		h.runner.Restart()
+	} else {
+		h.runner.RestartAs(string(h.name) + "-next")
+	}
+	if agentToo {
+		h.startAgent()
+	}
+	m.waitUntil("the new runner is ready", 3*time.Second, func() bool { return m.readyWorkers() == len(m.hosts) })
+}
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,13 +34,12 @@
 	Info     substrate.RunnerInfo // the runner sets StartedAt, Incarnation and Sequence
 	MaxLease time.Duration        // longest time for which a lease can be extended
 	RunTime  func(structs.RunID) time.Duration
-	Observer RunObserver
+	Observer RunObserver   // gets the ID in Info for all incarnations
 	Gangs    *Gangs        // shared by all runners, nil without gangs
 	Permits  *PermitIssuer // checks the permit of every start, nil where no permit is needed
-	// AcceptsStaleCalls is set for a runner whose incarnations share one ID.
-	// Such a runner carries out starts and acknowledgements that are addressed
-	// to an earlier incarnation. The reply still reports the incarnation
-	// mismatch.
+	// AcceptsStaleCalls is set for a runner that carries out starts and
+	// acknowledgements that are addressed to an earlier incarnation with the same
+	// ID. The reply still reports the incarnation mismatch.
 	AcceptsStaleCalls bool
 	LongRunning       func(structs.RunID) bool  // runs that are at work until they are stopped, none if nil
 	PaceDelay         time.Duration             // time from a change of pace to its effect
@@ -129,6 +129,20 @@
 	r.restartLocked()
 }
 
+// RestartAs begins a new incarnation under another ID.
+func (r *TaskRunner) RestartAs(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.info.ID = id
+	r.restartLocked()
+}
+
+// acceptsStaleCallTo reports whether a call to an incarnation that has ended may be carried out by the
+// current one. The caller holds the lock.
+func (r *TaskRunner) acceptsStaleCallTo(incarnation string) bool {
+	return r.options.AcceptsStaleCalls && strings.HasPrefix(incarnation, r.info.ID+"@")
+}
+
 // restartLocked begins a new incarnation. The caller holds the lock.
 func (r *TaskRunner) restartLocked() {
 	r.dropRunsLocked()
@@ -163,7 +177,7 @@
 	}
 	r.runs = map[structs.RunID]*taskRun{}
 	if r.options.Observer != nil {
-		r.options.Observer.Reset(r.info.ID)
+		r.options.Observer.Reset(r.options.Info.ID)
 	}
 }
 
@@ -188,7 +202,7 @@
 		return
 	}
 	if r.options.Observer != nil {
-		r.options.Observer.Crashed(r.info.ID, id)
+		r.options.Observer.Crashed(r.options.Info.ID, id)
 	}
 	r.dropRunsLocked()
 	r.refusing = true
@@ -287,7 +301,7 @@
 	r.endCount++
 	r.unacknowledged = append(r.unacknowledged, substrate.EndedRun{Number: r.endCount, Run: id, End: end, Checkpoint: checkpoint})
 	if r.options.Observer != nil {
-		r.options.Observer.Ended(r.info.ID, id, end)
+		r.options.Observer.Ended(r.options.Info.ID, id, end)
 	}
 	close(r.runEnded)
 	r.runEnded = make(chan struct{})
@@ -405,7 +419,7 @@
 		}
 	}
 	if r.options.Observer != nil {
-		r.options.Observer.Started(r.info.ID, id)
+		r.options.Observer.Started(r.options.Info.ID, id)
 	}
 	return nil
 }
--- a/standin/taskrunner_client.go
+++ b/standin/taskrunner_client.go
@@ -23,9 +23,12 @@
 func (c *TaskRunnerClient) Start(ctx context.Context, fence int64, start substrate.TaskStart, lease substrate.RuntimeClock) (substrate.RuntimeClock, error) {
 	err := c.runner.admitCall(ctx, c.incarnation, fence)
 	var mismatch *substrate.IncarnationError
-	if errors.As(err, &mismatch) && c.runner.options.AcceptsStaleCalls {
+	if errors.As(err, &mismatch) {
 		c.runner.mu.Lock()
 		defer c.runner.mu.Unlock()
+		if !c.runner.acceptsStaleCallTo(c.incarnation) {
+			return 0, err
+		}
 		_ = c.runner.startRunLocked(start, lease) // the reply reports the incarnation mismatch instead of a refusal
 		return 0, err
 	}
@@ -108,7 +111,7 @@
 	err := c.runner.admitCall(ctx, c.incarnation, fence)
 	c.runner.mu.Lock()
 	var mismatch *substrate.IncarnationError
-	if errors.As(err, &mismatch) && c.runner.options.AcceptsStaleCalls {
+	if errors.As(err, &mismatch) && c.runner.acceptsStaleCallTo(c.incarnation) {
 		c.runner.acknowledgeLocked(acknowledged)
 	}
 	if err != nil {
@@ -143,7 +146,7 @@
 func (r *TaskRunner) acknowledgeLocked(number int64) {
 	for len(r.unacknowledged) > 0 && r.unacknowledged[0].Number <= number {
 		if r.options.Observer != nil && r.unacknowledged[0].Number > r.lastLapsedEnd {
-			r.options.Observer.Acknowledged(r.info.ID, r.unacknowledged[0].Run, r.unacknowledged[0].End)
+			r.options.Observer.Acknowledged(r.options.Info.ID, r.unacknowledged[0].Run, r.unacknowledged[0].End)
 		}
 		r.unacknowledged = r.unacknowledged[1:]
 	}
--- a/standin/taskrunner_faults.go
+++ b/standin/taskrunner_faults.go
@@ -21,7 +21,7 @@
 	before := r.info.Capacity
 	r.info.Capacity = capacity
 	if r.options.Observer != nil {
-		r.options.Observer.CapacityChanged(r.info.ID, before, capacity)
+		r.options.Observer.CapacityChanged(r.options.Info.ID, before, capacity)
 	}
 }
 
