Keep what the row states of a worker's leases after its first list

Cause: the stopping leader states in its row by when all leases end. The next leader applied that to workers that had not listed their runs to it. The first list of a worker replaced it by what the list alone proves, which is nothing while the runner's incarnation is young: the leader waited for the longest lease, 9.7 s from its read of the row. An agent that stops attends the next leader and lists its runs, so that this met every young runner of a host that left beside the leader. Bounds of single workers and the end by witnesses were lost in the same way.

Fix: what the row states holds on for the runs that it does not name as unsettled and that still run where the earlier leader started them; leases that this leader has granted, or that a call for an earlier incarnation has obtained, extend it. All other runs wait as before. A run is settled only if that end applies to it, so that the next rows name the others.

--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -203,7 +203,7 @@
 	}
 	for _, b := range e.bounded {
 		w := l.workerByID(b.Worker)
-		w.leaseEndsAt, w.boundEndsAt, w.handoverEndsAt = max(e.endAt, b.endAt), b.endAt, 0
+		w.leaseEndsAt, w.boundEndsAt, w.earlierBoundEndsAt = max(e.endAt, b.endAt), b.endAt, b.endAt
 		if b.unsettledEndAt > 0 {
 			w.leaseEndsAt = max(b.unsettledEndAt, b.endAt)
 		}
@@ -290,7 +290,7 @@
 	b.isLogged = true
 	w := l.workers[b.Worker]
 	l.log.Info("leases of a lost worker bounded", zap.String("worker", string(w.id)), zap.Duration("left", b.endAt.Sub(l.o.Clock())),
-		zap.Bool("listed", w.listedAt > 0), zap.String("rule", string(w.leaseRule())), zap.Int("runs", len(w.runs)))
+		zap.Bool("listed", w.listedAt > 0), zap.String("rule", string(w.leaseRule(b.endAt))), zap.Int("runs", len(w.runs)))
 }
 
 // unsettledLeaseEnd returns the end of the leases of the unsettled runs of a worker without a
@@ -300,7 +300,7 @@
 	if w.listedAt == 0 {
 		return w.leaseEndsAt
 	}
-	return now.Add(l.o.Timing.LeaseHorizon)
+	return max(w.leaseEndsAt, now.Add(l.o.Timing.LeaseHorizon))
 }
 
 // isLost reports whether the worker is silent or has no session, and there is so little
@@ -324,20 +324,39 @@
 // settledLeaseEnd returns the end of the leases under which the settled runs of the worker
 // run.
 func (w *worker) settledLeaseEnd() bootclock.Time {
+	earlier, _ := w.statedLeaseEnd()
 	switch {
-	case w.listedAt > 0:
-		return w.leaseEndsAt
-	case w.boundEndsAt > 0:
+	case w.listedAt == 0 && w.boundEndsAt > 0:
 		return w.boundEndsAt
+	case earlier == 0, w.isLeaseLimitedByList:
+		return w.leaseEndsAt
+	default:
+		return min(w.leaseEndsAt, max(earlier, w.grantedEndsAt, w.extendedEndsAt))
+	}
+}
+
+// statedLeaseEnd returns the end of the leases that earlier leaders have granted, as stated by
+// them for settled runs, and by which rule. The end is 0 without a statement.
+func (w *worker) statedLeaseEnd() (bootclock.Time, leaseRule) {
+	switch {
+	case w.earlierBoundEndsAt > 0:
+		return w.earlierBoundEndsAt, ruleBound
 	case w.handoverEndsAt > 0:
-		return min(w.handoverEndsAt, w.leaseEndsAt)
-	case w.witnessedEndsAt > 0:
-		return min(w.witnessedEndsAt, w.leaseEndsAt)
+		return w.handoverEndsAt, ruleHandover
 	default:
-		return w.leaseEndsAt
+		return w.witnessedEndsAt, ruleWitness
 	}
 }
 
+// isStatedAsSettled reports whether earlier leaders have stated an end of the leases under which
+// the run runs: it is not one of the runs that their row names as unsettled, and still runs where
+// they have started it.
+func (l *leader) isStatedAsSettled(w *worker, r *run) bool {
+	end, _ := w.statedLeaseEnd()
+	return end > 0 && r.assignedAt == 0 && r.startOrderedAt == 0 && r.startedAt > 0 && r.incarnation == w.incarnation &&
+		!slices.Contains(l.earlierLeases.unsettled, r.id.String())
+}
+
 // settledIncarnationAge is the age of an incarnation from which on no start for an earlier
 // one can have obtained a lease there that has not lapsed: it is carried out a few seconds
 // late, and obtains the longest lease.
@@ -372,7 +391,7 @@
 	end = l.earlierLeases.ownEndAt
 	if own := l.workers[l.o.Worker]; own != nil {
 		if own.listedAt > 0 {
-			end = max(end, own.leaseEndsAt)
+			end = max(end, own.settledLeaseEnd())
 		}
 		if own.longRunningRuns() > 0 {
 			horizon = min(horizon, l.o.Timing.OwnLeaseHorizon)
@@ -439,15 +458,16 @@
 	return slices.ContainsFunc(l.earlierLeases.bounded, func(b boundedWorker) bool { return b.hasReturned(l.workers[b.Worker]) })
 }
 
-// releaseBounded releases the settled runs of a worker that has not reported its runs to
-// this leader, once the leases that earlier leaders have bounded have lapsed. Other runs may
-// have started a short time ago, so that they are kept until leaseEndsAt.
-func (l *leader) releaseBounded(w *worker, now bootclock.Time) {
+// releaseSettled releases the settled runs of a worker once the leases have lapsed that
+// earlier leaders have stated and this one has granted. Other runs may have started a short time
+// ago, or in an incarnation of which no leader knows enough, so that they are kept until
+// leaseEndsAt.
+func (l *leader) releaseSettled(w *worker, now bootclock.Time) {
 	end := w.settledLeaseEnd()
-	if w.listedAt > 0 || end == w.leaseEndsAt || now < end.Add(l.o.Timing.leaseLapseDelay()) {
+	if end == w.leaseEndsAt || now < end.Add(l.o.Timing.leaseLapseDelay()) {
 		return
 	}
-	released, rule := 0, w.leaseRule()
+	released, rule := 0, w.leaseRule(end)
 	for _, r := range w.sortedRuns() {
 		if r.job.Step(r.id.Task).LongRunning && l.isSettled(w, r, now) {
 			l.release(w, r, "lease lapsed", "")
@@ -457,8 +477,8 @@
 	if released == 0 {
 		return
 	}
-	l.recordLeaseWait(w, now)
-	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", false), zap.Duration("since_lease", now.Sub(end)),
+	l.recordLeaseWait(w, rule, now)
+	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", w.listedAt > 0), zap.Duration("since_lease", now.Sub(end)),
 		zap.String("rule", string(rule)), zap.Int("runs", released), zap.Int("kept", len(w.runs)), zap.Bool("attends", w.session != nil))
 	w.closeSession()
 }
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -146,11 +146,15 @@
 	return false
 }
 
-// isSettled reports whether no call to start the run is under way, as far as this leader or,
-// before the first list of the worker, an earlier one knows.
+// isSettled reports whether settledLeaseEnd applies to the run: no call to start it is under
+// way, as far as this leader or an earlier one knows, and the worker has no longer lease.
 func (l *leader) isSettled(w *worker, r *run, now bootclock.Time) bool {
-	if w.listedAt == 0 {
+	switch {
+	case w.listedAt == 0:
 		return !slices.Contains(l.earlierLeases.unsettled, r.id.String())
+	case l.isStatedAsSettled(w, r):
+		return true
+	default:
+		return w.settledLeaseEnd() == w.leaseEndsAt && l.isStartSettled(w, r, now)
 	}
-	return l.isStartSettled(w, r, now)
 }
--- a/fleet/lease_waits.go
+++ b/fleet/lease_waits.go
@@ -27,24 +27,25 @@
 	ruleIncarnation leaseRule = "incarnation"
 )
 
-// leaseRule returns the rule by which the long-running runs of the worker are released if
-// it does not return.
-func (w *worker) leaseRule() leaseRule {
+// leaseRule returns the rule that gives the end of leases by which long-running runs of the
+// worker are released if it does not return.
+func (w *worker) leaseRule(end bootclock.Time) leaseRule {
+	stated, statedBy := w.statedLeaseEnd()
 	switch {
 	case w.listedAt == 0 && w.boundEndsAt > 0:
 		return ruleBound
-	case w.listedAt == 0 && w.handoverEndsAt > 0:
-		return ruleHandover
-	case w.listedAt == 0 && w.witnessedEndsAt > 0:
-		return ruleWitness
+	case w.listedAt == 0 && stated > 0:
+		return statedBy
 	case w.listedAt == 0:
 		return ruleHorizon
+	case end <= w.grantedEndsAt:
+		return ruleGranted
+	case end == stated:
+		return statedBy
 	case w.isLeaseLimitedByList:
 		return ruleList
-	case w.leaseEndsAt > w.grantedEndsAt:
-		return ruleIncarnation
 	default:
-		return ruleGranted
+		return ruleIncarnation
 	}
 }
 
@@ -75,13 +76,13 @@
 		return
 	}
 	end := w.settledLeaseEnd()
-	l.log.Info("waits for the leases of a worker", zap.String("worker", string(w.id)), zap.String("rule", string(w.leaseRule())),
+	l.log.Info("waits for the leases of a worker", zap.String("worker", string(w.id)), zap.String("rule", string(w.leaseRule(end))),
 		zap.Duration("waited", now.Sub(l.startedAt)), zap.Duration("left", end.Sub(now)), zap.Int("long_running", longRunning), zap.Bool("attends", w.session != nil))
 }
 
 // recordLeaseWait records that long-running runs of the worker are released since its
 // leases have lapsed.
-func (l *leader) recordLeaseWait(w *worker, now bootclock.Time) {
+func (l *leader) recordLeaseWait(w *worker, rule leaseRule, now bootclock.Time) {
 	since := max(l.startedAt, w.reportedAt)
-	l.metrics.leaseWaits.Record(context.Background(), now.Sub(since).Seconds(), metric.WithAttributes(attribute.String("rule", string(w.leaseRule()))))
+	l.metrics.leaseWaits.Record(context.Background(), now.Sub(since).Seconds(), metric.WithAttributes(attribute.String("rule", string(rule))))
 }
--- a/fleet/lease_waits_test.go
+++ b/fleet/lease_waits_test.go
@@ -31,7 +31,7 @@
 			l, _ := leaderWithWorkers(t, &now, 1)
 			w := l.workers["w0"]
 			change(l, w, now)
-			is.New(t).Equal(w.leaseRule(), want)
+			is.New(t).Equal(w.leaseRule(w.leaseEndsAt), want)
 		})
 	}
 }
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -245,7 +245,8 @@
 // accepts. A call for an earlier incarnation states the lease on that one's
 // clock, which may be far ahead of the clock of the incarnation that it reached.
 func (l *leader) extendToMaxLease(w *worker) {
-	w.leaseEndsAt = max(w.leaseEndsAt, l.o.Clock().Add(l.o.Timing.MaxLease))
+	w.extendedEndsAt = l.o.Clock().Add(l.o.Timing.MaxLease)
+	w.leaseEndsAt = max(w.leaseEndsAt, w.extendedEndsAt)
 }
 
 // handleUnlistedRun handles an assigned run that the report does not list as
--- a/fleet/witnesses_test.go
+++ b/fleet/witnesses_test.go
@@ -127,7 +127,7 @@
 	begun := now
 	attend("w2", 1)
 	is.Equal(lost.settledLeaseEnd(), begun.Add(4900*time.Millisecond)) // from the start of the third session
-	is.Equal(lost.leaseRule(), ruleWitness)
+	is.Equal(lost.leaseRule(lost.settledLeaseEnd()), ruleWitness)
 	attend("w3", 1)
 	is.Equal(lost.settledLeaseEnd(), begun.Add(4900*time.Millisecond))
 }
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -49,10 +49,13 @@
 	listedAt              bootclock.Time // time of the last list
 	leaseEndsAt           bootclock.Time // latest end of any lease of the worker, without an allowance for clock drift
 	grantedEndsAt         bootclock.Time // the same of the leases that this leader has granted
+	extendedEndsAt        bootclock.Time // the same of a lease by a call for an earlier incarnation, see extendToMaxLease
 	// boundEndsAt is the end of the worker's leases that the row of an earlier leader
 	// states, 0 without such a bound. Until a row without the bound is stored, no lease
 	// may end later.
 	boundEndsAt bootclock.Time
+	// earlierBoundEndsAt is boundEndsAt as restored from the row. It stays when the worker returns.
+	earlierBoundEndsAt bootclock.Time
 	// handoverEndsAt is the end of the leases of the settled runs that an earlier leader has
 	// stated for all workers at its handover, 0 without one.
 	handoverEndsAt bootclock.Time
@@ -326,15 +329,16 @@
 		return // the first list may report how the runs ended
 	}
 	l.reportLeaseWait(w, now)
-	l.releaseBounded(w, now)
+	l.releaseSettled(w, now)
 	if w.leaseLapsed || len(w.runs) == 0 || now < w.leaseEndsAt.Add(l.o.Timing.leaseLapseDelay()) {
 		return
 	}
 	w.leaseLapsed = true
+	rule := w.leaseRule(w.leaseEndsAt)
 	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", w.listedAt > 0), zap.Duration("since_lease", now.Sub(w.leaseEndsAt)),
-		zap.String("rule", string(w.leaseRule())), zap.Int("runs", len(w.runs)), zap.Bool("attends", w.session != nil))
+		zap.String("rule", string(rule)), zap.Int("runs", len(w.runs)), zap.Bool("attends", w.session != nil))
 	if w.longRunningRuns() > 0 {
-		l.recordLeaseWait(w, now)
+		l.recordLeaseWait(w, rule, now)
 	}
 	for _, r := range w.sortedRuns() {
 		l.release(w, r, "lease lapsed", "")
