Count an incarnation as young only if another one was called under its ID

Cause: an agent counted a run as settled, and a leader an incarnation, only by how long the agent had known the incarnation, since a call for an earlier one may be carried out late by the next one. That needs the same ID: a call names it, and a runner with another one refuses the call. Nearly every runner that begins has a new ID.

Fix: the agent records which incarnations it has called, and the leader which ones agents have called in sessions with it. What counts is the time since another incarnation may have been called under the same ID; before the start of the agent's process, or of the first session with the leader, any may have been. So a runner that begins again under its ID waits as before, also if another one ran in between, and an agent that restarts no longer makes an incarnation young that the leader has known for long.

--- a/fleet/host.go
+++ b/fleet/host.go
@@ -20,7 +20,7 @@
 
 	mu               sync.Mutex
 	info             substrate.RunnerInfo // last announcement of the runner, zero before the first
-	knownSince       bootclock.Time       // when the incarnation in info was first accepted
+	called           calledRunners        // by this process
 	shrankAt         bootclock.Time       // when a new incarnation or a smaller capacity was last announced
 	runnerGone       bool                 // the incarnation in info has ended
 	endedIncarnation string               // last incarnation that ended and was not replaced, empty if it was announced again
@@ -44,7 +44,7 @@
 }
 
 func newHost(o Options, m *metrics) *host {
-	return &host{o: o, metrics: m, changed: make(chan struct{}, 1), takeoverRequests: make(chan leaderRow, 1), replacedEpochs: make(chan int64, 1)}
+	return &host{o: o, metrics: m, called: calledRunners{since: o.Clock()}, changed: make(chan struct{}, 1), takeoverRequests: make(chan leaderRow, 1), replacedEpochs: make(chan int64, 1)}
 }
 
 // announce records a report of a runner about itself. It returns false for an
@@ -81,9 +81,7 @@
 	if !same && h.info.Incarnation != "" && !h.runnerGone {
 		h.recordCrash()
 	}
-	if !same {
-		h.knownSince = h.o.Clock()
-	}
+	h.called.record(info.ID, info.Incarnation, h.o.Clock(), h.o.Timing.settledIncarnationAge())
 	h.info, h.doubtful = info, doubtfulReports{}
 	h.runnerGone = false
 	if !same {
@@ -237,10 +235,17 @@
 func (h *host) knownLeaseEnd() (bootclock.Time, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	isKnown := h.info.Incarnation != "" && h.o.Clock().Sub(h.knownSince) >= h.o.Timing.settledIncarnationAge()
+	isKnown := h.info.Incarnation != "" && h.sinceOtherCalls(h.info.ID, h.info.Incarnation) >= h.o.Timing.settledIncarnationAge()
 	return h.leaseEndsAt, isKnown
 }
 
+// sinceOtherCalls returns the time since agents of this host may have called another incarnation
+// under the runner's ID. The caller holds mu.
+func (h *host) sinceOtherCalls(id, incarnation string) time.Duration {
+	now := h.o.Clock()
+	return now.Sub(h.called.othersCalledUntil(id, incarnation, now))
+}
+
 // requestTakeover passes the request of a leader to be replaced on to the node.
 func (h *host) requestTakeover(row leaderRow) {
 	select {
@@ -356,6 +361,6 @@
 		Worker: string(h.o.Worker), FailureDomain: string(h.o.FailureDomain), Address: h.o.Address, Gone: h.endedIncarnation,
 		Incarnation: info.Incarnation, Runner: info.ID, Pool: string(info.Pool), Rack: info.Rack, Labels: info.Labels,
 		MilliCpu: info.Capacity.MilliCPU, MemoryMb: info.Capacity.MemoryMB, Accelerators: info.Capacity.Accelerators,
-		Crash: h.crashReport(), IncarnationAgeMs: h.o.Clock().Sub(h.knownSince).Milliseconds(),
+		Crash: h.crashReport(), IncarnationAgeMs: h.sinceOtherCalls(info.ID, info.Incarnation).Milliseconds(),
 	}
 }
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -357,15 +357,15 @@
 		!slices.Contains(l.earlierLeases.unsettled, r.id.String())
 }
 
-// settledIncarnationAge is the age of an incarnation from which on no start for an earlier
-// one can have obtained a lease there that has not lapsed: it is carried out a few seconds
-// late, and obtains the longest lease.
+// settledIncarnationAge is the time after the last call for an earlier incarnation from which on
+// none can have obtained a lease in the current one that has not lapsed: such a call is carried
+// out a few seconds late, and obtains the longest lease.
 func (t Timing) settledIncarnationAge() time.Duration { return t.MaxLease + t.Lease }
 
-// isIncarnationSettled reports whether the agent has known the runner's incarnation for so
-// long that no start for an earlier one matters there.
+// isIncarnationSettled reports whether no call for an earlier incarnation matters to the
+// runner of the worker: none was made under its ID, or so long ago that its lease has lapsed.
 func (l *leader) isIncarnationSettled(w *worker, now bootclock.Time) bool {
-	return w.knownIncarnationSince > 0 && now.Sub(w.knownIncarnationSince) >= l.o.Timing.settledIncarnationAge()
+	return w.othersCalledUntil > 0 && now.Sub(w.othersCalledUntil) >= l.o.Timing.settledIncarnationAge()
 }
 
 // limitEarlierLease limits the lease that earlier leaders may have granted to a worker that
--- a/fleet/lease_bounds_test.go
+++ b/fleet/lease_bounds_test.go
@@ -368,7 +368,7 @@
 			now := bootclock.Time(time.Hour)
 			l, _ := leaderWithWorkers(t, &now, 1)
 			w := l.workers["w0"]
-			w.knownIncarnationSince, w.leaseEndsAt = now.Add(-c.knownFor), now.Add(time.Second)
+			w.othersCalledUntil, w.leaseEndsAt = now.Add(-c.knownFor), now.Add(time.Second)
 			l.reconcile(w, &fleetpb.WorkerReport{Listed: true, Active: []*fleetpb.Active{{Run: &fleetpb.Run{Job: "web", Number: 1}}}}, now)
 			is.New(t).Equal(w.leaseEndsAt >= now.Add(l.o.Timing.MaxLease), c.extended)
 		})
--- a/fleet/lease_waits_test.go
+++ b/fleet/lease_waits_test.go
@@ -16,7 +16,7 @@
 		ruleBound:   func(_ *leader, w *worker, now bootclock.Time) { w.listedAt, w.boundEndsAt = 0, now },
 		ruleList: func(l *leader, w *worker, now bootclock.Time) {
 			w.leaseEndsAt = now.Add(l.o.Timing.LeaseHorizon)
-			w.knownIncarnationSince = now.Add(-l.o.Timing.settledIncarnationAge())
+			w.othersCalledUntil = now.Add(-l.o.Timing.settledIncarnationAge())
 			l.limitEarlierLease(w, now)
 		},
 		ruleGranted: func(_ *leader, w *worker, now bootclock.Time) { w.leaseEndsAt, w.grantedEndsAt = now, now },
--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -153,6 +153,7 @@
 		goesAfter time.Duration
 	}{
 		"leader, new ID":                         {age: 4800 * time.Millisecond, ofLeader: true},
+		"leader, new ID, 3 s":                    {age: 3200 * time.Millisecond, ofLeader: true},
 		"leader, new ID, 12 s":                   {age: 12 * time.Second, ofLeader: true},
 		"leader, same ID":                        {age: 4800 * time.Millisecond, ofLeader: true, keepsID: true},
 		"other host, new ID":                     {age: 4800 * time.Millisecond},
--- a/fleet/run_register.go
+++ b/fleet/run_register.go
@@ -88,7 +88,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	calls := h.register(incarnation).calls[run]
-	return calls != nil && calls.open == 0 && calls.areAnswered && calls.unansweredAt == 0 && h.o.Clock().Sub(h.knownSince) >= h.o.Timing.Lease
+	return calls != nil && calls.open == 0 && calls.areAnswered && calls.unansweredAt == 0 && h.sinceOtherCalls(h.info.ID, incarnation) >= h.o.Timing.Lease
 }
 
 // recordStarted records that the incarnation has answered the start of a run.
--- a/fleet/run_register_test.go
+++ b/fleet/run_register_test.go
@@ -40,7 +40,7 @@
 			start(h, "i", true)
 		}, false},
 		"perhaps also started by an earlier process": {func(h *host, now *bootclock.Time) {
-			h.knownSince = *now
+			h.called.since = *now
 			start(h, "i", true)
 		}, false},
 		"one start ends after the incarnation was disputed": {func(h *host, _ *bootclock.Time) {
@@ -57,7 +57,7 @@
 		t.Run(name, func(t *testing.T) {
 			now := bootclock.Time(time.Hour)
 			h := newHost(Options{Clock: func() bootclock.Time { return now }, Timing: Timing{}.withDefaults()}, nil)
-			h.info.Incarnation, h.knownSince = "i", now.Add(-h.o.Timing.Lease)
+			h.info.Incarnation, h.called.since = "i", now.Add(-h.o.Timing.Lease)
 			c.record(h, &now)
 			list(h, substrate.ActiveRun{Run: run})
 			is.New(t).Equal(h.isSettled("i", run), c.want)
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -42,14 +42,16 @@
 	drainRemaining time.Duration
 	attachedAt     bootclock.Time // start of the session
 	detachedAt     bootclock.Time // end of the last session with this leader, 0 before the first
-	// knownIncarnationSince is since when the agent has known the runner's incarnation, 0
-	// if it has not said so.
-	knownIncarnationSince bootclock.Time
-	reportedAt            bootclock.Time // time of the last report
-	listedAt              bootclock.Time // time of the last list
-	leaseEndsAt           bootclock.Time // latest end of any lease of the worker, without an allowance for clock drift
-	grantedEndsAt         bootclock.Time // the same of the leases that this leader has granted
-	extendedEndsAt        bootclock.Time // the same of a lease by a call for an earlier incarnation, see extendToMaxLease
+	called         calledRunners  // in sessions with this leader
+	// othersCalledUntil is the latest time at which another incarnation may have been called
+	// under the ID of the runner, by what this leader and the agent know. It is 0 before the
+	// first session.
+	othersCalledUntil bootclock.Time
+	reportedAt        bootclock.Time // time of the last report
+	listedAt          bootclock.Time // time of the last list
+	leaseEndsAt       bootclock.Time // latest end of any lease of the worker, without an allowance for clock drift
+	grantedEndsAt     bootclock.Time // the same of the leases that this leader has granted
+	extendedEndsAt    bootclock.Time // the same of a lease by a call for an earlier incarnation, see extendToMaxLease
 	// boundEndsAt is the end of the worker's leases that the row of an earlier leader
 	// states, 0 without such a bound. Until a row without the bound is stored, no lease
 	// may end later.
@@ -233,10 +235,7 @@
 		w.health = workerHealth{}
 	}
 	w.incarnation = hello.GetIncarnation()
-	w.knownIncarnationSince = 0
-	if age := hello.GetIncarnationAgeMs(); age > 0 {
-		w.knownIncarnationSince = w.attachedAt.Add(-time.Duration(age) * time.Millisecond)
-	}
+	l.recordCalledRunner(w, hello)
 	l.recordCrash(w, hello.GetCrash())
 	l.log.Info("worker attends", zap.String("worker", string(w.id)), zap.String("incarnation", w.incarnation),
 		zap.Int64("fence", s.fencingToken), zap.Int("assigned", len(w.runs)))
@@ -262,6 +261,23 @@
 	return w
 }
 
+// recordCalledRunner records which incarnation the agent calls in the session that begins. An
+// agent calls runners only in sessions, and attends one leader after the other.
+func (l *leader) recordCalledRunner(w *worker, hello *fleetpb.Hello) {
+	if w.called.since == 0 {
+		w.called.since = w.attachedAt
+	}
+	w.othersCalledUntil = 0
+	if w.incarnation == "" {
+		return
+	}
+	w.called.record(w.runner, w.incarnation, w.attachedAt, l.o.Timing.settledIncarnationAge())
+	w.othersCalledUntil = w.called.othersCalledUntil(w.runner, w.incarnation, w.attachedAt)
+	if age := hello.GetIncarnationAgeMs(); age > 0 {
+		w.othersCalledUntil = min(w.othersCalledUntil, w.attachedAt.Add(-time.Duration(age)*time.Millisecond))
+	}
+}
+
 // sessionBits is the number of low bits of a fencing token that hold the
 // session number.
 const sessionBits = 20
