--- /dev/null
+++ b/fleet/late_start_test.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Guards against a second run of a task beside one that its runner's next incarnation has started,
+// since the host is cut off before the agent could say so.
+func TestStartThatReachesTheNextIncarnationJustBeforeACutRunsTheTaskOnce(t *testing.T) {
+	for name, longRunning := range map[string]bool{"long-running": true, "short": false} {
+		t.Run(name, func(t *testing.T) {
+			runWithServices(t, 6, func(m *mixedFleet, _ *simulatedHost, _ map[structs.RunID]int) {
+				time.Sleep(m.timing.settledIncarnationAge())
+				h := (&lostHosts{m: m}).follower()
+				m.cutOffAtNextStart(h)
+				if longRunning {
+					m.submitService(int32(len(m.hosts)), 50, 2, nil)
+				} else {
+					work := mixedWork{step: structs.Step{Resources: structs.Resources{MilliCPU: 50}}, runTime: 9 * time.Second}
+					m.submitInBackground(m.newJob(shortPrefix, int32(2*len(m.hosts)), work), func() {})
+				}
+				m.waitUntil("the host is cut off", 5*time.Second, h.isPartitioned)
+				if len(h.runner.Paces()) == 0 {
+					m.t.Error("the next incarnation runs nothing")
+				}
+			})
+		})
+	}
+}
+
+// cutOffAtNextStart lets the next start on the host reach the next incarnation of its runner, and
+// cuts the host off before the answer arrives.
+func (m *mixedFleet) cutOffAtNextStart(h *simulatedHost) {
+	var restarted atomic.Bool
+	m.beforeStart.set(func(on *simulatedHost) {
+		if on == h && restarted.CompareAndSwap(false, true) {
+			h.runner.Restart()
+		}
+	})
+	m.onAnswer.set(func(_ context.Context, on *simulatedHost, a answer) error {
+		if on == h && a.started.Number > 0 && restarted.Load() && !h.isPartitioned() {
+			cutOff(h)
+		}
+		return nil
+	})
+}
