Stop what a restarted runner runs while its agent has no session

A runner that begins again under its ID may carry out a start that was meant for the incarnation before, with the longest lease, 10 s. If the host is cut off before the agent can say so, the leader releases the run 4.5 s after its last grant, and the task runs twice for up to 5.5 s.

Only the agent beside the runner can know. It now lists and stops the runs of an incarnation that has replaced another one under the same ID and that has had no session for 1 s: no leader has ordered anything there. That ends them 2 to 3 s after the cut. Where there is no leader for longer than that, a run that has just begun is lost, and starts again.

A longer wait of the leader was tried first and dropped: it would apply to each start of the last 1.5 s before a host is lost.

The stand-in of the runner carries out stops for an earlier incarnation with the same ID, as it did with starts.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -99,6 +99,7 @@
 		return endLost, &structs.FencedError{Cell: fleetPart, Epoch: first.GetEpoch()}
 	}
 	a.epoch, a.fencingToken = first.GetEpoch(), first.GetFence()
+	a.host.recordAttended(a.info.Incarnation, a.fencingToken)
 	a.pacer.attach(a.log, a.runner, a.fencingToken)
 	a.log.Info("session opened", zap.String("leader", a.row.Address), zap.Int64("fence", a.fencingToken))
 	orders := make(chan *fleetpb.WorkerOrders)
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -21,23 +21,24 @@
 	mu               sync.Mutex
 	info             substrate.RunnerInfo // last announcement of the runner, zero before the first
 	called           calledRunners        // by this process
-	shrankAt         bootclock.Time       // when a new incarnation or a smaller capacity was last announced
-	runnerGone       bool                 // the incarnation in info has ended
-	endedIncarnation string               // last incarnation that ended and was not replaced, empty if it was announced again
-	reportedEnd      string               // incarnation of which a leader has last stored that it has ended
-	reportedPollAt   bootclock.Time       // when the poll began whose list another node, as the leader, has last answered
-	answeredAt       bootclock.Time       // when a leader's last orders arrived, 0 before the first
-	answeredEpoch    int64                // epoch of that leader
-	leaving          bool                 // the runner announced that it ends
-	stopping         bool                 // the agent's process is about to stop
-	doubtful         doubtfulReports      // reports that contradict info
-	changed          chan struct{}        // signalled after a change that the leader must be informed of
-	pacer            *pacer               // nil before the first session with a runner
-	highestEpoch     int64                // highest epoch of the leaders that have sent orders, and of this node's leaderships
-	leaseEndsAt      bootclock.Time       // latest end of the leases that leaders have granted to this process
-	runs             runRegister          // runs of the current incarnation
-	crash            *fleetpb.Crash       // last crash of a runner of this host, nil if this process has seen none
-	crashedAt        bootclock.Time       // time of crash
+	attended         attendedRunner
+	shrankAt         bootclock.Time  // when a new incarnation or a smaller capacity was last announced
+	runnerGone       bool            // the incarnation in info has ended
+	endedIncarnation string          // last incarnation that ended and was not replaced, empty if it was announced again
+	reportedEnd      string          // incarnation of which a leader has last stored that it has ended
+	reportedPollAt   bootclock.Time  // when the poll began whose list another node, as the leader, has last answered
+	answeredAt       bootclock.Time  // when a leader's last orders arrived, 0 before the first
+	answeredEpoch    int64           // epoch of that leader
+	leaving          bool            // the runner announced that it ends
+	stopping         bool            // the agent's process is about to stop
+	doubtful         doubtfulReports // reports that contradict info
+	changed          chan struct{}   // signalled after a change that the leader must be informed of
+	pacer            *pacer          // nil before the first session with a runner
+	highestEpoch     int64           // highest epoch of the leaders that have sent orders, and of this node's leaderships
+	leaseEndsAt      bootclock.Time  // latest end of the leases that leaders have granted to this process
+	runs             runRegister     // runs of the current incarnation
+	crash            *fleetpb.Crash  // last crash of a runner of this host, nil if this process has seen none
+	crashedAt        bootclock.Time  // time of crash
 
 	takeoverRequests chan leaderRow // leaders that request to be replaced
 	replacedEpochs   chan int64     // epochs of leaders that were replaced
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,7 +24,7 @@
 	predictionRatio, declaredRatio                                                 metric.Float64Histogram
 	unreadableModels                                                               metric.Int64Counter
 	refusedJobs, withdrawnCommits                                                  metric.Int64Counter
-	incompleteLists, doubtfulReports, splitOrders, longCheckpoints                 metric.Int64Counter
+	incompleteLists, doubtfulReports, splitOrders, longCheckpoints, unattendedRuns metric.Int64Counter
 	unboundedRows                                                                  metric.Int64Counter
 	heldBackEnds                                                                   metric.Float64Histogram
 	jobPrediction                                                                  metric.Float64Histogram
@@ -135,6 +135,10 @@
 		metric.WithDescription("Messages to a worker that had no room for all starts")); err != nil {
 		return err
 	}
+	if m.unattendedRuns, err = meter.Int64Counter("daisywall.fleet.runs.unattended",
+		metric.WithDescription("Runs that an agent without a session has stopped in a restarted runner")); err != nil {
+		return err
+	}
 	if m.longCheckpoints, err = meter.Int64Counter("daisywall.fleet.checkpoints.dropped",
 		metric.WithDescription("Checkpoints in lists of runs that were too long to be kept")); err != nil {
 		return err
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -37,7 +37,7 @@
 	Observer RunObserver   // gets the ID in Info for all incarnations
 	Gangs    *Gangs        // shared by all runners, nil without gangs
 	Permits  *PermitIssuer // checks the permit of every start, nil where no permit is needed
-	// AcceptsStaleCalls is set for a runner that carries out starts and
+	// AcceptsStaleCalls is set for a runner that carries out starts, stops and
 	// acknowledgements that are addressed to an earlier incarnation with the same
 	// ID. The reply still reports the incarnation mismatch.
 	AcceptsStaleCalls bool
--- a/standin/taskrunner_client.go
+++ b/standin/taskrunner_client.go
@@ -60,14 +60,16 @@
 
 // Stop implements substrate.Runner.
 func (c *TaskRunnerClient) Stop(ctx context.Context, fence int64, run structs.RunID) error {
-	if err := c.runner.admitCall(ctx, c.incarnation, fence); err != nil {
-		return err
-	}
+	err := c.runner.admitCall(ctx, c.incarnation, fence)
+	var mismatch *substrate.IncarnationError
 	c.runner.mu.Lock()
 	defer c.runner.mu.Unlock()
+	if err != nil && !(errors.As(err, &mismatch) && c.runner.acceptsStaleCallTo(c.incarnation)) {
+		return err
+	}
 	c.runner.endRunLocked(run, substrate.RunEndStopped)
 	c.runner.highestEnded[run.Task] = max(c.runner.highestEnded[run.Task], run.Number)
-	return nil
+	return err
 }
 
 // SetPace implements substrate.Runner. The simulated tasks keep their run time.
