Wait for the lease that a poll for an earlier incarnation may have extended

The leader then released the runs of a host that was cut off within 10 s of it after 4.5 s: 6 double runs in 3 subtests of the new test. The stand-in of the runner did not extend the lease, so that no test saw it.

From the first list of an incarnation that is not settled, the leader counts the longest lease. Later calls for earlier ones are refused for their fencing token. A leader that stops by plan gives such workers a bound of their own in its row; their runs would be named as unsettled otherwise, and wait for LeaseHorizon (10.4 to 11.1 s, the case of the same ID in TestLongRunningTasksOnAYoungRunnerRunAgainInTimeAfterAPlannedStop).

--- a/fleet/late_start_test.go
+++ b/fleet/late_start_test.go
@@ -49,3 +49,23 @@
 		return nil
 	})
 }
+
+// Guards against a second run of a task beside one on a restarted runner, whose lease a poll for
+// the earlier incarnation has extended before the first list.
+func TestLeaseByAPollForAnEarlierIncarnationIsWaitedFor(t *testing.T) {
+	runWithServices(t, 6, func(m *mixedFleet, _ *simulatedHost, _ map[structs.RunID]int) {
+		time.Sleep(m.timing.settledIncarnationAge())
+		h := (&lostHosts{m: m}).follower()
+		var restarted atomic.Bool
+		m.beforePoll.set(func(on *simulatedHost) {
+			if on == h && restarted.CompareAndSwap(false, true) {
+				h.runner.Restart()
+			}
+		})
+		m.waitUntil("the runner has restarted", time.Second, restarted.Load)
+		m.submitService(int32(8*len(m.hosts)), 50, 0, nil)
+		m.waitUntil("the restarted runner runs tasks", 3*time.Second, func() bool { return len(h.runner.Paces()) > 0 })
+		time.Sleep(m.timing.ReportInterval)
+		cutOff(h)
+	})
+}
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -382,6 +382,20 @@
 	}
 }
 
+// extendForEarlierCalls extends the lease of an incarnation that lists its runs for the first
+// time, if a call for an earlier one may have reached it by now. From now on, the fencing token of
+// the session keeps such calls away. The leases of runs that earlier leaders have stated as settled
+// include it, since the incarnation has listed them to the leader that started them.
+func (l *leader) extendForEarlierCalls(w *worker, now bootclock.Time) {
+	if w.listedIncarnation == w.incarnation {
+		return
+	}
+	w.listedIncarnation = w.incarnation
+	if !l.isIncarnationSettled(w, now) {
+		w.leaseEndsAt = max(w.leaseEndsAt, now.Add(l.o.Timing.MaxLease))
+	}
+}
+
 // ownLeaseEnd returns the latest end of the leases of the worker on this host if no
 // commit follows the next one, and the horizon of the leases from then on. Without
 // long-running tasks, the worker keeps LeaseHorizon, so that it works on for longer in a
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -76,6 +76,7 @@
 	last := l.nextWitnesses
 	l.setNextWitnesses(witnessedLeases{})
 	if l.handover.isStated() {
+		bounds = l.addLongLeases(bounds, now.Add(l.nextHorizon), now)
 		if unsettled, fits := l.unsettledRuns(bounds, now.Add(l.nextHorizon), now); fits {
 			row = row.withBounds(bounds, unsettled)
 			row.HandoverMs = l.nextHorizon.Milliseconds()
@@ -100,6 +101,28 @@
 	return row.withBounds(bounds, unsettled)
 }
 
+// addLongLeases adds the bounds of the workers without one that have a lease which ends later than
+// allEndBy, such as those that extendForEarlierCalls has extended. They get no longer leases, so that
+// the bounds hold.
+func (l *leader) addLongLeases(bounds []leaseBound, allEndBy, now bootclock.Time) []leaseBound {
+	bounded := boundedWorkers(bounds)
+	for _, w := range l.sortedWorkers() {
+		if end := w.settledLeaseEnd(); end > allEndBy && !bounded[w.id] && w.longRunningRuns() > 0 && len(bounds) < maxLostWorkers {
+			bounds = append(bounds, leaseBound{Worker: w.id}.setEnds(end, 0, now))
+		}
+	}
+	return bounds
+}
+
+// boundedWorkers returns the workers that have a bound.
+func boundedWorkers(bounds []leaseBound) map[structs.WorkerID]bool {
+	bounded := make(map[structs.WorkerID]bool, len(bounds))
+	for _, b := range bounds {
+		bounded[b.Worker] = true
+	}
+	return bounded
+}
+
 // reportUnbounded records that a row has no bounds of the given kind.
 func (l *leader) reportUnbounded(kind string, bounds []leaseBound) {
 	l.log.Warn("leases not bounded: they do not fit into the row", zap.String("kind", kind), zap.Int("bounds", len(bounds)))
@@ -111,10 +134,7 @@
 // bound that the row states, 0 if it states none: then their runs are left out, else those with
 // leases that end later count as unsettled.
 func (l *leader) unsettledRuns(bounds []leaseBound, allEndBy, now bootclock.Time) (names []string, fits bool) {
-	bounded := make(map[structs.WorkerID]bool, len(bounds))
-	for _, b := range bounds {
-		bounded[b.Worker] = true
-	}
+	bounded := boundedWorkers(bounds)
 	var unsettled []*run
 	for _, w := range l.sortedWorkers() {
 		if !bounded[w.id] && allEndBy == 0 {
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -34,6 +34,7 @@
 	if w.listedAt == 0 {
 		l.limitEarlierLease(w, now)
 	}
+	l.extendForEarlierCalls(w, now)
 	w.listed, w.listedAt = true, now
 	w.listSentAt = r.GetSentAt()
 	w.leaseLapsed = false
--- a/fleet/service_latency_test.go
+++ b/fleet/service_latency_test.go
@@ -274,7 +274,7 @@
 		}
 		f.reading.set(latency.reading)
 		pollDelays := rand.New(rand.NewPCG(seed, 3))
-		f.beforePoll.set(func() { time.Sleep(latency.randomDelay(pollDelays, scenario.pollDelay)) })
+		f.beforePoll.set(func(*simulatedHost) { time.Sleep(latency.randomDelay(pollDelays, scenario.pollDelay)) })
 		f.runTime.set(func(r structs.RunID) time.Duration { return fillRunTime })
 		f.longRunning.set(func(r structs.RunID) bool {
 			return strings.HasPrefix(string(r.Task.Job), servicePrefix) || r.Task.Job == lastingNoisyJob
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -54,7 +54,7 @@
 	// beforeCommit may change the rows of a commit before it reaches the store. It may be nil.
 	beforeCommit hook[func(h *simulatedHost, txn substrate.PartTxn)]
 	// beforePoll is called before each list of runs is requested. It may be nil.
-	beforePoll hook[func()]
+	beforePoll hook[func(h *simulatedHost)]
 	// onAnswer is called for each answer of a runner or the store to a host. It may
 	// delay the answer, or return the error of a call whose answer is lost. It may be
 	// nil.
@@ -406,7 +406,7 @@
 // PollRuns implements substrate.Runner.
 func (r *interceptedRunner) PollRuns(ctx context.Context, fence, acknowledged int64, lease substrate.RuntimeClock, maxWait time.Duration) (substrate.RunnerState, error) {
 	if beforePoll := r.h.fleet.beforePoll.get(); beforePoll != nil {
-		beforePoll()
+		beforePoll(r.h)
 	}
 	state, err := r.Runner.PollRuns(ctx, fence, acknowledged, lease, maxWait)
 	if lost := r.h.fleet.passAnswer(ctx, r.h, answer{ended: state.Ended, acknowledged: acknowledged}); lost != nil {
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -47,6 +47,7 @@
 	// under the ID of the runner, by what this leader and the agent know. It is 0 before the
 	// first session.
 	othersCalledUntil bootclock.Time
+	listedIncarnation string         // last incarnation that has listed its runs to this leader
 	reportedAt        bootclock.Time // time of the last report
 	listedAt          bootclock.Time // time of the last list
 	leaseEndsAt       bootclock.Time // latest end of any lease of the worker, without an allowance for clock drift
--- a/standin/taskrunner.go
+++ b/standin/taskrunner.go
@@ -37,9 +37,9 @@
 	Observer RunObserver   // gets the ID in Info for all incarnations
 	Gangs    *Gangs        // shared by all runners, nil without gangs
 	Permits  *PermitIssuer // checks the permit of every start, nil where no permit is needed
-	// AcceptsStaleCalls is set for a runner that carries out starts, stops and
-	// acknowledgements that are addressed to an earlier incarnation with the same
-	// ID. The reply still reports the incarnation mismatch.
+	// AcceptsStaleCalls is set for a runner that carries out starts, stops,
+	// acknowledgements and extensions of the lease that are addressed to an earlier
+	// incarnation with the same ID. The reply still reports the incarnation mismatch.
 	AcceptsStaleCalls bool
 	LongRunning       func(structs.RunID) bool  // runs that are at work until they are stopped, none if nil
 	PaceDelay         time.Duration             // time from a change of pace to its effect
--- a/standin/taskrunner_client.go
+++ b/standin/taskrunner_client.go
@@ -114,6 +114,7 @@
 	c.runner.mu.Lock()
 	var mismatch *substrate.IncarnationError
 	if errors.As(err, &mismatch) && c.runner.acceptsStaleCallTo(c.incarnation) {
+		c.runner.extendLeaseLocked(lease)
 		c.runner.acknowledgeLocked(acknowledged)
 	}
 	if err != nil {
