Stop what a restarted runner runs until a leader has answered its list

The agent counted the next incarnation as known to a leader from the begin of the session.

TestLeaseByAPollForAnEarlierIncarnationIsWaitedFor waits for the restarted worker before it submits the job: once in four runs all tasks had gone to the other hosts, so that there was nothing to check.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -99,7 +99,7 @@
 		return endLost, &structs.FencedError{Cell: fleetPart, Epoch: first.GetEpoch()}
 	}
 	a.epoch, a.fencingToken = first.GetEpoch(), first.GetFence()
-	a.host.recordAttended(a.info.Incarnation, a.fencingToken)
+	a.host.recordSession(a.fencingToken)
 	a.pacer.attach(a.log, a.runner, a.fencingToken)
 	a.log.Info("session opened", zap.String("leader", a.row.Address), zap.Int64("fence", a.fencingToken))
 	orders := make(chan *fleetpb.WorkerOrders)
@@ -212,6 +212,9 @@
 	if a.sentListAt > 0 && echo >= a.sentListAt && o.GetAcknowledged() >= a.lastEndListed && a.row.Address != a.host.o.Address {
 		a.host.recordReportedList(a.sentPollAt)
 	}
+	if a.sentListAt > 0 && echo >= a.sentListAt {
+		a.host.recordAttended(a.info.Incarnation)
+	}
 	if gone := o.GetGoneStored(); gone != "" {
 		a.host.recordReportedEnd(gone)
 	}
--- a/fleet/late_start_test.go
+++ b/fleet/late_start_test.go
@@ -33,6 +33,43 @@
 	}
 }
 
+// Guards against the same if the cut comes after the begin of the session with the next incarnation,
+// and before the leader has its first list.
+func TestCutBetweenTheSessionAndTheFirstListRunsTheTaskOnce(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"at once": 0, "first poll takes 0.3 s": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			runWithServices(t, 6, func(m *mixedFleet, _ *simulatedHost, _ map[structs.RunID]int) {
+				time.Sleep(m.timing.settledIncarnationAge())
+				h := (&lostHosts{m: m}).follower()
+				var restarted, cut atomic.Bool
+				old := h.runner.Info().Incarnation
+				m.beforeStart.set(func(on *simulatedHost) {
+					if on == h && restarted.CompareAndSwap(false, true) {
+						h.runner.Restart()
+					}
+				})
+				m.beforePoll.set(func(on *simulatedHost) {
+					if on != h || !restarted.Load() {
+						return
+					}
+					h.node.host.mu.Lock()
+					attended := h.node.host.attended.incarnation
+					h.node.host.mu.Unlock()
+					if attended != old && cut.CompareAndSwap(false, true) {
+						time.Sleep(delay)
+						cutOff(h)
+					}
+				})
+				m.submitService(int32(len(m.hosts)), 50, 2, nil)
+				m.waitUntil("the host is cut off", 5*time.Second, h.isPartitioned)
+				if len(h.runner.Paces()) == 0 {
+					m.t.Error("the next incarnation runs nothing")
+				}
+			})
+		})
+	}
+}
+
 // cutOffAtNextStart lets the next start on the host reach the next incarnation of its runner, and
 // cuts the host off before the answer arrives.
 func (m *mixedFleet) cutOffAtNextStart(h *simulatedHost) {
@@ -63,6 +100,7 @@
 			}
 		})
 		m.waitUntil("the runner has restarted", time.Second, restarted.Load)
+		m.waitUntil("the new runner is ready", 3*time.Second, func() bool { return m.readyWorkers() == len(m.hosts) })
 		m.submitService(int32(8*len(m.hosts)), 50, 0, nil)
 		m.waitUntil("the restarted runner runs tasks", 3*time.Second, func() bool { return len(h.runner.Paces()) > 0 })
 		time.Sleep(m.timing.ReportInterval)
--- a/fleet/restarted_runner.go
+++ b/fleet/restarted_runner.go
@@ -10,21 +10,21 @@
 	"github.com/daisywall/daisywall/substrate"
 )
 
-// restartedRunner is an incarnation that has begun under the ID of an earlier one. Before its
-// first session, it runs only what calls for the earlier one have started there.
+// restartedRunner is an incarnation that has begun under the ID of an earlier one. Until a leader
+// has answered its first list, it runs only what calls for the earlier one have started there.
 type restartedRunner struct {
 	info  substrate.RunnerInfo
 	since bootclock.Time // when the agent has learned of it
 	fence int64          // of the last session
 }
 
-// unattendedLimit is how long the runs of a restarted runner may go on without a session. A
+// unattendedLimit is how long the runs of a restarted runner may go on without a leader. A
 // leader that has lost the agent releases them no earlier than Timing.Lease after it has last
 // ordered a start.
 const unattendedLimit = time.Second
 
-// unattendedRunner returns the current incarnation if it is a restarted one which has had no
-// session for unattendedLimit.
+// unattendedRunner returns the current incarnation if it is a restarted one of which no leader
+// has answered a list for unattendedLimit.
 func (h *host) unattendedRunner() (restartedRunner, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -35,17 +35,24 @@
 	return restartedRunner{info: h.info, since: since, fence: h.attended.fence}, true
 }
 
-// attendedRunner is the incarnation of the last session with a leader.
+// attendedRunner is what the agent knows of its sessions with leaders.
 type attendedRunner struct {
-	incarnation string
-	fence       int64
+	incarnation string // last one of which a leader has answered a list
+	fence       int64  // of the last session
 }
 
-// recordAttended records that a session for the incarnation has begun.
-func (h *host) recordAttended(incarnation string, fence int64) {
+// recordSession records that a session with the fencing token has begun.
+func (h *host) recordSession(fence int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.attended = attendedRunner{incarnation: incarnation, fence: fence}
+	h.attended.fence = fence
+}
+
+// recordAttended records that a leader has answered a list of the incarnation's runs.
+func (h *host) recordAttended(incarnation string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.attended.incarnation = incarnation
 }
 
 // watchRestartedRunner stops the runs of a restarted runner while no leader can learn of
