Bound long leases of single workers only in a row that states a handover

The bounds are in the row now only with the statement.

By reading: such a bound in the row no longer keeps a worker that has returned from its leases.

--- a/fleet/handover_test.go
+++ b/fleet/handover_test.go
@@ -165,3 +165,32 @@
 		m.endStreams()
 	})
 }
+
+// Guards against leases beyond the bound of a worker that is not lost, in a row that states no
+// end of all leases since the names of the unsettled runs do not fit.
+func TestRowWithoutAHandoverHasNoBoundsOfLongLeases(t *testing.T) {
+	is := is.New(t)
+	now := bootclock.Time(time.Hour)
+	l, _ := leaderWithWorkers(t, &now, 3)
+	l.o.Worker = "w0"
+	l.handover.statedAt = now
+	for _, w := range l.workers {
+		w.listed, w.reportedAt = true, now
+	}
+	service := addService(l, "web", maxUnsettledRuns+2, 1)
+	w1 := l.workers["w1"]
+	w1.leaseEndsAt = now.Add(4600 * time.Millisecond) // left of extendForEarlierCalls
+	settled := w1.assign(structs.RunID{Task: structs.StepTaskID{Job: "web"}, Number: 1}, "i", service)
+	settled.startedAt, settled.isStartAnswered = now, true
+	for i := range maxUnsettledRuns + 1 {
+		l.workers["w2"].assign(structs.RunID{Task: structs.StepTaskID{Job: "web", Index: int32(i + 1)}, Number: 1}, "i", service)
+	}
+	row := l.nextRow(leadership{}, now)
+	is.Equal(row.HandoverMs, int64(0))
+	l.handleCommitted(commitResult{row: leaderRow{leadership: row, Version: 1}, sent: now})
+	for _, b := range row.bounds() {
+		if b.Worker == "w1" {
+			t.Errorf("the row has a bound of %d ms", b.Ms)
+		}
+	}
+}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -77,9 +77,10 @@
 	horizon, nextHorizon       time.Duration
 	ownHorizon, nextOwnHorizon time.Duration
 	handover                   handover
-	nextWitnesses              witnessedLeases // in the commit in flight, or in the last one
-	witnessLimit               bootclock.Time  // see updateWitnessLimit
-	takeoverRequestedAt        bootclock.Time  // when the other nodes were last asked to take over
+	longLeases                 map[structs.WorkerID]bool // whose bounds in the commit in flight, or in the last one, are of addLongLeases
+	nextWitnesses              witnessedLeases           // in the commit in flight, or in the last one
+	witnessLimit               bootclock.Time            // see updateWitnessLimit
+	takeoverRequestedAt        bootclock.Time            // when the other nodes were last asked to take over
 	interference               *steps.Interference
 	backlog                    *steps.Backlog
 	lastViews                  []*steps.Worker    // workers after the last scheduling cycle, nil if no task was pending
--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -492,7 +492,7 @@
 		return
 	}
 	l.recordLeaseWait(w, rule, now)
-	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", w.listedAt > 0), zap.Duration("since_lease", now.Sub(end)),
+	l.log.Warn("lease lapsed", zap.String("worker", string(w.id)), zap.Bool("listed", false), zap.Duration("since_lease", now.Sub(end)),
 		zap.String("rule", string(rule)), zap.Int("runs", released), zap.Int("kept", len(w.runs)), zap.Bool("attends", w.session != nil))
 	w.closeSession()
 }
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -75,10 +75,12 @@
 	l.handover.isSent = l.handover.isStated()
 	last := l.nextWitnesses
 	l.setNextWitnesses(witnessedLeases{})
+	l.longLeases = nil
 	if l.handover.isStated() {
-		bounds = l.addLongLeases(bounds, now.Add(l.nextHorizon), now)
-		if unsettled, fits := l.unsettledRuns(bounds, now.Add(l.nextHorizon), now); fits {
-			row = row.withBounds(bounds, unsettled)
+		all := l.addLongLeases(bounds, now.Add(l.nextHorizon), now)
+		if unsettled, fits := l.unsettledRuns(all, now.Add(l.nextHorizon), now); fits {
+			l.longLeases = boundedWorkers(all[len(bounds):])
+			row = row.withBounds(all, unsettled)
 			row.HandoverMs = l.nextHorizon.Milliseconds()
 			return row
 		}
@@ -101,11 +103,11 @@
 	return row.withBounds(bounds, unsettled)
 }
 
-// addLongLeases adds the bounds of the workers without one that have a lease which ends later than
-// allEndBy, such as those that extendForEarlierCalls has extended. They get no longer leases, so that
-// the bounds hold.
+// addLongLeases returns the bounds with those of the workers without one that have a lease which ends
+// later than allEndBy, such as those that extendForEarlierCalls has extended. They hold in a row that
+// states allEndBy, after which no lease ends that is granted from then on.
 func (l *leader) addLongLeases(bounds []leaseBound, allEndBy, now bootclock.Time) []leaseBound {
-	bounded := boundedWorkers(bounds)
+	bounded, bounds := boundedWorkers(bounds), slices.Clone(bounds)
 	for _, w := range l.sortedWorkers() {
 		if end := w.settledLeaseEnd(); end > allEndBy && !bounded[w.id] && w.longRunningRuns() > 0 && len(bounds) < maxLostWorkers {
 			bounds = append(bounds, leaseBound{Worker: w.id}.setEnds(end, 0, now))
