Let what the row states hold for the whole incarnation of a runner

Found by review. Callers saw long-running tasks wait 10.40 to 11.46 s (limit 9 s) for a host that stopped at the second of two planned changes of the leader, if its agent, or its runner under the same ID, had restarted before the first: a deploy does that.

Cause: after the statement of an earlier leader held run by run. Runs that the next leader started on the worker were not covered, and its lease was taken for the longest again, from the first list to each leader, since an agent that has just started can't know which incarnations were called before. The earlier leader did, and had stated it.

A settled run proves more: the leader that states it has listed the incarnation, so that its fencing token has kept calls for earlier ones away since, and all runs of a runner have one lease. So the stated end limits the worker's lease as such, at its first list or once the witnesses have shown it; later grants extend it as always. The exceptions by run of are gone.

The own worker of a next leader keeps a longer bound of its own (by reading).

--- a/fleet/lease_bounds.go
+++ b/fleet/lease_bounds.go
@@ -201,6 +201,9 @@
 	for _, w := range l.workers {
 		w.leaseEndsAt, w.handoverEndsAt = e.endAt, e.handoverEndAt
 	}
+	if own := l.workers[l.o.Worker]; own != nil && e.handoverEndAt > 0 {
+		own.handoverEndsAt = max(e.handoverEndAt, e.ownEndAt)
+	}
 	for _, b := range e.bounded {
 		w := l.workerByID(b.Worker)
 		w.leaseEndsAt, w.boundEndsAt, w.earlierBoundEndsAt = max(e.endAt, b.endAt), b.endAt, b.endAt
@@ -324,14 +327,16 @@
 // settledLeaseEnd returns the end of the leases under which the settled runs of the worker
 // run.
 func (w *worker) settledLeaseEnd() bootclock.Time {
-	earlier, _ := w.statedLeaseEnd()
+	stated, _ := w.statedLeaseEnd()
 	switch {
-	case w.listedAt == 0 && w.boundEndsAt > 0:
-		return w.boundEndsAt
-	case earlier == 0, w.isLeaseLimitedByList:
+	case w.listedAt > 0:
 		return w.leaseEndsAt
+	case w.boundEndsAt > 0:
+		return w.boundEndsAt
+	case stated > 0:
+		return min(stated, w.leaseEndsAt)
 	default:
-		return min(w.leaseEndsAt, max(earlier, w.grantedEndsAt, w.extendedEndsAt))
+		return w.leaseEndsAt
 	}
 }
 
@@ -348,13 +353,37 @@
 	}
 }
 
-// isStatedAsSettled reports whether earlier leaders have stated an end of the leases under which
-// the run runs: it is not one of the runs that their row names as unsettled, and still runs where
-// they have started it.
-func (l *leader) isStatedAsSettled(w *worker, r *run) bool {
+// limitStatedLease limits the lease of a worker that lists its runs, or has listed them, to what
+// earlier leaders have stated. The end of a settled run holds for the whole incarnation: its runs have
+// one lease, and calls for earlier ones that could extend it have been refused since the leader
+// that has stated the end has listed its runs.
+func (l *leader) limitStatedLease(w *worker) {
 	end, _ := w.statedLeaseEnd()
-	return end > 0 && r.assignedAt == 0 && r.startOrderedAt == 0 && r.startedAt > 0 && r.incarnation == w.incarnation &&
-		!slices.Contains(l.earlierLeases.unsettled, r.id.String())
+	if end == 0 || !l.isIncarnationStated(w) {
+		return
+	}
+	if end = max(end, w.grantedEndsAt, w.extendedEndsAt); end < w.leaseEndsAt {
+		w.leaseEndsAt = end
+		l.limitOwnEnd(w)
+	}
+}
+
+// isIncarnationStated reports whether earlier leaders have started a run in the incarnation that
+// they state as settled.
+func (l *leader) isIncarnationStated(w *worker) bool {
+	for _, r := range w.runs {
+		if r.assignedAt == 0 && r.incarnation == w.incarnation && r.job.Step(r.id.Task).LongRunning && !slices.Contains(l.earlierLeases.unsettled, r.id.String()) {
+			return true
+		}
+	}
+	return false
+}
+
+// limitOwnEnd limits what is known of the leases of the worker on this host to its lease.
+func (l *leader) limitOwnEnd(w *worker) {
+	if w.id == l.o.Worker {
+		l.earlierLeases.ownEndAt = min(l.earlierLeases.ownEndAt, w.leaseEndsAt)
+	}
 }
 
 // settledIncarnationAge is the time after the last call for an earlier incarnation from which on
@@ -369,28 +398,21 @@
 }
 
 // limitEarlierLease limits the lease that earlier leaders may have granted to a worker that
-// lists its runs to this leader for the first time. Leases end at most Timing.Lease after
-// they were granted, and the agent has accepted none since the session began.
+// lists its runs to this leader for the first time. Leases end at most Timing.Lease after they
+// were granted, and the agent has accepted none since the session began.
 func (l *leader) limitEarlierLease(w *worker, now bootclock.Time) {
 	if !l.isIncarnationSettled(w, now) {
 		return
 	}
 	w.leaseEndsAt = min(w.leaseEndsAt, now.Add(l.o.Timing.Lease))
 	w.isLeaseLimitedByList = true
-	if w.id == l.o.Worker {
-		l.earlierLeases.ownEndAt = min(l.earlierLeases.ownEndAt, w.leaseEndsAt)
-	}
+	l.limitOwnEnd(w)
 }
 
-// extendForEarlierCalls extends the lease of an incarnation that lists its runs for the first
-// time, if a call for an earlier one may have reached it by now. From now on, the fencing token of
-// the session keeps such calls away. The leases of runs that earlier leaders have stated as settled
-// include it, since the incarnation has listed them to the leader that started them.
+// extendForEarlierCalls extends the lease of an incarnation that lists its runs to this leader for the
+// first time, if a call for an earlier one may have reached it by now. From now on, the fencing
+// token of the session keeps such calls away.
 func (l *leader) extendForEarlierCalls(w *worker, now bootclock.Time) {
-	if w.listedIncarnation == w.incarnation {
-		return
-	}
-	w.listedIncarnation = w.incarnation
 	if !l.isIncarnationSettled(w, now) {
 		w.leaseEndsAt = max(w.leaseEndsAt, now.Add(l.o.Timing.MaxLease))
 	}
@@ -405,7 +427,7 @@
 	end = l.earlierLeases.ownEndAt
 	if own := l.workers[l.o.Worker]; own != nil {
 		if own.listedAt > 0 {
-			end = max(end, own.settledLeaseEnd())
+			end = max(end, own.leaseEndsAt)
 		}
 		if own.longRunningRuns() > 0 {
 			horizon = min(horizon, l.o.Timing.OwnLeaseHorizon)
@@ -424,19 +446,19 @@
 }
 
 // applyStoredBounds ends the limits of the workers that the stored row does not bound
-// any more, and logs the others.
+// any more, and logs the others. A bound that addLongLeases has added limits no lease.
 func (l *leader) applyStoredBounds() {
+	stored := boundedWorkers(l.row.bounds())
 	for i := range l.earlierLeases.bounded {
-		b := &l.earlierLeases.bounded[i]
-		if slices.ContainsFunc(l.row.bounds(), func(stored leaseBound) bool { return stored.Worker == b.Worker }) {
+		if b := &l.earlierLeases.bounded[i]; stored[b.Worker] {
 			l.logStoredBound(b)
 		}
 	}
-	l.earlierLeases.bounded = slices.DeleteFunc(l.earlierLeases.bounded, func(bounded boundedWorker) bool {
-		if slices.ContainsFunc(l.row.bounds(), func(b leaseBound) bool { return b.Worker == bounded.Worker }) {
+	l.earlierLeases.bounded = slices.DeleteFunc(l.earlierLeases.bounded, func(b boundedWorker) bool {
+		if stored[b.Worker] && !l.longLeases[b.Worker] {
 			return false
 		}
-		l.workers[bounded.Worker].boundEndsAt = 0
+		l.workers[b.Worker].boundEndsAt = 0
 		return true
 	})
 }
@@ -472,13 +494,12 @@
 	return slices.ContainsFunc(l.earlierLeases.bounded, func(b boundedWorker) bool { return b.hasReturned(l.workers[b.Worker]) })
 }
 
-// releaseSettled releases the settled runs of a worker once the leases have lapsed that
-// earlier leaders have stated and this one has granted. Other runs may have started a short time
-// ago, or in an incarnation of which no leader knows enough, so that they are kept until
-// leaseEndsAt.
-func (l *leader) releaseSettled(w *worker, now bootclock.Time) {
+// releaseBounded releases the settled runs of a worker that has not reported its runs to
+// this leader, once the leases that earlier leaders have bounded have lapsed. Other runs may
+// have started a short time ago, so that they are kept until leaseEndsAt.
+func (l *leader) releaseBounded(w *worker, now bootclock.Time) {
 	end := w.settledLeaseEnd()
-	if end == w.leaseEndsAt || now < end.Add(l.o.Timing.leaseLapseDelay()) {
+	if w.listedAt > 0 || end == w.leaseEndsAt || now < end.Add(l.o.Timing.leaseLapseDelay()) {
 		return
 	}
 	released, rule := 0, w.leaseRule(end)
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -168,15 +168,11 @@
 	return false
 }
 
-// isSettled reports whether settledLeaseEnd applies to the run: no call to start it is under
-// way, as far as this leader or an earlier one knows, and the worker has no longer lease.
+// isSettled reports whether no call to start the run is under way, as far as this leader or,
+// before the first list of the worker, an earlier one knows.
 func (l *leader) isSettled(w *worker, r *run, now bootclock.Time) bool {
-	switch {
-	case w.listedAt == 0:
+	if w.listedAt == 0 {
 		return !slices.Contains(l.earlierLeases.unsettled, r.id.String())
-	case l.isStatedAsSettled(w, r):
-		return true
-	default:
-		return w.settledLeaseEnd() == w.leaseEndsAt && l.isStartSettled(w, r, now)
 	}
+	return l.isStartSettled(w, r, now)
 }
--- a/fleet/lease_waits.go
+++ b/fleet/lease_waits.go
@@ -40,10 +40,10 @@
 		return ruleHorizon
 	case end <= w.grantedEndsAt:
 		return ruleGranted
-	case end == stated:
-		return statedBy
 	case w.isLeaseLimitedByList:
 		return ruleList
+	case end == stated:
+		return statedBy
 	default:
 		return ruleIncarnation
 	}
--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -200,3 +200,68 @@
 	}
 	m.waitUntil("the new runner is ready", 3*time.Second, func() bool { return m.readyWorkers() == len(m.hosts) })
 }
+
+// Guards against a wait of LeaseHorizon after the second of two planned changes of the leader, for a
+// host whose agent or runner has restarted a short time before the first.
+func TestLongRunningTasksOnAYoungRunnerRunAgainInTimeAfterASecondPlannedChange(t *testing.T) {
+	for name, c := range map[string]struct {
+		agent, keepsID, newID bool
+		between               time.Duration
+		ofLeader              bool
+	}{
+		"agent restarts":                    {agent: true, between: 3 * time.Second},
+		"runner restarts, same ID":          {keepsID: true, between: 3 * time.Second},
+		"runner restarts, new ID":           {newID: true, between: 3 * time.Second},
+		"neither":                           {between: 3 * time.Second},
+		"agent restarts, second after 5 s":  {agent: true, between: 5 * time.Second},
+		"all agents restart, second leader": {agent: true, between: 3 * time.Second, ofLeader: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+				checkRestarts(m, func(l *lostHosts) {
+					h := l.follower()
+					restart := []*simulatedHost{h}
+					if c.ofLeader {
+						restart = nil
+						for _, other := range m.hosts {
+							if other != leader {
+								restart = append(restart, other)
+							}
+						}
+					}
+					for _, h := range restart {
+						switch {
+						case c.agent:
+							h.killAgent()
+							time.Sleep(50 * time.Millisecond)
+							h.startAgent()
+						case c.keepsID:
+							h.runner.Restart()
+						case c.newID:
+							h.runner.RestartAs(string(h.name) + "-next")
+						}
+					}
+					time.Sleep(2 * time.Second)
+					m.streams.Go(func() {
+						leader.stopAgent()
+						time.Sleep(200 * time.Millisecond)
+						leader.startAgent()
+					})
+					next := m.nextLeader(leader)
+					begun := time.Now()
+					if c.ofLeader {
+						h = next
+					}
+					time.Sleep(1500 * time.Millisecond)
+					m.startYoungRun(h)
+					time.Sleep(c.between - time.Since(begun))
+					next = m.nextLeader()
+					if next != h {
+						l.stop(next, false)
+					}
+					l.stop(h, false)
+				})
+			})
+		})
+	}
+}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -34,7 +34,11 @@
 	if w.listedAt == 0 {
 		l.limitEarlierLease(w, now)
 	}
-	l.extendForEarlierCalls(w, now)
+	if w.listedIncarnation != w.incarnation {
+		w.listedIncarnation = w.incarnation
+		l.extendForEarlierCalls(w, now)
+		l.limitStatedLease(w)
+	}
 	w.listed, w.listedAt = true, now
 	w.listSentAt = r.GetSentAt()
 	w.leaseLapsed = false
--- a/fleet/witnesses.go
+++ b/fleet/witnesses.go
@@ -181,6 +181,9 @@
 	end := endAfter(stated.WitnessMs, times[stated.majority()-1])
 	for _, w := range l.workers {
 		w.witnessedEndsAt = end
+		if w.listedAt > 0 {
+			l.limitStatedLease(w)
+		}
 	}
 	for i := range l.earlierLeases.bounded {
 		b := &l.earlierLeases.bounded[i]
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -346,7 +346,7 @@
 		return // the first list may report how the runs ended
 	}
 	l.reportLeaseWait(w, now)
-	l.releaseSettled(w, now)
+	l.releaseBounded(w, now)
 	if w.leaseLapsed || len(w.runs) == 0 || now < w.leaseEndsAt.Add(l.o.Timing.leaseLapseDelay()) {
 		return
 	}
