Restart runners shortly before planned stops in the soak

TestSeedsWithReplacedHosts never stopped an agent as planned whose runner had begun shortly before, as in docs/incidents/young-runner-at-a-stop.md. Drawn by the seed, runners now crash and begin again 1 to 12 s before such a stop: those of all hosts at once or of the chosen ones, the leader's among them, under the ID that they had or a new one, also several times and while their host is being replaced. Half of them begin again at once while calls to them are delayed by 0.05 to 4 s, so that the next incarnation carries out calls that were meant for the one before. A runner that ends with its agent begins again under either ID. The checks and limits are the same.

The stand-in of the runner's protocol stated the incarnation in the answers to starts and stops.

A deadly task's runner that has begun again under a new ID is still found by its first ID.

A condition in taskrunner_client.go is rewritten without change of meaning, as the linter asks.

--- a/soak/fault_injector_test.go
+++ b/soak/fault_injector_test.go
@@ -21,10 +21,13 @@
 	activeFaults sync.WaitGroup // faults in progress
 
 	mu          sync.Mutex
-	trace       []string       // injected faults with their times
-	replacing   map[*host]bool // hosts that are being replaced
-	stops       int            // planned stops of agents by replaceHost that have ended
-	longestStop time.Duration  // longest time from SIGTERM to the end of the agent among them
+	trace       []string              // injected faults with their times
+	replacing   map[*host]bool        // hosts that are being replaced
+	runnerIDs   int                   // number of IDs given to runners that have begun again
+	begun       map[*host]runnerBegin // latest begin of a runner by restartRunnerAs
+	youngStops  map[youngStop]int     // stops of agents whose runner had begun again at most maxRunnerAge before
+	stops       int                   // planned stops of agents by replaceHost that have ended
+	longestStop time.Duration         // longest time from SIGTERM to the end of the agent among them
 }
 
 func (f *faultInjector) record(format string, args ...any) {
@@ -92,79 +95,6 @@
 	})
 }
 
-// leaderOffset is the time from the begin of a series of planned replacements to the
-// SIGTERM of the leader. The others are at most as long before or after it.
-const leaderOffset = 1500 * time.Millisecond
-
-// replaceHostsAroundLeader begins the planned replacement of the leader and of one or two
-// other hosts up to leaderOffset before or after it. In one of three cases the next leader is
-// replaced too. A series does not wait for the stops of earlier ones.
-func (f *faultInjector) replaceHostsAroundLeader() {
-	f.replaceHost(leaderOffset, f.leader)
-	for range 1 + f.rng.IntN(2) {
-		h, after := f.randomWorker(), time.Duration(f.rng.IntN(int(2*leaderOffset.Milliseconds())))*time.Millisecond
-		f.replaceHost(after, func() *host { return h })
-	}
-	if f.rng.IntN(3) == 0 {
-		f.replaceHost(leaderOffset+time.Duration(200+f.rng.IntN(1300))*time.Millisecond, f.leader)
-	}
-}
-
-// replaceHost sends SIGTERM to the agent of the chosen host after the given time, and
-// starts it again after its end. In half of the cases the runner ends with it, at once or up to
-// 0.3 s later, and the next incarnation begins with the next agent.
-func (f *faultInjector) replaceHost(after time.Duration, choose func() *host) {
-	runnerEnds, runnerDelay := f.rng.IntN(2) == 0, time.Duration(f.rng.IntN(2)*f.rng.IntN(300))*time.Millisecond
-	down := time.Duration(500+f.rng.IntN(2500)) * time.Millisecond
-	f.activeFaults.Go(func() {
-		time.Sleep(after)
-		leader := f.leader()
-		h := choose()
-		if h == nil || !f.beginReplacement(h) {
-			return
-		}
-		f.record("replace %s (leader: %v), its runner ends: %v after %s, start it again %s after its end", h.name, h == leader, runnerEnds, runnerDelay, down)
-		var runnerEnd sync.WaitGroup
-		if runnerEnds {
-			runnerEnd.Go(func() {
-				time.Sleep(runnerDelay)
-				h.runner.Crash(false)
-				h.runnerLink.refuse()
-			})
-		}
-		sent := time.Now()
-		h.process.stop(syscall.SIGTERM)
-		stopTime := time.Since(sent)
-		f.record("%s has ended %s after SIGTERM", h.name, stopTime.Round(time.Millisecond))
-		runnerEnd.Wait()
-		time.Sleep(down)
-		if runnerEnds {
-			h.runner.Restart()
-		}
-		f.start(h)
-		f.endReplacement(h, stopTime)
-	})
-}
-
-// beginReplacement reports whether the host is not being replaced already.
-func (f *faultInjector) beginReplacement(h *host) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.replacing[h] {
-		return false
-	}
-	f.replacing[h] = true
-	return true
-}
-
-func (f *faultInjector) endReplacement(h *host, stopTime time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.replacing, h)
-	f.stops++
-	f.longestStop = max(f.longestStop, stopTime)
-}
-
 // leader returns the host that the leadership row names, nil if it names none.
 func (f *faultInjector) leader() *host {
 	rows, _ := f.system.store.List("daisywall-leader", "fleet-0")
--- a/soak/replaced_hosts_test.go
+++ b/soak/replaced_hosts_test.go
@@ -36,7 +36,9 @@
 // planned around changes of the leader, with long-running tasks beside the short ones. An agent
 // that gets SIGTERM ends within terminationGrace. It guards against agents that stop too late
 // because they wait for another leader, and against a leader that starts tasks
-// anew before the runs of a lost host have ended. Nothing is paused here, so that no stop is
+// anew before the runs of a lost host have ended. Runners crash and begin again up to
+// maxRunnerAge before such a stop, so that an incarnation is young at it, and calls for the
+// one before may reach it. Nothing is paused here, so that no stop is
 // exempt from the limit.
 //
 //	go test ./soak -run ReplacedHosts -soak.first 100 -soak.replacements 10 -timeout 30m
@@ -82,7 +84,9 @@
 	service.accepted = true
 	c.waitUntilAllRun(t, service)
 
-	injector := &faultInjector{system: s, rng: rng, startedAt: time.Now(), replacing: map[*host]bool{}}
+	injector := &faultInjector{
+		system: s, rng: rng, startedAt: time.Now(), replacing: map[*host]bool{}, begun: map[*host]runnerBegin{}, youngStops: map[youngStop]int{},
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	observerCtx, stopObserver := context.WithCancel(context.Background())
 	var callersDone, observerDone sync.WaitGroup
@@ -107,6 +111,9 @@
 	longest := gaps.max()
 	t.Logf("%d planned stops of agents, the longest took %s; lease limit %s; longest time without a run of a long-running task: %s, %s from %s",
 		injector.stops, injector.longestStop.Round(time.Millisecond), s.maxLease, longest.length.Round(time.Millisecond), longest.task, longest.begunAt.Format("05.000"))
+	for _, line := range injector.describeYoungStops() {
+		t.Log(line)
+	}
 	if !t.Failed() { // reportViolations has logged the faults of a failed seed
 		for _, line := range injector.trace {
 			t.Log(line)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -40,6 +40,7 @@
 	process      *process
 	storeClient  *standin.PartStoreClient
 	runner       *standin.TaskRunner // nil for an entry
+	runnerName   string              // ID of the runner's first incarnation, which names it to the checker
 	runnerLink   *link               // link of the agent to the runner, nil for an entry
 	reportLink   *link               // link of the runner's reports to the agent, nil for an entry
 	callerLink   *link               // link of callers to the entry, nil for a worker
@@ -166,8 +167,9 @@
 // addRunner adds the runner of a host. The runner reports to the agent of the
 // host.
 func (s *testSystem) addRunner(ctx context.Context, h *host, reportAddress string) error {
+	h.runnerName = "i-" + h.name
 	info := substrate.RunnerInfo{
-		ID: "i-" + h.name, Pool: "pool", FailureDomain: structs.FailureDomainID(h.domain), Labels: []string{"a", "r1"},
+		ID: h.runnerName, Pool: "pool", FailureDomain: structs.FailureDomainID(h.domain), Labels: []string{"a", "r1"},
 		Capacity: structs.Resources{MilliCPU: runnerCPU, MemoryMB: 8000},
 	}
 	handler := &deferredHandler{}
@@ -218,7 +220,7 @@
 // runner accepts connections again before its next report.
 func (s *testSystem) refuseRunner(runner string) {
 	for _, h := range s.hosts {
-		if h.runner != nil && h.runner.Info().ID == runner {
+		if h.runner != nil && h.runnerName == runner {
 			h.runnerLink.refuse()
 		}
 	}
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -31,12 +31,15 @@
 
 type runnerResponse struct {
 	ClockMS int64   `json:"clock_ms"`
-	Born    int64   `json:"born"`
+	Born    int64   `json:"born,omitempty"` // set in lists of runs only
 	Reason  string  `json:"reason,omitempty"`
 	Running [][]any `json:"running"`
 	Ended   [][]any `json:"ended"`
 }
 
+// holdPath is the path of the call that lists the runs.
+const holdPath = "/v1/hold"
+
 func taskName(t structs.StepTaskID) string {
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Step, t.Index)
 }
@@ -58,7 +61,10 @@
 	return structs.RunID{Task: task, Number: c.Run}, nil
 }
 
-// Runner serves a task runner.
+// Runner serves a task runner. As on the platform, a call names only an ID: the current incarnation
+// carries it out, whichever one it was meant for, unless that had another ID. Of the answers only lists
+// of runs state the start of the incarnation, so that the answer to a start or a stop does not show which
+// incarnation has given it.
 func Runner(r *standin.TaskRunner) http.Handler {
 	mux := http.NewServeMux()
 	handle := func(path string, call func(ctx context.Context, client *standin.TaskRunnerClient, c runnerRequest, a *runnerResponse) error) {
@@ -73,8 +79,12 @@
 				writeJSON(w, http.StatusMisdirectedRequest, struct{}{})
 				return
 			}
-			a := runnerResponse{Born: info.StartedAt.UnixMilli(), ClockMS: time.Since(info.StartedAt).Milliseconds()}
-			writeRunnerResult(w, a, call(req.Context(), r.Client(info.Incarnation), c, &a))
+			a := runnerResponse{ClockMS: time.Since(info.StartedAt).Milliseconds()}
+			err := call(req.Context(), r.Client(info.Incarnation), c, &a)
+			if path == holdPath && err == nil {
+				a.Born = info.StartedAt.UnixMilli()
+			}
+			writeRunnerResult(w, a, err)
 		})
 	}
 	handle("/v1/run-start", func(ctx context.Context, client *standin.TaskRunnerClient, c runnerRequest, _ *runnerResponse) error {
@@ -100,7 +110,7 @@
 		}
 		return client.SetPace(ctx, c.Fence, run, c.Percent)
 	})
-	handle("/v1/hold", func(ctx context.Context, client *standin.TaskRunnerClient, c runnerRequest, a *runnerResponse) error {
+	handle(holdPath, func(ctx context.Context, client *standin.TaskRunnerClient, c runnerRequest, a *runnerResponse) error {
 		state, err := client.PollRuns(ctx, c.Fence, c.LastSeen, toRuntimeClock(c.ExpiresMS), time.Duration(c.WaitMS)*time.Millisecond)
 		if err != nil {
 			return err
--- a/standin/taskrunner_client.go
+++ b/standin/taskrunner_client.go
@@ -64,7 +64,7 @@
 	var mismatch *substrate.IncarnationError
 	c.runner.mu.Lock()
 	defer c.runner.mu.Unlock()
-	if err != nil && !(errors.As(err, &mismatch) && c.runner.acceptsStaleCallTo(c.incarnation)) {
+	if err != nil && (!errors.As(err, &mismatch) || !c.runner.acceptsStaleCallTo(c.incarnation)) {
 		return err
 	}
 	c.runner.endRunLocked(run, substrate.RunEndStopped)
