Keep hosts away after planned stops in the soak

Drawn by the seed, half of the planned stops in the first 6 s now keep the host away for 8 to 12 s, two of four hosts at a time. If the runner does not end with the agent, it ends up to 1 s after it in three of four cases, when nobody notices it. The latest possible end of a seed's faults is the same as before.

--- a/soak/fault_injector_test.go
+++ b/soak/fault_injector_test.go
@@ -23,6 +23,7 @@
 	mu          sync.Mutex
 	trace       []string              // injected faults with their times
 	replacing   map[*host]bool        // hosts that are being replaced
+	away        int                   // hosts that stay away
 	runnerIDs   int                   // number of IDs given to runners that have begun again
 	begun       map[*host]runnerBegin // latest begin of a runner by restartRunnerAs
 	youngStops  map[youngStop]int     // stops of agents whose runner had begun again at most maxRunnerAge before
--- a/soak/planned_replacement_test.go
+++ b/soak/planned_replacement_test.go
@@ -19,6 +19,17 @@
 	maxRunnerAge = 12 * time.Second
 )
 
+// A host that stays away is without an agent for longer than the leases that a leader grants last, so that a
+// longer wait of the next leader shows. Only stops of
+// the first part of the period are followed by that, so that a seed does not take longer for it, and
+// only of so many hosts at a time that the others have room for all tasks.
+const (
+	minTimeAway  = 8 * time.Second
+	maxTimeAway  = 12 * time.Second
+	lastLongStop = 6 * time.Second // latest SIGTERM of a host that stays away, from the first fault
+	maxHostsAway = 2
+)
+
 // replaceHostsAroundLeader begins the planned replacement of the leader and of one or two
 // other hosts up to leaderOffset before or after it. In one of three cases the next leader is
 // replaced too. A series does not wait for the stops of earlier ones. In two of three cases it is
@@ -141,11 +152,11 @@
 }
 
 // youngStop is a kind of a planned stop of an agent whose runner had begun again at most maxRunnerAge before.
-type youngStop struct{ ofLeader, keepsID, runnerEnds bool }
+type youngStop struct{ ofLeader, keepsID, runnerEnds, staysAway bool }
 
 // countYoungStop counts a planned stop of the agent that begins now, and returns the age of the
 // runner's incarnation, 0 if the injector has not restarted it.
-func (f *faultInjector) countYoungStop(h *host, ofLeader, runnerEnds bool) time.Duration {
+func (f *faultInjector) countYoungStop(h *host, kind youngStop) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	begin := f.begun[h]
@@ -154,7 +165,8 @@
 	}
 	age := time.Since(begin.at)
 	if age <= maxRunnerAge {
-		f.youngStops[youngStop{ofLeader, begin.keepsID, runnerEnds}]++
+		kind.keepsID = begin.keepsID
+		f.youngStops[kind]++
 	}
 	return age
 }
@@ -173,11 +185,15 @@
 
 // replaceHost sends SIGTERM to the agent of the chosen host after the given time, and
 // starts it again after its end. In half of the cases the runner ends with it, at once or up to
-// 0.3 s later, and the next incarnation begins with the next agent, under either ID.
+// 0.3 s later, and the next incarnation begins with the next agent, under either ID. In half of the cases
+// the host stays away if it can. A runner that does not end with the agent ends up to 1 s after it then, when nobody
+// can notice it, or goes on until its lease lapses in one of four cases.
 func (f *faultInjector) replaceHost(after time.Duration, choose func() *host) {
 	runnerEnds, runnerDelay := f.rng.IntN(2) == 0, time.Duration(f.rng.IntN(2)*f.rng.IntN(300))*time.Millisecond
 	down := time.Duration(500+f.rng.IntN(2500)) * time.Millisecond
 	keepsID := f.rng.IntN(2) == 0
+	staysAway, timeAway := f.rng.IntN(2) == 0, f.randomMilliseconds(int(minTimeAway.Milliseconds()), int(maxTimeAway.Milliseconds()))
+	endsAlone, aloneFor := f.rng.IntN(4) > 0, f.randomMilliseconds(0, 1000)
 	f.activeFaults.Go(func() {
 		time.Sleep(after)
 		leader := f.leader()
@@ -185,31 +201,52 @@
 		if h == nil || !f.beginReplacement(h) {
 			return
 		}
-		age := f.countYoungStop(h, h == leader, runnerEnds)
-		f.record("replace %s (leader: %v), its runner (%s after its restart) ends: %v after %s, start it again %s after its end",
-			h.name, h == leader, age.Round(time.Millisecond), runnerEnds, runnerDelay, down)
+		if staysAway = staysAway && f.beginAbsence(); staysAway {
+			down = timeAway
+		}
+		endsAlone = endsAlone && staysAway && !runnerEnds
+		age := f.countYoungStop(h, youngStop{ofLeader: h == leader, runnerEnds: runnerEnds, staysAway: staysAway})
+		f.record("replace %s (leader: %v), its runner (%s after its restart) ends: %v after %s, alone: %v %s after the agent, start it again %s after its end",
+			h.name, h == leader, age.Round(time.Millisecond), runnerEnds, runnerDelay, endsAlone, aloneFor, down)
 		var runnerEnd sync.WaitGroup
-		if runnerEnds {
+		endRunner := func(delay time.Duration) {
 			runnerEnd.Go(func() {
-				time.Sleep(runnerDelay)
+				time.Sleep(delay)
 				h.runner.Crash(false)
 				h.runnerLink.refuse()
 			})
 		}
+		if runnerEnds {
+			endRunner(runnerDelay)
+		}
 		sent := time.Now()
 		h.process.stop(syscall.SIGTERM)
 		stopTime := time.Since(sent)
 		f.record("%s has ended %s after SIGTERM", h.name, stopTime.Round(time.Millisecond))
-		runnerEnd.Wait()
+		if endsAlone {
+			endRunner(aloneFor)
+		}
 		time.Sleep(down)
-		if runnerEnds {
+		runnerEnd.Wait()
+		if runnerEnds || endsAlone {
 			f.restartRunnerAs(h, keepsID)
 		}
 		f.start(h)
-		f.endReplacement(h, stopTime)
+		f.endReplacement(h, stopTime, staysAway)
 	})
 }
 
+// beginAbsence reports whether a host that is being replaced may stay away.
+func (f *faultInjector) beginAbsence() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away >= maxHostsAway || time.Since(f.startedAt) > lastLongStop {
+		return false
+	}
+	f.away++
+	return true
+}
+
 // beginReplacement reports whether the host is not being replaced already.
 func (f *faultInjector) beginReplacement(h *host) bool {
 	f.mu.Lock()
@@ -221,9 +258,12 @@
 	return true
 }
 
-func (f *faultInjector) endReplacement(h *host, stopTime time.Duration) {
+func (f *faultInjector) endReplacement(h *host, stopTime time.Duration, wasAway bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if wasAway {
+		f.away--
+	}
 	delete(f.replacing, h)
 	f.stops++
 	f.longestStop = max(f.longestStop, stopTime)
