Report to the next leader, not to a replaced one, before an agent stops

Cause: a leader that hands over states the end of all leases in its row and then asks for a takeover. It goes on answering lists until its next commit is refused, for up to 0.4 s after another node leads. An agent that stops does not contend, so that it ignored the request and stayed in that session, took the answer of the replaced leader for the report to a leader, and stopped. The next leader got no list from it. The row names a run that settled after the statement as unsettled, so that the next leader waited LeaseHorizon for it, although the agent and the replaced leader knew better.

The agent counts no list that a leader has answered which has just asked for a takeover, and forgets that it counted one before. On the request, an agent that stops ends its session once the leadership row has another epoch, and reports to the next leader. No lease, bound or wait changes, so that no task can run twice by this.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -44,6 +44,7 @@
 	lastOrderNumber int64
 	lastOrdersAt    bootclock.Time // when the last orders arrived
 	lastReportAt    bootclock.Time // when the last report was sent
+	takeoverAskedAt bootclock.Time // when the leader last asked for a takeover, 0 if it has not
 	starting        map[structs.RunID]*startOp
 	stopping        map[structs.RunID]bool
 	loopCalls       chan func()
@@ -209,7 +210,11 @@
 	a.host.recordOrders(o.GetEpoch())
 	a.lastOrderNumber = o.GetNumber()
 	echo := bootclock.Time(o.GetEcho())
-	if a.sentListAt > 0 && echo >= a.sentListAt && o.GetAcknowledged() >= a.lastEndListed && a.row.Address != a.host.o.Address {
+	if o.GetTakeOver() {
+		a.takeoverAskedAt = a.lastOrdersAt
+		a.host.dropReportedList()
+	}
+	if a.sentListAt > 0 && echo >= a.sentListAt && o.GetAcknowledged() >= a.lastEndListed && a.row.Address != a.host.o.Address && !a.isLeaderLeaving() {
 		a.host.recordReportedList(a.sentPollAt)
 	}
 	if gone := o.GetGoneStored(); gone != "" {
@@ -246,6 +251,12 @@
 	}
 }
 
+// isLeaderLeaving reports whether the leader has just asked for a takeover. Another one may lead by
+// now, which learns nothing of what this one still answers.
+func (a *agentSession) isLeaderLeaving() bool {
+	return a.takeoverAskedAt > 0 && a.lastOrdersAt.Sub(a.takeoverAskedAt) < 2*takeoverRequestInterval
+}
+
 // runnerLease returns the end of the lease on the runner's clock. It returns 0
 // if the lease has lapsed or no reading of the clock is available. The returned
 // time is earlier than the exact end by the time that the last reading took to
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -195,8 +195,17 @@
 	h.reportedPollAt = max(h.reportedPollAt, pollBegunAt)
 }
 
+// dropReportedList records that the leader which has answered the last list asks for a takeover.
+// Its last row may have been written before.
+func (h *host) dropReportedList() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reportedPollAt = 0
+}
+
 // isReportedSince reports whether it is stored that the runner has ended, or another node,
-// as the leader, has a list of its runs from the given time or later and has stored all ends.
+// as the leader, has a list of its runs from the given time or later, has stored all ends and
+// has not asked for a takeover since.
 func (h *host) isReportedSince(t bootclock.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -255,8 +255,11 @@
 }
 
 func (n *Node) handleTakeoverRequest(ctx context.Context, group *errgroup.Group, requester leaderRow) error {
-	if n.isStopping() || n.activeLeader() != nil {
+	switch {
+	case n.activeLeader() != nil:
 		return nil
+	case n.isStopping():
+		return n.followNextLeader(ctx, requester)
 	}
 	wait := rand.N(contendJitter)
 	if n.host.draining() {
@@ -285,6 +288,16 @@
 	return nil
 }
 
+// followNextLeader ends the session with the requester once another node leads. A node that stops
+// does not contend, and reports to the next leader.
+func (n *Node) followNextLeader(ctx context.Context, requester leaderRow) error {
+	isReplaced, err := n.waitForNextLeader(ctx, requester, n.o.Timing.TakeoverAfter)
+	if isReplaced {
+		n.host.endSessionOf(requester.Epoch)
+	}
+	return err
+}
+
 // becomeLeader replaces the leadership row by one of this node and starts to
 // lead. The previous leader sent its last commit before readAt, when the
 // current version of the row was first read.
--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -1,9 +1,15 @@
 package fleet
 
 import (
+	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"github.com/daisywall/daisywall/bootclock"
 	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/structs"
 )
@@ -200,3 +206,43 @@
 	}
 	m.waitUntil("the new runner is ready", 3*time.Second, func() bool { return m.readyWorkers() == len(m.hosts) })
 }
+
+// Guards against an agent that stops once a leader has answered its list which has been replaced
+// meanwhile, so that the next leader waits for runs that have settled since the last row.
+func TestAgentThatStopsDuringATakeoverReportsToTheNextLeader(t *testing.T) {
+	runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		others := slices.DeleteFunc(slices.Clone(m.hosts), func(h *simulatedHost) bool { return h == leader })
+		leaving, staying := others[:8], others[8:]
+		epoch := leader.node.lastKnownLeader().Epoch
+		var stops errgroup.Group
+		for i, h := range leaving {
+			stops.Go(func() error {
+				time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+				h.node.Leave(context.Background())
+				return checkListedByNext(staying, epoch, h)
+			})
+		}
+		time.Sleep(400 * time.Millisecond) // so that none of them takes over
+		m.streams.Go(leader.stopAgent)
+		if err := stops.Wait(); err != nil {
+			m.t.Error(err)
+		}
+	})
+}
+
+// checkListedByNext returns an error if one of the hosts leads with a later epoch and has no list of
+// the runs on h.
+func checkListedByNext(hosts []*simulatedHost, epoch int64, h *simulatedHost) error {
+	for _, next := range hosts {
+		l := next.node.activeLeader()
+		if l == nil || l.epoch <= epoch {
+			continue
+		}
+		var listedAt bootclock.Time
+		l.runInLoop(context.Background(), func() { listedAt = l.workers[h.name].listedAt })
+		if listedAt == 0 {
+			return fmt.Errorf("the agent of %s leaves, and %s leads and has no list of it", h.name, next.name)
+		}
+	}
+	return nil
+}
