Ask a leader again as soon as it has stored something

Cause: each of two next leaders read its state for 0.86 s. Agents give up a session after 0.7 s without an answer. One that stops then waited up to 1 s for another epoch, although the leader had begun to answer 0.1 s later; the next change of the leader came first, and the same happened again, so that its 3 s were over before any leader had answered it. Nobody learned that the runner was gone. All leases but those of unsettled runs were bounded by the handover; the run that had started 0.04 s before it waited for LeaseHorizon.

An agent without an answer now asks again once the leadership row has another version, which it reads every 0.25 s as before. A candidate returned without a takeover in this case before too, only at the end of its wait, so that no takeover changes, and no lease, bound or wait does.

--- a/fleet/node.go
+++ b/fleet/node.go
@@ -183,7 +183,7 @@
 	case end == endLost, end == endReplaced:
 		return sleep(ctx, reattachPause/2+rand.N(reattachPause))
 	case n.isStopping() && end == endNoAnswer:
-		_, err := n.waitForNextLeader(ctx, row, n.o.Timing.TakeoverAfter)
+		_, err := n.waitForChange(ctx, row, n.o.Timing.TakeoverAfter, row.hasOtherVersion)
 		return err
 	case n.isStopping() || n.activeLeader() != nil:
 		return sleep(ctx, searchPause)
@@ -201,7 +201,11 @@
 	if n.host.draining() {
 		wait += drainingDelay
 	}
-	if changed, err := n.waitForNextLeader(ctx, row, wait); changed || err != nil {
+	hasChanged := row.hasOtherEpoch
+	if end == endNoAnswer { // a leader that has just read its state answers now
+		hasChanged = row.hasOtherVersion
+	}
+	if changed, err := n.waitForChange(ctx, row, wait, hasChanged); changed || err != nil {
 		return err
 	}
 	current, err := n.readLeaderRow(ctx)
@@ -219,10 +223,17 @@
 	return n.becomeLeader(ctx, group, current, readAt)
 }
 
-// waitForNextLeader waits for d, or until the leadership row has another epoch, and
-// reports whether it has. After a loss of all hosts, the node at the address in the
-// row may answer that it does not lead, and then another one leads soon.
-func (n *Node) waitForNextLeader(ctx context.Context, row leaderRow, d time.Duration) (bool, error) {
+// hasOtherEpoch reports whether the current row is one of another leader. After a loss of all hosts,
+// the node at the address in the row may answer that it does not lead, and then another one
+// leads soon.
+func (r leaderRow) hasOtherEpoch(current leaderRow) bool { return current.Epoch != r.Epoch }
+
+// hasOtherVersion reports whether a leader has stored something since the row was read.
+func (r leaderRow) hasOtherVersion(current leaderRow) bool { return current.Version != r.Version }
+
+// waitForChange waits for d, or until the leadership row has changed in the given way, and reports
+// whether it has.
+func (n *Node) waitForChange(ctx context.Context, row leaderRow, d time.Duration, hasChanged func(current leaderRow) bool) (bool, error) {
 	for end := n.o.Clock().Add(d); ; {
 		left := end.Sub(n.o.Clock())
 		if left <= nextLeaderPoll {
@@ -231,7 +242,7 @@
 		if err := sleep(ctx, nextLeaderPoll); err != nil {
 			return false, err
 		}
-		if current, err := n.readLeaderRow(ctx); err == nil && current.Epoch != row.Epoch {
+		if current, err := n.readLeaderRow(ctx); err == nil && hasChanged(current) {
 			return true, nil
 		}
 	}
@@ -291,7 +302,7 @@
 // followNextLeader ends the session with the requester once another node leads. A node that stops
 // does not contend, and reports to the next leader.
 func (n *Node) followNextLeader(ctx context.Context, requester leaderRow) error {
-	isReplaced, err := n.waitForNextLeader(ctx, requester, n.o.Timing.TakeoverAfter)
+	isReplaced, err := n.waitForChange(ctx, requester, n.o.Timing.TakeoverAfter, requester.hasOtherEpoch)
 	if isReplaced {
 		n.host.endSessionOf(requester.Epoch)
 	}
--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -246,3 +246,29 @@
 	}
 	return nil
 }
+
+// Guards against an agent that stops and does not ask the next leader again soon after that has read
+// its state, so that no leader learns that the runner has left.
+func TestAgentThatStopsAttendsALeaderThatHasReadItsState(t *testing.T) {
+	runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		m.listDelay.Store(int64(430 * time.Millisecond)) // of each of two reads
+		m.streams.Go(leader.stopAgent)
+		time.Sleep(200 * time.Millisecond)
+		leaving := m.hosts[slices.IndexFunc(m.hosts, func(h *simulatedHost) bool { return h != leader && !h.node.takesOver() })]
+		leaving.runner.Crash(false)
+		m.streams.Go(leaving.stopAgent)
+		next := m.nextLeader(leader).node.activeLeader()
+		m.waitUntil("attends", nextLeaderPoll+200*time.Millisecond, func() bool {
+			var attachedAt bootclock.Time
+			next.runInLoop(context.Background(), func() { attachedAt = next.workers[leaving.name].attachedAt })
+			return attachedAt > 0
+		})
+	})
+}
+
+// takesOver reports whether the node tries to become the leader.
+func (n *Node) takesOver() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.takeover != nil
+}
