Store a row at once when a run has settled that the last one names

The last row named the run as unsettled, so that the next leaders applied no bound to it and waited LeaseHorizon.

Part of the cause: once a list shows that the runner has answered the start, the leader knows that the run has settled, and states it only with its next commit, up to CommitInterval (0.4 s) later.

The leader now commits at once, as for a worker that returns. Which runs count as settled, and all leases and waits, stay as they are.

--- a/fleet/batch.go
+++ b/fleet/batch.go
@@ -29,7 +29,7 @@
 	puts := append(slices.Clone(l.committingModels), l.takeDirtyJobs(rowBytes(l.committingModels))...)
 	removes := l.removesWith(puts)
 	now := l.o.Clock()
-	l.commitInFlight = true
+	l.commitInFlight, l.isStatementOutdated = true, false
 	if l.withdrawn.count == 0 {
 		l.commitBeganAt = now
 	}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -53,11 +53,14 @@
 	lastCommitSentAt bootclock.Time // when the last stored commit was sent
 	committingJobs   []*job         // jobs in the commit in flight
 	commitInFlight   bool
-	commitBeganAt    bootclock.Time      // when the commit in flight, or the last one, started; the first one of a series of refused ones
-	committingModels []substrate.PartRow // rows of the models in the commit in flight
-	batchLimit       int                 // number of jobs in the next commit, 0 for no limit, see narrowBatch
-	stopFirstCommits context.CancelFunc  // ends the commit that readState has begun, nil if the state was not read
-	withdrawn        withdrawal
+	// isStatementOutdated is set if a run has settled that the stored row names as unsettled, until
+	// the next commit begins.
+	isStatementOutdated bool
+	commitBeganAt       bootclock.Time      // when the commit in flight, or the last one, started; the first one of a series of refused ones
+	committingModels    []substrate.PartRow // rows of the models in the commit in flight
+	batchLimit          int                 // number of jobs in the next commit, 0 for no limit, see narrowBatch
+	stopFirstCommits    context.CancelFunc  // ends the commit that readState has begun, nil if the state was not read
+	withdrawn           withdrawal
 
 	jobs          map[structs.JobID]*job
 	openJobs      []*job // jobs that are not finished, oldest first
@@ -289,7 +292,7 @@
 	l.advanceHandover()
 	if !l.commitInFlight && l.withdrawn.retry == nil && !l.awaitsTakeover() {
 		l.schedule(ctx)
-		if len(l.dirtyJobs) > 0 || l.withdrawn.count > 0 || l.hasReturnedWorkers() || (l.handover.isStated() && !l.handover.isSent) || l.o.Clock().Sub(l.commitBeganAt) >= l.o.Timing.CommitInterval {
+		if len(l.dirtyJobs) > 0 || l.withdrawn.count > 0 || l.isStatementDue() || l.o.Clock().Sub(l.commitBeganAt) >= l.o.Timing.CommitInterval {
 			l.commit(ctx)
 		}
 	}
@@ -298,6 +301,12 @@
 	}
 }
 
+// isStatementDue reports whether a row is due since the statements about leases in the last one do
+// not hold any more or may be better.
+func (l *leader) isStatementDue() bool {
+	return l.isStatementOutdated || l.hasReturnedWorkers() || (l.handover.isStated() && !l.handover.isSent)
+}
+
 // runPeriodicChecks runs the checks that depend on time.
 func (l *leader) runPeriodicChecks() {
 	now := l.o.Clock()
--- a/fleet/lease_statement.go
+++ b/fleet/lease_statement.go
@@ -156,6 +156,16 @@
 	return names, l.o.fitsIntoRow(bounds, names)
 }
 
+// recordStartAnswer records whether the runner has answered all calls to start the run. A row that
+// names the run as unsettled is replaced at once then: if this leader and the worker are lost before,
+// the next leader keeps the run for the longest lease.
+func (l *leader) recordStartAnswer(r *run, isAnswered bool) {
+	if isAnswered && !r.isStartAnswered && slices.Contains(l.row.Unsettled, r.id.String()) {
+		l.isStatementOutdated = true
+	}
+	r.isStartAnswered = isAnswered
+}
+
 // hasUnsettledRuns reports whether a long-running run of the worker is not settled.
 func (l *leader) hasUnsettledRuns(w *worker, now bootclock.Time) bool {
 	for _, r := range w.runs {
--- a/fleet/lost_in_turn_test.go
+++ b/fleet/lost_in_turn_test.go
@@ -182,3 +182,34 @@
 		})
 	})
 }
+
+// Guards against a row that names a run as unsettled for long after the leader knows better, so that
+// the next leader waits for LeaseHorizon if the host of the run is lost with this one.
+func TestRowNamesNoRunAsUnsettledThatHasSettled(t *testing.T) {
+	runWithServices(t, 12, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		active := leader.node.activeLeader()
+		count := func() (unsettled, named int) {
+			active.runInLoop(context.Background(), func() { unsettled, named = active.unsettledStarts(), len(active.row.Unsettled) })
+			return unsettled, named
+		}
+		for range 5 {
+			m.waitAtWork(m.submitService(12, 50, 0, nil), time.Second)
+			m.waitUntil("settled", 2*time.Second, func() bool { unsettled, _ := count(); return unsettled == 0 })
+			m.waitUntil("the row names none", 60*time.Millisecond, func() bool { _, named := count(); return named == 0 })
+			time.Sleep(m.durationBetween(0, DefaultCommitInterval))
+		}
+	})
+}
+
+// unsettledStarts returns the number of runs whose start is not settled.
+func (l *leader) unsettledStarts() int {
+	n := 0
+	for _, w := range l.workers {
+		for _, r := range w.runs {
+			if !l.isStartSettled(w, r, l.o.Clock()) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -189,7 +189,7 @@
 				w.runsChanged()
 			}
 			assigned.update(a, now)
-			assigned.isStartAnswered = a.GetSettled() && w.hasSeenStart(assigned, r.GetOrdersSeen())
+			l.recordStartAnswer(assigned, a.GetSettled() && w.hasSeenStart(assigned, r.GetOrdersSeen()))
 			assigned.job.MarkBegun()
 			l.endOutage(w, assigned, now)
 			l.clearIfOutlived(w, assigned, now)
