List starts on the leader's own host as soon as they are answered

Cause of the rest: the runner answers a start within 1 ms, but the agent tells the leader with the next list only, and the poll for that list waits up to ReportInterval (0.4 s) for an end. A run that was started 0.07 to 0.4 s before the leader's host was lost was still named as unsettled in the last row. The agent knew that no call was left, and did not pass it on.

On the leader's own host, the agent now ends the poll in flight once all starts in progress are answered, and polls again without a wait. That host is always lost with the leader, so that a bound which comes with the next list is of no use there. Other hosts keep their polls: one more list for each start would cost a large fleet too much, and a leader that outlives them releases their runs by its own grants. A poll that was ended tells nothing: the next one acknowledges no ends, as after any poll without an answer. What counts as settled does not change: the run is listed and all calls to start it are answered.

--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -53,6 +53,8 @@
 	pacer           *pacer
 
 	pollInFlight bool
+	endPoll      context.CancelFunc // ends the poll in flight
+	isListDue    bool               // the next poll does not wait, see listSettledStarts
 	// isIncarnationUncertain is set after a failed poll, since the runner may
 	// have restarted with the same ID. The numbers of the acknowledged ends are
 	// valid for one incarnation only.
@@ -304,9 +306,12 @@
 	a.pollCount++
 	pollNumber := a.pollCount
 	wait := a.host.o.Timing.ReportInterval
-	if pollNumber == 1 {
+	if pollNumber == 1 || a.isListDue {
 		wait = 0
 	}
+	a.isListDue = false
+	call, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
+	a.endPoll = cancel
 	acknowledges := !a.isIncarnationUncertain
 	begunAt := a.host.o.Clock()
 	go func() {
@@ -316,7 +321,6 @@
 			acknowledged = a.acknowledgedEnd
 			a.mu.Unlock()
 		}
-		call, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
 		defer cancel()
 		state, err := a.runner.PollRuns(call, a.fencingToken, acknowledged, a.runnerLease(), wait)
 		if err == nil {
@@ -329,13 +333,31 @@
 	}()
 }
 
+// listSettledStarts ends the poll in flight on the leader's own host once no start is in progress,
+// so that the next list shows that they have settled. This host is lost with its leader, whose row
+// names them as unsettled until then.
+func (a *agentSession) listSettledStarts() {
+	if a.row.Address != a.host.o.Address || !a.pollInFlight || a.isListDue {
+		return
+	}
+	for _, op := range a.starting {
+		if op.settledAtPoll < 0 {
+			return
+		}
+	}
+	a.isListDue = true
+	a.endPoll()
+}
+
 // handlePollState processes the result of a poll.
 func (a *agentSession) handlePollState(ctx context.Context, pollNumber int64, state substrate.RunnerState, err error) {
 	a.pollInFlight = false
 	a.isIncarnationUncertain = err != nil
 	now := a.host.o.Clock()
 	if err != nil {
-		a.handlePollError(now, err)
+		if !a.isListDue { // else the poll was ended
+			a.handlePollError(now, err)
+		}
 		return
 	}
 	a.refusedPolls = 0
--- a/fleet/lost_in_turn_test.go
+++ b/fleet/lost_in_turn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -213,3 +214,27 @@
 	}
 	return n
 }
+
+// Guards against starts on the leader's host that its row names as unsettled until the runner's next
+// list, so that the next leader waits for LeaseHorizon if the host is lost before.
+func TestRowNamesNoStartOnTheLeadersHostOnceItIsAnswered(t *testing.T) {
+	runWithServices(t, 12, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		active := leader.node.activeLeader()
+		for range 5 {
+			before := len(leader.runner.Paces())
+			m.submitService(12, 50, 0, nil)
+			m.waitUntil("started", time.Second, func() bool { return len(leader.runner.Paces()) > before })
+			m.waitUntil("the row names none", 60*time.Millisecond, func() bool {
+				var named bool
+				active.runInLoop(context.Background(), func() { named = active.rowNames(leader.name) })
+				return !named
+			})
+			time.Sleep(m.durationBetween(0, DefaultCommitInterval))
+		}
+	})
+}
+
+// rowNames reports whether the stored row names a run on the worker as unsettled.
+func (l *leader) rowNames(id structs.WorkerID) bool {
+	return slices.ContainsFunc(l.workers[id].sortedRuns(), func(r *run) bool { return slices.Contains(l.row.Unsettled, r.id.String()) })
+}
--- a/fleet/runner_calls.go
+++ b/fleet/runner_calls.go
@@ -87,7 +87,10 @@
 				return
 			}
 		}
-		a.runInLoop(ctx, func() { op.settledAtPoll = a.pollCount })
+		a.runInLoop(ctx, func() {
+			op.settledAtPoll = a.pollCount
+			a.listSettledStarts()
+		})
 	}()
 }
 
