Stand-in runner: answer no poll whose call has ended

The client of the stand-in returned a list when the context of a poll ended, while the client of a real runner returns an error.

--- a/standin/taskrunner_client.go
+++ b/standin/taskrunner_client.go
@@ -134,6 +134,7 @@
 		case <-runEnded:
 		case <-limit.C:
 		case <-ctx.Done():
+			return substrate.RunnerState{}, &structs.UnknownOutcomeError{Operation: "hold", Err: ctx.Err()}
 		}
 	}
 	c.runner.mu.Lock()
