--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -44,6 +44,7 @@
 	lastOrderNumber int64
 	lastOrdersAt    bootclock.Time // when the last orders arrived
 	lastReportAt    bootclock.Time // when the last report was sent
+	takeoverAskedAt bootclock.Time // when the leader last asked for a takeover, 0 if it has not
 	starting        map[structs.RunID]*startOp
 	stopping        map[structs.RunID]bool
 	loopCalls       chan func()
@@ -52,6 +53,8 @@
 	pacer           *pacer
 
 	pollInFlight bool
+	endPoll      context.CancelFunc // ends the poll in flight
+	isListDue    bool               // the next poll does not wait, see listSettledStarts
 	// isIncarnationUncertain is set after a failed poll, since the runner may
 	// have restarted with the same ID. The numbers of the acknowledged ends are
 	// valid for one incarnation only.
@@ -209,7 +212,11 @@
 	a.host.recordOrders(o.GetEpoch())
 	a.lastOrderNumber = o.GetNumber()
 	echo := bootclock.Time(o.GetEcho())
-	if a.sentListAt > 0 && echo >= a.sentListAt && o.GetAcknowledged() >= a.lastEndListed && a.row.Address != a.host.o.Address {
+	if o.GetTakeOver() {
+		a.takeoverAskedAt = a.lastOrdersAt
+		a.host.dropReportedList()
+	}
+	if a.sentListAt > 0 && echo >= a.sentListAt && o.GetAcknowledged() >= a.lastEndListed && a.row.Address != a.host.o.Address && !a.isLeaderLeaving() {
 		a.host.recordReportedList(a.sentPollAt)
 	}
 	if a.sentListAt > 0 && echo >= a.sentListAt {
@@ -249,6 +256,12 @@
 	}
 }
 
+// isLeaderLeaving reports whether the leader has just asked for a takeover. Another one may lead by
+// now, which learns nothing of what this one still answers.
+func (a *agentSession) isLeaderLeaving() bool {
+	return a.takeoverAskedAt > 0 && a.lastOrdersAt.Sub(a.takeoverAskedAt) < 2*takeoverRequestInterval
+}
+
 // runnerLease returns the end of the lease on the runner's clock. It returns 0
 // if the lease has lapsed or no reading of the clock is available. The returned
 // time is earlier than the exact end by the time that the last reading took to
@@ -296,9 +309,12 @@
 	a.pollCount++
 	pollNumber := a.pollCount
 	wait := a.host.o.Timing.ReportInterval
-	if pollNumber == 1 {
+	if pollNumber == 1 || a.isListDue {
 		wait = 0
 	}
+	a.isListDue = false
+	call, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
+	a.endPoll = cancel
 	acknowledges := !a.isIncarnationUncertain
 	begunAt := a.host.o.Clock()
 	go func() {
@@ -308,7 +324,6 @@
 			acknowledged = a.acknowledgedEnd
 			a.mu.Unlock()
 		}
-		call, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
 		defer cancel()
 		state, err := a.runner.PollRuns(call, a.fencingToken, acknowledged, a.runnerLease(), wait)
 		if err == nil {
@@ -321,13 +336,31 @@
 	}()
 }
 
+// listSettledStarts ends the poll in flight on the leader's own host once no start is in progress,
+// so that the next list shows that they have settled. This host is lost with its leader, whose row
+// names them as unsettled until then.
+func (a *agentSession) listSettledStarts() {
+	if a.row.Address != a.host.o.Address || !a.pollInFlight || a.isListDue {
+		return
+	}
+	for _, op := range a.starting {
+		if op.settledAtPoll < 0 {
+			return
+		}
+	}
+	a.isListDue = true
+	a.endPoll()
+}
+
 // handlePollState processes the result of a poll.
 func (a *agentSession) handlePollState(ctx context.Context, pollNumber int64, state substrate.RunnerState, err error) {
 	a.pollInFlight = false
 	a.isIncarnationUncertain = err != nil
 	now := a.host.o.Clock()
 	if err != nil {
-		a.handlePollError(now, err)
+		if !a.isListDue { // else the poll was ended
+			a.handlePollError(now, err)
+		}
 		return
 	}
 	a.refusedPolls = 0
--- a/fleet/lost_in_turn_test.go
+++ b/fleet/lost_in_turn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -182,3 +183,58 @@
 		})
 	})
 }
+
+// Guards against a row that names a run as unsettled for long after the leader knows better, so that
+// the next leader waits for LeaseHorizon if the host of the run is lost with this one.
+func TestRowNamesNoRunAsUnsettledThatHasSettled(t *testing.T) {
+	runWithServices(t, 12, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		active := leader.node.activeLeader()
+		count := func() (unsettled, named int) {
+			active.runInLoop(context.Background(), func() { unsettled, named = active.unsettledStarts(), len(active.row.Unsettled) })
+			return unsettled, named
+		}
+		for range 5 {
+			m.waitAtWork(m.submitService(12, 50, 0, nil), time.Second)
+			m.waitUntil("settled", 2*time.Second, func() bool { unsettled, _ := count(); return unsettled == 0 })
+			m.waitUntil("the row names none", 60*time.Millisecond, func() bool { _, named := count(); return named == 0 })
+			time.Sleep(m.durationBetween(0, DefaultCommitInterval))
+		}
+	})
+}
+
+// unsettledStarts returns the number of runs whose start is not settled.
+func (l *leader) unsettledStarts() int {
+	n := 0
+	for _, w := range l.workers {
+		for _, r := range w.runs {
+			if !l.isStartSettled(w, r, l.o.Clock()) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against starts on the leader's host that its row names as unsettled until the runner's next
+// list, so that the next leader waits for LeaseHorizon if the host is lost before.
+func TestRowNamesNoStartOnTheLeadersHostOnceItIsAnswered(t *testing.T) {
+	runWithServices(t, 12, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+		active := leader.node.activeLeader()
+		for range 5 {
+			before := len(leader.runner.Paces())
+			m.submitService(12, 50, 0, nil)
+			m.waitUntil("started", time.Second, func() bool { return len(leader.runner.Paces()) > before })
+			m.waitUntil("the row names none", 60*time.Millisecond, func() bool {
+				var named bool
+				active.runInLoop(context.Background(), func() { named = active.rowNames(leader.name) })
+				return !named
+			})
+			time.Sleep(m.durationBetween(0, DefaultCommitInterval))
+		}
+	})
+}
+
+// rowNames reports whether the stored row names a run on the worker as unsettled.
+func (l *leader) rowNames(id structs.WorkerID) bool {
+	return slices.ContainsFunc(l.workers[id].sortedRuns(), func(r *run) bool { return slices.Contains(l.row.Unsettled, r.id.String()) })
+}
