Count no calls before the first leader of a fleet

An agent that has just started can't know which incarnations were called before, so that its runner counted as one that a call for an earlier incarnation may have reached, and a host that is lost in the first 10 s waited for the longest lease. Agents call runners only in sessions with leaders, so that none was called before the first one.

--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -263,10 +263,14 @@
 }
 
 // recordCalledRunner records which incarnation the agent calls in the session that begins. An
-// agent calls runners only in sessions, and attends one leader after the other.
+// agent calls runners only in sessions, and attends one leader after the other. Before the first
+// leader of the fleet, none was called.
 func (l *leader) recordCalledRunner(w *worker, hello *fleetpb.Hello) {
 	if w.called.since == 0 {
 		w.called.since = w.attachedAt
+		if l.epoch == 1 {
+			w.called.since = w.attachedAt.Add(-l.o.Timing.settledIncarnationAge())
+		}
 	}
 	w.othersCalledUntil = 0
 	if w.incarnation == "" {
