Count crashes at any age while no worker crashes without the task

Each crash ends the other runs of the runner too.

Above an age of 1 s a crash counted only if it repeated the age of the last one, and a run that outlived that age by 0.5 s cleared the task. Ages that vary do neither.

What tells such a task from a sound one on runners that crash by themselves is whether workers crash without it. A crash is now counted at any age up to 10 s if it is lone: the worker was stable, another one of its pool is, and none has crashed in the last 10 s without a run of the task. From two on the task is isolated, only the task with most of them on the worker is counted, a short task starts on stable workers only, and the task waits for 5 s after each, in which other workers crash if they do so by themselves. Four give the task up. A run of 10 s clears them. Crashes in a row on one worker count once, so a pool of one worker behaves as before. The older rules, and the blame by them, are unchanged.

The record of a task has two new fields, which the version before ignores. Its state was decoded by the code before, and what that wrote by this one.

Two such tasks at once are still not found (docs/incidents/crashing-tasks.md).

--- a/fleet/crash_loop_test.go
+++ b/fleet/crash_loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -208,3 +209,68 @@
 	is.Equal(s.starts["suspect"], 0)
 	is.True(s.startsWithin("suspect", 2*time.Second))
 }
+
+// Guards against giving up a sound task at the beginning of a storm, before other
+// workers have crashed: the task waits until they would have.
+func TestTaskWithLoneCrashesIsHeldBack(t *testing.T) {
+	is := is.New(t)
+	s := newScheduleLoop(t, 3)
+	s.addShort("suspect", 1, 1000, time.Second)
+	j, id := s.l.jobs["suspect"], structs.StepTaskID{Job: "suspect"}
+	for i := range 2 {
+		j.Assign(id, "w0", "w0@1")
+		r := workflow.CrashedRun{
+			Job: j.Job, Run: structs.RunID{Task: id, Number: j.Task(id).Run}, Age: 3 * time.Second, HasStarted: true,
+			Worker: structs.WorkerID(fmt.Sprint("w", i)), IsLone: true,
+		}
+		j.Crash(r, 0, "")
+		j.holdBack(r, *s.now)
+		is.Equal(j.heldUntil[id] != 0, i == 1) // the first crash says too little
+	}
+	s.run(observeTime - time.Second)
+	is.Equal(s.starts["suspect"], 0)
+	is.True(s.startsWithin("suspect", 2*time.Second))
+}
+
+func TestCrashIsLoneWhileNoOtherWorkerCrashesWithoutTheTask(t *testing.T) {
+	task := structs.StepTaskID{Job: "suspect"}
+	crashed := func(ago time.Duration, tasks ...structs.StepTaskID) crash {
+		c := crash{incarnation: "ended", at: bootclock.Time(time.Hour).Add(-ago), ages: map[structs.RunID]time.Duration{}}
+		for _, id := range tasks {
+			c.ages[structs.RunID{Task: id, Number: 1}] = time.Second
+		}
+		return c
+	}
+	for _, c := range []struct {
+		name    string
+		workers int
+		change  func(l *leader)
+		want    bool
+	}{
+		{"only crash", 3, func(*leader) {}, true},
+		{"only worker", 1, func(*leader) {}, false},
+		{"crash with the task", 3, func(l *leader) { l.workers["w1"].crash = crashed(time.Second, task) }, true},
+		{"crash without the task", 3, func(l *leader) { l.workers["w1"].crash = crashed(time.Second) }, false},
+		{"old crash without the task", 3, func(l *leader) { l.workers["w1"].crash = crashed(unstableFor) }, true},
+		{"crash before the last one", 3, func(l *leader) {
+			l.workers["w1"].crash, l.workers["w1"].earlierCrash = crashed(time.Second, task), crashed(5*time.Second)
+		}, false},
+		{"crash that is explained", 3, func(l *leader) {
+			l.workers["w1"].crash = crashed(time.Second)
+			l.workers["w1"].crash.isExplained = true
+		}, true},
+		{"no stable worker", 2, func(l *leader) { l.workers["w1"].crash = crashed(time.Second, task) }, false},
+		{"unstable worker", 3, func(l *leader) { l.workers["w0"].earlierCrash = crashed(time.Second, task) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := bootclock.Time(time.Hour)
+			l, _ := leaderWithWorkers(t, &now, c.workers)
+			j := &job{Job: workflow.New(*testJob("suspect", 1), testQueue)}
+			l.addJob(j)
+			w := l.workers["w0"]
+			w.crash = crashed(0, task)
+			c.change(l)
+			is.New(t).Equal(l.isLoneCrash(w, &run{id: structs.RunID{Task: task, Number: 1}, job: j}), c.want)
+		})
+	}
+}
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -21,6 +22,10 @@
 	deadlyAfter  = 10 * time.Millisecond // time from the start of such a task to the crash
 	giveUpLimit  = 30 * time.Second      // limit from the submission of a deadly job until it is failed
 	settledLimit = 25 * time.Second      // limit from the end of all crashes until the short jobs are completed
+
+	shortestDeadlyAge  = 200 * time.Millisecond // bounds of the times from the starts of a task to its crashes, where they vary
+	longestDeadlyAge   = 6 * time.Second
+	varyingDeadlySeeds = 5
 )
 
 // crashFleet is a mixedFleet with services and short tasks, in which tasks may
@@ -30,7 +35,7 @@
 	services []structs.JobID
 
 	crashMu     sync.Mutex
-	deadly      map[structs.StepTaskID]time.Duration // time from the start of a run to the crash
+	deadly      map[structs.StepTaskID]func(structs.RunID) time.Duration // time from the start of a run to the crash
 	crashCount  int
 	lastCrashAt time.Time
 }
@@ -39,11 +44,15 @@
 // that two hosts may be away. atCrash is called with the number of each crash by
 // a task, counted from 1. It may be nil.
 func newCrashFleet(t *testing.T, hosts int, seed uint64, atCrash func(c *crashFleet, number int, h *simulatedHost)) *crashFleet {
-	c := &crashFleet{mixedFleet: newMixedFleet(t, hosts, seed), deadly: map[structs.StepTaskID]time.Duration{}}
+	c := &crashFleet{mixedFleet: newMixedFleet(t, hosts, seed), deadly: map[structs.StepTaskID]func(structs.RunID) time.Duration{}}
 	c.crashes.set(func(r structs.RunID) time.Duration {
 		c.crashMu.Lock()
-		defer c.crashMu.Unlock()
-		return c.deadly[r.Task]
+		crashAfter := c.deadly[r.Task]
+		c.crashMu.Unlock()
+		if crashAfter == nil {
+			return 0
+		}
+		return crashAfter(r)
 	})
 	c.afterCrash.set(func(h *simulatedHost) {
 		c.crashMu.Lock()
@@ -78,7 +87,7 @@
 	if s.step.Gang {
 		prefix, tasks = gangPrefix, gangTasks
 	}
-	work := mixedWork{runTime: 3 * time.Second, step: s.step}
+	work := mixedWork{runTime: s.runTime, step: s.step}
 	work.step.Resources.MilliCPU, work.step.Estimate = taskCPU, work.runTime
 	job := c.newJob(prefix, tasks, work)
 	task := structs.StepTaskID{Job: job.ID, Index: 1}
@@ -89,7 +98,7 @@
 		task.Step = 1
 	}
 	c.crashMu.Lock()
-	c.deadly[task] = s.crashAfter
+	c.deadly[task] = s.ageAtCrash
 	c.crashMu.Unlock()
 	if err := c.submit(c.entry, job); err != nil {
 		c.t.Fatal(err)
@@ -133,9 +142,12 @@
 // deadlyScenario describes jobs with one task that crashes its runners.
 type deadlyScenario struct {
 	name         string
-	hosts        int           // crashHosts if 0
-	jobs         int           // number of such jobs, 1 if 0
-	crashAfter   time.Duration // time from a start to the crash, deadlyAfter if 0
+	hosts        int                               // crashHosts if 0
+	jobs         int                               // number of such jobs, 1 if 0
+	runTime      time.Duration                     // run time of the tasks of such a job, 3 s if 0
+	crashAfter   time.Duration                     // time from a start to the crash, deadlyAfter if 0
+	ageAtCrash   func(structs.RunID) time.Duration // the same if it varies
+	limit        time.Duration                     // limit until the job is failed, giveUpLimit if 0
 	step         structs.Step
 	inSecondStep bool
 	allowed      int // starts of a deadly task after its third crash that are accepted
@@ -203,11 +215,45 @@
 	}
 }
 
-func playDeadlyScenario(t *testing.T, s deadlyScenario, seed uint64) {
+// varyingAge returns a random age that depends on the seed and the number of the run.
+func varyingAge(seed uint64) func(structs.RunID) time.Duration {
+	return func(r structs.RunID) time.Duration {
+		rng := rand.New(rand.NewPCG(seed, uint64(r.Number)))
+		return shortestDeadlyAge + time.Duration(rng.Int64N(int64(longestDeadlyAge-shortestDeadlyAge)))
+	}
+}
+
+// Guards against a blame that depends on a crash at the age of an earlier one: such a
+// task was started without end. The platform's rule allows two starts after the third
+// crash.
+func TestTaskThatCrashesRunnersAtVaryingAgesIsGivenUp(t *testing.T) {
+	for seed := range uint64(varyingDeadlySeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			playDeadlyScenario(t, deadlyScenario{
+				runTime: longestDeadlyAge + 2*time.Second, ageAtCrash: varyingAge(seed), allowed: 2, limit: 2 * giveUpLimit,
+			}, seed)
+		})
+	}
+}
+
+func (s *deadlyScenario) setDefaults() {
 	s.jobs, s.crashAfter = max(1, s.jobs), max(deadlyAfter, s.crashAfter)
 	if s.hosts == 0 {
 		s.hosts = crashHosts
 	}
+	if s.runTime == 0 {
+		s.runTime = 3 * time.Second
+	}
+	if s.limit == 0 {
+		s.limit = giveUpLimit
+	}
+	if s.ageAtCrash == nil {
+		s.ageAtCrash = func(structs.RunID) time.Duration { return s.crashAfter }
+	}
+}
+
+func playDeadlyScenario(t *testing.T, s deadlyScenario, seed uint64) {
+	s.setDefaults()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCrashFleet(t, s.hosts, seed, s.atCrash)
 		defer c.close()
@@ -219,7 +265,7 @@
 		allFailed := func() bool {
 			return !slices.ContainsFunc(deadly, func(id structs.StepTaskID) bool { return c.phase(c.entry, string(id.Job)) != structs.JobFailed })
 		}
-		for !allFailed() && time.Since(begun) < giveUpLimit {
+		for !allFailed() && time.Since(begun) < s.limit {
 			time.Sleep(20 * time.Millisecond)
 		}
 		failedAfter := time.Since(begun)
--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -26,6 +26,11 @@
 // have a common cause.
 const stormGap = 2 * time.Second
 
+// observeTime is how long a task with lone crashes waits after one. In a fleet whose
+// runners crash by themselves another one crashes meanwhile, so that the next crash
+// under the task is no lone one.
+const observeTime = 5 * time.Second
+
 // maxLoggedSuspects limits the tasks in the log line of a crash.
 const maxLoggedSuspects = 10
 
@@ -86,6 +91,26 @@
 	return discount
 }
 
+// isLoneCrash reports whether the worker was stable before its last crash, some other
+// worker of the run's pool is, and none has crashed without a run of the task.
+func (l *leader) isLoneCrash(w *worker, r *run) bool {
+	if w.earlierCrash.isUnstable(w.crash.at) {
+		return false
+	}
+	hasStable := false
+	for _, other := range l.workers {
+		if other == w {
+			continue
+		}
+		last, earlier := other.crash.isUnstable(w.crash.at), other.earlierCrash.isUnstable(w.crash.at)
+		if last && !other.crash.hadTask(r.id.Task) || earlier && !other.earlierCrash.hadTask(r.id.Task) {
+			return false
+		}
+		hasStable = hasStable || !last && other.pool == l.queueOf(r.job).Pool
+	}
+	return hasStable
+}
+
 // hadTask reports whether a run of the task was there.
 func (c crash) hadTask(id structs.StepTaskID) bool {
 	for r := range c.ages {
@@ -120,9 +145,10 @@
 	for i, r := range crashed {
 		runs[i] = workflow.CrashedRun{
 			Job: r.job.Job, Run: r.id, Age: w.crash.ages[r.id], HasStarted: w.crash.started[r.id],
-			Discount: l.crashDiscount(w, r.id.Task),
+			Discount: l.crashDiscount(w, r.id.Task), Worker: w.id, IsLone: l.isLoneCrash(w, r),
 		}
 	}
+	workflow.FindLoneCrashes(runs)
 	blame := workflow.ShareBlame(runs)
 	var suspects []string
 	for i, r := range crashed {
@@ -130,8 +156,9 @@
 		checkpoint := r.job.NewerCheckpoint(r.id, r.checkpoint, r.percent)
 		changed := r.job.Crash(runs[i], blame[i], checkpoint)
 		r.job.isolationChanged()
+		r.job.holdBack(runs[i], l.o.Clock())
 		l.finishRelease(w, r, reason, checkpoint, changed)
-		if blame[i] > 0 {
+		if blame[i] > 0 || runs[i].IsLone && r.job.IsIsolated(r.id.Task) {
 			suspects = append(suspects, describeSuspect(runs[i]))
 		}
 		if !wasFinal && r.job.Failed {
@@ -143,10 +170,21 @@
 		zap.Strings("suspect", suspects[:min(maxLoggedSuspects, len(suspects))]))
 }
 
+// holdBack keeps a task from starting for observeTime after a lone crash.
+func (j *job) holdBack(r workflow.CrashedRun, now bootclock.Time) {
+	if !r.IsLone || !j.IsObserved(r.Run.Task) {
+		return
+	}
+	if j.heldUntil == nil {
+		j.heldUntil = map[structs.StepTaskID]bootclock.Time{}
+	}
+	j.heldUntil[r.Run.Task] = now.Add(observeTime)
+}
+
 // describeSuspect returns the run with its age and what its task has been counted.
 func describeSuspect(r workflow.CrashedRun) string {
 	crashes, blame := r.Job.CrashCount(r.Run.Task)
-	return fmt.Sprintf("%s age=%s crashes=%d blame=%d%%", r.Run, r.Age, crashes, blame)
+	return fmt.Sprintf("%s age=%s crashes=%d blame=%d%% lone=%d", r.Run, r.Age, crashes, blame, r.Job.Task(r.Run.Task).LoneCrashes)
 }
 
 // giveUp stops the other runs of a job that has failed because its task crashes
@@ -154,7 +192,8 @@
 func (l *leader) giveUp(r *run, w *worker) {
 	crashes, blame := r.job.CrashCount(r.id.Task)
 	l.log.Warn("job failed: one of its tasks crashes its runners", zap.String("job", string(r.id.Task.Job)), zap.Stringer("run", r.id),
-		zap.String("worker", string(w.id)), zap.Int32("crashes", crashes), zap.Int32("blame_percent", blame))
+		zap.String("worker", string(w.id)), zap.Int32("crashes", crashes), zap.Int32("blame_percent", blame),
+		zap.Int32("lone_crashes", r.job.Task(r.id.Task).LoneCrashes))
 	l.metrics.count(l.metrics.givenUp, string(r.job.Spec.Queue))
 	for _, other := range l.workers {
 		other.crash.isExplained = other.crash.isExplained || other.crash.hadTask(r.id.Task)
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -46,6 +46,8 @@
 	// steadily at work, when the last such run ended, acceptedAt before the
 	// first one.
 	outageSince map[structs.StepTaskID]bootclock.Time
+	// heldUntil holds until when tasks with lone crashes don't start.
+	heldUntil map[structs.StepTaskID]bootclock.Time
 	// runEndedAt holds, for each long-running task that has run, when its last run
 	// ended, or was last listed if it was lost. A run that ends before it is
 	// steadily at work does not move it.
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -144,6 +144,9 @@
 					if j.IsIsolated(id) {
 						d.MarkIsolated(id.Index)
 					}
+					if now < j.heldUntil[id] {
+						d.MarkHeld(id.Index)
+					}
 					if j.NeedsStableWorker(id) {
 						d.MarkNeedsStable(id.Index)
 					}
--- a/placement/steps/isolation.go
+++ b/placement/steps/isolation.go
@@ -51,6 +51,14 @@
 	d.Isolated[index] = true
 }
 
+// MarkHeld adds a task to Held.
+func (d *Demand) MarkHeld(index int32) {
+	if d.Held == nil {
+		d.Held = map[int32]bool{}
+	}
+	d.Held[index] = true
+}
+
 // MarkNeedsStable adds a task to NeedsStable.
 func (d *Demand) MarkNeedsStable(index int32) {
 	if d.NeedsStable == nil {
@@ -79,7 +87,7 @@
 		}
 		pool := pools[d.Pool]
 		for _, index := range d.Tasks {
-			if !d.Isolated[index] || pool == nil || pool.mayReserve <= 0 || pool.isStorm() && d.awaitsStable(index) {
+			if !d.Isolated[index] || d.Held[index] || pool == nil || pool.mayReserve <= 0 || pool.isStorm() && d.awaitsStable(index) {
 				continue
 			}
 			if w := d.bestTrialWorker(workers, index, pool.others <= 1); w != nil {
--- a/placement/steps/steps.go
+++ b/placement/steps/steps.go
@@ -102,6 +102,8 @@
 	// Isolated holds the indexes of pending tasks that may crash their runner. Each
 	// starts on a worker that gets no other tasks shortly before and after.
 	Isolated map[int32]bool
+	// Held holds the indexes of isolated tasks that don't start yet. Overdue ones do.
+	Held map[int32]bool
 	// Restarts holds the failures of pending long-running tasks since they were
 	// last steadily at work.
 	Restarts map[int32]Restart
--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/daisywall/daisywall/structs"
@@ -28,6 +29,7 @@
 	maxCrashes     = 4                      // crashes after which a task that ends by itself is given up whatever its blame
 	isolationBlame = 8                      // blame from which the runs of a task are isolated
 	isolationCount = 2                      // crashes from which they are isolated whatever the blame
+	maxLoneCrashes = 4                      // lone crashes after which a task is given up; the platform's rule allows five, sound tasks had two in storms
 )
 
 // FailureReason is why a job has failed.
@@ -50,6 +52,10 @@
 	// Discount divides the blame where other crashes were seen that the task has
 	// not caused, 0 for none.
 	Discount int32
+	Worker   structs.WorkerID
+	// IsLone is set if the worker was stable, and no worker has crashed without a run
+	// of the task shortly before.
+	IsLone bool
 }
 
 // ShareBlame divides a crash among its runs, in percent. The runs that began last
@@ -91,13 +97,39 @@
 			continue
 		}
 		share /= int32(len(units))
-		if !r.Job.IsIsolated(r.Run.Task) || r.Job.Step(r.Run.Task).Gang {
+		if !r.Job.isBlamed(r.Run.Task) || r.Job.Step(r.Run.Task).Gang {
 			share = min(share, crowdShare) // a gang is not tried apart
 		}
 		blame[i] += max(1, share/max(1, r.Discount))
 	}
 }
 
+// FindLoneCrashes clears IsLone of the runs for which the crash says too little. The
+// age at a crash tells a run from others only if it is always the same, so a lone crash
+// counts at any age. The first ones count for all runs. Then the tasks are isolated,
+// and one counts only for the run with most of them.
+func FindLoneCrashes(runs []CrashedRun) {
+	suspects := make([]bool, len(runs))
+	for i, r := range runs {
+		t := r.Job.Task(r.Run.Task)
+		suspects[i] = r.IsLone && r.HasStarted && r.Age <= maxCrashAge && !r.Job.Step(r.Run.Task).Gang &&
+			t.Copy == nil && t.LoneCrashOn != r.Worker &&
+			(t.LoneCrashes < isolationCount || r.hasMostLoneCrashes(runs))
+	}
+	for i := range runs {
+		runs[i].IsLone = suspects[i]
+	}
+}
+
+// hasMostLoneCrashes reports whether the tasks of all other runs have fewer lone
+// crashes.
+func (r CrashedRun) hasMostLoneCrashes(runs []CrashedRun) bool {
+	own := r.Job.Task(r.Run.Task).LoneCrashes
+	return !slices.ContainsFunc(runs, func(other CrashedRun) bool {
+		return other.Run.Task != r.Run.Task && other.Job.Task(other.Run.Task).LoneCrashes >= own
+	})
+}
+
 // repeatsAge reports whether the last lost run of the task was as old at its
 // crash.
 func (r CrashedRun) repeatsAge() bool {
@@ -141,8 +173,12 @@
 	if r.Age <= maxCrashAge && blame > 0 && r.HasStarted {
 		t.Crashes++
 	}
+	if r.IsLone {
+		t.LoneCrashes, t.LoneCrashOn = t.LoneCrashes+1, r.Worker
+	}
 	j.endRun(r.Run, t, checkpoint)
-	if t.crashesRunners(counter.Blame, r.Age, gap) || t.Crashes >= maxCrashes && !j.Step(r.Run.Task).LongRunning {
+	if t.crashesRunners(counter.Blame, r.Age, gap) || t.LoneCrashes >= maxLoneCrashes ||
+		t.Crashes >= maxCrashes && !j.Step(r.Run.Task).LongRunning {
 		j.fail(FailedCrashes)
 	}
 	return true
@@ -171,9 +207,10 @@
 // clears nothing: its age does not show that the next copy does not crash.
 func (j *Job) Outlive(run structs.RunID, age time.Duration) bool {
 	id := run.Task
+	clearsLone := j.outliveLoneCrashes(run, age)
 	counter := j.crashCounter(id)
 	if counter.CrashedRun == 0 || run.Number <= counter.CrashedRun || age < time.Duration(counter.CrashAgeMS)*time.Millisecond+outliveMargin {
-		return false
+		return clearsLone
 	}
 	counter.clearCrashes()
 	if j.Step(id).Gang {
@@ -185,19 +222,43 @@
 	return true
 }
 
+// outliveLoneCrashes clears the task of its lone crashes once its only run is older
+// than any run at a crash that counts. Their ages vary, so that a run that outlives the
+// last one shows little.
+func (j *Job) outliveLoneCrashes(run structs.RunID, age time.Duration) bool {
+	t := j.Task(run.Task)
+	if t.LoneCrashes == 0 || age < maxCrashAge || t.Run != run.Number || t.Copy != nil {
+		return false
+	}
+	t.LoneCrashes, t.LoneCrashOn = 0, ""
+	return true
+}
+
 func (t *Task) clearCrashes() { t.Crashes, t.Blame, t.CrashAgeMS, t.CrashedRun = 0, 0, 0, 0 }
 
 // IsIsolated reports whether the task may crash its runner, so that its runs are
 // kept apart from those of other such tasks until one has outlived the crashes.
 func (j *Job) IsIsolated(id structs.StepTaskID) bool {
+	return j.isBlamed(id) || j.IsObserved(id)
+}
+
+// isBlamed reports whether the crashes at the age of an earlier one, or soon after a
+// start, are enough to isolate the task.
+func (j *Job) isBlamed(id structs.StepTaskID) bool {
 	return j.crashCounter(id).Blame >= isolationBlame || j.Task(id).Crashes >= isolationCount
 }
 
+// IsObserved reports whether the lone crashes of the task are enough to isolate it, and
+// to see whether workers crash without it before it starts again.
+func (j *Job) IsObserved(id structs.StepTaskID) bool {
+	return j.Task(id).LoneCrashes >= isolationCount
+}
+
 // NeedsStableWorker reports whether the next crash under the task fails its job
-// whatever the blame.
+// whatever the blame, or counts only on a stable worker.
 func (j *Job) NeedsStableWorker(id structs.StepTaskID) bool {
-	step := j.Step(id)
-	return !step.LongRunning && !step.Gang && j.Task(id).Crashes >= maxCrashes-1
+	step, t := j.Step(id), j.Task(id)
+	return !step.LongRunning && !step.Gang && (t.Crashes >= maxCrashes-1 || j.IsObserved(id))
 }
 
 // TrialTime returns how long an isolated run has its runner to itself.
--- a/workflow/crash_test.go
+++ b/workflow/crash_test.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -134,3 +135,95 @@
 	is.True(j.Crash(r, certainBlame, ""))
 	is.Equal(j.Phase(), structs.JobCancelled)
 }
+
+// Guards against a task that is started without end because its ages at the crashes
+// vary, and against giving one up that may be sound.
+func TestTaskIsGivenUpAfterLoneCrashesAtAnyAges(t *testing.T) {
+	ages := []time.Duration{1500 * time.Millisecond, 2600 * time.Millisecond, 4100 * time.Millisecond, 1900 * time.Millisecond}
+	for _, c := range []struct {
+		name   string
+		change func(r *CrashedRun, number int)
+		runFor time.Duration // age that the third run reaches
+		failed bool
+	}{
+		{"on stable workers", nil, 4 * time.Second, true},
+		{"others crash too", func(r *CrashedRun, number int) { r.IsLone = number != 2 }, 0, false},
+		{"on one worker", func(r *CrashedRun, _ int) { r.Worker = "w" }, 0, false},
+		{"one run is old", func(r *CrashedRun, number int) {
+			if number == 2 {
+				r.Age = maxCrashAge + time.Second
+			}
+		}, 0, false},
+		{"one run may not have started", func(r *CrashedRun, number int) { r.HasStarted = number != 2 }, 0, false},
+		{"a run outlives all that count", nil, maxCrashAge, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := crashedJob(1, structs.Step{LongRunning: true})
+			for i, age := range ages {
+				r := crashOf(j, 0, age)
+				r.IsLone, r.Worker = true, structs.WorkerID(fmt.Sprint("w", i))
+				if c.change != nil {
+					c.change(&r, i)
+				}
+				if i == 2 {
+					j.Outlive(r.Run, c.runFor)
+				}
+				runs := []CrashedRun{r}
+				FindLoneCrashes(runs)
+				j.Crash(runs[0], 0, "")
+				j.Assign(r.Run.Task, "w", "w@1")
+			}
+			is.New(t).Equal(j.Phase() == structs.JobFailed, c.failed)
+		})
+	}
+}
+
+// Guards against giving up a task that was beside another one when it crashed a
+// runner.
+func TestLoneCrashCountsForTheTaskWithMostOfThem(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		counts []int32 // lone crashes of the tasks so far
+		want   []bool
+	}{
+		{"first crashes", []int32{1, 0, 1}, []bool{true, true, true}},
+		{"after them", []int32{2, 0, 1}, []bool{true, true, true}},
+		{"fewer than the other", []int32{3, 2, 2}, []bool{true, false, false}},
+		{"as many as the other", []int32{3, 3, 0}, []bool{false, false, true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := crashedJob(int32(len(c.counts)), structs.Step{})
+			var runs []CrashedRun
+			for i, count := range c.counts {
+				r := crashOf(j, int32(i), time.Second)
+				r.IsLone, r.Worker = true, "w"
+				j.Task(r.Run.Task).LoneCrashes = count
+				runs = append(runs, r)
+			}
+			FindLoneCrashes(runs)
+			got := make([]bool, len(runs))
+			for i, r := range runs {
+				got[i] = r.IsLone
+			}
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
+
+func TestLoneCrashesSurviveAChangeOfLeader(t *testing.T) {
+	is := is.New(t)
+	j := crashedJob(1, structs.Step{})
+	r := crashOf(j, 0, 2*time.Second)
+	r.IsLone, r.Worker = true, "w"
+	is.True(j.Crash(r, 0, ""))
+	is.True(!j.Crash(r, 0, "")) // counted once
+	spec, err := j.EncodeSpec()
+	is.NoErr(err)
+	state, err := j.EncodeState()
+	is.NoErr(err)
+	restored, err := Decode("a", spec, state)
+	is.NoErr(err)
+	task := restored.Task(r.Run.Task)
+	is.Equal(task.LoneCrashes, int32(1))
+	is.Equal(task.LoneCrashOn, structs.WorkerID("w"))
+}
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -38,6 +38,8 @@
 	Blame       int32            `json:"b,omitempty"` // shares of these crashes, in percent of a crash; for a gang, kept in its first task, as the next two
 	CrashAgeMS  int32            `json:"a,omitempty"` // age of CrashedRun at the crash, in milliseconds
 	CrashedRun  int32            `json:"m,omitempty"` // last run that was lost with its runner, 0 once a run has outlived it
+	LoneCrashes int32            `json:"e,omitempty"` // crashes of stable workers, while no other one crashed without the task, since a run has outlived them
+	LoneCrashOn structs.WorkerID `json:"o,omitempty"` // worker of the last of them; two in a row on one worker count once
 	Copy        *Copy            `json:"d,omitempty"` // second run of the assigned task, nil if there is none
 	LastCopy    int32            `json:"n,omitempty"` // number of the last copy if it is higher than Run and the copy has ended
 	// CheckpointRun is the last run that may have started before Checkpoint was
@@ -174,7 +176,7 @@
 
 // showsBegin reports whether the record of the task shows that a runner has started it.
 func (t *Task) showsBegin() bool {
-	return t.State == Done || t.Checkpoint != "" || max(t.Failures, t.Crashes, t.CrashedRun) > 0
+	return t.State == Done || t.Checkpoint != "" || max(t.Failures, t.Crashes, t.CrashedRun, t.LoneCrashes) > 0
 }
 
 // hasStarted reports whether a task of the job has ever been assigned.
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -180,7 +180,7 @@
 
 // isPossible reports whether transitions can lead to the state of the task.
 func (t *Task) isPossible() bool {
-	lowest := min(t.Run, t.Failures, t.FailedRun, t.Crashes, t.Blame, t.CrashAgeMS, t.CrashedRun, t.LastCopy, t.CheckpointRun, t.CheckpointPercent)
+	lowest := min(t.Run, t.Failures, t.FailedRun, t.Crashes, t.Blame, t.CrashAgeMS, t.CrashedRun, t.LoneCrashes, t.LastCopy, t.CheckpointRun, t.CheckpointPercent)
 	highestRun := max(t.Run, t.LastCopy)
 	if t.Copy != nil {
 		highestRun = max(highestRun, t.Copy.Run)
