--- a/workflow/crash.go
+++ b/workflow/crash.go
@@ -29,7 +29,7 @@
 	maxCrashes     = 4                      // crashes after which a task that ends by itself is given up whatever its blame
 	isolationBlame = 8                      // blame from which the runs of a task are isolated
 	isolationCount = 2                      // crashes from which they are isolated whatever the blame
-	maxLoneCrashes = 4                      // lone crashes after which a task is given up; the platform's rule allows five, sound tasks had two in storms
+	maxLoneCrashes = 4                      // lone crashes after which a task is given up
 )
 
 // FailureReason is why a job has failed.
