Fix two faults in the test of an agent that stops during a takeover

TestAgentThatStopsAttendsALeaderThatHasReadItsState failed in 6 of 40 runs: it read a worker without runs that had not attended yet, which the leader does not know, so that the leader's loop ended by a nil pointer. The test now waits for the takeover. What is checked stays the same.

--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -239,7 +239,7 @@
 			continue
 		}
 		var listedAt bootclock.Time
-		l.runInLoop(context.Background(), func() { listedAt = l.workers[h.name].listedAt })
+		l.runInLoop(context.Background(), func() { listedAt = l.workerByID(h.name).listedAt })
 		if listedAt == 0 {
 			return fmt.Errorf("the agent of %s leaves, and %s leads and has no list of it", h.name, next.name)
 		}
@@ -253,15 +253,18 @@
 	runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
 		m.listDelay.Store(int64(430 * time.Millisecond)) // of each of two reads
 		m.streams.Go(leader.stopAgent)
-		time.Sleep(200 * time.Millisecond)
+		m.waitUntil("a takeover begins", time.Second, func() bool {
+			return slices.ContainsFunc(m.hosts, func(h *simulatedHost) bool { return h != leader && h.node.takesOver() })
+		})
+		time.Sleep(50 * time.Millisecond) // so that only the next leader still takes over
 		leaving := m.hosts[slices.IndexFunc(m.hosts, func(h *simulatedHost) bool { return h != leader && !h.node.takesOver() })]
 		leaving.runner.Crash(false)
 		m.streams.Go(leaving.stopAgent)
 		next := m.nextLeader(leader).node.activeLeader()
 		m.waitUntil("attends", nextLeaderPoll+200*time.Millisecond, func() bool {
-			var attachedAt bootclock.Time
-			next.runInLoop(context.Background(), func() { attachedAt = next.workers[leaving.name].attachedAt })
-			return attachedAt > 0
+			var attends bool
+			next.runInLoop(context.Background(), func() { attends = next.workerByID(leaving.name).attachedAt > 0 })
+			return attends
 		})
 	})
 }
