Give the restarted runner a task for certain in the test of a late poll

TestLeaseByAPollForAnEarlierIncarnationIsWaitedFor failed in 1 of 45 subtests at its set-up ("not within 3s: the restarted runner runs tasks"), 8 of 60 runs in the first form: the other hosts had room for all tasks. There are two tasks for each host now, and two at most on one. 0 of 120 subtests failed; without the wait that it guards, 6 double runs in 3 as before.

--- a/fleet/late_start_test.go
+++ b/fleet/late_start_test.go
@@ -101,7 +101,7 @@
 		})
 		m.waitUntil("the runner has restarted", time.Second, restarted.Load)
 		m.waitUntil("the new runner is ready", 3*time.Second, func() bool { return m.readyWorkers() == len(m.hosts) })
-		m.submitService(int32(8*len(m.hosts)), 50, 0, nil)
+		m.submitService(int32(2*len(m.hosts)), 50, 2, nil) // on each host
 		m.waitUntil("the restarted runner runs tasks", 3*time.Second, func() bool { return len(h.runner.Paces()) > 0 })
 		time.Sleep(m.timing.ReportInterval)
 		cutOff(h)
