--- a/fleet/planned_change_test.go
+++ b/fleet/planned_change_test.go
@@ -168,7 +168,7 @@
 		"other host, new ID, stops after leader": {age: 4800 * time.Millisecond, goesAfter: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+			runWithServices(t, 8, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
 				checkRestarts(m, func(l *lostHosts) {
 					h := leader
 					if !c.ofLeader {
@@ -223,7 +223,7 @@
 		"all agents restart, second leader": {agent: true, between: 3 * time.Second, ofLeader: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runWithServices(t, 17, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
+			runWithServices(t, 8, func(m *mixedFleet, leader *simulatedHost, _ map[structs.RunID]int) {
 				checkRestarts(m, func(l *lostHosts) {
 					h := l.follower()
 					restart := []*simulatedHost{h}
