--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -25,6 +25,7 @@
 
 	shortestDeadlyAge  = 200 * time.Millisecond // bounds of the times from the starts of a task to its crashes, where they vary
 	longestDeadlyAge   = 6 * time.Second
+	varyingGiveUpLimit = time.Minute // for a task at varying ages: as long as review/standin plays one
 	varyingDeadlySeeds = 5
 )
 
@@ -230,7 +231,7 @@
 	for seed := range uint64(varyingDeadlySeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			playDeadlyScenario(t, deadlyScenario{
-				runTime: longestDeadlyAge + 2*time.Second, ageAtCrash: varyingAge(seed), allowed: 2, limit: 2 * giveUpLimit,
+				runTime: longestDeadlyAge + 2*time.Second, ageAtCrash: varyingAge(seed), allowed: 2, limit: varyingGiveUpLimit,
 			}, seed)
 		})
 	}
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -21,7 +21,7 @@
 	mu               sync.Mutex
 	info             substrate.RunnerInfo // last announcement of the runner, zero before the first
 	called           calledRunners        // by this process
-	attended         attendedRunner
+	attended         attendance
 	shrankAt         bootclock.Time  // when a new incarnation or a smaller capacity was last announced
 	runnerGone       bool            // the incarnation in info has ended
 	endedIncarnation string          // last incarnation that ended and was not replaced, empty if it was announced again
--- a/fleet/restarted_runner.go
+++ b/fleet/restarted_runner.go
@@ -35,8 +35,8 @@
 	return restartedRunner{info: h.info, since: since, fence: h.attended.fence}, true
 }
 
-// attendedRunner is what the agent knows of its sessions with leaders.
-type attendedRunner struct {
+// attendance is what the agent knows of its sessions with leaders.
+type attendance struct {
 	incarnation string // last one of which a leader has answered a list
 	fence       int64  // of the last session
 }
