--- a/review/6/stand/main.go
+++ b/review/6/stand/main.go
@@ -25,6 +25,7 @@
 	programs := flag.String("programs", "target", "folder with the programs")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "with the disruption")
+	name := flag.String("case", "other", "other: a runner of another service; advice: a queue with advice")
 	other := flag.Bool("other", true, "with a runner of another service")
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "review-")
@@ -41,13 +42,22 @@
 	defer log.close()
 	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
 	defer cancel()
-	s, err := newSystem(ctx, dir, *programs, log)
+	size := shape{workers: 4, taskTime: taskTime}
+	if *name == "advice" {
+		size = shape{workers: 11, taskTime: time.Second, advice: &policy{DecideMS: 650, EachMS: 60, ValidMS: 3000}}
+	}
+	s, err := newSystem(ctx, dir, *programs, log, size)
 	defer s.close()
 	if err != nil {
 		log.printf("not run: %v", err)
 		return exitNotRun
 	}
-	broken, err := s.playOtherRunner(ctx, *trouble, *other)
+	var broken bool
+	if *name == "advice" {
+		broken, err = s.playAdvice(ctx, *trouble)
+	} else {
+		broken, err = s.playOtherRunner(ctx, *trouble, *other)
+	}
 	switch {
 	case err != nil:
 		log.printf("not run: %v", err)
--- a/review/6/stand/system.go
+++ b/review/6/stand/system.go
@@ -23,7 +23,6 @@
 
 // The deployment: the figures of a small one.
 const (
-	workerCount  = 4
 	entryCount   = 2
 	zoneCount    = 2
 	heartbeat    = 1100 * time.Millisecond
@@ -34,6 +33,13 @@
 	restartDelay = 200 * time.Millisecond
 )
 
+// shape is what differs between the cases.
+type shape struct {
+	workers  int
+	taskTime time.Duration
+	advice   *policy // nil for a queue without advice
+}
+
 // host is one machine: a program, and a runner beside an agent.
 type host struct {
 	name, zone, program, settingsPath string
@@ -48,27 +54,36 @@
 
 // system is a deployment on loopback.
 type system struct {
+	shape    shape
 	programs string
 	log      *recorder
 	store    *standin.PartStore
 	workers  []*host
 	entries  []*host
 	servers  []*http.Server
-	client   *http.Client
-	watcher  *watcher
-	cancel   context.CancelFunc
+	// adviceAddress is empty without a queue with advice.
+	adviceAddress string
+	client        *http.Client
+	watcher       *watcher
+	cancel        context.CancelFunc
 }
 
-func newSystem(ctx context.Context, dir, programs string, log *recorder) (*system, error) {
+func newSystem(ctx context.Context, dir, programs string, log *recorder, shape shape) (*system, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &system{
-		programs: programs, log: log, store: standin.NewPartStore(), client: &http.Client{Timeout: 3 * time.Second},
+		shape: shape, programs: programs, log: log, store: standin.NewPartStore(), client: &http.Client{Timeout: 3 * time.Second},
 		watcher: newWatcher(log), cancel: cancel,
 	}
 	if err := s.configure(); err != nil {
 		return s, err
 	}
-	for i := range workerCount + entryCount {
+	if shape.advice != nil {
+		var err error
+		if s.adviceAddress, err = s.serve(newAdvice(*shape.advice, log)); err != nil {
+			return s, err
+		}
+	}
+	for i := range shape.workers + entryCount {
 		if err := s.addHost(ctx, dir, i); err != nil {
 			return s, err
 		}
@@ -85,18 +100,30 @@
 
 // configure writes the operator's configuration.
 func (s *system) configure() error {
-	config := fmt.Sprintf(`{"version":1,"routes":[{"name":"q","host":"h.example","path_prefix":"/jobs/","service":%q,"max_attempts":3,"stretch":2,"target_latency_ms":1000}],`+
-		`"services":[{"name":%q}],"limits":{"max_body_bytes":262144}}`, service, service)
-	_, err := s.store.Commit(substrate.PartTxn{Puts: []substrate.PartRow{{Table: "op", Key: "config", Value: []byte(config)}}})
+	route := map[string]any{
+		"name": "q", "host": "h.example", "path_prefix": "/jobs/", "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 2,
+		"service": service, "max_attempts": 3, "stretch": 2.0,
+	}
+	if p := s.shape.advice; p != nil {
+		route["advice"] = p
+	}
+	config, err := json.Marshal(map[string]any{
+		"version": 1, "routes": []any{route}, "services": []any{map[string]any{"name": service, "admission_check": false}}, "limits": map[string]any{"max_body_bytes": 262144},
+	})
+	if err != nil {
+		return err
+	}
+	s.log.printf("configuration: %s", config)
+	_, err = s.store.Commit(substrate.PartTxn{Puts: []substrate.PartRow{{Table: "op", Key: "config", Value: config}}})
 	return err
 }
 
 func (s *system) addHost(ctx context.Context, dir string, i int) error {
-	isWorker := i < workerCount
+	isWorker := i < s.shape.workers
 	h := &host{name: fmt.Sprintf("side-%d", i), zone: fmt.Sprintf("zone-%d", i%zoneCount), program: "daisywall-agent", reported: make(chan struct{})}
 	class, serves := "side", "side"
 	if !isWorker {
-		h.name, h.program, class, serves = fmt.Sprintf("edge-%d", i-workerCount), "daisywall-entry", "edge", "edge"
+		h.name, h.program, class, serves = fmt.Sprintf("edge-%d", i-s.shape.workers), "daisywall-entry", "edge", "edge"
 	}
 	port, err := ports.Reserve(5)
 	if err != nil {
@@ -108,29 +135,41 @@
 	if err != nil {
 		return err
 	}
-	settings, err := json.Marshal(map[string]any{
+	if isWorker {
+		if h.runner, err = s.addRunner(ctx, h, "i-"+h.name, service); err != nil {
+			return err
+		}
+		s.workers = append(s.workers, h)
+	} else {
+		s.entries = append(s.entries, h)
+	}
+	return s.addProgram(dir, h, class, serves, port, storeAddress)
+}
+
+// addProgram writes the settings of the program of a host.
+func (s *system) addProgram(dir string, h *host, class, serves string, port int, storeAddress string) error {
+	settings := map[string]any{
 		"node": h.name, "machine_class": class, "serves": []string{serves}, "ip": "127.0.0.1", "zone": h.zone, "region": "region",
-		"listen":         map[string]string{"front": h.front, "ready": address(3), "control": h.control},
+		"listen":         map[string]string{"front": h.front, "ready": fmt.Sprintf("127.0.0.1:%d", port+3), "control": h.control},
 		"internal_ports": []int{port, port + 1}, "heartbeat_ms": heartbeat.Milliseconds(), "discovery": "local", "orders": "call",
 		"bounds":   map[string]any{"hold_max_ms": longestHold.Milliseconds(), "grace_s": 6.0, "rollback_slack_ms": 250, "harm_ms": 4000, "pace_ms": 100},
 		"platform": map[string]any{"address": storeAddress, "form": "table", "row_bytes": 65536},
-	})
+	}
+	if h.runner != nil {
+		settings["app"], settings["service"] = h.runner.Info().Address, service
+	}
+	if s.adviceAddress != "" {
+		settings["advice"] = s.adviceAddress
+	}
+	data, err := json.Marshal(settings)
 	if err != nil {
 		return err
 	}
 	h.settingsPath = filepath.Join(dir, h.name+".json")
-	if err := os.WriteFile(h.settingsPath, settings, 0o600); err != nil {
-		return err
-	}
-	if h.output, err = os.Create(filepath.Join(dir, h.name+".log")); err != nil {
+	if err := os.WriteFile(h.settingsPath, data, 0o600); err != nil {
 		return err
 	}
-	if !isWorker {
-		s.entries = append(s.entries, h)
-		return nil
-	}
-	s.workers = append(s.workers, h)
-	h.runner, err = s.addRunner(ctx, h, "i-"+h.name, service)
+	h.output, err = os.Create(filepath.Join(dir, h.name+".log"))
 	return err
 }
 
@@ -146,7 +185,7 @@
 	}
 	info.Address = listener.Addr().String()
 	runner := standin.NewTaskRunner(standin.TaskRunnerOptions{
-		Info: info, MaxLease: longestHold, Observer: s.watcher, RunTime: func(structs.RunID) time.Duration { return taskTime },
+		Info: info, MaxLease: longestHold, Observer: s.watcher, RunTime: func(structs.RunID) time.Duration { return s.shape.taskTime },
 	})
 	s.serveOn(listener, s.recordCalls(id, site.Runner(runner)))
 	go s.report(ctx, h, runner, pool)
--- a/review/6/stand/watcher.go
+++ b/review/6/stand/watcher.go
@@ -90,6 +90,19 @@
 // CapacityChanged implements standin.RunObserver.
 func (w *watcher) CapacityChanged(string, structs.Resources, structs.Resources) {}
 
+// startsOf returns the number of starts of a job's tasks.
+func (w *watcher) startsOf(job string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for task := range w.active {
+		if string(task.Job) == job {
+			n++
+		}
+	}
+	return n
+}
+
 // report writes the counts and reports whether a task has had two runs at the same time.
 func (w *watcher) report(tasks int) bool {
 	w.mu.Lock()
