--- a/review/6/stand/main.go
+++ b/review/6/stand/main.go
@@ -25,8 +25,9 @@
 	programs := flag.String("programs", "target", "folder with the programs")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "with the disruption")
-	name := flag.String("case", "other", "other: a runner of another service; advice: a queue with advice")
+	name := flag.String("case", "other", "other: a runner of another service; advice: a queue with advice; checkpoints: long checkpoints")
 	other := flag.Bool("other", true, "with a runner of another service")
+	plain := flag.Bool("plain", false, "with checkpoints without markup")
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
@@ -43,8 +44,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
 	defer cancel()
 	size := shape{workers: 4, taskTime: taskTime}
-	if *name == "advice" {
+	switch *name {
+	case "advice":
 		size = shape{workers: 11, taskTime: time.Second, advice: &policy{DecideMS: 650, EachMS: 60, ValidMS: 3000}}
+	case "checkpoints":
+		size = shape{workers: 6, taskTime: 15 * time.Second, checkpoint: markupCheckpoint}
+		if *plain {
+			size.checkpoint = plainCheckpoint
+		}
 	}
 	s, err := newSystem(ctx, dir, *programs, log, size)
 	defer s.close()
@@ -53,9 +60,12 @@
 		return exitNotRun
 	}
 	var broken bool
-	if *name == "advice" {
+	switch *name {
+	case "advice":
 		broken, err = s.playAdvice(ctx, *trouble)
-	} else {
+	case "checkpoints":
+		broken, err = s.playCheckpoints(ctx, *trouble)
+	default:
 		broken, err = s.playOtherRunner(ctx, *trouble, *other)
 	}
 	switch {
--- a/review/6/stand/system.go
+++ b/review/6/stand/system.go
@@ -25,6 +25,7 @@
 const (
 	entryCount   = 2
 	zoneCount    = 2
+	rackSize     = 3
 	heartbeat    = 1100 * time.Millisecond
 	longestHold  = 10 * time.Second
 	runnerCPU    = 16000
@@ -38,15 +39,17 @@
 	workers  int
 	taskTime time.Duration
 	advice   *policy // nil for a queue without advice
+	// checkpoint is the checkpoint of a run, nil for none.
+	checkpoint func(structs.RunID) string
 }
 
 // host is one machine: a program, and a runner beside an agent.
 type host struct {
-	name, zone, program, settingsPath string
-	front, control                    string
-	output                            *os.File
-	runner                            *standin.TaskRunner // nil for an entry
-	reported                          chan struct{}       // signalled after each report of the runner, if somebody waits
+	name, zone, rack, program, settingsPath string
+	front, control                          string
+	output                                  *os.File
+	runner                                  *standin.TaskRunner // nil for an entry
+	reported                                chan struct{}       // signalled after each report of the runner, if somebody waits
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -120,7 +123,7 @@
 
 func (s *system) addHost(ctx context.Context, dir string, i int) error {
 	isWorker := i < s.shape.workers
-	h := &host{name: fmt.Sprintf("side-%d", i), zone: fmt.Sprintf("zone-%d", i%zoneCount), program: "daisywall-agent", reported: make(chan struct{})}
+	h := &host{name: fmt.Sprintf("side-%d", i), zone: fmt.Sprintf("zone-%d", i%zoneCount), rack: fmt.Sprintf("r1-%d", i/rackSize), program: "daisywall-agent", reported: make(chan struct{})}
 	class, serves := "side", "side"
 	if !isWorker {
 		h.name, h.program, class, serves = fmt.Sprintf("edge-%d", i-s.shape.workers), "daisywall-entry", "edge", "edge"
@@ -176,7 +179,7 @@
 // addRunner starts a runner on the machine of an agent. It reports to the agent every heartbeat.
 func (s *system) addRunner(ctx context.Context, h *host, id, pool string) (*standin.TaskRunner, error) {
 	info := substrate.RunnerInfo{
-		ID: id, Pool: structs.PoolID(pool), FailureDomain: structs.FailureDomainID(h.zone), Labels: []string{"a", "r-" + h.zone},
+		ID: id, Pool: structs.PoolID(pool), FailureDomain: structs.FailureDomainID(h.zone), Labels: []string{"a", h.rack},
 		Capacity: structs.Resources{MilliCPU: runnerCPU, MemoryMB: runnerMemory},
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -186,6 +189,7 @@
 	info.Address = listener.Addr().String()
 	runner := standin.NewTaskRunner(standin.TaskRunnerOptions{
 		Info: info, MaxLease: longestHold, Observer: s.watcher, RunTime: func(structs.RunID) time.Duration { return s.shape.taskTime },
+		Checkpoint: s.shape.checkpoint,
 	})
 	s.serveOn(listener, s.recordCalls(id, site.Runner(runner)))
 	go s.report(ctx, h, runner, pool)
@@ -197,11 +201,13 @@
 	tick := time.NewTicker(heartbeat)
 	defer tick.Stop()
 	for ctx.Err() == nil {
-		result := "acknowledged"
-		if err := site.Report(ctx, s.client, h.control, runner); err != nil {
-			result = err.Error()
+		if !runner.IsCrashed() {
+			result := "acknowledged"
+			if err := site.Report(ctx, s.client, h.control, runner); err != nil {
+				result = err.Error()
+			}
+			s.log.printf("report of %s, service %s, to %s: %s", runner.Info().ID, pool, h.name, result)
 		}
-		s.log.printf("report of %s, service %s, to %s: %s", runner.Info().ID, pool, h.name, result)
 		if pool == service {
 			select {
 			case h.reported <- struct{}{}:
--- a/review/6/stand/watcher.go
+++ b/review/6/stand/watcher.go
@@ -39,6 +39,7 @@
 	mu      sync.Mutex
 	active  map[structs.StepTaskID]map[string]structs.RunID // by runner
 	lapsed  int
+	failed  int
 	twice   int
 	started int
 }
@@ -70,8 +71,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.active[run.Task], runner)
-	if end == substrate.RunEndLapsed {
+	switch end {
+	case substrate.RunEndLapsed:
 		w.lapsed++
+	case substrate.RunEndFailed:
+		w.failed++
 	}
 	w.log.printf("end of run %s on %s: %s", run, runner, end)
 }
@@ -85,7 +89,20 @@
 func (w *watcher) Crashed(string, structs.RunID) {}
 
 // Reset implements standin.RunObserver.
-func (w *watcher) Reset(string) {}
+func (w *watcher) Reset(runner string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, runs := range w.active {
+		delete(runs, runner)
+	}
+}
+
+// failures returns the number of runs that have ended failed.
+func (w *watcher) failures() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed
+}
 
 // CapacityChanged implements standin.RunObserver.
 func (w *watcher) CapacityChanged(string, structs.Resources, structs.Resources) {}
