--- a/review/6/stand/main.go
+++ b/review/6/stand/main.go
@@ -25,9 +25,11 @@
 	programs := flag.String("programs", "target", "folder with the programs")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "with the disruption")
-	name := flag.String("case", "other", "other: a runner of another service; advice: a queue with advice; checkpoints: long checkpoints")
+	name := flag.String("case", "other", "other: a runner of another service; advice: a queue with advice; checkpoints: long checkpoints; lasting: tasks that last")
 	other := flag.Bool("other", true, "with a runner of another service")
 	plain := flag.Bool("plain", false, "with checkpoints without markup")
+	late := flag.Bool("late", true, "with an order that is carried out late")
+	lose := flag.Int("lose", 2, "number of machines that are lost")
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
@@ -53,6 +55,9 @@
 			size.checkpoint = plainCheckpoint
 		}
 	}
+	if *name == "lasting" {
+		size = shape{workers: 11, taskTime: time.Hour, lasts: true, lost: *lose}
+	}
 	s, err := newSystem(ctx, dir, *programs, log, size)
 	defer s.close()
 	if err != nil {
@@ -65,6 +70,8 @@
 		broken, err = s.playAdvice(ctx, *trouble)
 	case "checkpoints":
 		broken, err = s.playCheckpoints(ctx, *trouble)
+	case "lasting":
+		broken, err = s.playLoss(ctx, *trouble, *late)
 	default:
 		broken, err = s.playOtherRunner(ctx, *trouble, *other)
 	}
--- a/review/6/stand/system.go
+++ b/review/6/stand/system.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/daisywall/daisywall/standin"
@@ -41,6 +42,8 @@
 	advice   *policy // nil for a queue without advice
 	// checkpoint is the checkpoint of a run, nil for none.
 	checkpoint func(structs.RunID) string
+	lasts      bool // all tasks last until they are stopped
+	lost       int  // machines that are lost
 }
 
 // host is one machine: a program, and a runner beside an agent.
@@ -66,6 +69,7 @@
 	servers  []*http.Server
 	// adviceAddress is empty without a queue with advice.
 	adviceAddress string
+	lastWriter    atomic.Pointer[host]
 	client        *http.Client
 	watcher       *watcher
 	cancel        context.CancelFunc
@@ -134,7 +138,7 @@
 	}
 	address := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", port+offset) }
 	h.front, h.control = address(2), address(4)
-	storeAddress, err := s.serve(site.Store(s.store.Client()))
+	storeAddress, err := s.serve(s.recordWriter(h, site.Store(s.store.Client())))
 	if err != nil {
 		return err
 	}
@@ -189,7 +193,7 @@
 	info.Address = listener.Addr().String()
 	runner := standin.NewTaskRunner(standin.TaskRunnerOptions{
 		Info: info, MaxLease: longestHold, Observer: s.watcher, RunTime: func(structs.RunID) time.Duration { return s.shape.taskTime },
-		Checkpoint: s.shape.checkpoint,
+		Checkpoint: s.shape.checkpoint, LongRunning: func(structs.RunID) bool { return s.shape.lasts },
 	})
 	s.serveOn(listener, s.recordCalls(id, site.Runner(runner)))
 	go s.report(ctx, h, runner, pool)
@@ -221,6 +225,16 @@
 	}
 }
 
+// recordWriter remembers which machine has last written to the store under a condition.
+func (s *system) recordWriter(h *host, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/rows-tx" {
+			s.lastWriter.Store(h)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // recordCalls records the starts that a runner is told.
 func (s *system) recordCalls(id string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/review/6/stand/watcher.go
+++ b/review/6/stand/watcher.go
@@ -107,6 +107,36 @@
 // CapacityChanged implements standin.RunObserver.
 func (w *watcher) CapacityChanged(string, structs.Resources, structs.Resources) {}
 
+// running returns the number of runs.
+func (w *watcher) running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, runs := range w.active {
+		n += len(runs)
+	}
+	return n
+}
+
+func (w *watcher) isRunning(task structs.StepTaskID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.active[task]) > 0
+}
+
+// tasksOn returns the tasks that run on a runner.
+func (w *watcher) tasksOn(runner string) []structs.StepTaskID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var tasks []structs.StepTaskID
+	for task, runs := range w.active {
+		if _, found := runs[runner]; found {
+			tasks = append(tasks, task)
+		}
+	}
+	return tasks
+}
+
 // startsOf returns the number of starts of a job's tasks.
 func (w *watcher) startsOf(job string) int {
 	w.mu.Lock()
