--- a/review/6/stand/main.go
+++ b/review/6/stand/main.go
@@ -19,71 +19,94 @@
 	exitNotRun = 2
 )
 
-func main() { os.Exit(play()) }
+// longestCase is less than the 120 s that a script may take.
+const longestCase = 110 * time.Second
 
-func play() int {
-	programs := flag.String("programs", "target", "folder with the programs")
-	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
-	trouble := flag.Bool("trouble", true, "with the disruption")
-	name := flag.String("case", "other", "other: a runner of another service; advice: a queue with advice; checkpoints: long checkpoints; lasting: tasks that last")
-	other := flag.Bool("other", true, "with a runner of another service")
-	plain := flag.Bool("plain", false, "with checkpoints without markup")
-	late := flag.Bool("late", true, "with an order that is carried out late")
-	lose := flag.Int("lose", 2, "number of machines that are lost")
+// options are the arguments of the command.
+type options struct {
+	name, programs, record string
+	trouble                bool
+	other                  bool // case other: with a runner of another service
+	plain                  bool // case checkpoints: checkpoints without markup
+	late                   bool // case lasting: with an order that is carried out late
+	lose                   int  // case lasting: machines that are lost
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.name, "case", "other", "other: a runner of another service; advice: a queue with advice; checkpoints: long checkpoints; lasting: tasks that last")
+	flag.StringVar(&o.programs, "programs", "target", "folder with the programs")
+	flag.StringVar(&o.record, "record", "record.txt", "file for what was sent, answered and run")
+	flag.BoolVar(&o.trouble, "trouble", true, "with the disruption")
+	flag.BoolVar(&o.other, "other", true, "with a runner of another service")
+	flag.BoolVar(&o.plain, "plain", false, "with checkpoints without markup")
+	flag.BoolVar(&o.late, "late", true, "with an order that is carried out late")
+	flag.IntVar(&o.lose, "lose", 2, "number of machines that are lost")
 	flag.Parse()
-	dir, err := os.MkdirTemp("", "review-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitNotRun
-	}
-	defer os.RemoveAll(dir)
-	log, err := newRecorder(*record)
+	os.Exit(o.run())
+}
+
+// run plays the case and returns the exit code.
+func (o options) run() int {
+	log, err := newRecorder(o.record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	defer log.close()
-	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
-	defer cancel()
-	size := shape{workers: 4, taskTime: taskTime}
-	switch *name {
-	case "advice":
-		size = shape{workers: 11, taskTime: time.Second, advice: &policy{DecideMS: 650, EachMS: 60, ValidMS: 3000}}
-	case "checkpoints":
-		size = shape{workers: 6, taskTime: 15 * time.Second, checkpoint: markupCheckpoint}
-		if *plain {
-			size.checkpoint = plainCheckpoint
-		}
+	broken, err := o.play(log)
+	switch {
+	case err != nil:
+		log.printf("not run: %v", err)
+		return exitNotRun
+	case broken:
+		log.printf("the rule was broken")
+		return exitBroken
+	default:
+		log.printf("the rule held")
+		return exitHeld
 	}
-	if *name == "lasting" {
-		size = shape{workers: 11, taskTime: time.Hour, lasts: true, lost: *lose}
+}
+
+// play starts the deployment, plays the case and ends all processes.
+func (o options) play(log *recorder) (broken bool, err error) {
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return false, err
 	}
-	s, err := newSystem(ctx, dir, *programs, log, size)
+	defer func() { _ = os.RemoveAll(dir) }()
+	ctx, cancel := context.WithTimeout(context.Background(), longestCase)
+	defer cancel()
+	s, err := newSystem(ctx, dir, o.programs, log, o.shape())
 	defer s.close()
 	if err != nil {
-		log.printf("not run: %v", err)
-		return exitNotRun
+		return false, err
 	}
-	var broken bool
-	switch *name {
+	switch o.name {
 	case "advice":
-		broken, err = s.playAdvice(ctx, *trouble)
+		return s.playAdvice(ctx, o.trouble)
 	case "checkpoints":
-		broken, err = s.playCheckpoints(ctx, *trouble)
+		return s.playCheckpoints(ctx, o.trouble)
 	case "lasting":
-		broken, err = s.playLoss(ctx, *trouble, *late)
+		return s.playLoss(ctx, o.trouble, o.late)
 	default:
-		broken, err = s.playOtherRunner(ctx, *trouble, *other)
+		return s.playOtherRunner(ctx, o.trouble, o.other)
 	}
-	switch {
-	case err != nil:
-		log.printf("not run: %v", err)
-		return exitNotRun
-	case broken:
-		log.printf("the rule was broken")
-		return exitBroken
+}
+
+// shape returns the deployment of the case.
+func (o options) shape() shape {
+	switch o.name {
+	case "advice":
+		return shape{workers: 11, taskTime: time.Second, advice: &policy{DecideMS: 650, EachMS: 60, ValidMS: 3000}}
+	case "checkpoints":
+		if o.plain {
+			return shape{workers: 6, taskTime: 15 * time.Second, checkpoint: plainCheckpoint}
+		}
+		return shape{workers: 6, taskTime: 15 * time.Second, checkpoint: markupCheckpoint}
+	case "lasting":
+		return shape{workers: 11, taskTime: time.Hour, lasts: true, lost: o.lose}
 	default:
-		log.printf("the rule held")
-		return exitHeld
+		return shape{workers: 4, taskTime: taskTime}
 	}
 }
--- a/review/6/stand/system.go
+++ b/review/6/stand/system.go
@@ -303,7 +303,7 @@
 	}
 	s.cancel()
 	for _, server := range s.servers {
-		server.Close()
+		_ = server.Close()
 	}
 }
 
