--- a/review/6/stand/main.go
+++ b/review/6/standin/main.go
@@ -1,4 +1,4 @@
-// Command stand plays one case of the review: it starts the agents and the entries as separate
+// Command standin plays one case of the review: it starts the agents and the entries as separate
 // processes on loopback, with stand-ins of the store, the runners and the callers, and records
 // what these have seen. It exits with 1 if the rule was broken, 0 if it held and 2 if the case
 // could not run.
