An agent believes only reports of the runner that its settings name

A second runner, of a service that no configuration names, reported to an agent; when that agent was killed and started again, the four tasks of the host's own runner were started a second time elsewhere, beside their first runs.

Cause: an agent knew its runner from reports alone, and believed the first one after its start, or three in a row that agreed. It then called the other runner, whose empty list under a later incarnation told the leader that the host's runner had begun again, so that its runs were released. The kill is not needed: three reports between two of the runner's own have the same effect.

Ruled out: the leader's release on the list of a later incarnation is right for a runner that did begin again; it was told of one that is not the host's.

Fix: the platform's settings name the address and the service of the host's runner. Settings may change without a signal, so they are read again when a report does not fit. Log lines and a counter say which report was refused or believed, why, and which address is called.

--- a/daemon/dev_fleet.go
+++ b/daemon/dev_fleet.go
@@ -118,7 +118,7 @@
 	tick := time.NewTicker(devFleetReportInterval)
 	defer tick.Stop()
 	for {
-		node.Announce(runner.Report())
+		_ = node.Announce(runner.Report()) // without settings no report is refused
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -166,7 +166,8 @@
 	log := b.telemetry.Log
 	node, err := fleet.NewNode(fleet.Options{
 		Worker: structs.WorkerID(settings.Host), FailureDomain: settings.FailureDomain, Address: b.address(fleetPortOffset), Store: b.store,
-		Runner: func(info substrate.RunnerInfo) substrate.Runner { return platform.NewRunnerClient(info) },
+		Runner:         func(info substrate.RunnerInfo) substrate.Runner { return platform.NewRunnerClient(info) },
+		RunnerIdentity: readRunnerIdentity,
 		Config: func() (fleet.ConfigSource, func()) {
 			operatorCtx, stop := context.WithCancel(context.Background())
 			operator := platform.NewOperatorConfig(b.store, log)
@@ -200,6 +201,12 @@
 	return b.run(ctx)
 }
 
+// readRunnerIdentity returns what the settings file says of the host's runner by now.
+func readRunnerIdentity() (substrate.RunnerIdentity, error) {
+	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsPathVariable))
+	return settings.Runner, err
+}
+
 // permitSource returns the client of the platform's permit service, or nil if
 // the settings name none.
 func permitSource(settings platform.Settings) substrate.PermitSource {
--- a/fleet/agent_session.go
+++ b/fleet/agent_session.go
@@ -104,7 +104,7 @@
 	a.epoch, a.fencingToken = first.GetEpoch(), first.GetFence()
 	a.host.recordSession(a.fencingToken)
 	a.pacer.attach(a.log, a.runner, a.fencingToken)
-	a.log.Info("session opened", zap.String("leader", a.row.Address), zap.Int64("fence", a.fencingToken))
+	a.log.Info("session opened", zap.String("leader", a.row.Address), zap.Int64("fence", a.fencingToken), zap.String("runner_address", a.info.Address))
 	orders := make(chan *fleetpb.WorkerOrders)
 	streamErrors := make(chan error, 2)
 	go a.receiveOrders(ctx, orders, streamErrors)
--- a/fleet/announcement.go
+++ b/fleet/announcement.go
@@ -104,6 +104,6 @@
 // current one answered. The caller holds mu.
 func (h *host) acceptReplacement() {
 	if d := h.doubtful; d.count > 0 && d.last.StartedAt.After(h.info.StartedAt) {
-		h.accept(d.last)
+		h.accept(d.last, claimReplaced)
 	}
 }
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -15,8 +15,9 @@
 // host holds the state of the agent's host: the announced runner, and the
 // channels between the node and its session with the leader.
 type host struct {
-	o       Options
-	metrics *metrics
+	o        Options
+	metrics  *metrics
+	identity identityCheck
 
 	mu               sync.Mutex
 	info             substrate.RunnerInfo // last announcement of the runner, zero before the first
@@ -45,29 +46,36 @@
 }
 
 func newHost(o Options, m *metrics) *host {
-	return &host{o: o, metrics: m, called: calledRunners{since: o.Clock()}, changed: make(chan struct{}, 1), takeoverRequests: make(chan leaderRow, 1), replacedEpochs: make(chan int64, 1)}
+	return &host{
+		o: o, metrics: m, identity: identityCheck{o: o, metrics: m}, called: calledRunners{since: o.Clock()},
+		changed: make(chan struct{}, 1), takeoverRequests: make(chan leaderRow, 1), replacedEpochs: make(chan int64, 1),
+	}
 }
 
-// announce records a report of a runner about itself. It returns false for an
-// earlier incarnation. It ignores an older report of the current incarnation, and
-// accepts one that contradicts the last only once others confirm it.
-func (h *host) announce(info substrate.RunnerInfo) bool {
+// announce records a report of a runner about itself. It returns
+// *substrate.ForeignReportError for one that is not of the host's runner. It ignores an
+// older report of the current incarnation, and accepts one that contradicts the last only
+// once others confirm it.
+func (h *host) announce(info substrate.RunnerInfo) error {
+	if err := h.identity.check(info); err != nil {
+		return err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := h.classify(info)
 	if c == claimCurrent || h.isConfirmed(info, c) {
-		h.accept(info)
-		return true
+		h.accept(info, c)
+		return nil
 	}
 	if c == claimDelayed && info.Draining && !h.info.Draining {
 		h.info.Draining = true // a runner that drains does not become ready again
 		h.signalChange()
 	}
-	return c != claimEarlier
+	return nil
 }
 
-// accept makes a report the last one that was accepted. The caller holds mu.
-func (h *host) accept(info substrate.RunnerInfo) {
+// accept makes a report with the claim the last one that was accepted. The caller holds mu.
+func (h *host) accept(info substrate.RunnerInfo, c claim) {
 	same := info.Incarnation == h.info.Incarnation
 	relevantChange := !same || info.Draining != h.info.Draining || h.runnerGone || !isDescribedAlike(info, h.info)
 	if !same || !h.info.Capacity.Fits(info.Capacity) {
@@ -89,7 +97,8 @@
 		h.leaving = false
 	}
 	if relevantChange {
-		h.o.Log.Info("runner", zap.String("runner", info.ID), zap.String("incarnation", info.Incarnation), zap.String("pool", string(info.Pool)),
+		h.o.Log.Info("runner", zap.String("runner", info.ID), zap.String("incarnation", info.Incarnation), zap.Stringer("claim", c),
+			zap.String("address", info.Address), zap.String("pool", string(info.Pool)),
 			zap.Bool("draining", info.Draining), zap.Duration("remaining", info.DrainRemaining), zap.Int64("sequence", info.Sequence), zap.Any("capacity", info.Capacity))
 		h.signalChange()
 	}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -33,7 +33,7 @@
 	cycles                                                                         metric.Float64Histogram
 	unread, reducedWork, waiting                                                   metric.Int64Gauge
 	unreadAge                                                                      metric.Float64Gauge
-	unreached                                                                      metric.Int64Counter
+	unreached, refusedReports                                                      metric.Int64Counter
 }
 
 // ratioBoundaries are the buckets of the ratios of run times. Declared values are
@@ -117,7 +117,7 @@
 }
 
 // addRunners adds the instruments of long-running tasks without a run, of lists that lack
-// ends, of split orders and of doubtful reports of runners.
+// ends, of split orders and of doubtful and refused reports of runners.
 func (m *metrics) addRunners(meter metric.Meter) (err error) {
 	if m.longestOutage, err = meter.Float64Gauge("daisywall.fleet.outage.longest.seconds", metric.WithUnit("s"),
 		metric.WithDescription("Longest time for which a long-running task has not been at work by now")); err != nil {
@@ -147,6 +147,10 @@
 		metric.WithDescription("Reports of the host's runner that contradict the last accepted one by claim")); err != nil {
 		return err
 	}
+	if m.refusedReports, err = meter.Int64Counter("daisywall.fleet.reports.refused",
+		metric.WithDescription("Reports that cannot be of the host's runner by reason")); err != nil {
+		return err
+	}
 	m.heldBackEnds, err = meter.Float64Histogram("daisywall.fleet.ends.held_back.seconds", metric.WithUnit("s"),
 		metric.WithDescription("Time for which the lists of a worker lacked ends"))
 	return err
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -55,9 +55,12 @@
 	return &Node{o: o, metrics: m, host: newHost(o, m), stopRequested: make(chan struct{})}, nil
 }
 
-// Announce records a report of the host's runner about itself. It returns false
-// for a report of an earlier incarnation.
-func (n *Node) Announce(info substrate.RunnerInfo) bool { return n.host.announce(info) }
+// Announce records a report of the host's runner about itself. It returns
+// *substrate.ForeignReportError for a report that is not of the host's runner.
+func (n *Node) Announce(info substrate.RunnerInfo) error { return n.host.announce(info) }
+
+// RefuseReport records that a report under the runner's ID was refused since it is invalid.
+func (n *Node) RefuseReport(id string, err error) { n.host.identity.refuse(id, "invalid", err) }
 
 // MarkRunnerLeaving records that the runner with the ID is about to end.
 func (n *Node) MarkRunnerLeaving(id string) { n.host.markLeaving(id) }
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -36,6 +36,9 @@
 	Store         substrate.PartStore
 	// Runner returns a client for the runner that sent the announcement.
 	Runner func(substrate.RunnerInfo) substrate.Runner
+	// RunnerIdentity returns what the settings of the host say of its runner. It is called again
+	// when a report differs from what it last returned. nil if the settings say nothing.
+	RunnerIdentity func() (substrate.RunnerIdentity, error)
 	// Config returns a source that follows the configuration until stop is
 	// called. Only the leader calls Config.
 	Config    func() (source ConfigSource, stop func())
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -63,6 +64,10 @@
 	reading hook[func(h *simulatedHost, run structs.RunID) int64]
 	// work delays the leader for each message and each demand. It may be nil.
 	work hook[func()]
+	// settings returns what the settings of a host say of its runner. It may be nil.
+	settings hook[func(h *simulatedHost) substrate.RunnerIdentity]
+	// reportInterval is the time between two reports of a runner, defaultReportInterval if it is not set.
+	reportInterval hook[time.Duration]
 	// refuseHopeless and queueShares are the options of nodes that start later.
 	refuseHopeless, queueShares bool
 	// listDelay is how long the store takes longer to list rows, in nanoseconds.
@@ -103,6 +108,8 @@
 	partitioned bool   // the host cannot reach the other hosts
 	island      string // hosts with the same name reach each other behind a partition, "" for none
 	silent      bool   // the runner's reports don't reach the agent
+	// secondRunner is a runner at another address that reports to the agent too, nil without one.
+	secondRunner *standin.TaskRunner
 	// startFault and stopFault return the error of a start or a stop that does
 	// not reach the runner, or nil. They may be nil.
 	startFault, stopFault callFault
@@ -451,7 +458,13 @@
 		Permits: permits,
 		Worker:  h.name, FailureDomain: h.domain, Address: string(h.name), Store: &slowStore{PartStore: h.store, h: h},
 		Runner: func(info substrate.RunnerInfo) substrate.Runner {
-			return &interceptedRunner{Runner: h.runner.Client(info.Incarnation), h: h}
+			return &interceptedRunner{Runner: h.runnerAt(info.Address).Client(info.Incarnation), h: h}
+		},
+		RunnerIdentity: func() (substrate.RunnerIdentity, error) {
+			if settings := h.fleet.settings.get(); settings != nil {
+				return settings(h), nil
+			}
+			return substrate.RunnerIdentity{}, nil
 		},
 		Config: func() (ConfigSource, func()) { return h.fleet.config, func() {} },
 		Dial:   h.fleet.dial(h), Clock: h.fleet.clock, WallClock: time.Now, Timing: h.fleet.timing, Log: testLog,
@@ -488,14 +501,48 @@
 func (h *simulatedHost) sendAnnouncements(ctx context.Context, node *Node) {
 	for {
 		if !h.runner.IsCrashed() && !h.isSilent() {
-			node.Announce(h.runner.Report())
+			_ = node.Announce(h.runner.Report())
 		}
-		if sleep(ctx, 500*time.Millisecond) != nil {
+		if sleep(ctx, cmp.Or(h.fleet.reportInterval.get(), defaultReportInterval)) != nil {
 			return
 		}
 	}
 }
 
+// defaultReportInterval is the default of simulatedFleet.reportInterval.
+const defaultReportInterval = 500 * time.Millisecond
+
+// runnerAt returns the runner at the address.
+func (h *simulatedHost) runnerAt(address string) *standin.TaskRunner {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.secondRunner != nil && h.secondRunner.Info().Address == address {
+		return h.secondRunner
+	}
+	return h.runner
+}
+
+// addSecondRunner adds a runner of the pool at another address than the host's own.
+func (h *simulatedHost) addSecondRunner(pool structs.PoolID) *standin.TaskRunner {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.secondRunner = standin.NewTaskRunner(standin.TaskRunnerOptions{
+		Info:     substrate.RunnerInfo{ID: "second", Pool: pool, FailureDomain: h.domain, Capacity: testCapacity, Address: "second"},
+		MaxLease: h.fleet.timing.MaxLease, Observer: h.fleet.checker, RunTime: func(r structs.RunID) time.Duration { return h.fleet.runTime.get()(r) },
+	})
+	return h.secondRunner
+}
+
+// announce passes a report to the agent if it runs.
+func (h *simulatedHost) announce(info substrate.RunnerInfo) {
+	h.mu.Lock()
+	node := h.node
+	h.mu.Unlock()
+	if node != nil {
+		_ = node.Announce(info)
+	}
+}
+
 func (h *simulatedHost) isSilent() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -573,6 +620,9 @@
 	}
 	for _, h := range f.hosts {
 		h.runner.Crash(false)
+		if h.secondRunner != nil {
+			h.secondRunner.Crash(false)
+		}
 	}
 	time.Sleep(30 * time.Second) // timers and abandoned calls end in this time
 }
--- a/soak/foreign_writer_test.go
+++ b/soak/foreign_writer_test.go
@@ -7,11 +7,14 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/standin/site"
 	"github.com/daisywall/daisywall/structs"
+	"github.com/daisywall/daisywall/substrate"
 )
 
 // foreignWriter sends odd reports in the name of the runners.
@@ -58,6 +61,74 @@
 	t.Logf("%d foreign reports", writer.sent)
 }
 
+// Guards against tasks that run twice, because an agent that restarts takes a runner of a pool that
+// is not configured for its own.
+func TestSecondRunnerBesideAgentKillsEndsNoRun(t *testing.T) {
+	t.Parallel()
+	const tasks, runTime, kills = 4 * workerCount, 16 * time.Second, 3
+	s, err := newSystem(t.TempDir(), 4*time.Second)
+	defer s.close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newCallers(s)
+	if !c.waitForFirstAccepted(firstJobLimit) {
+		t.Fatal("no job was accepted at the start")
+	}
+	j := &submittedJob{id: structs.JobID(fmt.Sprintf("%016x", 0xc0)), tasksPerStep: []int{tasks}, runTime: runTime}
+	s.checker.addJob(j)
+	c.jobs = append(c.jobs, j)
+	if status, _ := c.call(t.Context(), 0, http.MethodPost, j.id, j.body()); status != http.StatusOK {
+		t.Fatalf("%s was answered with %d", j.id, status)
+	}
+	j.accepted = true
+	time.Sleep(2 * time.Second)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	h := s.hosts[1]
+	if err := s.addSecondRunner(ctx, h, "other"); err != nil {
+		t.Fatal(err)
+	}
+	for range kills {
+		h.process.stop(syscall.SIGKILL)
+		if err := h.process.start(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+	}
+	c.waitForCompletion(t)
+	if n := s.checker.StartsOfJob(j.id); n != tasks {
+		t.Errorf("%s started %d times, want %d", j.id, n, tasks)
+	}
+	reportViolations(t, s, c, &faultInjector{})
+}
+
+// addSecondRunner adds a runner of the pool that reports to the agent of the host, more often than the
+// host's own.
+func (s *testSystem) addSecondRunner(ctx context.Context, h *host, pool structs.PoolID) error {
+	handler := &deferredHandler{}
+	address, err := s.serve(handler)
+	if err != nil {
+		return err
+	}
+	runner := standin.NewTaskRunner(standin.TaskRunnerOptions{
+		Info: substrate.RunnerInfo{
+			ID: "i-second", Pool: pool, FailureDomain: structs.FailureDomainID(h.domain), Address: address,
+			Capacity: structs.Resources{MilliCPU: runnerCPU, MemoryMB: 8000},
+		},
+		MaxLease: s.maxLease, RunTime: s.checker.runTime, Observer: s.checker,
+	})
+	handler.set(site.Runner(runner))
+	go func() {
+		for ctx.Err() == nil {
+			// An agent that cannot be reached receives the next report.
+			_ = site.Report(ctx, s.reportClient, h.reportLink.address(), runner)
+			time.Sleep(reportInterval / 4)
+		}
+	}()
+	return nil
+}
+
 // run sends reports until ctx ends.
 func (w *foreignWriter) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -149,6 +149,13 @@
 		"bounds":   map[string]any{"hold_max_ms": s.maxLease.Milliseconds(), "grace_s": terminationGrace.Seconds()},
 		"platform": map[string]any{"address": storeLink.address(), "row_bytes": 65536},
 	}
+	runnerAddress, err := ports.Address()
+	if err != nil {
+		return err
+	}
+	if isWorker {
+		h.settings["app"], h.settings["service"] = runnerAddress, runnerPool
+	}
 	document, err := json.Marshal(h.settings)
 	if err != nil {
 		return err
@@ -161,15 +168,18 @@
 		h.callerLink, err = s.addLink(portAddress(2), nil, nil)
 		return err
 	}
-	return s.addRunner(ctx, h, portAddress(4))
+	return s.addRunner(ctx, h, runnerAddress, portAddress(4))
 }
 
+// runnerPool is the pool of the runners.
+const runnerPool = "pool"
+
 // addRunner adds the runner of a host. The runner reports to the agent of the
 // host.
-func (s *testSystem) addRunner(ctx context.Context, h *host, reportAddress string) error {
+func (s *testSystem) addRunner(ctx context.Context, h *host, runnerAddress, reportAddress string) error {
 	h.runnerName = "i-" + h.name
 	info := substrate.RunnerInfo{
-		ID: h.runnerName, Pool: "pool", FailureDomain: structs.FailureDomainID(h.domain), Labels: []string{"a", "r1"},
+		ID: h.runnerName, Pool: runnerPool, FailureDomain: structs.FailureDomainID(h.domain), Labels: []string{"a", "r1"},
 		Capacity: structs.Resources{MilliCPU: runnerCPU, MemoryMB: 8000},
 	}
 	handler := &deferredHandler{}
@@ -177,11 +187,7 @@
 	if err != nil {
 		return err
 	}
-	linkAddress, err := ports.Address()
-	if err != nil {
-		return err
-	}
-	runnerLink, err := s.addLinkAt(linkAddress, address, nil, nil)
+	runnerLink, err := s.addLinkAt(runnerAddress, address, nil, nil)
 	if err != nil {
 		return err
 	}
--- a/substrate/runner.go
+++ b/substrate/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/daisywall/daisywall/structs"
@@ -23,6 +24,35 @@
 	DrainRemaining time.Duration // minimum time until a draining runner ends
 }
 
+// RunnerIdentity is what stays the same for all incarnations of a host's runner, from the
+// settings of the host. Empty fields are not known.
+type RunnerIdentity struct {
+	Address string // IP address and port
+	Pool    structs.PoolID
+}
+
+// Check returns *ForeignReportError if the report cannot be one of the runner.
+func (i RunnerIdentity) Check(info RunnerInfo) error {
+	switch {
+	case i.Address != "" && info.Address != i.Address:
+		return &ForeignReportError{Field: "address", Reported: info.Address, Want: i.Address}
+	case i.Pool != "" && info.Pool != i.Pool:
+		return &ForeignReportError{Field: "pool", Reported: string(info.Pool), Want: string(i.Pool)}
+	default:
+		return nil
+	}
+}
+
+// ForeignReportError reports that a report is not one of the host's runner.
+type ForeignReportError struct {
+	Field          string // "address" or "pool"
+	Reported, Want string // values of the field
+}
+
+func (e *ForeignReportError) Error() string {
+	return fmt.Sprintf("not the runner of this host: its %s is %q, want %q", e.Field, e.Reported, e.Want)
+}
+
 // TaskStart describes a run to start.
 type TaskStart struct {
 	Run        structs.RunID
