Reports that confirm each other must span more than one interval of the runner's

Cause: a report that contradicts the accepted one counted once three in a row agreed over 0.9 s. A runner reports every 1.1 s, so that three can come between two of its own, and none of those can take the doubt back. Repetition confirmed itself.

Fix: such reports have to agree for 2.5 intervals of reports, unless the accepted incarnation is known to have ended; and a claim of another incarnation or address is not believed while the accepted one answers its polls. A restart is not delayed: its first effect is a failed poll, after which the claim counts at once as before.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -166,8 +166,9 @@
 	log := b.telemetry.Log
 	node, err := fleet.NewNode(fleet.Options{
 		Worker: structs.WorkerID(settings.Host), FailureDomain: settings.FailureDomain, Address: b.address(fleetPortOffset), Store: b.store,
-		Runner:         func(info substrate.RunnerInfo) substrate.Runner { return platform.NewRunnerClient(info) },
-		RunnerIdentity: readRunnerIdentity,
+		Runner:               func(info substrate.RunnerInfo) substrate.Runner { return platform.NewRunnerClient(info) },
+		RunnerIdentity:       readRunnerIdentity,
+		RunnerReportInterval: settings.ReportInterval,
 		Config: func() (fleet.ConfigSource, func()) {
 			operatorCtx, stop := context.WithCancel(context.Background())
 			operator := platform.NewOperatorConfig(b.store, log)
--- a/fleet/announcement.go
+++ b/fleet/announcement.go
@@ -16,7 +16,10 @@
 	maxSequenceGap    = 10_000                 // reports of an incarnation that may be missing before one, about three hours
 	confirmingReports = 3                      // reports in a row that confirm each other
 	confirmationSpan  = 900 * time.Millisecond // shortest time from the first to the last of them; delayed reports may arrive together
-	answerValidity    = time.Second            // how long after its answer to a poll the runner counts as alive
+	// confirmingIntervals is the same time in intervals of reports while the accepted runner may
+	// live. It has room for two of the runner's own reports, either of which takes back the doubt.
+	confirmingIntervals = 2.5
+	answerValidity      = time.Second // how long after its answer to a poll the runner counts as alive
 )
 
 // claim is what a report says of the host's runner, compared with the last one that was
@@ -82,7 +85,8 @@
 
 // isConfirmed records a report that contradicts the accepted one, and reports whether it is
 // to be believed: the reports before it agree, and none that agrees with the accepted one
-// has come since. The caller holds mu.
+// has come since. A claim that the accepted incarnation is no longer there is not, however often
+// it is repeated, while that incarnation answers. The caller holds mu.
 func (h *host) isConfirmed(info substrate.RunnerInfo, c claim) bool {
 	d, now := &h.doubtful, h.o.Clock()
 	if d.count == 0 || !isSameRunner(info, d.last) || info.Sequence <= d.last.Sequence || info.Sequence-d.last.Sequence > maxSequenceGap {
@@ -96,8 +100,16 @@
 			zap.Int64("accepted_sequence", h.info.Sequence), zap.Time("born", info.StartedAt), zap.Time("accepted_born", h.info.StartedAt),
 			zap.String("address", info.Address), zap.String("pool", string(info.Pool)), zap.String("domain", string(info.FailureDomain)))
 	}
-	isAlive := c == claimEarlier && h.isRunnerAnswering()
-	return d.count >= confirmingReports && now.Sub(d.first) >= confirmationSpan && !isAlive
+	isRefuted := h.isRunnerAnswering() && (c == claimEarlier || c == claimReplaced || info.Address != h.info.Address)
+	return d.count >= confirmingReports && now.Sub(d.first) >= h.confirmationTime() && !isRefuted
+}
+
+// confirmationTime returns how long reports have to agree with each other. The caller holds mu.
+func (h *host) confirmationTime() time.Duration {
+	if h.runnerGone {
+		return confirmationSpan
+	}
+	return max(confirmationSpan, time.Duration(confirmingIntervals*float64(h.o.RunnerReportInterval)))
 }
 
 // acceptReplacement accepts the report of a later incarnation that was doubted because the
--- a/fleet/announcement_test.go
+++ b/fleet/announcement_test.go
@@ -76,6 +76,76 @@
 	}
 }
 
+// Guards against a worker that follows its runner no longer, because another writer sends
+// several reports between two of the runner's own.
+func TestForeignReportsMoreOftenThanTheRunnersOwnChangeNothing(t *testing.T) {
+	for name, change := range foreignReports {
+		t.Run(name, func(t *testing.T) {
+			runInFleet(t, 3, func(f *simulatedFleet) {
+				is := is.New(f.t)
+				f.reportInterval.set(DefaultRunnerReportInterval)
+				f.runTime.set(func(structs.RunID) time.Duration { return time.Hour })
+				f.restartAgents()
+				l := f.waitReady()
+				e := f.newEntry()
+				defer e.Close()
+				is.NoErr(f.submit(e, testJob("a", 9)))
+				f.waitUntil("tasks run", time.Second, func() bool { return f.checker.ActiveRuns() == 9 })
+				h := f.followerHost()
+				for i := range int64(120) {
+					info := h.runner.Info()
+					change(&info)
+					info.Sequence = min(info.Sequence+1+i, 1<<53-1)
+					h.announce(info)
+					time.Sleep(100 * time.Millisecond)
+				}
+				is.Equal(f.checker.StartsOfJob("a"), 9)
+				is.Equal(f.checker.ActiveRuns(), 9)
+				l.runInLoop(context.Background(), func() {
+					w := l.workers[h.name]
+					is.Equal(w.incarnation, h.runner.Info().Incarnation)
+					is.Equal(w.pool, structs.PoolID("pool"))
+					is.Equal(l.unusableReason(w, l.o.Clock()), "")
+				})
+			})
+		})
+	}
+}
+
+// Guards against tasks that run twice, because the first report that an agent receives after its
+// restart is another writer's.
+func TestForeignFirstReportEndsNoRun(t *testing.T) {
+	for name, change := range foreignReports {
+		t.Run(name, func(t *testing.T) {
+			runInFleet(t, 3, func(f *simulatedFleet) {
+				is := is.New(f.t)
+				f.reportInterval.set(DefaultRunnerReportInterval)
+				f.settings.set(identityInSettings)
+				f.runTime.set(func(structs.RunID) time.Duration { return time.Hour })
+				f.restartAgents()
+				f.waitReady()
+				e := f.newEntry()
+				defer e.Close()
+				is.NoErr(f.submit(e, testJob("a", 9)))
+				f.waitUntil("tasks run", time.Second, func() bool { return f.checker.ActiveRuns() == 9 })
+				h := f.followerHost()
+				h.killAgent()
+				h.setSilent(true)
+				h.startAgent()
+				info := h.runner.Report()
+				change(&info)
+				h.announce(info)
+				time.Sleep(300 * time.Millisecond)
+				h.setSilent(false)
+				time.Sleep(12 * time.Second)
+				is.Equal(f.checker.StartsOfJob("a"), 9)
+				is.Equal(f.checker.ActiveRuns(), 9)
+				is.Equal(f.readyWorkers(), 3)
+			})
+		})
+	}
+}
+
 // Guards against an agent that never finds its runner, because the first report that it
 // receives is another writer's.
 func TestAgentFindsItsRunnerAfterAForeignReport(t *testing.T) {
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -39,6 +39,8 @@
 	// RunnerIdentity returns what the settings of the host say of its runner. It is called again
 	// when a report differs from what it last returned. nil if the settings say nothing.
 	RunnerIdentity func() (substrate.RunnerIdentity, error)
+	// RunnerReportInterval is the time between two reports of a runner, 0 for DefaultRunnerReportInterval.
+	RunnerReportInterval time.Duration
 	// Config returns a source that follows the configuration until stop is
 	// called. Only the leader calls Config.
 	Config    func() (source ConfigSource, stop func())
@@ -75,6 +77,9 @@
 
 func (o Options) rowBytes() int { return cmp.Or(o.RowBytes, DefaultRowBytes) }
 
+// DefaultRunnerReportInterval is the default of Options.RunnerReportInterval.
+const DefaultRunnerReportInterval = 1100 * time.Millisecond
+
 // Timing holds the durations of a fleet. All nodes must use the same values.
 type Timing struct {
 	MaxLease     time.Duration // longest lease that a runner accepts
@@ -232,6 +237,7 @@
 		return o, &structs.InvalidError{Subject: "fleet options", Faults: faults}
 	}
 	o.Timing = o.Timing.withDefaults()
+	setDefault(&o.RunnerReportInterval, DefaultRunnerReportInterval)
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
--- a/fleet/second_runner_test.go
+++ b/fleet/second_runner_test.go
@@ -20,14 +20,7 @@
 // for the one of its host.
 func TestSecondRunnerThatReportsChangesNothing(t *testing.T) {
 	restartAgent := func(_ *simulatedFleet, h *simulatedHost) { h.killAgent(); h.startAgent() }
-	restartAllAgents := func(f *simulatedFleet, _ *simulatedHost) {
-		for _, h := range f.hosts {
-			h.killAgent()
-		}
-		for _, h := range f.hosts {
-			h.startAgent()
-		}
-	}
+	restartAllAgents := func(f *simulatedFleet, _ *simulatedHost) { f.restartAgents() }
 	for name, c := range map[string]struct {
 		pool     structs.PoolID
 		interval time.Duration
@@ -46,12 +39,9 @@
 			runInFleet(t, 3, func(f *simulatedFleet) {
 				is := is.New(f.t)
 				f.settings.set(identityInSettings)
-				f.reportInterval.set(1100 * time.Millisecond)
+				f.reportInterval.set(DefaultRunnerReportInterval)
 				f.runTime.set(func(structs.RunID) time.Duration { return time.Hour })
-				for _, h := range f.hosts { // with the settings
-					h.killAgent()
-					h.startAgent()
-				}
+				f.restartAgents() // with the settings
 				f.waitReady()
 				e := f.newEntry()
 				defer e.Close()
@@ -86,10 +76,7 @@
 		f.settings.set(func(*simulatedHost) substrate.RunnerIdentity {
 			return substrate.RunnerIdentity{Address: "old", Pool: "old"}
 		})
-		for _, h := range f.hosts {
-			h.killAgent()
-			h.startAgent()
-		}
+		f.restartAgents()
 		time.Sleep(2 * time.Second)
 		is.Equal(f.readyWorkers(), 0)
 		f.settings.set(identityInSettings)
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -466,8 +466,9 @@
 			}
 			return substrate.RunnerIdentity{}, nil
 		},
-		Config: func() (ConfigSource, func()) { return h.fleet.config, func() {} },
-		Dial:   h.fleet.dial(h), Clock: h.fleet.clock, WallClock: time.Now, Timing: h.fleet.timing, Log: testLog,
+		RunnerReportInterval: cmp.Or(h.fleet.reportInterval.get(), defaultReportInterval),
+		Config:               func() (ConfigSource, func()) { return h.fleet.config, func() {} },
+		Dial:                 h.fleet.dial(h), Clock: h.fleet.clock, WallClock: time.Now, Timing: h.fleet.timing, Log: testLog,
 		RefuseHopeless: h.fleet.refuseHopeless, QueueShares: h.fleet.queueShares,
 		simulateWork: func() {
 			if work := h.fleet.work.get(); work != nil {
