A runner that reports on after a foreign leave is used again

One DELETE of another writer in the name of a runner made its worker drain until the runner began again, so that its tasks moved away and its capacity was lost.

Cause: that a runner leaves was taken from one message of anybody, and nothing that the runner itself said later took it back.

Fix: a runner drains before it leaves, and reports so. The next accepted report of the incarnation that is not draining takes the leave back. One that drains stays drained.

Failed before: fleet.TestRunnerThatReportsOnAfterAForeignLeaveIsUsed ("not within 1s: worker is used").

--- a/fleet/announcement_test.go
+++ b/fleet/announcement_test.go
@@ -146,6 +146,27 @@
 	}
 }
 
+// Guards against a worker that drains for good, because another writer has said in the name of its
+// runner that it is about to end.
+func TestRunnerThatReportsOnAfterAForeignLeaveIsUsed(t *testing.T) {
+	runInFleet(t, 3, func(f *simulatedFleet) {
+		is := is.New(f.t)
+		l := f.waitReady()
+		h := f.followerHost()
+		draining := func() (isDraining bool) {
+			l.runInLoop(context.Background(), func() { isDraining = l.workers[h.name].draining })
+			return isDraining
+		}
+		h.node.MarkRunnerLeaving(string(h.name))
+		f.waitUntil("worker drains", time.Second, draining)
+		f.waitUntil("worker is used", 2*defaultReportInterval, func() bool { return !draining() })
+		h.runner.SetDraining(true)
+		h.node.MarkRunnerLeaving(string(h.name))
+		time.Sleep(4 * defaultReportInterval)
+		is.True(draining()) // a runner that says itself that it drains
+	})
+}
+
 // Guards against an agent that never finds its runner, because the first report that it
 // receives is another writer's.
 func TestAgentFindsItsRunnerAfterAForeignReport(t *testing.T) {
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -77,7 +77,8 @@
 // accept makes a report with the claim the last one that was accepted. The caller holds mu.
 func (h *host) accept(info substrate.RunnerInfo, c claim) {
 	same := info.Incarnation == h.info.Incarnation
-	relevantChange := !same || info.Draining != h.info.Draining || h.runnerGone || !isDescribedAlike(info, h.info)
+	staysOn := h.leaving && !info.Draining // a runner drains before it leaves, so another writer has said that it does
+	relevantChange := !same || staysOn || info.Draining != h.info.Draining || h.runnerGone || !isDescribedAlike(info, h.info)
 	if !same || !h.info.Capacity.Fits(info.Capacity) {
 		h.shrankAt = h.o.Clock()
 	}
@@ -93,7 +94,7 @@
 	h.called.record(info.ID, info.Incarnation, h.o.Clock(), h.o.Timing.settledIncarnationAge())
 	h.info, h.doubtful = info, doubtfulReports{}
 	h.runnerGone = false
-	if !same {
+	if !same || staysOn {
 		h.leaving = false
 	}
 	if relevantChange {
