Calls for permits go out one at a time, and their permits are in time for a start

Of three jobs that came at once on a queue with advice two stayed queued for good, on empty runners.

Cause: the leader kept two calls for permits in flight, and the service handles the calls of a host in turn. Each answer came after twice the time of a call, when its permits had expired by the leader's count from the sending of the call, and the call was made again. Any single call longer than the validity less 0.5 s did the same.

The old stand-in answered calls side by side, so no test could fail.

Fix: one call at a time; it names no more workers than its permits have time for, those that were permitted before first, and as many as the step probably needs; an answer that comes late is presumed to be valid from its arrival, which the runner checks; the validity in the answer counts; overdue steps go first; the time allowed for an answer follows that of a slow service. A log line for a step that waits, metrics of calls, waits and steps waiting.

Failed before (same stand-in, logic of before): fleet.TestStepsThatWaitForPermitsTogetherAllRun (2 of 2 rows), fleet.TestStepsRunWhateverTheTimesOfThePermitPolicy (12 of 14), fleet.TestManyStepsThatWaitForPermitsRunInTurn, fleet.TestStepsRunBesideASlowPermitService, fleet.TestValidityInTheAnswerCounts (24 calls to start for 16 tasks).

--- a/fleet/contained_calls.go
+++ b/fleet/contained_calls.go
@@ -59,8 +59,8 @@
 	log     *zap.Logger
 }
 
-func (c containedPermits) RequestPermits(ctx context.Context, step structs.StepID, runners []string) (map[string]string, error) {
-	return containCall("call for permits", c.log, func() (map[string]string, error) { return c.permits.RequestPermits(ctx, step, runners) })
+func (c containedPermits) RequestPermits(ctx context.Context, step structs.StepID, runners []string) (substrate.Permits, error) {
+	return containCall("call for permits", c.log, func() (substrate.Permits, error) { return c.permits.RequestPermits(ctx, step, runners) })
 }
 
 // containCalls makes the calls to the runner and for permits contained.
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -34,6 +34,9 @@
 	unread, reducedWork, waiting                                                   metric.Int64Gauge
 	unreadAge                                                                      metric.Float64Gauge
 	unreached, refusedReports                                                      metric.Int64Counter
+	permitCalls                                                                    metric.Int64Counter
+	permitWaits                                                                    metric.Float64Histogram
+	permitQueue                                                                    metric.Int64Gauge
 }
 
 // ratioBoundaries are the buckets of the ratios of run times. Declared values are
@@ -94,7 +97,7 @@
 			metric.WithDescription("Ratio of the predicted to the real time from the acceptance of a job to its end by queue"),
 			metric.WithExplicitBucketBoundaries(0.1, 0.2, 0.35, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 3, 5, 10))
 	}
-	for _, add := range []func(metric.Meter) error{m.addLoad, m.addRunners, m.addLeases} {
+	for _, add := range []func(metric.Meter) error{m.addLoad, m.addRunners, m.addLeases, m.addPermits} {
 		if err == nil {
 			err = add(meter)
 		}
@@ -156,6 +159,21 @@
 	return err
 }
 
+// addPermits adds the instruments of the calls for permits.
+func (m *metrics) addPermits(meter metric.Meter) (err error) {
+	if m.permitCalls, err = meter.Int64Counter("daisywall.fleet.permits.calls",
+		metric.WithDescription("Calls to the permit service by outcome")); err != nil {
+		return err
+	}
+	if m.permitQueue, err = meter.Int64Gauge("daisywall.fleet.permits.waiting",
+		metric.WithDescription("Steps that wait for a call to the permit service")); err != nil {
+		return err
+	}
+	m.permitWaits, err = meter.Float64Histogram("daisywall.fleet.permits.wait.seconds", metric.WithUnit("s"),
+		metric.WithDescription("Time from the need of a step for permits to the answer"))
+	return err
+}
+
 // addLoad adds the instruments of the load of the leader's loop.
 func (m *metrics) addLoad(meter metric.Meter) (err error) {
 	if m.cycles, err = meter.Float64Histogram("daisywall.fleet.cycle.seconds", metric.WithUnit("s"),
@@ -205,6 +223,10 @@
 	m.reducedWork.Record(context.Background(), int64(level))
 }
 
+func (m *metrics) recordPermitWaits(steps int) {
+	m.permitQueue.Record(context.Background(), int64(steps))
+}
+
 func (m *metrics) recordWaiting(queue string, jobs int64) {
 	m.waiting.Record(context.Background(), jobs, metric.WithAttributes(attribute.String("by", queue)))
 }
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -94,11 +94,12 @@
 
 // simulatedHost is one host with an agent's process and a runner.
 type simulatedHost struct {
-	fleet  *simulatedFleet
-	name   structs.WorkerID
-	domain structs.FailureDomainID
-	runner *standin.TaskRunner
-	store  *standin.PartStoreClient
+	fleet   *simulatedFleet
+	name    structs.WorkerID
+	domain  structs.FailureDomainID
+	runner  *standin.TaskRunner
+	store   *standin.PartStoreClient
+	permits *standin.PermitIssuerClient // nil without a permit policy
 
 	mu          sync.Mutex
 	node        *Node
@@ -259,6 +260,9 @@
 				return reading(h, r)
 			},
 		})
+		if permits != nil {
+			h.permits = permits.Client()
+		}
 		f.hosts = append(f.hosts, h)
 		h.startAgent()
 	}
@@ -452,7 +456,7 @@
 func (h *simulatedHost) startAgent() {
 	var permits substrate.PermitSource
 	if h.fleet.permits != nil {
-		permits = h.fleet.permits
+		permits = h.permits
 	}
 	node, err := NewNode(Options{
 		Permits: permits,
--- a/standin/site/permits.go
+++ b/standin/site/permits.go
@@ -20,8 +20,9 @@
 	ValidMS int64       `json:"valid_ms"`
 }
 
-// Permits serves the permit service.
+// Permits serves the permit service to one host.
 func Permits(issuer *standin.PermitIssuer) http.Handler {
+	client := issuer.Client()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/advise", func(w http.ResponseWriter, r *http.Request) {
 		var body permitRequest
@@ -33,13 +34,13 @@
 			http.Error(w, "not a step", http.StatusBadRequest)
 			return
 		}
-		permits, err := issuer.RequestPermits(r.Context(), step, body.Workers)
+		permits, err := client.RequestPermits(r.Context(), step, body.Workers)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusTooManyRequests)
 			return
 		}
-		response := permitResponse{ValidMS: issuer.Policy.Validity.Milliseconds()}
-		for runner, permit := range permits {
+		response := permitResponse{ValidMS: permits.Validity.Milliseconds()}
+		for runner, permit := range permits.Tokens {
 			response.Good = append(response.Good, [2]string{runner, permit})
 		}
 		writeJSON(w, http.StatusOK, response)
