A job's state fits into one transaction whatever the characters of its checkpoints

A job of 500 tasks that write XML as checkpoints was shown as failed after a crash of one rack, although no run had ended failed.

Cause: checkpoints were limited by their bytes as they come, but JSON takes six bytes for markup and control characters and two for quotes. The state exceeded the 1 MB of a call, the store refused it, and the product failed the job so that the others could go on.

Fix: the record leaves markup as it is. A batch whose first job does not fit beside the models goes without that job.

--- a/fleet/batch.go
+++ b/fleet/batch.go
@@ -14,6 +14,7 @@
 	"github.com/daisywall/daisywall/placement/steps"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
+	"github.com/daisywall/daisywall/workflow"
 )
 
 // Limits of a batch. The platform allows 100 entries and 1 MB in a transaction, in which
@@ -45,6 +46,7 @@
 	var puts []substrate.PartRow
 	for len(l.dirtyJobs) > 0 && (l.batchLimit == 0 || len(l.committingJobs) < l.batchLimit) {
 		j := l.dirtyJobs[0]
+		unrecorded := j.UnrecordedCheckpoints()
 		rows, err := l.encodeJob(j)
 		if err != nil {
 			l.dirtyJobs = l.dirtyJobs[1:]
@@ -53,11 +55,12 @@
 			continue
 		}
 		size += rowBytes(rows)
-		if isFull := len(puts)+len(rows)+len(l.withdrawn.removes)+len(l.committingModels) > maxRowsPerCommit || size > maxBytesPerCommit; isFull && len(puts) > 0 {
+		if isFull := len(puts)+len(rows)+len(l.withdrawn.removes)+len(l.committingModels) > maxRowsPerCommit || size > maxBytesPerCommit; isFull && len(puts)+len(l.committingModels) > 0 {
 			break
 		}
 		l.dirtyJobs = l.dirtyJobs[1:]
 		j.isDirty = false
+		l.reportUnrecordedCheckpoints(j, unrecorded)
 		puts = append(puts, rows...)
 		j.committingPhase, j.acceptanceSent = j.Phase(), true
 		j.committingOnStored, j.onStored = j.onStored, nil
@@ -75,6 +78,19 @@
 	return rows, err
 }
 
+// reportUnrecordedCheckpoints counts the checkpoints for which the record of the job had no room, and
+// logs the first ones. before is their number in the record before.
+func (l *leader) reportUnrecordedCheckpoints(j *job, before int) {
+	now := j.UnrecordedCheckpoints()
+	if now > before {
+		l.metrics.longCheckpoints.Add(context.Background(), int64(now-before))
+	}
+	if before == 0 && now > 0 {
+		l.log.Warn("checkpoints not stored: the state of the job has no room for them", zap.String("job", string(j.Spec.ID)),
+			zap.String("queue", string(j.Spec.Queue)), zap.Int("checkpoints", now), zap.Int("max_bytes", workflow.MaxStateBytes))
+	}
+}
+
 // handleUnencodable refuses a new job that cannot be encoded, and sets aside another one.
 func (l *leader) handleUnencodable(j *job, err error) {
 	l.log.Error("job not stored: it cannot be encoded", zap.String("job", string(j.Spec.ID)), zap.Error(err))
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -143,7 +143,7 @@
 		return err
 	}
 	if m.longCheckpoints, err = meter.Int64Counter("daisywall.fleet.checkpoints.dropped",
-		metric.WithDescription("Checkpoints in lists of runs that were too long to be kept")); err != nil {
+		metric.WithDescription("Checkpoints that were too long to be kept, or for which the state of their job had no room")); err != nil {
 		return err
 	}
 	if m.doubtfulReports, err = meter.Int64Counter("daisywall.fleet.reports.doubtful",
--- a/fleet/row_limit_test.go
+++ b/fleet/row_limit_test.go
@@ -24,7 +24,18 @@
 // Guards against a fleet that decides nothing any more because the state of one job does
 // not fit into a row of the store.
 func TestFleetWorksOnWhenAStateDoesNotFitIntoOneRow(t *testing.T) {
-	for name, length := range map[string]int{"checkpoints of 256 bytes": 256, "longest checkpoints": workflow.MaxCheckpointBytes, "checkpoints that are too long": 20_000} {
+	for name, c := range map[string]struct {
+		text   string // repeated, after the index of the task
+		length int
+	}{
+		"checkpoints of 256 bytes":                  {"0", 256},
+		"longest checkpoints":                       {"0", workflow.MaxCheckpointBytes},
+		"checkpoints that are too long":             {"0", 20_000},
+		"longest checkpoints of markup":             {"<p>1</p>", workflow.MaxCheckpointBytes},
+		"longest checkpoints of quotes":             {`"\`, workflow.MaxCheckpointBytes},
+		"longest checkpoints of control characters": {"\x01", workflow.MaxCheckpointBytes},
+		"longest checkpoints of line separators":    {"\u2028", workflow.MaxCheckpointBytes},
+	} {
 		t.Run(name, func(t *testing.T) {
 			runInFleet(t, 4, func(f *simulatedFleet) {
 				const tasks = 500
@@ -36,7 +47,9 @@
 					}
 					return 300 * time.Millisecond
 				})
-				f.checkpoint.set(func(r structs.RunID) string { return strings.Repeat(fmt.Sprint(r.Task.Index%10), length) })
+				f.checkpoint.set(func(r structs.RunID) string {
+					return strings.ToValidUTF8((fmt.Sprint(r.Task.Index%10) + strings.Repeat(c.text, c.length))[:c.length], "")
+				})
 				f.waitReady()
 				e := f.newEntry()
 				defer e.Close()
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -60,6 +60,8 @@
 	unfinished    int           // number of tasks that are not done
 	maxParts      int           // largest number of rows in which the state was recorded
 	hasBegun      bool          // a runner has started a task
+	// unrecordedCheckpoints is the number of checkpoints that the last record lacks.
+	unrecordedCheckpoints int
 }
 
 // stepState is the state of one step in one round.
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -51,7 +51,7 @@
 // EncodeSpec returns the immutable record, which is written once when the
 // job is accepted.
 func (j *Job) EncodeSpec() ([]byte, error) {
-	data, err := json.Marshal(jobRecord{Job: j.Spec, Queue: j.Queue})
+	data, err := encodeJSON(jobRecord{Job: j.Spec, Queue: j.Queue})
 	if err != nil {
 		return nil, fmt.Errorf("encode job %s: %w", j.Spec.ID, err)
 	}
@@ -59,7 +59,11 @@
 }
 
 // EncodeState returns the record of the job's state.
-func (j *Job) EncodeState() ([]byte, error) {
+func (j *Job) EncodeState() ([]byte, error) { return j.encodeState(MaxStateBytes) }
+
+// encodeState returns the record of the job's state with at most maxBytes if it can,
+// without the largest checkpoints if need be.
+func (j *Job) encodeState(maxBytes int) ([]byte, error) {
 	state := stateRecord{Queue: j.Spec.Queue, Phase: j.Phase(), Cancelled: j.Cancelled, Failed: j.Failed, Reason: j.FailureReason, Begun: j.hasBegun, MaxParts: j.maxParts}
 	if j.unfinished > 0 && j.FailureReason != FailedToStore {
 		state.Steps = make([][]stepRecord, len(j.rounds))
@@ -70,13 +74,23 @@
 			}
 		}
 	}
-	data, err := json.Marshal(state)
+	data, err := encodeJSON(state)
+	if excess := len(data) - maxBytes; err == nil && excess > 0 {
+		state, j.unrecordedCheckpoints = state.withoutLargestCheckpoints(j.Spec.Steps, excess)
+		data, err = encodeJSON(state)
+	} else {
+		j.unrecordedCheckpoints = 0
+	}
 	if err != nil {
 		return nil, fmt.Errorf("encode state of job %s: %w", j.Spec.ID, err)
 	}
 	return data, nil
 }
 
+// UnrecordedCheckpoints returns the number of checkpoints for which the last record of the
+// state had no room.
+func (j *Job) UnrecordedCheckpoints() int { return j.unrecordedCheckpoints }
+
 // record returns the record of the step in its shortest form.
 func (s *stepState) record() stepRecord {
 	if s.unfinished == 0 {
--- a/workflow/state_parts.go
+++ b/workflow/state_parts.go
@@ -9,7 +9,8 @@
 
 // MaxCheckpointBytes limits the checkpoints that are kept. A task whose checkpoint is
 // longer starts again from an earlier one, or from none. With it, the state of the largest
-// job fits into one transaction of the store.
+// job fits into one transaction of the store, unless many characters take several bytes
+// in the record; see MaxStateBytes.
 const MaxCheckpointBytes = 1000
 
 // maxStateParts limits the parts that a record may name.
@@ -32,13 +33,13 @@
 
 // EncodeStateRows returns the record of the job's state in rows of at most maxBytes.
 func (j *Job) EncodeStateRows(maxBytes int) (StateRows, error) {
-	data, err := j.EncodeState()
+	data, err := j.encodeState(min(MaxStateBytes, maxStateParts*maxBytes))
 	if err != nil || len(data) <= maxBytes {
 		return StateRows{Header: data}, err
 	}
 	parts := splitBytes(data, maxBytes)
 	j.maxParts = max(j.maxParts, len(parts))
-	header, err := json.Marshal(stateRecord{
+	header, err := encodeJSON(stateRecord{
 		Queue: j.Spec.Queue, Phase: j.Phase(), Cancelled: j.Cancelled, Failed: j.Failed, Reason: j.FailureReason,
 		Parts: len(parts), MaxParts: j.maxParts,
 	})
