--- a/fleet/announcement_test.go
+++ b/fleet/announcement_test.go
@@ -79,6 +79,7 @@
 // Guards against a worker that follows its runner no longer, because another writer sends
 // several reports between two of the runner's own.
 func TestForeignReportsMoreOftenThanTheRunnersOwnChangeNothing(t *testing.T) {
+	t.Parallel()
 	for name, change := range foreignReports {
 		t.Run(name, func(t *testing.T) {
 			runInFleet(t, 3, func(f *simulatedFleet) {
@@ -115,6 +116,7 @@
 // Guards against tasks that run twice, because the first report that an agent receives after its
 // restart is another writer's.
 func TestForeignFirstReportEndsNoRun(t *testing.T) {
+	t.Parallel()
 	for name, change := range foreignReports {
 		t.Run(name, func(t *testing.T) {
 			runInFleet(t, 3, func(f *simulatedFleet) {
--- a/fleet/permit_calls_test.go
+++ b/fleet/permit_calls_test.go
@@ -62,6 +62,7 @@
 // Guards against steps that wait for permits for good, because each answer to two calls that keep each
 // other waiting has expired when it comes.
 func TestStepsThatWaitForPermitsTogetherAllRun(t *testing.T) {
+	t.Parallel()
 	policy := structs.PermitPolicy{BaseLatency: 650 * time.Millisecond, PerWorker: 60 * time.Millisecond, Validity: 3 * time.Second}
 	for _, decidesFirst := range []bool{false, true} {
 		t.Run(fmt.Sprintf("decides_first_%v", decidesFirst), func(t *testing.T) {
@@ -81,6 +82,7 @@
 // Guards against a step that waits for good, because one call for permits lasts about as long as these are
 // valid, or longer.
 func TestStepsRunWhateverTheTimesOfThePermitPolicy(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		base, perWorker, validity int // milliseconds
 		decidesFirst              bool
@@ -118,6 +120,7 @@
 
 // Guards against steps that starve, because the calls for others come first again and again.
 func TestManyStepsThatWaitForPermitsRunInTurn(t *testing.T) {
+	t.Parallel()
 	policy := structs.PermitPolicy{BaseLatency: 300 * time.Millisecond, PerWorker: 60 * time.Millisecond, Validity: 3 * time.Second}
 	runBesidePermitService(t, 11, policy, true, func(f *simulatedFleet) {
 		f.waitReady()
@@ -133,6 +136,7 @@
 // Guards against steps that wait for good beside a permit service that takes longer than its policy says,
 // because each call is given up and still takes its turn.
 func TestStepsRunBesideASlowPermitService(t *testing.T) {
+	t.Parallel()
 	policy := structs.PermitPolicy{BaseLatency: 300 * time.Millisecond, PerWorker: 20 * time.Millisecond, Validity: 3 * time.Second}
 	runBesidePermitService(t, 11, policy, false, func(f *simulatedFleet) {
 		f.waitReady()
--- a/fleet/row_limit_test.go
+++ b/fleet/row_limit_test.go
@@ -24,6 +24,7 @@
 // Guards against a fleet that decides nothing any more because the state of one job does
 // not fit into a row of the store.
 func TestFleetWorksOnWhenAStateDoesNotFitIntoOneRow(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		text   string // repeated, after the index of the task
 		length int
--- a/fleet/second_runner_test.go
+++ b/fleet/second_runner_test.go
@@ -19,6 +19,7 @@
 // Guards against tasks that run twice, because an agent takes another runner that reports to it
 // for the one of its host.
 func TestSecondRunnerThatReportsChangesNothing(t *testing.T) {
+	t.Parallel()
 	restartAgent := func(_ *simulatedFleet, h *simulatedHost) { h.killAgent(); h.startAgent() }
 	restartAllAgents := func(f *simulatedFleet, _ *simulatedHost) { f.restartAgents() }
 	for name, c := range map[string]struct {
