--- a/standin/permits.go
+++ b/standin/permits.go
@@ -26,7 +26,6 @@
 	mu               sync.Mutex
 	down             bool
 	slowdown         int                  // factor of the time that calls take, 0 means 1
-	calls            int                  // calls that were answered
 	runnersRequested int                  // sum of the numbers of runners in all requests
 	expiries         map[string]time.Time // expiry time by permit
 }
@@ -57,13 +56,6 @@
 	return p.runnersRequested
 }
 
-// Calls returns the number of calls that were answered.
-func (p *PermitIssuer) Calls() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.calls
-}
-
 // Client returns the client of one host, which implements substrate.PermitSource.
 func (p *PermitIssuer) Client() *PermitIssuerClient {
 	return &PermitIssuerClient{issuer: p, turn: make(chan struct{}, 1), waiting: make(chan struct{}, MaxWaitingPermitCalls)}
@@ -124,7 +116,6 @@
 	if p.DecidesFirst {
 		decidedAt = begun
 	}
-	p.calls++
 	p.runnersRequested += len(runners)
 	permits := substrate.Permits{Tokens: map[string]string{}, Validity: p.Policy.Validity}
 	for _, runner := range runners {
