--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -130,6 +130,16 @@
 	}
 }
 
+// pid returns the process ID of the program, or 0 if it does not run.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // isPaused reports whether the process is stopped by a signal.
 func isPaused(pid int) bool {
 	state, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -64,23 +64,26 @@
 
 // testSystem is a deployment of the programs on loopback.
 type testSystem struct {
-	dir          string
-	maxLease     time.Duration
-	store        *standin.PartStore
-	checker      *jobChecker
-	gangs        *standin.Gangs
-	hosts        []*host // hosts of the workers first, then those of the entries
-	cancel       context.CancelFunc
-	servers      []*http.Server
-	reportClient *http.Client // sends the runners' reports
+	dir           string
+	maxLease      time.Duration
+	store         *standin.PartStore
+	checker       *jobChecker
+	gangs         *standin.Gangs
+	hosts         []*host // hosts of the workers first, then those of the entries
+	cancel        context.CancelFunc
+	configureHost []func(settings map[string]any) // changes the settings of each host
+	servers       []*http.Server
+	reportClient  *http.Client // sends the runners' reports
 
 	mu         sync.Mutex
 	links      []*link
 	agentLinks map[[2]string]*link // by the name of the connecting host and the address of the agent
 }
 
-func newSystem(dir string, maxLease time.Duration) (*testSystem, error) {
-	s := &testSystem{dir: dir, maxLease: maxLease, store: standin.NewPartStore(), agentLinks: map[[2]string]*link{}, reportClient: &http.Client{Timeout: time.Second}}
+// newSystem starts a system. Each of configureHost may change the settings of
+// every host.
+func newSystem(dir string, maxLease time.Duration, configureHost ...func(settings map[string]any)) (*testSystem, error) {
+	s := &testSystem{dir: dir, maxLease: maxLease, configureHost: configureHost, store: standin.NewPartStore(), agentLinks: map[[2]string]*link{}, reportClient: &http.Client{Timeout: time.Second}}
 	s.checker = newJobChecker()
 	s.checker.onCrash = s.refuseRunner
 	s.gangs = standin.NewGangs(gangStartTimeout, s.checker.gangSize)
@@ -156,6 +159,9 @@
 	if isWorker {
 		h.settings["app"], h.settings["service"] = runnerAddress, runnerPool
 	}
+	for _, configure := range s.configureHost {
+		configure(h.settings)
+	}
 	document, err := json.Marshal(h.settings)
 	if err != nil {
 		return err
