httplimit: connections that wait for their clients make room for others

What callers saw: with connections that stay open and send nothing, send requests without reading the answers, or stop in a body that no handler reads, an entry had all its descriptors taken; it could accept no caller, and could not have dialled the store or an agent.

Cause: nothing bounded the number of connections, the time of a body or the time of a write. net/http also reads the rest of a body after the answer without a deadline.

Why it works: each server has a share of the descriptors that the settings state. Without a free place, the connection whose client has made no progress for the longest time, 0.5 s at least, is closed; those that never sent a whole request go first. An ordinary caller sends its request at once and is then being handled, which never ends early. What a client that stops can hold ends by itself in any case.

--- a/daemon/dev_fleet.go
+++ b/daemon/dev_fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/daisywall/daisywall/api/fleetpb"
 	"github.com/daisywall/daisywall/fleet"
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/standin"
 	"github.com/daisywall/daisywall/stepapi"
 	"github.com/daisywall/daisywall/structs"
@@ -79,9 +80,14 @@
 		return nil, fmt.Errorf("listen for the steps API: %w", err)
 	}
 	queues := func(id structs.QueueID) (structs.Queue, bool) { return queue, id == queue.ID }
-	f.server = &http.Server{Handler: stepapi.New(f.entry, queues), ReadHeaderTimeout: readHeaderTimeout}
+	limiter, err := httplimit.New(httplimit.Options{Server: "steps"})
+	if err != nil {
+		f.Stop()
+		return nil, fmt.Errorf("limit clients: %w", err)
+	}
+	f.server = limiter.NewServer(stepapi.New(f.entry, queues))
 	f.URL = "http://" + listener.Addr().String()
-	f.goroutines.Go(func() { _ = f.server.Serve(listener) }) // ends when Stop closes the server
+	f.goroutines.Go(func() { _ = f.server.Serve(limiter.Listen(listener)) }) // ends when Stop closes the server
 	return f, nil
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -18,6 +18,7 @@
 
 	"github.com/daisywall/daisywall/api/fleetpb"
 	"github.com/daisywall/daisywall/fleet"
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/kernel"
 	"github.com/daisywall/daisywall/platform"
 	_ "github.com/daisywall/daisywall/reloadsignal" // a SIGHUP must not end a process that starts or stops
@@ -106,11 +107,17 @@
 	return net.JoinHostPort(b.settings.IP, strconv.Itoa(b.settings.PeerPorts.First+offset))
 }
 
+// limits returns the limits of the clients of a server, which may use a share of
+// the host.
+func (b *platformBase) limits(server string, share func(httplimit.Host) httplimit.Limits) httplimit.Options {
+	return httplimit.Options{Server: server, Limits: share(b.settings.HostLimits), Meter: b.telemetry.Meters.Meter("daisywall/http")}
+}
+
 func (b *platformBase) register(services []namedService) error {
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", b.telemetry.Metrics)
 	services = append(services,
-		namedService{"metrics", &httpServer{address: b.address(metricsPortOffset), handler: metricsMux, shutdownTimeout: localShutdownTimeout}, nil},
+		namedService{"metrics", &httpServer{address: b.address(metricsPortOffset), handler: metricsMux, shutdownTimeout: localShutdownTimeout, limits: b.limits("metrics", httplimit.Host.Side)}, nil},
 		namedService{"reload", newBackgroundService(b.watchReload), nil})
 	for _, s := range services {
 		if err := b.kernel.Register(s.name, s.service, s.needs...); err != nil {
@@ -192,7 +199,7 @@
 	peers := &grpcServer{address: b.address(fleetPortOffset), log: log, register: func(s *grpc.Server) { fleetpb.RegisterFleetServer(s, node) }}
 	err = b.register([]namedService{
 		{"peers", immediateStopServer{peers}, nil},
-		{"reports", &httpServer{address: settings.ReportAddress, handler: platform.NewReportHandler(node, log), shutdownTimeout: localShutdownTimeout}, nil},
+		{"reports", &httpServer{address: settings.ReportAddress, handler: platform.NewReportHandler(node, log), shutdownTimeout: localShutdownTimeout, limits: b.limits("reports", httplimit.Host.Side)}, nil},
 		{"node", newBackgroundService(node.Run), []string{"peers", "reports"}},
 		{"handover", stopNode, []string{"node"}},
 	})
@@ -252,8 +259,10 @@
 	err = b.register([]namedService{
 		{"jobs", funcService{stop: func(context.Context) error { return jobs.Close() }}, nil},
 		{"operator", newBackgroundService(operator.Run), nil},
-		{"ready", &httpServer{address: settings.ReadyAddress, handler: readyMux, shutdownTimeout: localShutdownTimeout}, []string{"operator"}},
-		{"front", &httpServer{address: settings.CallerAddress, handler: jobHandler, beforeShutdown: drain, shutdownTimeout: callerShutdownTimeout}, []string{"operator", "jobs", "ready"}},
+		{"ready", &httpServer{address: settings.ReadyAddress, handler: readyMux, shutdownTimeout: localShutdownTimeout, limits: b.limits("ready", httplimit.Host.Side)}, []string{"operator"}},
+		{"front", &httpServer{
+			address: settings.CallerAddress, handler: jobHandler, beforeShutdown: drain, shutdownTimeout: callerShutdownTimeout, limits: b.limits("callers", httplimit.Host.Main),
+		}, []string{"operator", "jobs", "ready"}},
 	})
 	if err != nil {
 		return err
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -15,15 +15,13 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/kernel"
 )
 
 // Limits of the servers.
 const (
-	maxMessageBytes   = 32 << 20 // size of one gRPC message
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	maxMessageBytes = 32 << 20 // size of one gRPC message
 	// handshakeTimeout bounds the opening of a gRPC connection. A stop waits
 	// for connections that are being opened, and a peer that stops responding
 	// never completes its handshake. The bound is well below the grace period
@@ -101,23 +99,23 @@
 	handler         http.Handler
 	beforeShutdown  func(ctx context.Context) // runs before the listener closes, may be nil
 	shutdownTimeout time.Duration             // bounds the wait for calls in flight at a stop, 0 means the deadline of the stop
+	limits          httplimit.Options
 	server          *http.Server
 }
 
 // Start implements kernel.Service.
 func (s *httpServer) Start(_ context.Context, services *kernel.ServiceContext) error {
+	limiter, err := httplimit.New(s.limits)
+	if err != nil {
+		return fmt.Errorf("limit clients: %w", err)
+	}
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", s.address, err)
 	}
-	s.server = &http.Server{
-		Handler:           s.handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	s.server = limiter.NewServer(s.handler)
 	services.Go(func(context.Context) error {
-		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.server.Serve(limiter.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve http: %w", err)
 		}
 		return nil
--- /dev/null
+++ b/httplimit/host.go
@@ -0,0 +1,41 @@
+package httplimit
+
+import "syscall"
+
+// Host is what the host of a process allows it. Zero fields have defaults.
+type Host struct {
+	MemoryBytes int64
+	Sockets     int // descriptors for connections
+}
+
+const defaultMemoryBytes = 256 << 20 // if the settings state no memory
+
+// withDefaults returns the host with all fields set. The default of Sockets is
+// half of the process's limit of descriptors.
+func (h Host) withDefaults() Host {
+	if h.MemoryBytes <= 0 {
+		h.MemoryBytes = defaultMemoryBytes
+	}
+	if h.Sockets <= 0 {
+		var limit syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			limit.Cur = 1024
+		}
+		h.Sockets = int(min(limit.Cur, 1<<16) / 2)
+	}
+	return h
+}
+
+// Main returns the limits of the server that most clients of the process use.
+// The rest of the host is left to the other servers and to the connections that
+// the process opens.
+func (h Host) Main() Limits {
+	h = h.withDefaults()
+	return Limits{Connections: h.Sockets / 4 * 3}
+}
+
+// Side returns the limits of a server that few clients use.
+func (h Host) Side() Limits {
+	h = h.withDefaults()
+	return Limits{Connections: max(8, h.Sockets/16)}
+}
--- /dev/null
+++ b/httplimit/limiter.go
@@ -0,0 +1,236 @@
+// Package httplimit bounds what the clients of an HTTP server can make its
+// process hold, whether or not they behave.
+//
+// A server accepts a limited number of connections. A connection waits for its
+// client while a request has not arrived or only a part of it has, and while the
+// client does not read an answer. If all places are taken, the connection that
+// has waited for the longest time is closed to make room for the next one. A
+// connection whose request is being handled is not closed.
+package httplimit
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+)
+
+// Times of a connection.
+const (
+	readHeaderTimeout = 5 * time.Second // from the first byte of a request to the end of its head
+	idleTimeout       = 2 * time.Minute // without a byte between two requests or in a body
+	bodyTimeout       = 5 * time.Minute // for a whole body
+	writeTimeout      = 10 * time.Second
+	// discardTimeout bounds the wait for the rest of a request that is answered
+	// before all of it has arrived.
+	discardTimeout = 500 * time.Millisecond
+	// minWait is the time for which a connection may wait for its client before
+	// it has to make room.
+	minWait = 500 * time.Millisecond
+	// recheckInterval is the time between two searches for a connection that
+	// can make room.
+	recheckInterval = 20 * time.Millisecond
+)
+
+// maxHeaderBytes limits the size of a request's head.
+const maxHeaderBytes = 64 << 10
+
+// Limits are the limits of one server.
+type Limits struct {
+	Connections int // open connections
+}
+
+// Options are the limits and dependencies of a Limiter.
+type Options struct {
+	Server string       // name of the server in metrics
+	Limits Limits       // those of the main server of an unknown host if zero
+	Meter  metric.Meter // nil for no metrics
+}
+
+// Limiter bounds the clients of one server.
+type Limiter struct {
+	limits  Limits
+	metrics metrics
+
+	mu       sync.Mutex
+	open     int // connections that are not closed
+	evicting int // open connections that have been told to make room
+	// waiting holds the connections that wait for their client, in the order in
+	// which they began to. Those that have had a request served are in served.
+	unproven, served *list.List
+	released         chan struct{} // receives a signal when a connection was closed
+}
+
+// New returns a limiter. Its errors are those of the meter.
+func New(o Options) (*Limiter, error) {
+	if o.Limits == (Limits{}) {
+		o.Limits = Host{}.Main()
+	}
+	if o.Meter == nil {
+		o.Meter = noop.Meter{}
+	}
+	l := &Limiter{limits: o.Limits, unproven: list.New(), served: list.New(), released: make(chan struct{}, 1)}
+	var err error
+	l.metrics, err = newMetrics(o, l)
+	return l, err
+}
+
+// NewServer returns a server for listeners that Listen has returned.
+func (l *Limiter) NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:        limitRequests(handler),
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if limited, ok := c.(*conn); ok {
+				limited.changeState(state)
+			}
+		},
+	}
+}
+
+// Listen limits the connections that the listener accepts.
+func (l *Limiter) Listen(listener net.Listener) net.Listener {
+	return &limitedListener{Listener: listener, limiter: l, closed: make(chan struct{})}
+}
+
+// limitedListener is a net.Listener whose connections belong to a limiter.
+type limitedListener struct {
+	net.Listener
+	limiter   *Limiter
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// Accept implements net.Listener. While there is no room for a connection, it
+// leaves the following ones to the queue of the operating system.
+func (s *limitedListener) Accept() (net.Conn, error) {
+	accepted, err := s.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := s.limiter.add(accepted)
+	if !s.limiter.makeRoom(s.closed) {
+		_ = c.Close() // the listener is closed, which is reported
+		return nil, net.ErrClosed
+	}
+	c.startWaiting()
+	return c, nil
+}
+
+// Close implements net.Listener.
+func (s *limitedListener) Close() error {
+	s.closeOnce.Do(func() { close(s.closed) })
+	return s.Listener.Close()
+}
+
+func (l *Limiter) add(accepted net.Conn) *conn {
+	c := &conn{Conn: accepted, limiter: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open++
+	return c
+}
+
+// makeRoom closes connections until there are no more than the limit. It
+// returns false if the listener is closed before.
+func (l *Limiter) makeRoom(listenerClosed <-chan struct{}) bool {
+	for {
+		l.mu.Lock()
+		hasRoom := l.open <= l.limits.Connections
+		if !hasRoom && l.open-l.evicting > l.limits.Connections {
+			if c := l.longestWaiting(time.Now()); c != nil {
+				l.evict(c, reasonConnections)
+			}
+		}
+		l.mu.Unlock()
+		if hasRoom {
+			return true
+		}
+		select {
+		case <-l.released:
+		case <-time.After(recheckInterval):
+		case <-listenerClosed:
+			return false
+		}
+	}
+}
+
+// longestWaiting returns the connection that has to make room next, or nil if
+// each has waited for less than minWait. The caller holds mu.
+func (l *Limiter) longestWaiting(now time.Time) *conn {
+	for _, queue := range []*list.List{l.unproven, l.served} {
+		if first := queue.Front(); first != nil {
+			if c := first.Value.(*conn); now.Sub(c.waitingSince) >= minWait {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
+// enqueue records that a connection waits for its client from now on. The
+// caller holds mu.
+func (l *Limiter) enqueue(c *conn, now time.Time) {
+	if c.queue != nil || c.closed || c.evicted.Load() {
+		return
+	}
+	c.waitingSince = now
+	c.queue = l.unproven
+	if c.hasServed {
+		c.queue = l.served
+	}
+	c.element = c.queue.PushBack(c)
+}
+
+// dequeue records that a connection does not wait for its client. The caller
+// holds mu.
+func (l *Limiter) dequeue(c *conn) {
+	if c.queue != nil {
+		c.queue.Remove(c.element)
+		c.queue, c.element = nil, nil
+	}
+}
+
+// evict ends the wait of a connection, whose server then closes it. The caller
+// holds mu.
+func (l *Limiter) evict(c *conn, reason string) {
+	l.dequeue(c)
+	c.evicted.Store(true)
+	l.evicting++
+	l.metrics.countEviction(reason)
+	_ = c.SetDeadline(longAgo) // fails only on a closed connection
+}
+
+// remove forgets a closed connection.
+func (l *Limiter) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	l.dequeue(c)
+	l.open--
+	if c.evicted.Load() {
+		l.evicting--
+	}
+	select {
+	case l.released <- struct{}{}:
+	default: // a signal is pending already
+	}
+}
+
+// openConnections returns the number of open connections.
+func (l *Limiter) openConnections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
