httplimit: memory for heads is reserved before they are parsed

What callers saw: clients that send heads of very many short lines, or heads that go on beyond the limit, made an entry take more memory than its machine has, which ends it. A line of 4 bytes takes up to 190 bytes once it is parsed.

Cause: net/http bounds the bytes of a head, not the memory of its fields, and nothing bounded all heads together.

Why it works: a part of a head is charged with its bytes and its lines before net/http parses it, from a quarter of the host's memory. While others wait, the connection that has held some for the longest time and waits for its client is closed. Ordinary heads are within the allowance of their connection and don't wait. A head for which there is no memory gets 503 with Retry-After: no handler has seen it.

--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -30,8 +30,8 @@
 
 	// The goroutine that serves the connection owns the fields below, but for
 	// phase, which a background read of net/http reads too.
-	phase     atomic.Uint32
-	headSince time.Time // arrival of the first byte of the head
+	phase atomic.Uint32
+	head  headUsage
 
 	// The limiter's mu guards the fields below.
 	queue        *list.List // contains the connection while it waits for its client, else nil
@@ -39,6 +39,11 @@
 	waitingSince time.Time
 	hasServed    bool
 	closed       bool
+	heldBytes    int64         // reserved memory
+	holdElement  *list.Element // in the limiter's holders, nil without reserved memory
+	holdsSince   time.Time
+	// cancelMemoryWait ends the wait for memory, nil if there is none.
+	cancelMemoryWait context.CancelFunc
 }
 
 type connKey struct{}
@@ -63,6 +68,7 @@
 		c.limiter.mu.Lock()
 		defer c.limiter.mu.Unlock()
 		c.hasServed = true
+		c.limiter.release(c)
 		c.limiter.enqueue(c, time.Now())
 	}
 }
@@ -79,8 +85,8 @@
 	c.limiter.dequeue(c)
 }
 
-// Read implements net.Conn. It bounds the time that the head of a request takes
-// and the time between two requests.
+// Read implements net.Conn. It bounds the time, the size and the memory of the
+// head of a request and the time between two requests.
 func (c *conn) Read(b []byte) (int, error) {
 	current := phase(c.phase.Load())
 	if current == phaseHandling {
@@ -91,9 +97,14 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 && current == phaseIdle {
-		c.headSince = time.Now()
+		c.head = headUsage{since: time.Now()}
 		c.phase.Store(uint32(phaseHead))
 	}
+	if n > 0 {
+		if refused := c.admitHead(b[:n]); refused != nil {
+			return 0, refused
+		}
+	}
 	return n, err
 }
 
@@ -102,7 +113,7 @@
 	var deadline time.Time
 	switch {
 	case current == phaseHead:
-		deadline = c.headSince.Add(readHeaderTimeout)
+		deadline = c.head.since.Add(readHeaderTimeout)
 	case c.isNew():
 		deadline = time.Now().Add(readHeaderTimeout)
 	default:
--- a/httplimit/host.go
+++ b/httplimit/host.go
@@ -31,11 +31,11 @@
 // the process opens.
 func (h Host) Main() Limits {
 	h = h.withDefaults()
-	return Limits{Connections: h.Sockets / 4 * 3}
+	return Limits{Connections: h.Sockets / 4 * 3, RequestBytes: h.MemoryBytes / 4}
 }
 
 // Side returns the limits of a server that few clients use.
 func (h Host) Side() Limits {
 	h = h.withDefaults()
-	return Limits{Connections: max(8, h.Sockets/16)}
+	return Limits{Connections: max(8, h.Sockets/16), RequestBytes: h.MemoryBytes / 32}
 }
--- a/httplimit/limiter.go
+++ b/httplimit/limiter.go
@@ -6,6 +6,10 @@
 // client does not read an answer. If all places are taken, the connection that
 // has waited for the longest time is closed to make room for the next one. A
 // connection whose request is being handled is not closed.
+//
+// What a request takes beyond a small allowance is reserved from the memory of
+// all requests before it is read. A request for which there is no memory in
+// time is refused, and has not reached its handler or will not run.
 package httplimit
 
 import (
@@ -18,6 +22,7 @@
 
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
+	"golang.org/x/sync/semaphore"
 )
 
 // Times of a connection.
@@ -37,12 +42,10 @@
 	recheckInterval = 20 * time.Millisecond
 )
 
-// maxHeaderBytes limits the size of a request's head.
-const maxHeaderBytes = 64 << 10
-
 // Limits are the limits of one server.
 type Limits struct {
-	Connections int // open connections
+	Connections  int   // open connections
+	RequestBytes int64 // memory of the requests that are being read or handled
 }
 
 // Options are the limits and dependencies of a Limiter.
@@ -64,6 +67,11 @@
 	// which they began to. Those that have had a request served are in served.
 	unproven, served *list.List
 	released         chan struct{} // receives a signal when a connection was closed
+	memoryWaits      int           // connections that wait for memory
+	isReclaiming     bool          // reclaimMemory runs
+	holders          *list.List    // connections that hold memory, in the order in which they began to
+
+	memory *semaphore.Weighted
 }
 
 // New returns a limiter. Its errors are those of the meter.
@@ -74,7 +82,7 @@
 	if o.Meter == nil {
 		o.Meter = noop.Meter{}
 	}
-	l := &Limiter{limits: o.Limits, unproven: list.New(), served: list.New(), released: make(chan struct{}, 1)}
+	l := &Limiter{limits: o.Limits, unproven: list.New(), served: list.New(), holders: list.New(), released: make(chan struct{}, 1), memory: semaphore.NewWeighted(o.Limits.RequestBytes)}
 	var err error
 	l.metrics, err = newMetrics(o, l)
 	return l, err
@@ -84,7 +92,7 @@
 func (l *Limiter) NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:        limitRequests(handler),
-		MaxHeaderBytes: maxHeaderBytes,
+		MaxHeaderBytes: 1 << 20, // the connections have a lower limit
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -205,6 +213,9 @@
 	l.dequeue(c)
 	c.evicted.Store(true)
 	l.evicting++
+	if c.cancelMemoryWait != nil {
+		c.cancelMemoryWait()
+	}
 	l.metrics.countEviction(reason)
 	_ = c.SetDeadline(longAgo) // fails only on a closed connection
 }
@@ -218,6 +229,7 @@
 	}
 	c.closed = true
 	l.dequeue(c)
+	l.release(c)
 	l.open--
 	if c.evicted.Load() {
 		l.evicting--
@@ -228,9 +240,12 @@
 	}
 }
 
-// openConnections returns the number of open connections.
-func (l *Limiter) openConnections() int {
+// usage returns the number of open connections and the reserved memory in bytes.
+func (l *Limiter) usage() (connections int, memory int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.open
+	for element := l.holders.Front(); element != nil; element = element.Next() {
+		memory += element.Value.(*conn).heldBytes
+	}
+	return l.open, memory
 }
--- a/httplimit/limiter_test.go
+++ b/httplimit/limiter_test.go
@@ -45,6 +45,9 @@
 // startServer starts a server. The test must run in a bubble of synctest.
 func startServer(t *testing.T, limits Limits, handler http.HandlerFunc) *testServer {
 	t.Helper()
+	if limits.RequestBytes == 0 {
+		limits.RequestBytes = 1 << 20
+	}
 	limiter, err := New(Options{Server: "test", Limits: limits})
 	if err != nil {
 		t.Fatal(err)
@@ -52,7 +55,10 @@
 	s := &testServer{t: t, limiter: limiter, listener: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}}
 	server := limiter.NewServer(handler)
 	go func() { _ = server.Serve(limiter.Listen(s.listener)) }()
-	t.Cleanup(func() { server.Close() })
+	t.Cleanup(func() {
+		server.Close()
+		time.Sleep(2 * reclaimInterval) // the reclaiming ends
+	})
 	return s
 }
 
--- a/httplimit/metrics.go
+++ b/httplimit/metrics.go
@@ -9,12 +9,21 @@
 )
 
 // Reasons for which a connection is evicted.
-const reasonConnections = "connections"
+const (
+	reasonConnections = "connections"
+	reasonMemory      = "memory"
+)
+
+// Reasons for which a request is refused.
+const (
+	refusalMemory   = "memory"
+	refusalHeadSize = "head_size"
+)
 
 // metrics are the instruments of a limiter.
 type metrics struct {
-	server    attribute.KeyValue
-	evictions metric.Int64Counter
+	server              attribute.KeyValue
+	evictions, refusals metric.Int64Counter
 }
 
 func newMetrics(o Options, l *Limiter) (metrics, error) {
@@ -24,17 +33,34 @@
 	if err != nil {
 		return metrics{}, fmt.Errorf("create eviction counter: %w", err)
 	}
-	_, err = o.Meter.Int64ObservableGauge("daisywall.http.connections", metric.WithDescription("Open connections of clients"),
-		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
-			observer.Observe(int64(l.openConnections()), metric.WithAttributes(m.server))
-			return nil
-		}))
+	m.refusals, err = o.Meter.Int64Counter("daisywall.http.refusals", metric.WithDescription("Requests refused before they were read by reason"))
+	if err != nil {
+		return metrics{}, fmt.Errorf("create refusal counter: %w", err)
+	}
+	connections, err := o.Meter.Int64ObservableGauge("daisywall.http.connections", metric.WithDescription("Open connections of clients"))
 	if err != nil {
 		return metrics{}, fmt.Errorf("create connection gauge: %w", err)
 	}
+	memory, err := o.Meter.Int64ObservableGauge("daisywall.http.reserved", metric.WithDescription("Memory reserved for requests of clients"), metric.WithUnit("By"))
+	if err != nil {
+		return metrics{}, fmt.Errorf("create memory gauge: %w", err)
+	}
+	_, err = o.Meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		open, reserved := l.usage()
+		observer.ObserveInt64(connections, int64(open), metric.WithAttributes(m.server))
+		observer.ObserveInt64(memory, reserved, metric.WithAttributes(m.server))
+		return nil
+	}, connections, memory)
+	if err != nil {
+		return metrics{}, fmt.Errorf("observe usage: %w", err)
+	}
 	return m, nil
 }
 
 func (m *metrics) countEviction(reason string) {
 	m.evictions.Add(context.Background(), 1, metric.WithAttributes(m.server, attribute.String("reason", reason)))
 }
+
+func (m *metrics) countRefusal(reason string) {
+	m.refusals.Add(context.Background(), 1, metric.WithAttributes(m.server, attribute.String("reason", reason)))
+}
--- a/structs/errors.go
+++ b/structs/errors.go
@@ -36,6 +36,7 @@
 	ReasonCancelled      Reason = "cancelled"
 	ReasonConnectionLost Reason = "connection_lost"
 	ReasonUnknownAttempt Reason = "unknown_attempt"
+	ReasonMemory         Reason = "memory" // of the process, taken by other requests
 )
 
 // NotRunError reports that a request has not run and never will under this
