httplimit: memory for bodies is reserved as they are read

What callers saw: clients that send many bodies of legal size, whole or in pieces, and stop just before the end made an entry take more memory than its machine has; reports of 4 MiB did the same to an agent.

Cause: io.ReadAll buffered each body for as long as its client liked, without a limit for all of them.

Why it works: a buffer grows only after the growth is reserved from the same quarter of the host's memory as heads. While others wait, the body that has held memory for the longest time is refused with 503 and Retry-After, which is true: no handler has the job yet. A body that has not arrived at its request's deadline is refused then, since no answer could be in time. Bodies up to 4 KiB need no reservation.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -199,7 +199,7 @@
 	peers := &grpcServer{address: b.address(fleetPortOffset), log: log, register: func(s *grpc.Server) { fleetpb.RegisterFleetServer(s, node) }}
 	err = b.register([]namedService{
 		{"peers", immediateStopServer{peers}, nil},
-		{"reports", &httpServer{address: settings.ReportAddress, handler: platform.NewReportHandler(node, log), shutdownTimeout: localShutdownTimeout, limits: b.limits("reports", httplimit.Host.Side)}, nil},
+		{"reports", &httpServer{address: settings.ReportAddress, handler: platform.NewReportHandler(node, log), shutdownTimeout: localShutdownTimeout, limits: b.limits("reports", httplimit.Host.Local)}, nil},
 		{"node", newBackgroundService(node.Run), []string{"peers", "reports"}},
 		{"handover", stopNode, []string{"node"}},
 	})
--- a/entryapi/request.go
+++ b/entryapi/request.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/client"
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/problem"
 	"github.com/daisywall/daisywall/request"
 	"github.com/daisywall/daisywall/structs"
@@ -90,7 +90,7 @@
 	if len(key) > maxKeyBytes {
 		return request.Call{}, headerError(client.HeaderIdempotencyKey, key[:32]+"…", "must have at most "+strconv.Itoa(maxKeyBytes)+" bytes")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
+	body, err := httplimit.ReadBody(r.Context(), w, r, maxRequestBody)
 	if err != nil {
 		return request.Call{}, bodyError("request", err)
 	}
--- a/entryapi/server.go
+++ b/entryapi/server.go
@@ -4,6 +4,7 @@
 package entryapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,6 +15,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/daisywall/daisywall/client"
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/problem"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/substrate"
@@ -119,7 +121,11 @@
 
 // readJSON decodes a JSON body of limited size and rejects unknown fields.
 func readJSON(w http.ResponseWriter, r *http.Request, subject string, limit int64, out any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	body, err := httplimit.ReadBody(r.Context(), w, r, limit)
+	if err != nil {
+		return bodyError(subject, err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(out); err != nil {
 		return bodyError(subject, err)
@@ -130,10 +136,10 @@
 	return nil
 }
 
-// bodyError keeps the error type of an oversized body and reports every other
-// error as invalid input.
+// bodyError keeps the error type of an oversized or refused body and reports
+// every other error as invalid input.
 func bodyError(subject string, err error) error {
-	if problem.FromError(err).Type == problem.TypeTooLarge {
+	if kind := problem.FromError(err).Type; kind == problem.TypeTooLarge || kind == problem.TypeNotRun {
 		return fmt.Errorf("%s: %w", subject, err)
 	}
 	return &structs.InvalidError{Subject: subject, Faults: []structs.Fault{{Path: "/", Rule: err.Error()}}}
--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -1,10 +1,21 @@
 package httplimit
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
+
+	"github.com/daisywall/daisywall/structs"
+)
+
+// Sizes of the buffer of a body.
+const (
+	bodyAllowance = 4 << 10 // memory of a body that is not reserved
+	bufferGrowth  = 4       // factor by which a full buffer grows
 )
 
 // limitRequests bounds the time that a client may take for the body of a
@@ -62,3 +73,84 @@
 	b.conn.startWaiting()
 	_ = b.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 }
+
+// ReadBody reads the body of a request. The memory of the body is reserved
+// until the request has been answered. ReadBody returns *http.MaxBytesError for a body
+// of more than limit bytes, and *structs.NotRunError if there is no memory for
+// the body in time, if ctx ends before the body has arrived, or if the client
+// stops in the body. After an error the connection is closed.
+func ReadBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	c := connOf(r.Context())
+	held := c.held()
+	data, err := readBody(ctx, w, r, limit, c)
+	if err != nil {
+		c.releaseTo(held) // the buffer of the body is garbage by now
+		w.Header().Set("Connection", "close")
+		return nil, err
+	}
+	return data, nil
+}
+
+func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64, c *conn) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	if body, isLimited := r.Body.(*requestBody); isLimited {
+		if deadline, hasDeadline := ctx.Deadline(); hasDeadline && deadline.Before(body.deadline) {
+			body.deadline = deadline
+		}
+	}
+	reader := http.MaxBytesReader(w, r.Body, limit)
+	data := make([]byte, 0, min(bodyAllowance, expectedBytes(r, limit)+1))
+	for {
+		n, err := reader.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return nil, c.bodyError(err)
+		}
+		if len(data) == cap(data) {
+			if data, err = c.growBuffer(ctx, data, expectedBytes(r, limit)+1); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// expectedBytes returns the declared size of a body, or the limit if there is
+// none. A buffer needs one byte more to read the end of the body.
+func expectedBytes(r *http.Request, limit int64) int64 {
+	if r.ContentLength >= 0 {
+		return r.ContentLength
+	}
+	return limit
+}
+
+// growBuffer returns a copy of the data with room for more, up to maxBytes in
+// all. The receiver is nil if the connection has no limits.
+func (c *conn) growBuffer(ctx context.Context, data []byte, maxBytes int64) ([]byte, error) {
+	size := min(int64(cap(data))*bufferGrowth, max(maxBytes, int64(cap(data))+1))
+	if c != nil {
+		if err := c.limiter.reserve(ctx, c, size-int64(cap(data))); err != nil {
+			return nil, err
+		}
+	}
+	grown := make([]byte, len(data), size)
+	copy(grown, data)
+	return grown, nil
+}
+
+// bodyError returns the error of a read from a body.
+func (c *conn) bodyError(err error) error {
+	switch {
+	case c != nil && c.evicted.Load():
+		return c.limiter.refuseMemory()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.limiter.metrics.countRefusal(refusalBodyTime)
+		return &structs.NotRunError{Reason: structs.ReasonDeadline, RetryAfter: retryAfter, Err: err}
+	default:
+		return fmt.Errorf("read body: %w", err)
+	}
+}
--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -68,7 +68,7 @@
 		c.limiter.mu.Lock()
 		defer c.limiter.mu.Unlock()
 		c.hasServed = true
-		c.limiter.release(c)
+		c.limiter.release(c, 0)
 		c.limiter.enqueue(c, time.Now())
 	}
 }
--- a/httplimit/host.go
+++ b/httplimit/host.go
@@ -39,3 +39,8 @@
 	h = h.withDefaults()
 	return Limits{Connections: max(8, h.Sockets/16), RequestBytes: h.MemoryBytes / 32}
 }
+
+// Local returns the limits of a server that few clients use, with large bodies.
+func (h Host) Local() Limits {
+	return Limits{Connections: h.Side().Connections, RequestBytes: h.Main().RequestBytes}
+}
--- a/httplimit/limiter.go
+++ b/httplimit/limiter.go
@@ -229,7 +229,7 @@
 	}
 	c.closed = true
 	l.dequeue(c)
-	l.release(c)
+	l.release(c, 0)
 	l.open--
 	if c.evicted.Load() {
 		l.evicting--
--- a/httplimit/memory.go
+++ b/httplimit/memory.go
@@ -120,12 +120,36 @@
 	c.heldBytes += n
 }
 
-// release releases the memory of a connection. The caller holds mu.
-func (l *Limiter) release(c *conn) {
-	if c.heldBytes == 0 {
+// release releases the memory of a connection but for keep bytes. The caller
+// holds mu.
+func (l *Limiter) release(c *conn, keep int64) {
+	if c.heldBytes <= keep {
+		return
+	}
+	l.memory.Release(c.heldBytes - keep)
+	c.heldBytes = keep
+	if keep == 0 {
+		l.holders.Remove(c.holdElement)
+		c.holdElement = nil
+	}
+}
+
+// held returns the reserved memory of a connection, 0 for one without limits.
+func (c *conn) held() int64 {
+	if c == nil {
+		return 0
+	}
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	return c.heldBytes
+}
+
+// releaseTo releases the memory of a connection but for keep bytes.
+func (c *conn) releaseTo(keep int64) {
+	if c == nil {
 		return
 	}
-	l.memory.Release(c.heldBytes)
-	l.holders.Remove(c.holdElement)
-	c.heldBytes, c.holdElement = 0, nil
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.limiter.release(c, keep)
 }
--- a/httplimit/metrics.go
+++ b/httplimit/metrics.go
@@ -18,6 +18,7 @@
 const (
 	refusalMemory   = "memory"
 	refusalHeadSize = "head_size"
+	refusalBodyTime = "body_time"
 )
 
 // metrics are the instruments of a limiter.
--- a/membership/local_targets_http.go
+++ b/membership/local_targets_http.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/problem"
 	"github.com/daisywall/daisywall/structs"
 )
@@ -39,7 +39,7 @@
 }
 
 func (l *LocalTargets) put(w http.ResponseWriter, r *http.Request, id structs.TargetID) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	body, err := httplimit.ReadBody(r.Context(), w, r, maxAnnouncementBytes)
 	if err != nil {
 		problem.Write(w, err, "")
 		return
--- a/stepapi/stepapi.go
+++ b/stepapi/stepapi.go
@@ -11,11 +11,13 @@
 package stepapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/problem"
 	"github.com/daisywall/daisywall/structs"
 	"github.com/daisywall/daisywall/workflow"
@@ -67,14 +69,14 @@
 
 // withQueue looks up the queue in the path and writes the result or the error
 // of f.
-func (s *server) withQueue(f func(r *http.Request, queue structs.Queue) (any, error)) http.HandlerFunc {
+func (s *server) withQueue(f func(w http.ResponseWriter, r *http.Request, queue structs.Queue) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		queue, found := s.queues(structs.QueueID(r.PathValue("queue")))
 		if !found {
 			problem.Write(w, &structs.NotFoundError{Subject: "queue", Name: r.PathValue("queue")}, "")
 			return
 		}
-		body, err := f(r, queue)
+		body, err := f(w, r, queue)
 		if err != nil {
 			problem.Write(w, err, structs.RequestID(r.PathValue("id")))
 			return
@@ -85,8 +87,12 @@
 	}
 }
 
-func (s *server) submit(r *http.Request, queue structs.Queue) (any, error) {
-	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+func (s *server) submit(w http.ResponseWriter, r *http.Request, queue structs.Queue) (any, error) {
+	body, err := httplimit.ReadBody(r.Context(), w, r, maxBodyBytes)
+	if err != nil {
+		return nil, fmt.Errorf("job: %w", err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	var job structs.StepJob
 	if err := decoder.Decode(&job); err != nil {
@@ -102,18 +108,18 @@
 	return Status{ID: job.ID, Phase: structs.JobQueued}, nil
 }
 
-func (s *server) status(r *http.Request, queue structs.Queue) (any, error) {
+func (s *server) status(_ http.ResponseWriter, r *http.Request, queue structs.Queue) (any, error) {
 	id := structs.JobID(r.PathValue("id"))
 	phase, err := s.jobs.Phase(r.Context(), id, queue.ID)
 	return Status{ID: id, Phase: phase}, err
 }
 
-func (s *server) cancel(r *http.Request, queue structs.Queue) (any, error) {
+func (s *server) cancel(_ http.ResponseWriter, r *http.Request, queue structs.Queue) (any, error) {
 	id := structs.JobID(r.PathValue("id"))
 	return Status{ID: id, Phase: structs.JobCancelled}, s.jobs.Cancel(r.Context(), id, queue.ID)
 }
 
-func (s *server) backlog(r *http.Request, queue structs.Queue) (any, error) {
+func (s *server) backlog(_ http.ResponseWriter, r *http.Request, queue structs.Queue) (any, error) {
 	waiting, err := s.jobs.Waiting(r.Context(), queue.ID)
 	return Backlog{Waiting: waiting}, err
 }
