httplimit: large bodies are decoded in turn

What callers saw: 50 whole bodies of legal size at once made an entry take more memory than its machine has even if each decodes to little.

Cause: decoding a body takes several times its size, mostly in buffers of the decoder, and all of the bodies that had arrived were decoded side by side.

Why it works: bodies over 4 KiB reserve eight times their size from an eighth of the host's memory while they are decoded. No client is waited for meanwhile, so that turns come quickly. A body whose turn does not come before the deadline of its request is refused, and its job was not handed in.

--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -16,6 +16,7 @@
 const (
 	bodyAllowance = 4 << 10 // memory of a body that is not reserved
 	bufferGrowth  = 4       // factor by which a full buffer grows
+	decodeFactor  = 8       // memory that decoding takes, as a multiple of the size of a body
 )
 
 // limitRequests bounds the time that a client may take for the body of a
@@ -142,6 +143,24 @@
 	return grown, nil
 }
 
+// Decode calls decode for a body of the request with the given size, once there
+// is memory for it. It returns the error of decode, or *structs.NotRunError if
+// ctx ends before.
+func Decode(ctx context.Context, r *http.Request, size int, decode func() error) error {
+	c := connOf(r.Context())
+	if c == nil || size <= bodyAllowance {
+		return decode()
+	}
+	l := c.limiter
+	weight := min(int64(size)*decodeFactor, l.limits.DecodeBytes)
+	if err := l.decoding.Acquire(ctx, weight); err != nil {
+		l.metrics.countRefusal(refusalDecoding)
+		return &structs.NotRunError{Reason: structs.ReasonDeadline, RetryAfter: retryAfter, Err: err}
+	}
+	defer l.decoding.Release(weight)
+	return decode()
+}
+
 // bodyError returns the error of a read from a body.
 func (c *conn) bodyError(err error) error {
 	switch {
--- a/httplimit/body_test.go
+++ b/httplimit/body_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -102,3 +103,41 @@
 		is.Equal(status(first), http.StatusOK)
 	})
 }
+
+func TestBodiesAreDecodedInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const size = 2 * bodyAllowance
+		var mu sync.Mutex
+		running, most := 0, 0
+		s := startServer(t, Limits{Connections: 10, DecodeBytes: 2 * decodeFactor * size}, func(w http.ResponseWriter, r *http.Request) {
+			ctx, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+			defer cancel()
+			err := Decode(ctx, r, size, func() error {
+				mu.Lock()
+				running++
+				most = max(most, running)
+				mu.Unlock()
+				time.Sleep(2 * time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				running--
+				return nil
+			})
+			if err != nil {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		var conns []net.Conn
+		for range 5 {
+			conns = append(conns, s.connect(get))
+		}
+		answers := map[int]int{}
+		for _, c := range conns {
+			answers[status(c)]++
+		}
+		is.Equal(most, 2)
+		is.Equal(answers[http.StatusOK], 4)
+		is.Equal(answers[http.StatusServiceUnavailable], 1) // it would have begun after its deadline
+	})
+}
--- a/httplimit/host.go
+++ b/httplimit/host.go
@@ -31,16 +31,18 @@
 // the process opens.
 func (h Host) Main() Limits {
 	h = h.withDefaults()
-	return Limits{Connections: h.Sockets / 4 * 3, RequestBytes: h.MemoryBytes / 4}
+	return Limits{Connections: h.Sockets / 4 * 3, RequestBytes: h.MemoryBytes / 4, DecodeBytes: h.MemoryBytes / 8}
 }
 
 // Side returns the limits of a server that few clients use.
 func (h Host) Side() Limits {
 	h = h.withDefaults()
-	return Limits{Connections: max(8, h.Sockets/16), RequestBytes: h.MemoryBytes / 32}
+	return Limits{Connections: max(8, h.Sockets/16), RequestBytes: h.MemoryBytes / 32, DecodeBytes: h.MemoryBytes / 32}
 }
 
 // Local returns the limits of a server that few clients use, with large bodies.
 func (h Host) Local() Limits {
-	return Limits{Connections: h.Side().Connections, RequestBytes: h.Main().RequestBytes}
+	limits := h.Main()
+	limits.Connections = h.Side().Connections
+	return limits
 }
--- a/httplimit/limiter.go
+++ b/httplimit/limiter.go
@@ -46,6 +46,7 @@
 type Limits struct {
 	Connections  int   // open connections
 	RequestBytes int64 // memory of the requests that are being read or handled
+	DecodeBytes  int64 // memory of the bodies that are being decoded
 }
 
 // Options are the limits and dependencies of a Limiter.
@@ -71,7 +72,7 @@
 	isReclaiming     bool          // reclaimMemory runs
 	holders          *list.List    // connections that hold memory, in the order in which they began to
 
-	memory *semaphore.Weighted
+	memory, decoding *semaphore.Weighted
 }
 
 // New returns a limiter. Its errors are those of the meter.
@@ -82,7 +83,10 @@
 	if o.Meter == nil {
 		o.Meter = noop.Meter{}
 	}
-	l := &Limiter{limits: o.Limits, unproven: list.New(), served: list.New(), holders: list.New(), released: make(chan struct{}, 1), memory: semaphore.NewWeighted(o.Limits.RequestBytes)}
+	l := &Limiter{
+		limits: o.Limits, unproven: list.New(), served: list.New(), holders: list.New(), released: make(chan struct{}, 1),
+		memory: semaphore.NewWeighted(o.Limits.RequestBytes), decoding: semaphore.NewWeighted(o.Limits.DecodeBytes),
+	}
 	var err error
 	l.metrics, err = newMetrics(o, l)
 	return l, err
--- a/httplimit/metrics.go
+++ b/httplimit/metrics.go
@@ -19,6 +19,7 @@
 	refusalMemory   = "memory"
 	refusalHeadSize = "head_size"
 	refusalBodyTime = "body_time"
+	refusalDecoding = "decoding" // no turn before the deadline
 )
 
 // metrics are the instruments of a limiter.
