--- a/soak/crowd_cases_test.go
+++ b/soak/crowd_cases_test.go
@@ -105,6 +105,18 @@
 	runBodyCrowd(t, listBody(`{"steps":[{"count":1},{"count":1,"after":[`, `9`, `]}]}`))
 }
 
+func TestCrowdWithBodiesOfDifferentWrongDependencies(t *testing.T) {
+	var list strings.Builder
+	for i := 100; list.Len() < maxBodyBytes-100; i++ {
+		fmt.Fprintf(&list, "%d,", i)
+	}
+	runBodyCrowd(t, `{"steps":[{"count":1},{"count":1,"after":[`+list.String()+`1]}]}`)
+}
+
+func TestCrowdWithBodiesOfOneLongNumber(t *testing.T) {
+	runBodyCrowd(t, `{"steps":[{"count":`+strings.Repeat("1", maxBodyBytes-100)+`}]}`)
+}
+
 func TestCrowdWithBodiesOfNestedLists(t *testing.T) {
 	runBodyCrowd(t, strings.Repeat("[", maxBodyBytes))
 }
--- a/workflow/limits_test.go
+++ b/workflow/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math"
 	"testing"
 	"time"
@@ -40,3 +41,15 @@
 		})
 	}
 }
+
+func TestOnlyTheFirstFaultsAreReported(t *testing.T) {
+	is := is.New(t)
+	after := make([]int32, 100_000)
+	for i := range after {
+		after[i] = int32(i + 1)
+	}
+	err := Validate(&structs.StepJob{Steps: []structs.Step{{Tasks: 1, After: after}}})
+	var invalid *structs.InvalidError
+	is.True(errors.As(err, &invalid))
+	is.Equal(len(invalid.Faults), maxFaults)
+}
--- a/workflow/validate.go
+++ b/workflow/validate.go
@@ -13,11 +13,13 @@
 	MaxTasks        = 500  // tasks in all steps and rounds together; each task takes about 100 bytes in the row
 	MaxPayloadBytes = 4000 // limit in the platform's documentation of jobs
 
+	maxFaults   = 16             // faults of a job that are reported
 	maxResource = int64(1) << 40 // sums of larger amounts may overflow
 	maxYear     = 9999           // a later time cannot be encoded
 )
 
-// Validate returns a *structs.InvalidError with all faults of an invalid job.
+// Validate returns a *structs.InvalidError with the first faults of an invalid
+// job.
 func Validate(job *structs.StepJob) error {
 	v := validator{}
 	v.check(len(job.Payload) <= MaxPayloadBytes, "/spec", len(job.Payload), "must have at most 4000 bytes")
@@ -26,7 +28,7 @@
 	v.check(year >= 0 && year <= maxYear, "/start_at_ms", year, "must be in the years 0 to 9999")
 	v.check(job.Schedule.Rounds >= 0 && job.Schedule.Interval >= 0, "/schedule", job.Schedule.Rounds, "must not be negative")
 	total := int64(0)
-	for i := range job.Steps {
+	for i := range job.Steps[:min(len(job.Steps), MaxSteps)] {
 		v.step(job, i)
 		total += int64(job.Steps[i].Tasks)
 	}
@@ -43,9 +45,9 @@
 // validator collects the faults of a job.
 type validator struct{ faults []structs.Fault }
 
-// check adds a fault if ok is false.
+// check adds a fault if ok is false. It drops the faults that are too many.
 func (v *validator) check(ok bool, path string, value any, rule string) {
-	if !ok {
+	if !ok && len(v.faults) < maxFaults {
 		v.faults = append(v.faults, structs.Fault{Path: path, Value: fmt.Sprint(value), Rule: rule})
 	}
 }
