The garbage collector keeps the heap within the memory of the host

What callers saw: 50 clients whose jobs have a name of 260,000 characters, which no limit but that of a stored row forbids, made an entry take 197 MB although all their bodies together take 13.

Cause: what is collected counts too. The runtime starts a collection when the heap has doubled, whatever the host has; settings name the memory (limits.memory_mb), and nothing read it.

Why it works: debug.SetMemoryLimit at seven tenths of the host's memory starts collections early there. What is in use is bounded by the shares of requests, so the collector can keep to it.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -100,6 +100,7 @@
 		return nil, err
 	}
 	t.Log = t.Log.With(zap.String("host", settings.Host))
+	settings.HostLimits.LimitHeap()
 	return &platformBase{settings: settings, telemetry: t, store: platform.NewStoreClient(settings.StoreAddress), kernel: kernel.New(settings.Grace)}, nil
 }
 
--- a/httplimit/host.go
+++ b/httplimit/host.go
@@ -1,6 +1,9 @@
 package httplimit
 
-import "syscall"
+import (
+	"runtime/debug"
+	"syscall"
+)
 
 // Host is what the host of a process allows it. Zero fields have defaults.
 type Host struct {
@@ -46,3 +49,13 @@
 	limits.Connections = h.Side().Connections
 	return limits
 }
+
+// LimitHeap makes the garbage collector run more often when the process takes
+// more than seven tenths of the host's memory. The rest is for what the Go
+// runtime does not manage, such as the program itself. It does nothing if the
+// host's memory is not known.
+func (h Host) LimitHeap() {
+	if h.MemoryBytes > 0 {
+		debug.SetMemoryLimit(h.MemoryBytes / 10 * 7)
+	}
+}
