A leader refuses jobs for which it has no memory

What callers saw: clients that hand in valid jobs of 60,000 bytes one after another ended the process of the leader, and after it the next leader, which reads the same jobs.

Cause: a leader keeps each accepted job for at least its retention of 180 s, and nothing bounded them all.

Why it works: the leader adds up an estimate for each job that it knows and refuses a new one beyond a third of the host's memory, with the time to come back, before anything is stored. A repeated submission of a known job is answered as before. Submissions that are being handled are bounded too, since each has its message in memory.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -185,6 +185,7 @@
 		},
 		Permits:     permitSource(settings),
 		RowBytes:    settings.RowBytes,
+		JobBytes:    settings.HostLimits.StateBytes(),
 		UseRunTimes: settings.Scheduling.UseRunTimes, QueueShares: settings.Scheduling.QueueShares, RefuseHopeless: settings.Scheduling.RefuseHopeless,
 		PlaceBySpeed: settings.Scheduling.PlaceBySpeed,
 		Timing:       fleet.Timing{MaxLease: settings.MaxLease, ViolationLimit: settings.ViolationLimit, PaceDelay: settings.PaceDelay},
--- a/fleet/batch.go
+++ b/fleet/batch.go
@@ -203,7 +203,7 @@
 			break
 		}
 		l.finishedJobs = l.finishedJobs[1:]
-		delete(l.jobs, j.Spec.ID)
+		l.forgetJob(j)
 		rows = append(rows, own...)
 	}
 	return rows
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -102,6 +102,7 @@
 	j.initOutages(l.o.Timing.overdueAfter())
 	l.addToBacklog(j)
 	l.jobs[j.Spec.ID] = j
+	l.jobMemory += jobBytes(&j.Spec)
 	l.addedJobs++
 	j.number = l.addedJobs
 	if !j.Final() {
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -62,18 +62,22 @@
 	stopFirstCommits    context.CancelFunc  // ends the commit that readState has begun, nil if the state was not read
 	withdrawn           withdrawal
 
-	jobs          map[structs.JobID]*job
-	openJobs      []*job // jobs that are not finished, oldest first
-	hasFinalJobs  bool   // openJobs may contain finished jobs
-	changedJobs   []*job // open jobs that are not settled, in the order of openJobs unless isUnordered is set
-	isUnordered   bool
-	addedJobs     int64  // jobs that were added by this leader
-	dirtyJobs     []*job // jobs with changes that are not in the commit in flight
-	finishedJobs  []*job // finished jobs, oldest first
-	workers       map[structs.WorkerID]*worker
-	workersByID   []*worker // see sortedWorkers
-	sessionCount  int64
-	earlierLeases earlierLeases
+	jobs         map[structs.JobID]*job
+	openJobs     []*job // jobs that are not finished, oldest first
+	hasFinalJobs bool   // openJobs may contain finished jobs
+	changedJobs  []*job // open jobs that are not settled, in the order of openJobs unless isUnordered is set
+	isUnordered  bool
+	addedJobs    int64  // jobs that were added by this leader
+	dirtyJobs    []*job // jobs with changes that are not in the commit in flight
+	finishedJobs []*job // finished jobs, oldest first
+	jobMemory    int64  // estimated memory of the jobs, in bytes
+	// memoryLoggedAt is when a refusal for want of memory was last logged, 0 before
+	// the first.
+	memoryLoggedAt bootclock.Time
+	workers        map[structs.WorkerID]*worker
+	workersByID    []*worker // see sortedWorkers
+	sessionCount   int64
+	earlierLeases  earlierLeases
 	// horizon and nextHorizon are the horizons of all leases, by the last stored commit and by
 	// the commit in flight, or the last one. ownHorizon and nextOwnHorizon are those of the
 	// worker on this host, if they are shorter.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/daisywall/daisywall/api/fleetpb"
 	"github.com/daisywall/daisywall/bootclock"
@@ -25,6 +26,8 @@
 	metrics *metrics
 	host    *host
 	refused refusedSubmissions
+	// submissions bounds the submissions that are handled at a time, in bytes.
+	submissions *semaphore.Weighted
 
 	takeoverMu sync.Mutex // held during an attempt to become the leader
 
@@ -52,7 +55,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Node{o: o, metrics: m, host: newHost(o, m), stopRequested: make(chan struct{})}, nil
+	return &Node{
+		o: o, metrics: m, host: newHost(o, m), stopRequested: make(chan struct{}), submissions: semaphore.NewWeighted(o.JobBytes / submissionShare),
+	}, nil
 }
 
 // Announce records a report of the host's runner about itself. It returns
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -50,6 +50,8 @@
 	WallClock func() time.Time       // nil for the system clock; used only for scheduled rounds
 	Timing    Timing                 // zero fields get the defaults
 	RowBytes  int                    // largest size of a row's value in the store, 0 for DefaultRowBytes
+	// JobBytes is the memory for the jobs that a leader knows, 0 for no limit.
+	JobBytes int64
 	// UseRunTimes orders filling jobs by the expected run times of their tasks
 	// instead of the declared ones.
 	UseRunTimes bool
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -134,6 +134,12 @@
 		return nil, status.Errorf(codes.InvalidArgument, "%v", err)
 	}
 	token := submissionToken(ctx)
+	if size := int64(len(req.GetJob())); n.o.JobBytes > 0 {
+		if !n.submissions.TryAcquire(size) {
+			return n.refuseSubmission(ctx, token)
+		}
+		defer n.submissions.Release(size)
+	}
 	var retryAfter time.Duration
 	outcome, leaderAddress := n.runOnLeader(ctx, func(l *leader, answer func(fleetpb.Outcome)) {
 		// A leader between the refusal and this leadership may have accepted a later
@@ -230,6 +236,9 @@
 		answer(fleetpb.Outcome_REFUSED)
 		return 0
 	}
+	if !l.hasMemoryFor(&spec) {
+		return memoryRetryAfter
+	}
 	j := &job{Job: workflow.New(spec, queue)}
 	retryAfter, refused, hasReturned := l.refuseHopeless(j.Job, queue)
 	if refused {
@@ -271,7 +280,7 @@
 func (l *leader) refuseUnstored(j *job) {
 	j.refuse(fleetpb.Outcome_REFUSED)
 	l.removeFromBacklog(j)
-	delete(l.jobs, j.Spec.ID)
+	l.forgetJob(j)
 }
 
 // removeRefusedJobs removes the refused jobs from the open ones, and their runs,
--- a/fleet/simulated_fleet_test.go
+++ b/fleet/simulated_fleet_test.go
@@ -70,6 +70,7 @@
 	reportInterval hook[time.Duration]
 	// refuseHopeless and queueShares are the options of nodes that start later.
 	refuseHopeless, queueShares bool
+	jobBytes                    int64 // option of nodes that start later
 	// listDelay is how long the store takes longer to list rows, in nanoseconds.
 	listDelay atomic.Int64
 
@@ -473,7 +474,7 @@
 		RunnerReportInterval: cmp.Or(h.fleet.reportInterval.get(), defaultReportInterval),
 		Config:               func() (ConfigSource, func()) { return h.fleet.config, func() {} },
 		Dial:                 h.fleet.dial(h), Clock: h.fleet.clock, WallClock: time.Now, Timing: h.fleet.timing, Log: testLog,
-		RefuseHopeless: h.fleet.refuseHopeless, QueueShares: h.fleet.queueShares,
+		JobBytes: h.fleet.jobBytes, RefuseHopeless: h.fleet.refuseHopeless, QueueShares: h.fleet.queueShares,
 		simulateWork: func() {
 			if work := h.fleet.work.get(); work != nil {
 				work()
--- a/httplimit/host.go
+++ b/httplimit/host.go
@@ -50,6 +50,10 @@
 	return limits
 }
 
+// StateBytes returns the memory for what the process keeps for its clients, 0
+// if the host's memory is not known.
+func (h Host) StateBytes() int64 { return h.MemoryBytes / 3 }
+
 // LimitHeap makes the garbage collector run more often when the process takes
 // more than seven tenths of the host's memory. The rest is for what the Go
 // runtime does not manage, such as the program itself. It does nothing if the
--- a/soak/crowd_cases_test.go
+++ b/soak/crowd_cases_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -170,6 +171,28 @@
 	runCrowd(t, 10, func(s *testSystem) string { return listenAddress(s.hosts[0], "control") }, func(conn net.Conn) { sendAndWait(conn, request) })
 }
 
+// The jobs of these crowds are valid and accepted, and none of them can start.
+
+func TestCrowdThatHandsInLargeJobsOnAndOn(t *testing.T) {
+	runSubmissionCrowd(t, 25*time.Second, `{"steps":[{"count":1,"cpu":500,"requires":"none","image":"`+strings.Repeat("x", 60000)+`"}]}`)
+}
+
+func TestCrowdThatHandsInJobsOfManyTasksOnAndOn(t *testing.T) {
+	runSubmissionCrowd(t, crowdPeriod, `{"steps":[{"count":500,"cpu":500,"requires":"none"}]}`)
+}
+
+// runSubmissionCrowd runs a crowd that hands in jobs with the body without end.
+func runSubmissionCrowd(t *testing.T, period time.Duration, body string) {
+	runCrowdFor(t, period, 50, callerAddress, func(conn net.Conn) {
+		var answers sync.WaitGroup
+		answers.Go(func() { waitUntilClosed(conn) })
+		for sendInPieces(conn, requestHead(lengthField(len(body)))+"\r\n"+body, len(body), 10*time.Millisecond) == nil {
+			continue
+		}
+		answers.Wait()
+	})
+}
+
 // runBodyCrowd runs a crowd that sends whole requests with the body.
 func runBodyCrowd(t *testing.T, body string) {
 	runCrowd(t, 50, callerAddress, func(conn net.Conn) {
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -38,20 +38,27 @@
 // memory and the descriptors that its settings state, and that ordinary
 // requests are answered while the crowd stays and after it has gone.
 func runCrowd(t *testing.T, members int, target func(*testSystem) string, behave func(net.Conn)) {
+	t.Helper()
+	runCrowdFor(t, crowdPeriod, members, target, behave)
+}
+
+// runCrowdFor is runCrowd with a crowd that stays for the given time.
+func runCrowdFor(t *testing.T, period time.Duration, members int, target func(*testSystem) string, behave func(net.Conn)) {
+	t.Helper()
 	s := newSmallSystem(t)
 	callers := newCallers(s)
 	if !callers.waitForFirstAccepted(firstJobLimit) {
 		t.Fatal("no job was accepted at the start")
 	}
 	peaks := s.watchDescriptors(t)
-	ctx, cancel := context.WithTimeout(t.Context(), crowdPeriod)
+	ctx, cancel := context.WithTimeout(t.Context(), period)
 	defer cancel()
 	var crowd sync.WaitGroup
 	for range members {
 		crowd.Go(func() { runMember(ctx, target(s), behave) })
 	}
 	// The first half of the period lets the crowd assemble.
-	time.Sleep(crowdPeriod / 2)
+	time.Sleep(period / 2)
 	if !answersOrdinaryRequest(s) {
 		t.Error("no ordinary request was answered beside the crowd")
 	}
