Limits of clients on our own path

What callers saw: an entry's own API and the local server of an agent bore crowds no better than the users' path. One job of 16 MiB that lacks its last byte holds 28 MB, and 40 of them took 1.1 GB.

Cause: these daemons don't read the users' settings, so their servers had only the limits of an unknown host, and the API decoded what it had read side by side. The API for steps decoded any number of them.

Why it works: the settings of both daemons may state the host's memory and descriptors, which their servers and the garbage collector keep to as on the users' path.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -14,6 +14,7 @@
 	"github.com/daisywall/daisywall/api/daisywallpb"
 	"github.com/daisywall/daisywall/cell"
 	"github.com/daisywall/daisywall/config"
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/kernel"
 	"github.com/daisywall/daisywall/membership"
 	"github.com/daisywall/daisywall/placement"
@@ -74,6 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.Limits.Host().LimitHeap()
 	a := &agent{
 		settings:  s,
 		telemetry: t,
@@ -217,6 +219,7 @@
 	modelStore := planner.NewModelStore(a.planner, a.platform.Objects(), a.settings.Cell, a.node.Leading, a.telemetry.Log.Named("planner"))
 	announceService := newBackgroundService(a.announcer.Run)
 	taskService := newBackgroundService(a.tasks.Run)
+	localLimits := httplimit.Options{Server: "local", Limits: a.settings.Limits.Host().Local(), Meter: a.telemetry.Meters.Meter("http")}
 	services := []struct {
 		name    string
 		service kernel.Service
@@ -234,7 +237,7 @@
 		{"tasks", funcService{start: taskService.Start, stop: a.stopTasks(taskService)}, []string{"peer-server", "platform"}},
 		{"requests", newBackgroundService(a.requests.Run), []string{"peer-server"}},
 		{"targets", newBackgroundService(a.targets.Run), []string{"requests"}},
-		{"local", &httpServer{address: a.settings.LocalAddress, handler: a.localHandler()}, []string{"targets"}},
+		{"local", &httpServer{address: a.settings.LocalAddress, handler: a.localHandler(), limits: localLimits}, []string{"targets"}},
 		{"announcer", funcService{start: announceService.Start, stop: a.stopAnnouncing(announceService)}, []string{"local", "requests", "config"}},
 	}
 	for _, s := range services {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -16,6 +16,7 @@
 	"github.com/daisywall/daisywall/client"
 	"github.com/daisywall/daisywall/config"
 	"github.com/daisywall/daisywall/entryapi"
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/kernel"
 	"github.com/daisywall/daisywall/membership"
 	"github.com/daisywall/daisywall/request"
@@ -66,6 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.Limits.Host().LimitHeap()
 	e := &entry{
 		settings:  s,
 		telemetry: t,
@@ -171,7 +173,8 @@
 		configpb.RegisterConfigServer(g, config.NewServer(e.holder))
 	}}
 	routerService := newBackgroundService(e.router.Run)
-	apiServer := &httpServer{address: e.settings.HTTPAddress, handler: e.api, beforeShutdown: e.drain}
+	limits := httplimit.Options{Server: "api", Limits: e.settings.Limits.Host().Main(), Meter: e.telemetry.Meters.Meter("http")}
+	apiServer := &httpServer{address: e.settings.HTTPAddress, handler: e.api, beforeShutdown: e.drain, limits: limits}
 	services := []struct {
 		name    string
 		service kernel.Service
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -199,7 +199,8 @@
 	serviceTimeMS   int // service time of each target
 	evacuateMS      int // longest time that a stopping agent waits for its tasks to move
 	relays          bool
-	agentsPerDomain int // number of agents in each failure domain, 1 by default
+	agentsPerDomain int        // number of agents in each failure domain, 1 by default
+	limits          jsonObject // limits of the hosts, nil for none
 }
 
 // newCluster starts a stand-in, two entries and agentsPerDomain agents in each
@@ -234,6 +235,9 @@
 			"local_address": localAddress, "peer_address": peerAddress, "advertise_address": advertisedAddress,
 			"platform": jsonObject{"address": c.platformAddress}, "capacity": capacity, "evacuate_ms": o.evacuateMS,
 		})
+		if o.limits != nil {
+			c.agentSettings[i]["limits"] = o.limits
+		}
 		if i >= len(domains) {
 			continue // only the first worker of each failure domain runs targets
 		}
@@ -263,6 +267,9 @@
 			"http_address": httpAddress, "peer_address": freeAddress(t),
 			"platform": jsonObject{"address": c.platformAddress}, "drain_ms": 300,
 		})
+		if o.limits != nil {
+			c.entrySettings[i]["limits"] = o.limits
+		}
 		c.entries = append(c.entries, c.startEntry(i))
 	}
 	c.applyConfig()
--- a/entryapi/server.go
+++ b/entryapi/server.go
@@ -125,6 +125,10 @@
 	if err != nil {
 		return bodyError(subject, err)
 	}
+	return httplimit.Decode(r.Context(), r, len(body), func() error { return decodeJSON(body, subject, out) })
+}
+
+func decodeJSON(body []byte, subject string, out any) error {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(out); err != nil {
--- a/settings/daemons.go
+++ b/settings/daemons.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/structs"
 )
 
@@ -53,6 +54,18 @@
 	}
 }
 
+// HostLimits holds what the host gives a daemon. Zero fields are not known.
+type HostLimits struct {
+	MemoryMB       int64 `json:"memory_mb"`
+	MaxDescriptors int   `json:"max_descriptors"`
+}
+
+// Host returns the limits for the servers of the daemon. A tenth of the
+// descriptors is left to files.
+func (l HostLimits) Host() httplimit.Host {
+	return httplimit.Host{MemoryBytes: l.MemoryMB << 20, Sockets: l.MaxDescriptors / 10 * 9}
+}
+
 // Entry holds the settings of daisywall-entry.
 type Entry struct {
 	Entry         structs.EntryID         `json:"entry"`
@@ -61,6 +74,7 @@
 	PeerAddress   string                  `json:"peer_address"`
 	Platform      Platform                `json:"platform"`
 	DrainMS       *int64                  `json:"drain_ms"`
+	Limits        HostLimits              `json:"limits"`
 	Entries       []string                `json:"entries"`
 	LogLevel      string                  `json:"log_level"`
 }
@@ -82,6 +96,7 @@
 	Capacity         structs.Resources       `json:"capacity"`
 	Entries          []string                `json:"entries"`
 	EvacuateMS       *int64                  `json:"evacuate_ms"`
+	Limits           HostLimits              `json:"limits"`
 	LogLevel         string                  `json:"log_level"`
 }
 
--- a/soak/crowd_cases_test.go
+++ b/soak/crowd_cases_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/daisywall/daisywall/standin/crowd"
 )
 
 // Limits of one request, from the users' pages and their configuration.
@@ -21,73 +23,73 @@
 // The tests of this file send crowds to the callers' address of an entry.
 
 func TestCrowdWithHeadsOfShortLines(t *testing.T) {
-	head := requestHead(lengthField(100), shortLines(16000)) + "\r\n"
-	runCrowd(t, 400, callerAddress, func(conn net.Conn) { sendAndWait(conn, head) })
+	head := requestHead(crowd.LengthField(100), crowd.ShortLines(16000)) + "\r\n"
+	runCrowd(t, 400, callerAddress, func(conn net.Conn) { crowd.SendAndWait(conn, head) })
 }
 
 func TestCrowdWithHeadsOfShortLinesWithoutAnEnd(t *testing.T) {
-	head := requestHead(lengthField(100), shortLines(16000))
-	runCrowd(t, 400, callerAddress, func(conn net.Conn) { sendAndWait(conn, head) })
+	head := requestHead(crowd.LengthField(100), crowd.ShortLines(16000))
+	runCrowd(t, 400, callerAddress, func(conn net.Conn) { crowd.SendAndWait(conn, head) })
 }
 
 func TestCrowdWithHeadsOfOneNameAgainAndAgain(t *testing.T) {
-	head := requestHead(lengthField(100), strings.Repeat("a:\r\n", 16000/4)) + "\r\n"
-	runCrowd(t, 800, callerAddress, func(conn net.Conn) { sendAndWait(conn, head) })
+	head := requestHead(crowd.LengthField(100), strings.Repeat("a:\r\n", 16000/4)) + "\r\n"
+	runCrowd(t, 800, callerAddress, func(conn net.Conn) { crowd.SendAndWait(conn, head) })
 }
 
 func TestCrowdWithHeadsOverTheLimit(t *testing.T) {
-	head := requestHead(shortLines(65000))
+	head := requestHead(crowd.ShortLines(65000))
 	runCrowd(t, 150, callerAddress, func(conn net.Conn) {
 		_, _ = io.WriteString(conn, head)
-		repeatUntilClosed(conn, "a:\r\n", 20*time.Millisecond)
+		crowd.RepeatUntilClosed(conn, "a:\r\n", 20*time.Millisecond)
 	})
 }
 
 func TestCrowdWithEmptyLinesBeforeARequest(t *testing.T) {
 	lines := strings.Repeat("\r\n", 2000)
-	runCrowd(t, 150, callerAddress, func(conn net.Conn) { repeatUntilClosed(conn, lines, time.Millisecond) })
+	runCrowd(t, 150, callerAddress, func(conn net.Conn) { crowd.RepeatUntilClosed(conn, lines, time.Millisecond) })
 }
 
 func TestCrowdWithBodiesThatLackTheirLastByte(t *testing.T) {
-	request := requestHead(lengthField(maxBodyBytes)) + "\r\n" + unfinishedBody()
-	runCrowd(t, 400, callerAddress, func(conn net.Conn) { sendAndWait(conn, request) })
+	request := requestHead(crowd.LengthField(maxBodyBytes)) + "\r\n" + unfinishedBody()
+	runCrowd(t, 400, callerAddress, func(conn net.Conn) { crowd.SendAndWait(conn, request) })
 }
 
 func TestCrowdWithBodiesInPieces(t *testing.T) {
-	request := requestHead(lengthField(maxBodyBytes)) + "\r\n" + unfinishedBody()
+	request := requestHead(crowd.LengthField(maxBodyBytes)) + "\r\n" + unfinishedBody()
 	runCrowd(t, 400, callerAddress, func(conn net.Conn) {
-		if sendInPieces(conn, request, 8<<10, 50*time.Millisecond) == nil {
-			waitUntilClosed(conn)
+		if crowd.SendInPieces(conn, request, 8<<10, 50*time.Millisecond) == nil {
+			crowd.WaitUntilClosed(conn)
 		}
 	})
 }
 
 func TestCrowdWithChunkedBodiesThatLackTheirLastChunk(t *testing.T) {
-	head, body := requestHead("Transfer-Encoding: chunked\r\n")+"\r\n", chunks(unfinishedBody(), 8<<10)
+	head, body := requestHead("Transfer-Encoding: chunked\r\n")+"\r\n", crowd.Chunks(unfinishedBody(), 8<<10)
 	runCrowd(t, 400, callerAddress, func(conn net.Conn) {
-		if sendInPieces(conn, head+strings.Join(body, ""), 8<<10, 50*time.Millisecond) == nil {
-			waitUntilClosed(conn)
+		if crowd.SendInPieces(conn, head+strings.Join(body, ""), 8<<10, 50*time.Millisecond) == nil {
+			crowd.WaitUntilClosed(conn)
 		}
 	})
 }
 
 func TestCrowdWithBodiesForNoQueue(t *testing.T) {
-	request := "POST /none HTTP/1.1\r\nHost: h\r\n" + lengthField(maxBodyBytes) + "\r\n" + unfinishedBody()
-	runCrowd(t, 600, callerAddress, func(conn net.Conn) { sendAndWait(conn, request) })
+	request := "POST /none HTTP/1.1\r\nHost: h\r\n" + crowd.LengthField(maxBodyBytes) + "\r\n" + unfinishedBody()
+	runCrowd(t, 600, callerAddress, func(conn net.Conn) { crowd.SendAndWait(conn, request) })
 }
 
 func TestCrowdThatSendsNothing(t *testing.T) {
-	runCrowd(t, 600, callerAddress, waitUntilClosed)
+	runCrowd(t, 600, callerAddress, crowd.WaitUntilClosed)
 }
 
 func TestCrowdThatReadsNoAnswers(t *testing.T) {
 	runCrowd(t, 600, callerAddress, func(conn net.Conn) {
-		repeatUntilClosed(conn, strings.Repeat("GET /jobs/ HTTP/1.1\r\nHost: h\r\n\r\n", 20), 50*time.Millisecond)
+		crowd.RepeatUntilClosed(conn, strings.Repeat("GET /jobs/ HTTP/1.1\r\nHost: h\r\n\r\n", 20), 50*time.Millisecond)
 	})
 }
 
 func TestCrowdThatStaysAfterAnAnswer(t *testing.T) {
-	runCrowd(t, 600, callerAddress, func(conn net.Conn) { sendAndWait(conn, "GET /none HTTP/1.1\r\nHost: h\r\n\r\n") })
+	runCrowd(t, 600, callerAddress, func(conn net.Conn) { crowd.SendAndWait(conn, "GET /none HTTP/1.1\r\nHost: h\r\n\r\n") })
 }
 
 func TestCrowdWithBodiesOfEmptySteps(t *testing.T) {
@@ -135,20 +137,20 @@
 // The tests below send crowds to the other addresses of the processes.
 
 func TestCrowdAtTheReadinessAddress(t *testing.T) {
-	runCrowd(t, 600, func(s *testSystem) string { return listenAddress(s.hosts[workerCount], "ready") }, waitUntilClosed)
+	runCrowd(t, 600, func(s *testSystem) string { return listenAddress(s.hosts[workerCount], "ready") }, crowd.WaitUntilClosed)
 }
 
 func TestCrowdAtTheMetricsAddress(t *testing.T) {
-	head := "GET /metrics HTTP/1.1\r\nHost: h\r\n" + shortLines(16000) + "\r\n"
+	head := "GET /metrics HTTP/1.1\r\nHost: h\r\n" + crowd.ShortLines(16000) + "\r\n"
 	runCrowd(t, 600, func(s *testSystem) string {
 		ports := s.hosts[workerCount].settings["internal_ports"].([]int)
 		return fmt.Sprintf("127.0.0.1:%d", ports[1])
-	}, func(conn net.Conn) { sendAndWait(conn, head) })
+	}, func(conn net.Conn) { crowd.SendAndWait(conn, head) })
 }
 
 func TestCrowdAtTheReportAddress(t *testing.T) {
-	request := "PUT /v1/instances/x HTTP/1.1\r\nHost: h\r\n" + lengthField(maxReportBytes) + "\r\n" + strings.Repeat(" ", maxReportBytes-1)
-	runCrowd(t, 50, func(s *testSystem) string { return listenAddress(s.hosts[0], "control") }, func(conn net.Conn) { sendAndWait(conn, request) })
+	request := "PUT /v1/instances/x HTTP/1.1\r\nHost: h\r\n" + crowd.LengthField(maxReportBytes) + "\r\n" + strings.Repeat(" ", maxReportBytes-1)
+	runCrowd(t, 50, func(s *testSystem) string { return listenAddress(s.hosts[0], "control") }, func(conn net.Conn) { crowd.SendAndWait(conn, request) })
 }
 
 func TestCrowdWithReportsOfManyLabels(t *testing.T) {
@@ -167,8 +169,8 @@
 
 // runReportCrowd runs a crowd that sends reports of a runner with the body.
 func runReportCrowd(t *testing.T, body string) {
-	request := "PUT /v1/instances/x HTTP/1.1\r\nHost: h\r\n" + lengthField(len(body)) + "\r\n" + body
-	runCrowd(t, 10, func(s *testSystem) string { return listenAddress(s.hosts[0], "control") }, func(conn net.Conn) { sendAndWait(conn, request) })
+	request := "PUT /v1/instances/x HTTP/1.1\r\nHost: h\r\n" + crowd.LengthField(len(body)) + "\r\n" + body
+	runCrowd(t, 10, func(s *testSystem) string { return listenAddress(s.hosts[0], "control") }, func(conn net.Conn) { crowd.SendAndWait(conn, request) })
 }
 
 // The jobs of these crowds are valid and accepted, and none of them can start.
@@ -185,8 +187,8 @@
 func runSubmissionCrowd(t *testing.T, period time.Duration, body string) {
 	runCrowdFor(t, period, 50, callerAddress, func(conn net.Conn) {
 		var answers sync.WaitGroup
-		answers.Go(func() { waitUntilClosed(conn) })
-		for sendInPieces(conn, requestHead(lengthField(len(body)))+"\r\n"+body, len(body), 10*time.Millisecond) == nil {
+		answers.Go(func() { crowd.WaitUntilClosed(conn) })
+		for crowd.SendInPieces(conn, requestHead(crowd.LengthField(len(body)))+"\r\n"+body, len(body), 10*time.Millisecond) == nil {
 			continue
 		}
 		answers.Wait()
@@ -199,10 +201,10 @@
 		answers := make(chan struct{})
 		go func() {
 			defer close(answers)
-			waitUntilClosed(conn)
+			crowd.WaitUntilClosed(conn)
 		}()
 		for range 20 {
-			if sendInPieces(conn, requestHead(lengthField(len(body)))+"\r\n"+body, len(body), 50*time.Millisecond) != nil {
+			if crowd.SendInPieces(conn, requestHead(crowd.LengthField(len(body)))+"\r\n"+body, len(body), 50*time.Millisecond) != nil {
 				break
 			}
 		}
@@ -218,18 +220,18 @@
 		t.Fatal("no job was accepted at the start")
 	}
 	small, large := paddedBody(200), paddedBody(maxBodyBytes)
-	lines := shortLines(15800)
+	lines := crowd.ShortLines(15800)
 	for _, c := range []struct {
 		name, head, body string
 		size             int // of a piece
 		pause            time.Duration
 	}{
-		{"full head", lengthField(len(small)) + lines, small, 1 << 20, 0},
-		{"full head in pieces", lengthField(len(small)) + lines, small, 200, 20 * time.Millisecond},
-		{"full body", lengthField(len(large)), large, 1 << 20, 0},
-		{"full body in pieces", lengthField(len(large)), large, 4 << 10, 50 * time.Millisecond},
-		{"full body in small chunks", "Transfer-Encoding: chunked\r\n", strings.Join(chunks(large, 16), "") + "0\r\n\r\n", 1 << 20, 0},
-		{"full head and body", lengthField(len(large)) + lines, large, 64 << 10, 10 * time.Millisecond},
+		{"full head", crowd.LengthField(len(small)) + lines, small, 1 << 20, 0},
+		{"full head in pieces", crowd.LengthField(len(small)) + lines, small, 200, 20 * time.Millisecond},
+		{"full body", crowd.LengthField(len(large)), large, 1 << 20, 0},
+		{"full body in pieces", crowd.LengthField(len(large)), large, 4 << 10, 50 * time.Millisecond},
+		{"full body in small chunks", "Transfer-Encoding: chunked\r\n", strings.Join(crowd.Chunks(large, 16), "") + "0\r\n\r\n", 1 << 20, 0},
+		{"full head and body", crowd.LengthField(len(large)) + lines, large, 64 << 10, 10 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			conn, err := net.Dial("tcp", callerAddress(s))
@@ -241,7 +243,7 @@
 			if len(head) > maxHeadBytes {
 				t.Fatalf("the head has %d bytes", len(head))
 			}
-			if err := sendInPieces(conn, head+c.body, c.size, c.pause); err != nil {
+			if err := crowd.SendInPieces(conn, head+c.body, c.size, c.pause); err != nil {
 				t.Fatal(err)
 			}
 			_ = conn.SetReadDeadline(time.Now().Add(crowdAnswerLimit))
@@ -260,19 +262,6 @@
 	return "POST /jobs/" + randomJobID() + " HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 30000\r\n" + strings.Join(fields, "")
 }
 
-// lengthField returns the field for a body of n bytes.
-func lengthField(n int) string { return fmt.Sprintf("Content-Length: %d\r\n", n) }
-
-// shortLines returns short fields with different names, at least n bytes in
-// all.
-func shortLines(n int) string {
-	var b strings.Builder
-	for i := 0; b.Len() < n; i++ {
-		fmt.Fprintf(&b, "%x:\r\n", i)
-	}
-	return b.String()
-}
-
 // paddedBody returns the body of a valid job with the given size. An unknown
 // field, which the entry ignores, fills it.
 func paddedBody(size int) string {
@@ -288,15 +277,3 @@
 	n := (maxBodyBytes - len(head) - len(tail)) / (len(item) + 1)
 	return head + strings.TrimSuffix(strings.Repeat(item+",", n), ",") + tail
 }
-
-// chunks returns the text as chunks of the given size without the last, empty
-// chunk.
-func chunks(text string, size int) []string {
-	var encoded []string
-	for len(text) > 0 {
-		n := min(size, len(text))
-		encoded = append(encoded, fmt.Sprintf("%x\r\n%s\r\n", n, text[:n]))
-		text = text[n:]
-	}
-	return encoded
-}
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -3,18 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"io/fs"
 	"math/rand/v2"
 	"net"
-	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/daisywall/daisywall/standin/crowd"
 	"github.com/daisywall/daisywall/structs"
 )
 
@@ -26,10 +21,9 @@
 
 // Times of a crowd. No check depends on them.
 const (
-	crowdPeriod      = 6 * time.Second        // how long a crowd stays
-	reconnectPause   = 200 * time.Millisecond // from the end of a member's connection to its next one
-	samplePause      = 20 * time.Millisecond  // between two counts of a process's descriptors
-	crowdAnswerLimit = 60 * time.Second       // after which a request counts as never answered
+	crowdPeriod      = 6 * time.Second       // how long a crowd stays
+	samplePause      = 20 * time.Millisecond // between two counts of a process's descriptors
+	crowdAnswerLimit = 60 * time.Second      // after which a request counts as never answered
 )
 
 // runCrowd sends a crowd of clients that don't behave to an address of a system.
@@ -43,7 +37,7 @@
 }
 
 // runCrowdFor is runCrowd with a crowd that stays for the given time.
-func runCrowdFor(t *testing.T, period time.Duration, members int, target func(*testSystem) string, behave func(net.Conn)) {
+func runCrowdFor(t *testing.T, period time.Duration, memberCount int, target func(*testSystem) string, behave func(net.Conn)) {
 	t.Helper()
 	s := newSmallSystem(t)
 	callers := newCallers(s)
@@ -53,16 +47,14 @@
 	peaks := s.watchDescriptors(t)
 	ctx, cancel := context.WithTimeout(t.Context(), period)
 	defer cancel()
-	var crowd sync.WaitGroup
-	for range members {
-		crowd.Go(func() { runMember(ctx, target(s), behave) })
-	}
+	var members sync.WaitGroup
+	members.Go(func() { crowd.Run(ctx, memberCount, target(s), behave) })
 	// The first half of the period lets the crowd assemble.
 	time.Sleep(period / 2)
 	if !answersOrdinaryRequest(s) {
 		t.Error("no ordinary request was answered beside the crowd")
 	}
-	crowd.Wait()
+	members.Wait()
 	if !answersOrdinaryRequest(s) {
 		t.Error("no ordinary request was answered after the crowd")
 	}
@@ -94,23 +86,6 @@
 
 func randomJobID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// runMember opens one connection after another until ctx ends.
-func runMember(ctx context.Context, address string, behave func(net.Conn)) {
-	var dialer net.Dialer
-	for ctx.Err() == nil {
-		if conn, err := dialer.DialContext(ctx, "tcp", address); err == nil {
-			stop := context.AfterFunc(ctx, func() { conn.Close() })
-			behave(conn)
-			stop()
-			conn.Close()
-		}
-		select {
-		case <-time.After(reconnectPause):
-		case <-ctx.Done():
-		}
-	}
-}
-
 // answersOrdinaryRequest reports whether the entry accepts a job of an ordinary
 // caller, which repeats its requests on new connections.
 func answersOrdinaryRequest(s *testSystem) bool {
@@ -122,7 +97,7 @@
 		if status, _ := c.call(context.Background(), 0, "POST", j.id, j.body()); status == 200 {
 			return true
 		}
-		time.Sleep(reconnectPause)
+		time.Sleep(crowd.ReconnectPause)
 	}
 	return false
 }
@@ -140,7 +115,7 @@
 			t.Errorf("%s does not run", h.name)
 			continue
 		}
-		peakMB, err := peakMemoryMB(pid)
+		peakMB, err := crowd.PeakMemoryMB(pid)
 		if err != nil {
 			t.Error(err)
 		}
@@ -163,7 +138,7 @@
 	watcher.Go(func() {
 		for ctx.Err() == nil {
 			for _, h := range s.hosts {
-				peaks[h.name] = max(peaks[h.name], descriptorCount(h.process.pid()))
+				peaks[h.name] = max(peaks[h.name], crowd.DescriptorCount(h.process.pid()))
 			}
 			time.Sleep(samplePause)
 		}
@@ -174,60 +149,3 @@
 		return peaks
 	}
 }
-
-func descriptorCount(pid int) int {
-	entries, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(pid), "fd"))
-	if err != nil {
-		return 0 // the process has exited, which is reported elsewhere
-	}
-	return len(entries)
-}
-
-// peakMemoryMB returns the largest resident memory that a process has had.
-func peakMemoryMB(pid int) (int, error) {
-	status, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(status)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kilobytes, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
-			return kilobytes / 1024, err
-		}
-	}
-	return 0, fmt.Errorf("VmHWM of process %d: %w", pid, fs.ErrNotExist)
-}
-
-// sendAndWait writes the text and waits until the connection is closed.
-func sendAndWait(conn net.Conn, text string) {
-	if _, err := io.WriteString(conn, text); err == nil {
-		waitUntilClosed(conn)
-	}
-}
-
-// waitUntilClosed reads and drops what arrives until the connection is closed.
-func waitUntilClosed(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
-
-// sendInPieces writes the text in pieces with a pause between them. It returns
-// an error once the connection is closed.
-func sendInPieces(conn net.Conn, text string, size int, pause time.Duration) error {
-	for len(text) > 0 {
-		n := min(size, len(text))
-		if _, err := io.WriteString(conn, text[:n]); err != nil {
-			return err
-		}
-		text = text[n:]
-		time.Sleep(pause)
-	}
-	return nil
-}
-
-// repeatUntilClosed writes the text again and again.
-func repeatUntilClosed(conn net.Conn, text string, pause time.Duration) {
-	for {
-		if _, err := io.WriteString(conn, text); err != nil {
-			return
-		}
-		time.Sleep(pause)
-	}
-}
--- a/stepapi/stepapi.go
+++ b/stepapi/stepapi.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/daisywall/daisywall/boundedjson"
 	"github.com/daisywall/daisywall/httplimit"
 	"github.com/daisywall/daisywall/problem"
 	"github.com/daisywall/daisywall/structs"
@@ -92,11 +93,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("job: %w", err)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
 	var job structs.StepJob
-	if err := decoder.Decode(&job); err != nil {
-		return nil, &structs.InvalidError{Subject: "job", Faults: []structs.Fault{{Path: "/", Rule: err.Error()}}}
+	err = httplimit.Decode(r.Context(), r, len(body), func() error { return decodeJob(body, &job) })
+	if err != nil {
+		return nil, err
 	}
 	job.ID, job.Queue = structs.JobID(r.PathValue("id")), queue.ID
 	if err := workflow.Validate(&job); err != nil {
@@ -108,6 +108,32 @@
 	return Status{ID: job.ID, Phase: structs.JobQueued}, nil
 }
 
+// decodeJob decodes a job if it does not have too many steps.
+func decodeJob(body []byte, job *structs.StepJob) error {
+	var shape struct {
+		Steps stepBound `json:"steps"`
+	}
+	err := json.Unmarshal(body, &shape)
+	if err == nil {
+		decoder := json.NewDecoder(bytes.NewReader(body))
+		decoder.DisallowUnknownFields()
+		err = decoder.Decode(job)
+	}
+	if err != nil {
+		return &structs.InvalidError{Subject: "job", Faults: []structs.Fault{{Path: "/", Rule: err.Error()}}}
+	}
+	return nil
+}
+
+// stepBound is a list of steps of which only the length is checked.
+type stepBound struct{}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (*stepBound) UnmarshalJSON(text []byte) error {
+	_, err := boundedjson.List[struct{}](text, workflow.MaxSteps)
+	return err
+}
+
 func (s *server) status(_ http.ResponseWriter, r *http.Request, queue structs.Queue) (any, error) {
 	id := structs.JobID(r.PathValue("id"))
 	phase, err := s.jobs.Phase(r.Context(), id, queue.ID)
--- a/stepapi/stepapi_test.go
+++ b/stepapi/stepapi_test.go
@@ -50,3 +50,19 @@
 		is.True(strings.Contains(w.Body.String(), c.contains))
 	}
 }
+
+func TestJobWithTooManyStepsIsNotDecoded(t *testing.T) {
+	body := []byte(`{"steps":[` + strings.Repeat(`{},`, 80_000) + `{}]}`)
+	result := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			var job structs.StepJob
+			if err := decodeJob(body, &job); err == nil {
+				b.Fatal("the job was not refused")
+			}
+		}
+	})
+	if perCall := result.AllocedBytesPerOp(); perCall > int64(4*len(body)) {
+		t.Errorf("%d bytes for a body of %d", perCall, len(body))
+	}
+}
