The operators' limits of heads and timeouts apply to callers

What operators saw: max_header_bytes, header_timeout_ms and idle_timeout_ms of their configuration had no effect: a head of 64 KiB passed where they allow 16,384 bytes, and a client that stops within a head kept its connection for 5 s whatever they allow.

Cause: only max_body_bytes was decoded; the server had constants.

Why it works: each head and each wait takes the limits of the configuration in force. Without them the constants hold as before.

On the way: a refused head stays refused if net/http reads again, which it does after an error within a line.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -258,12 +258,14 @@
 		case <-ctx.Done():
 		}
 	}
+	callerLimits := b.limits("callers", httplimit.Host.Main)
+	callerLimits.Requests = operator.RequestLimits
 	err = b.register([]namedService{
 		{"jobs", funcService{stop: func(context.Context) error { return jobs.Close() }}, nil},
 		{"operator", newBackgroundService(operator.Run), nil},
 		{"ready", &httpServer{address: settings.ReadyAddress, handler: readyMux, shutdownTimeout: localShutdownTimeout, limits: b.limits("ready", httplimit.Host.Side)}, []string{"operator"}},
 		{"front", &httpServer{
-			address: settings.CallerAddress, handler: jobHandler, beforeShutdown: drain, shutdownTimeout: callerShutdownTimeout, limits: b.limits("callers", httplimit.Host.Main),
+			address: settings.CallerAddress, handler: jobHandler, beforeShutdown: drain, shutdownTimeout: callerShutdownTimeout, limits: callerLimits,
 		}, []string{"operator", "jobs", "ready"}},
 	})
 	if err != nil {
--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -50,7 +50,7 @@
 		b.hasBegun = true
 		b.conn.startWaiting()
 	}
-	deadline := time.Now().Add(idleTimeout)
+	deadline := time.Now().Add(b.conn.limiter.requests().withDefaults().IdleTimeout)
 	if b.deadline.Before(deadline) {
 		deadline = b.deadline
 	}
--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -92,12 +92,15 @@
 	if current == phaseHandling {
 		return c.Conn.Read(b)
 	}
+	if c.head.refusal != nil {
+		return 0, c.head.refusal
+	}
 	if err := c.setHeadDeadline(current); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 && current == phaseIdle {
-		c.head = headUsage{since: time.Now()}
+		c.head = headUsage{since: time.Now(), limits: c.limiter.requests().withDefaults()}
 		c.phase.Store(uint32(phaseHead))
 	}
 	if n > 0 {
@@ -113,11 +116,11 @@
 	var deadline time.Time
 	switch {
 	case current == phaseHead:
-		deadline = c.head.since.Add(readHeaderTimeout)
+		deadline = c.head.since.Add(c.head.limits.HeaderTimeout)
 	case c.isNew():
-		deadline = time.Now().Add(readHeaderTimeout)
+		deadline = time.Now().Add(c.limiter.requests().withDefaults().HeaderTimeout)
 	default:
-		deadline = time.Now().Add(idleTimeout)
+		deadline = time.Now().Add(c.limiter.requests().withDefaults().IdleTimeout)
 	}
 	return c.SetReadDeadline(deadline)
 }
--- a/httplimit/limiter.go
+++ b/httplimit/limiter.go
@@ -13,6 +13,7 @@
 package httplimit
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"net"
@@ -25,12 +26,17 @@
 	"golang.org/x/sync/semaphore"
 )
 
+// Defaults of RequestLimits.
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
 // Times of a connection.
 const (
-	readHeaderTimeout = 5 * time.Second // from the first byte of a request to the end of its head
-	idleTimeout       = 2 * time.Minute // without a byte between two requests or in a body
-	bodyTimeout       = 5 * time.Minute // for a whole body
-	writeTimeout      = 10 * time.Second
+	bodyTimeout  = 5 * time.Minute // for a whole body
+	writeTimeout = 10 * time.Second
 	// discardTimeout bounds the wait for the rest of a request that is answered
 	// before all of it has arrived.
 	discardTimeout = 500 * time.Millisecond
@@ -49,17 +55,36 @@
 	DecodeBytes  int64 // memory of the bodies that are being decoded
 }
 
+// RequestLimits are the limits of one request. Zero fields have defaults.
+type RequestLimits struct {
+	HeaderBytes   int64         // size of the head
+	HeaderTimeout time.Duration // from the first byte of a request to the end of its head
+	IdleTimeout   time.Duration // without a byte between two requests or in a body
+}
+
+func (r RequestLimits) withDefaults() RequestLimits {
+	return RequestLimits{
+		HeaderBytes:   cmp.Or(r.HeaderBytes, maxHeaderBytes),
+		HeaderTimeout: cmp.Or(r.HeaderTimeout, readHeaderTimeout),
+		IdleTimeout:   cmp.Or(r.IdleTimeout, idleTimeout),
+	}
+}
+
 // Options are the limits and dependencies of a Limiter.
 type Options struct {
 	Server string       // name of the server in metrics
 	Limits Limits       // those of the main server of an unknown host if zero
 	Meter  metric.Meter // nil for no metrics
+	// Requests returns the limits of requests, which may change while the server
+	// runs. nil for the defaults.
+	Requests func() RequestLimits
 }
 
 // Limiter bounds the clients of one server.
 type Limiter struct {
-	limits  Limits
-	metrics metrics
+	limits   Limits
+	requests func() RequestLimits
+	metrics  metrics
 
 	mu       sync.Mutex
 	open     int // connections that are not closed
@@ -80,11 +105,14 @@
 	if o.Limits == (Limits{}) {
 		o.Limits = Host{}.Main()
 	}
+	if o.Requests == nil {
+		o.Requests = func() RequestLimits { return RequestLimits{} }
+	}
 	if o.Meter == nil {
 		o.Meter = noop.Meter{}
 	}
 	l := &Limiter{
-		limits: o.Limits, unproven: list.New(), served: list.New(), holders: list.New(), released: make(chan struct{}, 1),
+		limits: o.Limits, requests: o.Requests, unproven: list.New(), served: list.New(), holders: list.New(), released: make(chan struct{}, 1),
 		memory: semaphore.NewWeighted(o.Limits.RequestBytes), decoding: semaphore.NewWeighted(o.Limits.DecodeBytes),
 	}
 	var err error
--- a/httplimit/limiter_test.go
+++ b/httplimit/limiter_test.go
@@ -38,7 +38,6 @@
 // testServer is a limited server with connections in memory.
 type testServer struct {
 	t        *testing.T
-	limiter  *Limiter
 	listener *pipeListener
 }
 
@@ -52,7 +51,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &testServer{t: t, limiter: limiter, listener: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}}
+	return serve(t, limiter, handler)
+}
+
+// serve starts a server with the limiter.
+func serve(t *testing.T, limiter *Limiter, handler http.HandlerFunc) *testServer {
+	s := &testServer{t: t, listener: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}}
 	server := limiter.NewServer(handler)
 	go func() { _ = server.Serve(limiter.Listen(s.listener)) }()
 	t.Cleanup(func() {
--- a/httplimit/memory_test.go
+++ b/httplimit/memory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,3 +64,21 @@
 		is.Equal(status(s.connect("GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a: b\r\n", 10000)+"\r\n")), http.StatusOK)
 	})
 }
+
+func TestLimitsOfRequestsMayChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var limits atomic.Pointer[RequestLimits]
+		limits.Store(&RequestLimits{})
+		limiter, err := New(Options{Limits: Limits{Connections: 10, RequestBytes: 1 << 20}, Requests: func() RequestLimits { return *limits.Load() }})
+		is.NoErr(err)
+		s := serve(t, limiter, accept)
+		head := "GET / HTTP/1.1\r\nHost: h\r\na: " + strings.Repeat("b", 10_000) + "\r\n\r\n"
+		is.Equal(status(s.connect(head)), http.StatusOK)
+		limits.Store(&RequestLimits{HeaderBytes: 1000, HeaderTimeout: time.Second})
+		is.Equal(status(s.connect(head)), http.StatusRequestHeaderFieldsTooLarge)
+		started := time.Now()
+		is.Equal(status(s.connect("GET / HTTP/1.1\r\nHost: h\r\n")), 0)
+		is.Equal(time.Since(started), time.Second)
+	})
+}
