httplimit: a body whose client expects "100 Continue" makes room too

What callers saw: nothing on the users' path yet, found by reading. A client that sends "Expect: 100-continue" and stops in its body would have kept its place and its memory until the deadline of the request, 27 s at most.

Cause: net/http writes the interim answer while the body is read, and the end of a write ended the wait of the connection for its client.

Why it works: a write ends only a wait that it has begun.

--- a/httplimit/body_test.go
+++ b/httplimit/body_test.go
@@ -73,6 +73,20 @@
 	})
 }
 
+// TestInterimAnswerLeavesABodyWaiting sends a request whose client expects "100 Continue",
+// which net/http writes while the body is read.
+func TestInterimAnswerLeavesABodyWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := startServer(t, Limits{Connections: 1}, readAll(time.Hour, 0))
+		unfinished := s.connect("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 10\r\n\r\n")
+		is.Equal(status(unfinished), http.StatusContinue)
+		started := time.Now()
+		is.Equal(status(s.connect(get)), http.StatusOK)
+		is.True(time.Since(started) < 2*time.Second)
+	})
+}
+
 func TestBodyIsRefusedAtItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -73,10 +73,16 @@
 	}
 }
 
-func (c *conn) startWaiting() {
+// startWaiting records that the connection waits for its client, and reports
+// whether it did not before.
+func (c *conn) startWaiting() bool {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
+	if c.queue != nil {
+		return false
+	}
 	c.limiter.enqueue(c, time.Now())
+	return true
 }
 
 func (c *conn) stopWaiting() {
@@ -154,8 +160,7 @@
 	if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return 0, err
 	}
-	if phase(c.phase.Load()) == phaseHandling {
-		c.startWaiting()
+	if phase(c.phase.Load()) == phaseHandling && c.startWaiting() {
 		defer c.stopWaiting()
 	}
 	return c.Conn.Write(b)
