httplimit: connections are bounded by memory too

What callers saw: nothing yet, found by reading. On a host with many descriptors and little memory, or one whose settings state no limits, connections that each send a little would have taken more than the host has.

Cause: the number of connections followed from the descriptors alone. A connection takes 10 KB, and up to 16 KiB with the parts of a request that are not reserved.

Evidence: httplimit.TestSharesOfAHost, row "little memory": 2,925 connections of 64 MB before, 1,024 now.

Why it works: all connections of callers together take at most a quarter of the memory. On the users' machines (284 MB, 4,100 descriptors) the descriptors still decide.

--- a/httplimit/host.go
+++ b/httplimit/host.go
@@ -11,7 +11,10 @@
 	Sockets     int // descriptors for connections
 }
 
-const defaultMemoryBytes = 256 << 20 // if the settings state no memory
+const (
+	defaultMemoryBytes = 256 << 20 // if the settings state no memory
+	connectionBytes    = 16 << 10  // memory of a connection with its allowances
+)
 
 // withDefaults returns the host with all fields set. The default of Sockets is
 // half of the process's limit of descriptors.
@@ -34,13 +37,13 @@
 // the process opens.
 func (h Host) Main() Limits {
 	h = h.withDefaults()
-	return Limits{Connections: h.Sockets / 4 * 3, RequestBytes: h.MemoryBytes / 4, DecodeBytes: h.MemoryBytes / 8}
+	return Limits{Connections: min(h.Sockets/4*3, int(h.MemoryBytes/4/connectionBytes)), RequestBytes: h.MemoryBytes / 4, DecodeBytes: h.MemoryBytes / 8}
 }
 
 // Side returns the limits of a server that few clients use.
 func (h Host) Side() Limits {
 	h = h.withDefaults()
-	return Limits{Connections: max(8, h.Sockets/16), RequestBytes: h.MemoryBytes / 32, DecodeBytes: h.MemoryBytes / 32}
+	return Limits{Connections: min(max(8, h.Sockets/16), int(h.MemoryBytes/32/connectionBytes)), RequestBytes: h.MemoryBytes / 32, DecodeBytes: h.MemoryBytes / 32}
 }
 
 // Local returns the limits of a server that few clients use, with large bodies.
