httplimit: options and the listener in files of their own; a refusal says no_room

Reading for newcomers: a field that a comment named has gone, and a body that was refused since its connection had to make room for another one was counted and answered as if memory had been short. No change of behaviour otherwise.

--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -165,7 +165,7 @@
 func (c *conn) bodyError(err error) error {
 	switch {
 	case c != nil && c.evicted.Load():
-		return c.limiter.refuseMemory()
+		return c.limiter.refuse(refusalEvicted)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.limiter.metrics.countRefusal(refusalBodyTime)
 		return &structs.NotRunError{Reason: structs.ReasonDeadline, RetryAfter: retryAfter, Err: err}
--- a/httplimit/limiter.go
+++ b/httplimit/limiter.go
@@ -13,7 +13,6 @@
 package httplimit
 
 import (
-	"cmp"
 	"container/list"
 	"context"
 	"net"
@@ -21,18 +20,10 @@
 	"sync"
 	"time"
 
-	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 	"golang.org/x/sync/semaphore"
 )
 
-// Defaults of RequestLimits.
-const (
-	maxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-)
-
 // Times of a connection.
 const (
 	bodyTimeout  = 5 * time.Minute // for a whole body
@@ -48,38 +39,6 @@
 	recheckInterval = 20 * time.Millisecond
 )
 
-// Limits are the limits of one server.
-type Limits struct {
-	Connections  int   // open connections
-	RequestBytes int64 // memory of the requests that are being read or handled
-	DecodeBytes  int64 // memory of the bodies that are being decoded
-}
-
-// RequestLimits are the limits of one request. Zero fields have defaults.
-type RequestLimits struct {
-	HeaderBytes   int64         // size of the head
-	HeaderTimeout time.Duration // from the first byte of a request to the end of its head
-	IdleTimeout   time.Duration // without a byte between two requests or in a body
-}
-
-func (r RequestLimits) withDefaults() RequestLimits {
-	return RequestLimits{
-		HeaderBytes:   cmp.Or(r.HeaderBytes, maxHeaderBytes),
-		HeaderTimeout: cmp.Or(r.HeaderTimeout, readHeaderTimeout),
-		IdleTimeout:   cmp.Or(r.IdleTimeout, idleTimeout),
-	}
-}
-
-// Options are the limits and dependencies of a Limiter.
-type Options struct {
-	Server string       // name of the server in metrics
-	Limits Limits       // those of the main server of an unknown host if zero
-	Meter  metric.Meter // nil for no metrics
-	// Requests returns the limits of requests, which may change while the server
-	// runs. nil for the defaults.
-	Requests func() RequestLimits
-}
-
 // Limiter bounds the clients of one server.
 type Limiter struct {
 	limits   Limits
@@ -89,15 +48,17 @@
 	mu       sync.Mutex
 	open     int // connections that are not closed
 	evicting int // open connections that have been told to make room
-	// waiting holds the connections that wait for their client, in the order in
-	// which they began to. Those that have had a request served are in served.
+	// unproven and served hold the connections that wait for their client, in the
+	// order in which they began to. Those that have had a request served are in
+	// served.
 	unproven, served *list.List
 	released         chan struct{} // receives a signal when a connection was closed
 	memoryWaits      int           // connections that wait for memory
 	isReclaiming     bool          // reclaimMemory runs
 	holders          *list.List    // connections that hold memory, in the order in which they began to
 
-	memory, decoding *semaphore.Weighted
+	memory   *semaphore.Weighted // for requests that are being read or handled
+	decoding *semaphore.Weighted // for bodies that are being decoded
 }
 
 // New returns a limiter. Its errors are those of the meter.
@@ -136,41 +97,6 @@
 	}
 }
 
-// Listen limits the connections that the listener accepts.
-func (l *Limiter) Listen(listener net.Listener) net.Listener {
-	return &limitedListener{Listener: listener, limiter: l, closed: make(chan struct{})}
-}
-
-// limitedListener is a net.Listener whose connections belong to a limiter.
-type limitedListener struct {
-	net.Listener
-	limiter   *Limiter
-	closeOnce sync.Once
-	closed    chan struct{}
-}
-
-// Accept implements net.Listener. While there is no room for a connection, it
-// leaves the following ones to the queue of the operating system.
-func (s *limitedListener) Accept() (net.Conn, error) {
-	accepted, err := s.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := s.limiter.add(accepted)
-	if !s.limiter.makeRoom(s.closed) {
-		_ = c.Close() // the listener is closed, which is reported
-		return nil, net.ErrClosed
-	}
-	c.startWaiting()
-	return c, nil
-}
-
-// Close implements net.Listener.
-func (s *limitedListener) Close() error {
-	s.closeOnce.Do(func() { close(s.closed) })
-	return s.Listener.Close()
-}
-
 func (l *Limiter) add(accepted net.Conn) *conn {
 	c := &conn{Conn: accepted, limiter: l}
 	l.mu.Lock()
--- a/httplimit/memory.go
+++ b/httplimit/memory.go
@@ -31,20 +31,20 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	if n > l.limits.RequestBytes || !l.startMemoryWait(c, cancel) {
-		return l.refuseMemory()
+		return l.refuse(refusalMemory)
 	}
 	err := l.memory.Acquire(ctx, n)
 	l.endMemoryWait(c)
 	if err != nil {
-		return l.refuseMemory()
+		return l.refuse(refusalMemory)
 	}
 	l.hold(c, n)
 	return nil
 }
 
-func (l *Limiter) refuseMemory() error {
-	l.metrics.countRefusal(refusalMemory)
-	return &structs.NotRunError{Reason: structs.ReasonMemory, RetryAfter: retryAfter}
+func (l *Limiter) refuse(reason string) error {
+	l.metrics.countRefusal(reason)
+	return &structs.NotRunError{Reason: structs.ReasonNoRoom, RetryAfter: retryAfter}
 }
 
 // startMemoryWait records that a connection waits for memory until cancel is
--- a/httplimit/metrics.go
+++ b/httplimit/metrics.go
@@ -19,6 +19,7 @@
 	refusalMemory   = "memory"
 	refusalHeadSize = "head_size"
 	refusalBodyTime = "body_time"
+	refusalEvicted  = "evicted"  // the connection of the body had to make room
 	refusalDecoding = "decoding" // no turn before the deadline
 )
 
--- a/structs/errors.go
+++ b/structs/errors.go
@@ -36,7 +36,7 @@
 	ReasonCancelled      Reason = "cancelled"
 	ReasonConnectionLost Reason = "connection_lost"
 	ReasonUnknownAttempt Reason = "unknown_attempt"
-	ReasonMemory         Reason = "memory" // of the process, taken by other requests
+	ReasonNoRoom         Reason = "no_room" // other requests take the memory or the connections of the process
 )
 
 // NotRunError reports that a request has not run and never will under this
