Memory is reserved for jobs on the way to the leader

Cause: the reservation of a body covers its bytes. A job whose texts are as large as its body is encoded as JSON, put into a message and sent, and while the leader is slow in several attempts, which takes several times as much.

--- a/fleet/job_memory.go
+++ b/fleet/job_memory.go
@@ -27,12 +27,10 @@
 
 // jobBytes returns the memory that a leader uses for a job, in bytes.
 func jobBytes(spec *structs.StepJob) int64 {
-	size := bytesPerJob + len(spec.Payload)
+	size := bytesPerJob + spec.TextBytes() + len(spec.Steps)*bytesPerStep
 	tasks := 0
 	for i := range spec.Steps {
-		s := &spec.Steps[i]
-		size += bytesPerStep + len(s.Image) + len(s.Label) + len(s.Rack) + 4*len(s.After)
-		tasks += int(s.Tasks)
+		tasks += int(spec.Steps[i].Tasks)
 	}
 	return int64(size) + int64(tasks)*int64(spec.RoundCount())*bytesPerTask
 }
--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -82,10 +82,14 @@
 // stops in the body. After an error the connection is closed.
 func ReadBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	c := connOf(r.Context())
-	held := c.held()
+	if c != nil {
+		c.heldByHead = c.held()
+	}
 	data, err := readBody(ctx, w, r, limit, c)
 	if err != nil {
-		c.releaseTo(held) // the buffer of the body is garbage by now
+		if c != nil {
+			c.releaseTo(c.heldByHead) // the buffer of the body is garbage by now
+		}
 		w.Header().Set("Connection", "close")
 		return nil, err
 	}
@@ -161,6 +165,18 @@
 	return decode()
 }
 
+// Exchange releases the memory of the body of a request, which the handler no
+// longer needs, and reserves n bytes for what it has made of it. It returns
+// *structs.NotRunError if there is no memory in time.
+func Exchange(ctx context.Context, r *http.Request, n int64) error {
+	c := connOf(r.Context())
+	if c == nil {
+		return nil
+	}
+	c.releaseTo(c.heldByHead)
+	return c.limiter.reserve(ctx, c, n-bodyAllowance)
+}
+
 // bodyError returns the error of a read from a body.
 func (c *conn) bodyError(err error) error {
 	switch {
--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -30,8 +30,9 @@
 
 	// The goroutine that serves the connection owns the fields below, but for
 	// phase, which a background read of net/http reads too.
-	phase atomic.Uint32
-	head  headUsage
+	phase      atomic.Uint32
+	head       headUsage
+	heldByHead int64 // reserved memory before the body
 
 	// The limiter's mu guards the fields below.
 	queue        *list.List // contains the connection while it waits for its client, else nil
--- a/httplimit/memory.go
+++ b/httplimit/memory.go
@@ -134,11 +134,8 @@
 	}
 }
 
-// held returns the reserved memory of a connection, 0 for one without limits.
+// held returns the reserved memory of a connection.
 func (c *conn) held() int64 {
-	if c == nil {
-		return 0
-	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	return c.heldBytes
@@ -146,9 +143,6 @@
 
 // releaseTo releases the memory of a connection but for keep bytes.
 func (c *conn) releaseTo(keep int64) {
-	if c == nil {
-		return
-	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	c.limiter.release(c, keep)
--- a/soak/crowd_cases_test.go
+++ b/soak/crowd_cases_test.go
@@ -173,6 +173,12 @@
 	runCrowd(t, 10, func(s *testSystem) string { return listenAddress(s.hosts[0], "control") }, func(conn net.Conn) { crowd.SendAndWait(conn, request) })
 }
 
+// The same from more clients, so that many jobs are on the way to the leader.
+func TestCrowdWithManyLargeJobsAtOnce(t *testing.T) {
+	body := `{"steps":[{"count":1,"cpu":500,"requires":"none","image":"` + strings.Repeat("x", 60000) + `"}]}`
+	runCrowd(t, 300, callerAddress, func(conn net.Conn) { sendBodies(conn, body) })
+}
+
 // The jobs of these crowds are valid and accepted, and none of them can start.
 
 func TestCrowdThatHandsInLargeJobsOnAndOn(t *testing.T) {
@@ -197,19 +203,20 @@
 
 // runBodyCrowd runs a crowd that sends whole requests with the body.
 func runBodyCrowd(t *testing.T, body string) {
-	runCrowd(t, 50, callerAddress, func(conn net.Conn) {
-		answers := make(chan struct{})
-		go func() {
-			defer close(answers)
-			crowd.WaitUntilClosed(conn)
-		}()
-		for range 20 {
-			if crowd.SendInPieces(conn, requestHead(crowd.LengthField(len(body)))+"\r\n"+body, len(body), 50*time.Millisecond) != nil {
-				break
-			}
+	runCrowd(t, 50, callerAddress, func(conn net.Conn) { sendBodies(conn, body) })
+}
+
+// sendBodies sends 20 requests with the body and reads the answers until the
+// connection is closed.
+func sendBodies(conn net.Conn, body string) {
+	var answers sync.WaitGroup
+	answers.Go(func() { crowd.WaitUntilClosed(conn) })
+	for range 20 {
+		if crowd.SendInPieces(conn, requestHead(crowd.LengthField(len(body)))+"\r\n"+body, len(body), 50*time.Millisecond) != nil {
+			break
 		}
-		<-answers
-	})
+	}
+	answers.Wait()
 }
 
 // TestCrowdLimitsServeSingleRequests checks that requests as large as the
--- a/structs/stepjobs.go
+++ b/structs/stepjobs.go
@@ -21,6 +21,16 @@
 	Schedule Schedule `json:"schedule,omitzero"` // zero for a job that runs once and immediately
 }
 
+// TextBytes returns the number of bytes in the texts and lists of the job.
+func (j *StepJob) TextBytes() int {
+	size := len(j.Payload)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		size += len(s.Image) + len(s.Label) + len(s.Rack) + 4*len(s.After)
+	}
+	return size
+}
+
 // Step is a set of identical tasks of a job.
 type Step struct {
 	Tasks          int32         `json:"tasks"`
