Large jobs may take half of a leader's memory for jobs

Cause: one share for jobs of all sizes, and a quarter as much again for submissions that are being handled.

Why it works: a job whose texts exceed 8 KiB is refused beyond half of the share, so that ordinary jobs have the other half, and less is in flight.

--- a/fleet/job_memory.go
+++ b/fleet/job_memory.go
@@ -35,11 +35,19 @@
 	return int64(size) + int64(tasks)*int64(spec.RoundCount())*bytesPerTask
 }
 
-// hasMemoryFor reports whether the leader may accept a job. Jobs that it has read
-// from the store count, but are never too many.
+// largeTextBytes is the size of the texts of a job above which it is large. The
+// tasks of a job do not make it large.
+const largeTextBytes = 8 << 10
+
+// hasMemoryFor reports whether the leader may accept a job. Large jobs may not take
+// the second half of the memory, so that others are accepted beside a crowd of them. Jobs
+// that the leader has read from the store count, but are never too many.
 func (l *leader) hasMemoryFor(spec *structs.StepJob) bool {
 	limit := l.o.JobBytes
-	if limit <= 0 || l.jobMemory+jobBytes(spec) <= limit {
+	if spec.TextBytes() > largeTextBytes {
+		limit /= 2
+	}
+	if l.o.JobBytes <= 0 || l.jobMemory+jobBytes(spec) <= limit {
 		return true
 	}
 	l.metrics.count(l.metrics.refusedJobs, "memory")
@@ -56,7 +64,7 @@
 
 // submissionShare is the part of the memory for jobs that submissions which are
 // being handled may take.
-const submissionShare = 4
+const submissionShare = 8
 
 // refuseSubmission answers a submission for which there is no memory. This node
 // has not decided on it.
