httplimit: a body may time out on a connection without limits

A handler behind a server that is not limited, such as one of a test with a read timeout, would have panicked in place of answering that the body was cut off.

Cause: the counter of refusals belongs to the connection's limiter, which was used without a check.

Evidence: httplimit.TestBodyOfAConnectionWithoutLimitsMayTimeOut panics before and passes now.

Why it works: without a limiter the error of the read is returned as it is, and nothing is counted.

--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -177,12 +177,13 @@
 	return c.limiter.reserve(ctx, c, n-bodyAllowance)
 }
 
-// bodyError returns the error of a read from a body.
+// bodyError returns the error of a read from a body. The receiver is nil if the
+// connection has no limits.
 func (c *conn) bodyError(err error) error {
 	switch {
 	case c != nil && c.evicted.Load():
 		return c.limiter.refuse(refusalEvicted)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case c != nil && errors.Is(err, os.ErrDeadlineExceeded):
 		c.limiter.metrics.countRefusal(refusalBodyTime)
 		return &structs.NotRunError{Reason: structs.ReasonDeadline, RetryAfter: retryAfter, Err: err}
 	default:
--- a/httplimit/body_test.go
+++ b/httplimit/body_test.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -62,6 +64,13 @@
 	}
 }
 
+func TestBodyOfAConnectionWithoutLimitsMayTimeOut(t *testing.T) {
+	r := httptest.NewRequest(http.MethodPost, "/", iotest.ErrReader(os.ErrDeadlineExceeded))
+	if _, err := ReadBody(t.Context(), httptest.NewRecorder(), r, testBodyLimit); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%v; want the error of the read", err)
+	}
+}
+
 func TestBodyThatHoldsMemoryMakesRoomAndIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
