daemon: the test of a leader's restart waits for the end of the old process

Cause, by its lines: the test cancels the leader's agent and starts the next one as soon as a job has completed elsewhere. The old one was still in its stop, which takes up to 3 s, and held its port. A platform starts the next process after the end of the last.

The test checks the same as before; a start waits for the end of the host's last process.

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -34,6 +34,7 @@
 	frontAddress string
 	readyAddress string
 	cancels      map[string]context.CancelFunc
+	ended        map[string]chan struct{} // by host, closed when its last process has ended
 	settings     map[string]platform.Settings
 	group        *errgroup.Group
 	issuer       *standin.PermitIssuer
@@ -63,7 +64,7 @@
 	store := standin.NewPartStore()
 	s := &testSite{
 		t: t, store: store, client: store.Client(), frontAddress: freeAddress(t), readyAddress: freeAddress(t),
-		cancels: map[string]context.CancelFunc{}, settings: map[string]platform.Settings{}, group: &errgroup.Group{},
+		cancels: map[string]context.CancelFunc{}, ended: map[string]chan struct{}{}, settings: map[string]platform.Settings{}, group: &errgroup.Group{},
 	}
 	// On the route that requires permits, the issuer permits steps to run on
 	// one host only.
@@ -126,13 +127,20 @@
 }
 
 func (s *testSite) start(b platform.Settings) {
+	if ended := s.ended[b.Host]; ended != nil {
+		<-ended // its ports are free again
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s.cancels[b.Host] = cancel
+	ended := make(chan struct{})
+	s.cancels[b.Host], s.ended[b.Host] = cancel, ended
 	run := RunPlatformAgent
 	if b.HostClass == "edge" {
 		run = RunPlatformEntry
 	}
-	s.group.Go(func() error { return run(ctx, b) })
+	s.group.Go(func() error {
+		defer close(ended)
+		return run(ctx, b)
+	})
 }
 
 func (s *testSite) stop() {
