A decoder's error is cut off on every path that answers it

A number of a megabyte in a report, in a job or an announcement on our own path came back in full as the reason of the refusal, up to 16 MB, and for reports in a line of the log.

Cause: cut the reason off where the callers' handler writes it, not where a decoder's error becomes a fault.

Why it works: structs.DecodeFault makes that fault on all paths of clients and keeps 200 bytes of the error.

--- a/entryapi/server.go
+++ b/entryapi/server.go
@@ -146,7 +146,7 @@
 	if kind := problem.FromError(err).Type; kind == problem.TypeTooLarge || kind == problem.TypeNotRun {
 		return fmt.Errorf("%s: %w", subject, err)
 	}
-	return &structs.InvalidError{Subject: subject, Faults: []structs.Fault{{Path: "/", Rule: err.Error()}}}
+	return &structs.InvalidError{Subject: subject, Faults: []structs.Fault{structs.DecodeFault(err)}}
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) error {
--- a/entryapi/server_test.go
+++ b/entryapi/server_test.go
@@ -167,3 +167,16 @@
 		}
 	})
 }
+
+// TestRefusalDoesNotRepeatTheBody sends a body with a number of legal size, which the error of the
+// decoder repeats in full.
+func TestRefusalDoesNotRepeatTheBody(t *testing.T) {
+	is := is.New(t)
+	var submitted client.JobRequest
+	body := `{"tasks":` + strings.Repeat("1", 1<<20) + `}`
+	r := httptest.NewRequest(http.MethodPost, "/v1/teams/a/jobs", strings.NewReader(body))
+	w := httptest.NewRecorder()
+	problem.Write(w, readJSON(w, r, "job", maxJobBody, &submitted), "")
+	is.Equal(w.Code, http.StatusBadRequest)
+	is.True(w.Body.Len() < 2000)
+}
--- a/membership/local_targets_http.go
+++ b/membership/local_targets_http.go
@@ -61,7 +61,7 @@
 	var target structs.Target
 	if err := json.Unmarshal(body, &target); err != nil {
 		return structs.Target{}, &structs.InvalidError{Subject: "target", Faults: []structs.Fault{
-			{Path: "/", Value: strconv.Itoa(len(body)) + " bytes", Rule: "must be the JSON of a target: " + err.Error()},
+			{Path: "/", Value: strconv.Itoa(len(body)) + " bytes", Rule: "must be the JSON of a target: " + structs.DecodeFault(err).Rule},
 		}}
 	}
 	if target.ID == "" {
--- a/stepapi/stepapi.go
+++ b/stepapi/stepapi.go
@@ -120,7 +120,7 @@
 		err = decoder.Decode(job)
 	}
 	if err != nil {
-		return &structs.InvalidError{Subject: "job", Faults: []structs.Fault{{Path: "/", Rule: err.Error()}}}
+		return &structs.InvalidError{Subject: "job", Faults: []structs.Fault{structs.DecodeFault(err)}}
 	}
 	return nil
 }
--- a/structs/errors.go
+++ b/structs/errors.go
@@ -168,6 +168,19 @@
 	Faults  []Fault
 }
 
+// maxDecodeErrorBytes limits the text of a decoder's error in a fault.
+const maxDecodeErrorBytes = 200
+
+// DecodeFault returns the fault of a document that cannot be decoded. The error
+// of a decoder may repeat a value of the document, of any size.
+func DecodeFault(err error) Fault {
+	rule := err.Error()
+	if len(rule) > maxDecodeErrorBytes {
+		rule = strings.ToValidUTF8(rule[:maxDecodeErrorBytes], "") + "…"
+	}
+	return Fault{Path: "/", Rule: rule}
+}
+
 func (e *InvalidError) Error() string {
 	lines := make([]string, 0, len(e.Faults))
 	for _, f := range e.Faults {
