--- a/boundedjson/list.go
+++ b/boundedjson/list.go
@@ -1,6 +1,6 @@
 // Package boundedjson decodes JSON from clients into a bounded amount of
-// memory. What a text decodes to may take a hundred times its size: "{}" is two
-// bytes, and a struct may have hundreds.
+// memory. What a text decodes to may take a hundred times its size: the two bytes
+// of "{}" become a struct.
 package boundedjson
 
 import (
@@ -9,7 +9,7 @@
 	"fmt"
 )
 
-// TooLongError reports a JSON array or object with too many elements.
+// TooLongError reports a JSON array or object with more than Max elements.
 type TooLongError struct{ Max int }
 
 func (e *TooLongError) Error() string { return fmt.Sprintf("more than %d elements", e.Max) }
--- a/fleet/job_memory.go
+++ b/fleet/job_memory.go
@@ -25,7 +25,7 @@
 // leader has no memory for a job.
 const memoryRetryAfter = 5 * time.Second
 
-// jobBytes returns the memory that a leader uses for a job, in bytes.
+// jobBytes returns an estimate of the memory that a leader uses for a job.
 func jobBytes(spec *structs.StepJob) int64 {
 	size := bytesPerJob + spec.TextBytes() + len(spec.Steps)*bytesPerStep
 	tasks := 0
@@ -39,9 +39,9 @@
 // tasks of a job do not make it large.
 const largeTextBytes = 8 << 10
 
-// hasMemoryFor reports whether the leader may accept a job. Large jobs may not take
-// the second half of the memory, so that others are accepted beside a crowd of them. Jobs
-// that the leader has read from the store count, but are never too many.
+// hasMemoryFor reports whether the leader may accept a job. Large jobs may take half of
+// the memory, so that others are accepted beside many of them. Jobs that the leader has
+// read from the store count, but are never refused.
 func (l *leader) hasMemoryFor(spec *structs.StepJob) bool {
 	limit := l.o.JobBytes
 	if spec.TextBytes() > largeTextBytes {
