review/13: a list of a runner over 8 MiB ends its leases for good (LOST)

The agent logs 'poll of the runner failed ... unexpected end of JSON input' for each poll.

Code at fault: platform/http_client.go (maxResponseBytes) and fleet/agent_session.go (handlePollError): a list that is cut off is a failed poll, and the next one is as long.

--- a/review/standin3/clients.go
+++ b/review/standin3/clients.go
@@ -20,6 +20,7 @@
 	Requires   string `json:"requires,omitempty"`
 	// LongRunning tasks last until the job is cancelled.
 	LongRunning bool `json:"long_running,omitempty"`
+	Checkpoints bool `json:"checkpointing,omitempty"`
 }
 
 type jobBody struct {
--- a/review/standin3/crowd.go
+++ b/review/standin3/crowd.go
@@ -31,7 +31,7 @@
 	if !d.clients.waitUntilServing(15 * time.Second) {
 		return verdict{notRun: "no job was completed"}
 	}
-	if err := startLasting(d, runs, record); err != nil {
+	if err := startLasting(d, runs, record, ""); err != nil {
 		return verdict{notRun: err.Error()}
 	}
 	time.Sleep(4 * time.Second)
--- a/review/standin3/lasting.go
+++ b/review/standin3/lasting.go
@@ -25,10 +25,11 @@
 	checkSlack  = 500 * time.Millisecond
 )
 
-// startLasting hands in the ordinary client's job and waits until it is at work.
-func startLasting(d *deployment, runs *runLog, record *recorder) error {
+// startLasting hands in the ordinary client's job and waits until it is at work. requires is
+// the label of the runners that it needs, empty for any.
+func startLasting(d *deployment, runs *runLog, record *recorder, requires string) error {
 	runs.watch(lastingJob, func(line string) { record.printf("%s", line) })
-	status, _ := d.clients.call(http.MethodPost, lastingJob, jobBody{Spec: "ledger", Steps: []jobStep{{Count: lastingTasks, CPU: lastingCPU, MemoryMB: 256, EstimateMS: 400, LongRunning: true}}})
+	status, _ := d.clients.call(http.MethodPost, lastingJob, jobBody{Spec: "ledger", Steps: []jobStep{{Count: lastingTasks, CPU: lastingCPU, MemoryMB: 256, EstimateMS: 400, LongRunning: true, Requires: requires}}})
 	record.printf("ordinary job %s with %d tasks that last: %d", lastingJob, lastingTasks, status)
 	for limit := time.Now().Add(5 * time.Second); time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
 		if longestOutage(runs) == 0 {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -42,6 +42,7 @@
 var cases = map[string]func(dir string, record *recorder, trouble bool) verdict{
 	"takeover": playTakeover,
 	"crowd":    playCrowd,
+	"list":     playList,
 	"drain":    playDrain,
 }
 
--- a/review/standin3/runlog.go
+++ b/review/standin3/runlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -123,3 +124,10 @@
 	}
 	return time.Since(ended)
 }
+
+// endsByKind returns the numbers of runs that ended in each way.
+func (l *runLog) endsByKind() map[substrate.RunEnd]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.ends)
+}
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -50,7 +50,8 @@
 	labels          func(i int) []string // of the runner i
 	observer        standin.RunObserver
 	runTime         func(structs.RunID) time.Duration
-	lasts           func(structs.RunID) bool // whether a task lasts, nil if none does
+	lasts           func(structs.RunID) bool   // whether a task lasts, nil if none does
+	checkpoint      func(structs.RunID) string // of an active run, nil if no run has one
 	maxAttempts     int
 }
 
@@ -104,7 +105,7 @@
 	r.tasks = standin.NewTaskRunner(standin.TaskRunnerOptions{
 		Info: substrate.RunnerInfo{ID: fmt.Sprintf("i-%d", i), Address: runnerAddress, Pool: poolName, FailureDomain: structs.FailureDomainID(zone), Labels: labels,
 			Capacity: structs.Resources{MilliCPU: runnerMilliCPU, MemoryMB: runnerMemoryMB}},
-		MaxLease: maxLease, RunTime: p.runTime, LongRunning: p.lasts, Observer: p.observer,
+		MaxLease: maxLease, RunTime: p.runTime, LongRunning: p.lasts, Observer: p.observer, Checkpoint: p.checkpoint,
 	})
 	if err := serveAt(runnerAddress, r.handler()); err != nil {
 		return err
--- a/review/standin3/takeover.go
+++ b/review/standin3/takeover.go
@@ -43,7 +43,7 @@
 	if !d.clients.waitUntilServing(15 * time.Second) {
 		return verdict{notRun: "no job was completed"}
 	}
-	if err := startLasting(d, runs, record); err != nil {
+	if err := startLasting(d, runs, record, ""); err != nil {
 		return verdict{notRun: err.Error()}
 	}
 	accepted, refused := fillStore(d)
