--- a/review/14/run.sh
+++ b/review/15/run.sh
@@ -6,4 +6,4 @@
 for program in target/daisywall-agent target/daisywall-entry target/review-standin3; do
   [ -x "$program" ] || { echo "$program is missing: run the build of deploy/system.toml and review/build-3.sh"; exit 2; }
 done
-exec target/review-standin3 drain review/14/record.txt
+exec target/review-standin3 drain review/15/record.txt
