--- a/review/standin4/refused.go
+++ b/review/standin4/refused.go
@@ -15,6 +15,7 @@
 	slowFactor     = 60  // platform_slow, x = 60 for 4.5 s on the sheets' site file
 	slowFor        = 4500 * time.Millisecond
 	clientPause    = 50 * time.Millisecond
+	specBytes      = 4000 // the pages' limit
 )
 
 // handedIn is what a client knows of a job.
