--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,5 @@
 # of deploy/system.toml, from any folder.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-standin3 ./review/11/standin
+go build -o target/review-standin4 ./review/11/standin
+go build -o target/review-standin3 ./review/12/standin
